--- /dev/null
+++ b/admission/request.go
@@ -0,0 +1,116 @@
+package admission
+
+import "time"
+
+// Request asks for the right to run one call on one target of a service.
+type Request struct {
+	// ID is unique to the request and its attempt.
+	ID string
+	// Host is the entry host that asks, and that sends the call itself.
+	Host      string
+	Service   string
+	Workspace string
+	// Chat names the returning chat; empty for none.
+	Chat string
+	// Priority is passed on to the engine; a higher number goes first within a
+	// workspace.
+	Priority int
+	// Deadline is when the caller gives up. A request still queued then is
+	// refused.
+	Deadline time.Time
+	// Exclude names targets that this request has already tried.
+	Exclude []string
+}
+
+// Permit is the right to send one request to one target. The target counts it
+// as in flight until its release.
+type Permit struct {
+	RequestID string
+	// Host is the entry host that holds the permit.
+	Host        string
+	Service     string
+	Workspace   string
+	Chat        string
+	Target      string
+	Incarnation uint64
+	// Address is the target's IP:port.
+	Address string
+	// Fence is the fencing number of the owner that granted the permit.
+	Fence uint64
+	// ValidFor bounds the time from asking to sending the first byte. After it
+	// the permit must be released unsent.
+	ValidFor time.Duration
+	// Warm is set when the chat's context is believed to be on the target.
+	Warm bool
+	// Waited is the time spent in the owner's queue.
+	Waited time.Duration
+	// Reason says in a word why this target was chosen.
+	Reason string
+	// ChecksFence and Resumes repeat what the target announced.
+	ChecksFence bool
+	Resumes     bool
+}
+
+// RefusalCode says why a request got no permit.
+type RefusalCode string
+
+// The refusal codes.
+const (
+	// RefusedNoTarget: no target of the service may take work at all.
+	RefusedNoTarget RefusalCode = "NoTarget"
+	// RefusedQueueFull: the workspace's queue is full.
+	RefusedQueueFull RefusalCode = "QueueFull"
+	// RefusedDeadline: the deadline passed in the queue.
+	RefusedDeadline RefusalCode = "Deadline"
+	// RefusedUnknownService: the service is not in the fleet text.
+	RefusedUnknownService RefusalCode = "UnknownService"
+	// RefusedUnknownWorkspace: the workspace is not in the fleet text or may
+	// not use the service.
+	RefusedUnknownWorkspace RefusalCode = "UnknownWorkspace"
+	// RefusedNotOwner: this host does not own the service now.
+	RefusedNotOwner RefusalCode = "NotOwner"
+	// RefusedDependency: a service that this one depends on cannot serve.
+	RefusedDependency RefusalCode = "Dependency"
+	// RefusedCancelled: the request was cancelled by the host that asked.
+	RefusedCancelled RefusalCode = "Cancelled"
+)
+
+// Refusal says that a request got no permit, so that no part of it ran.
+type Refusal struct {
+	RequestID string
+	Code      RefusalCode
+	Message   string
+	// RetryAfter is when asking again may help.
+	RetryAfter time.Duration
+}
+
+// Error makes a refusal usable as an error.
+func (r *Refusal) Error() string {
+	return "request " + r.RequestID + " refused: " + string(r.Code) + ": " + r.Message
+}
+
+// Outcome tells how a permit ended.
+type Outcome string
+
+// The outcomes of a permit.
+const (
+	// OutcomeDone: the whole answer arrived.
+	OutcomeDone Outcome = "Done"
+	// OutcomeFailed: the target failed or went silent.
+	OutcomeFailed Outcome = "Failed"
+	// OutcomeCancelled: the caller went away.
+	OutcomeCancelled Outcome = "Cancelled"
+	// OutcomeUnsent: no byte was sent to the target.
+	OutcomeUnsent Outcome = "Unsent"
+)
+
+// Release gives a permit back.
+type Release struct {
+	RequestID string
+	Service   string
+	Target    string
+	Outcome   Outcome
+	// FirstByte is the time from sending to the answer's first byte; 0 if none
+	// came.
+	FirstByte time.Duration
+}
--- /dev/null
+++ b/chat/chat.go
@@ -0,0 +1,2 @@
+// Package chat remembers on which target each chat's context is warm.
+package chat
--- /dev/null
+++ b/cmd/comfreytiller/main.go
@@ -0,0 +1,4 @@
+// Command comfreytiller is the operators' tool.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/comfreytillerd/main.go
@@ -0,0 +1,4 @@
+// Command comfreytillerd is the daemon of an entry host.
+package main
+
+func main() {}
--- /dev/null
+++ b/common/logs/logs.go
@@ -0,0 +1,69 @@
+// Package logs builds the loggers of the parts, each with a fixed prefix.
+//
+// # Usage
+//
+//	base, err := logs.New(os.Stderr, "info", "text")
+//	routes := logs.Part(base, "Route")
+//	routes.Info("Chat c-17 goes to engine-3.")
+package logs
+
+import (
+	"io"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+)
+
+// ErrFormat reports a log format other than "text" and "json".
+var ErrFormat = errors.New("unknown log format")
+
+// New returns a logger that writes to w. The level is one of logrus's names,
+// the format "text" or "json".
+func New(w io.Writer, level, format string) (*logrus.Logger, error) {
+	parsed, err := logrus.ParseLevel(level)
+	if err != nil {
+		return nil, errors.Wrapf(err, "parse log level %q", level)
+	}
+	logger := logrus.New()
+	logger.SetOutput(w)
+	logger.SetLevel(parsed)
+	switch format {
+	case "text":
+		logger.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
+	case "json":
+		logger.SetFormatter(&logrus.JSONFormatter{})
+	default:
+		return nil, errors.Wrapf(ErrFormat, "log format %q", format)
+	}
+	return logger, nil
+}
+
+// Discard returns a logger that writes nothing.
+func Discard() *logrus.Logger {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return logger
+}
+
+// prefixHook puts a part's prefix in front of every message.
+type prefixHook struct{ prefix string }
+
+// Part returns a logger for one part of a host: every message starts with the
+// part's name and a colon.
+func Part(base *logrus.Logger, part string) *logrus.Logger {
+	logger := logrus.New()
+	logger.SetOutput(base.Out)
+	logger.SetLevel(base.GetLevel())
+	logger.SetFormatter(base.Formatter)
+	logger.AddHook(prefixHook{prefix: part + ": "})
+	return logger
+}
+
+// Levels returns every level, since each message carries the prefix.
+func (h prefixHook) Levels() []logrus.Level { return logrus.AllLevels }
+
+// Fire puts the prefix in front of the message.
+func (h prefixHook) Fire(entry *logrus.Entry) error {
+	entry.Message = h.prefix + entry.Message
+	return nil
+}
--- /dev/null
+++ b/common/logs/logs_test.go
@@ -0,0 +1,24 @@
+package logs
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestPartPutsItsPrefixInFront(t *testing.T) {
+	var out bytes.Buffer
+	base, err := New(&out, "info", "text")
+	require.NoError(t, err)
+
+	Part(base, "Route").Info("Chat c-17 goes to engine-3.")
+	require.Contains(t, out.String(), `msg="Route: Chat c-17 goes to engine-3."`)
+}
+
+func TestNewRefusesUnknownLevelAndFormat(t *testing.T) {
+	_, err := New(&bytes.Buffer{}, "loud", "text")
+	require.Error(t, err)
+	_, err = New(&bytes.Buffer{}, "info", "xml")
+	require.ErrorIs(t, err, ErrFormat)
+}
--- /dev/null
+++ b/journal/journal.go
@@ -0,0 +1,2 @@
+// Package journal keeps a replica's log and snapshots on disk.
+package journal
--- /dev/null
+++ b/peer/peer.go
@@ -0,0 +1,2 @@
+// Package peer carries the control messages between hosts.
+package peer
--- /dev/null
+++ b/placement/placement.go
@@ -0,0 +1,2 @@
+// Package placement decides which target serves which service.
+package placement
--- /dev/null
+++ b/quorum/quorum.go
@@ -0,0 +1,74 @@
+// Package quorum replicates a log over a few state replicas.
+//
+// The Node is a pure step function: messages and ticks go in, messages and
+// writes come out. The Replica drives a Node over a Storage, a Transport and a
+// Machine.
+package quorum
+
+import (
+	"context"
+	"time"
+)
+
+// Entry is one record of the log.
+type Entry struct {
+	Index uint64
+	Term  uint64
+	Kind  EntryKind
+	Data  []byte
+}
+
+// EntryKind tells commands from the log's own records.
+type EntryKind uint8
+
+// The kinds of entry.
+const (
+	EntryCommand EntryKind = iota
+	EntryNoop
+	EntryMembers
+)
+
+// Machine is the state machine that a Replica feeds. Its methods are called
+// from one goroutine.
+type Machine interface {
+	// Apply executes a committed command and returns its result.
+	Apply(index, term uint64, command []byte) []byte
+	// Snapshot returns the whole state.
+	Snapshot() ([]byte, error)
+	// Restore replaces the whole state.
+	Restore(snapshot []byte) error
+}
+
+// Transport carries messages between replicas. Send does not block; it may
+// lose, delay, duplicate or reorder messages.
+type Transport interface {
+	Send(messages []Message)
+}
+
+// Log is what the rest of a host uses of a Replica.
+type Log interface {
+	// Propose commits the command and returns the machine's result. It returns
+	// ErrNotLeader with no effect, or a context error when the effect is not
+	// known.
+	Propose(ctx context.Context, command []byte) ([]byte, error)
+	// Barrier returns once the local machine holds everything that was
+	// committed when Barrier was called.
+	Barrier(ctx context.Context) error
+	// Leadership tells who leads. Confirmed is set on the leader only while a
+	// majority has answered a heartbeat sent within the election timeout, by
+	// the monotonic clock.
+	Leadership() Leadership
+}
+
+// Leadership is a replica's view of who leads.
+type Leadership struct {
+	Term uint64
+	// Leader is the leader's replica ID; empty for unknown.
+	Leader string
+	// Self is set on the leader itself.
+	Self bool
+	// Since is when this replica became leader.
+	Since time.Time
+	// Confirmed says that the lead is backed by a majority now.
+	Confirmed bool
+}
--- /dev/null
+++ b/route/route.go
@@ -0,0 +1,2 @@
+// Package route orders the targets of a service for one request.
+package route
--- /dev/null
+++ b/session/session.go
@@ -0,0 +1,2 @@
+// Package session keeps a host's lease with the state replicas.
+package session
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,2 @@
+// Package settings reads and checks a host's settings.
+package settings
