--- /dev/null
+++ b/common/rpc/rpc.go
@@ -0,0 +1,160 @@
+// Package rpc carries twirp calls over fasthttp, signed with the shared key.
+//
+// Every call carries its time and an HMAC-SHA256 over path, time and body. A
+// call with a wrong proof, or older than the allowed skew, is refused.
+//
+// # Usage
+//
+//	client := operatorpb.NewOperatorsProtobufClient("http://127.0.0.1:7001", rpc.NewClient(key, clock))
+//	handler := rpc.Serve(operatorpb.NewOperatorsServer(server), key, clock)
+package rpc
+
+import (
+	"bytes"
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+)
+
+const (
+	dateHeader  = "Comfreytiller-Date"
+	proofHeader = "Comfreytiller-Proof"
+	// maxSkew is the largest age of a call.
+	maxSkew = 5 * time.Minute
+	// MaxBodyBytes is the largest body of a call or an answer.
+	MaxBodyBytes = 64 << 20
+	// callTimeout bounds a call whose context has no deadline.
+	callTimeout = 2 * time.Minute
+)
+
+// Client executes net/http requests with fasthttp, as twirp's clients want.
+type Client struct {
+	key   []byte
+	clock clockwork.Clock
+	http  *fasthttp.Client
+}
+
+// NewClient returns a client that signs with key.
+func NewClient(key []byte, clock clockwork.Clock) *Client {
+	return &Client{
+		key:   key,
+		clock: clock,
+		http: &fasthttp.Client{
+			MaxResponseBodySize:           MaxBodyBytes,
+			DisablePathNormalizing:        true,
+			DisableHeaderNamesNormalizing: false,
+			// A resent call could run twice; the operation id is the caller's
+			// means to ask again.
+			MaxIdemponentCallAttempts: 1,
+		},
+	}
+}
+
+// Do executes a request.
+func (c *Client) Do(request *http.Request) (*http.Response, error) {
+	body, err := readBody(request)
+	if err != nil {
+		return nil, errors.Wrapf(err, "read request to %s", request.URL)
+	}
+	out := fasthttp.AcquireRequest()
+	in := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(out)
+	defer fasthttp.ReleaseResponse(in)
+	out.SetRequestURI(request.URL.String())
+	out.Header.SetMethod(request.Method)
+	for name, values := range request.Header {
+		for _, value := range values {
+			out.Header.Add(name, value)
+		}
+	}
+	c.sign(out, body)
+	out.SetBody(body)
+	if err := c.http.DoDeadline(out, in, c.deadline(request)); err != nil {
+		return nil, errors.Wrapf(err, "call %s", request.URL)
+	}
+	return response(in), nil
+}
+
+func (c *Client) deadline(request *http.Request) time.Time {
+	if deadline, ok := request.Context().Deadline(); ok {
+		return deadline
+	}
+	return c.clock.Now().Add(callTimeout)
+}
+
+func (c *Client) sign(out *fasthttp.Request, body []byte) {
+	date := strconv.FormatInt(c.clock.Now().UnixNano(), 10)
+	out.Header.Set(dateHeader, date)
+	out.Header.Set(proofHeader, proof(c.key, string(out.URI().Path()), date, body))
+}
+
+func readBody(request *http.Request) ([]byte, error) {
+	if request.Body == nil {
+		return nil, nil
+	}
+	defer func() { _ = request.Body.Close() }()
+	return io.ReadAll(request.Body)
+}
+
+func response(in *fasthttp.Response) *http.Response {
+	header := http.Header{}
+	for name, value := range in.Header.All() {
+		header.Add(string(name), string(value))
+	}
+	body := bytes.Clone(in.Body())
+	return &http.Response{
+		StatusCode:    in.StatusCode(),
+		Status:        strconv.Itoa(in.StatusCode()),
+		Header:        header,
+		ContentLength: int64(len(body)),
+		Body:          io.NopCloser(bytes.NewReader(body)),
+	}
+}
+
+// Serve returns a fasthttp handler for a twirp server that refuses calls
+// without a good proof.
+func Serve(server http.Handler, key []byte, clock clockwork.Clock) fasthttp.RequestHandler {
+	next := fasthttpadaptor.NewFastHTTPHandler(server)
+	return func(ctx *fasthttp.RequestCtx) {
+		if !verified(ctx, key, clock) {
+			ctx.Error(`{"code":"unauthenticated","msg":"the call carries no proof of the shared key"}`,
+				fasthttp.StatusUnauthorized)
+			ctx.SetContentType("application/json")
+			return
+		}
+		next(ctx)
+	}
+}
+
+func verified(ctx *fasthttp.RequestCtx, key []byte, clock clockwork.Clock) bool {
+	date := string(ctx.Request.Header.Peek(dateHeader))
+	sent, err := strconv.ParseInt(date, 10, 64)
+	if err != nil {
+		return false
+	}
+	skew := clock.Now().Sub(time.Unix(0, sent))
+	if skew > maxSkew || skew < -maxSkew {
+		return false
+	}
+	want := proof(key, string(ctx.Path()), date, ctx.PostBody())
+	return hmac.Equal([]byte(want), ctx.Request.Header.Peek(proofHeader))
+}
+
+func proof(key []byte, path, date string, body []byte) string {
+	mac := hmac.New(sha256.New, key)
+	for _, part := range [][]byte{[]byte(path), []byte(date), body} {
+		mac.Write([]byte(strconv.Itoa(len(part))))
+		mac.Write([]byte{0})
+		mac.Write(part)
+	}
+	return hex.EncodeToString(mac.Sum(nil))
+}
--- /dev/null
+++ b/peer/codec.go
@@ -0,0 +1,83 @@
+package peer
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/go-faster/errors"
+
+	"comfreytiller.dev/peer/peerpb"
+)
+
+// frame is a message with its place in the conversation.
+type frame struct {
+	call    uint64
+	answer  bool
+	message Message
+}
+
+// encodeFrame returns the bytes of a frame without its length.
+func encodeFrame(f frame, now time.Time) ([]byte, error) {
+	wire := &peerpb.Frame{Call: f.call, Answer: f.answer}
+	if err := setBody(wire, f.message, now); err != nil {
+		return nil, err
+	}
+	data, err := proto.Marshal(wire)
+	return data, errors.Wrap(err, "encode frame")
+}
+
+// decodeFrame reads a frame. Times that travel as a remainder are set from now.
+func decodeFrame(data []byte, now time.Time) (frame, error) {
+	wire := &peerpb.Frame{}
+	if err := proto.Unmarshal(data, wire); err != nil {
+		return frame{}, errors.Wrapf(ErrFrame, "decode %d bytes: %v", len(data), err)
+	}
+	message := body(wire, now)
+	if message == nil {
+		return frame{}, errors.Wrapf(ErrFrame, "frame of call %d has no known body", wire.Call)
+	}
+	return frame{call: wire.Call, answer: wire.Answer, message: message}, nil
+}
+
+func setBody(wire *peerpb.Frame, message Message, now time.Time) error {
+	switch m := message.(type) {
+	case Ping:
+		wire.Body = &peerpb.Frame_Ping{Ping: &peerpb.Ping{}}
+	case Pong:
+		wire.Body = &peerpb.Frame_Pong{Pong: &peerpb.Ping{}}
+	case Failure:
+		wire.Body = &peerpb.Frame_Failure{Failure: &peerpb.Failure{Message: m.Message}}
+	case Taken:
+		wire.Body = &peerpb.Frame_Taken{Taken: &peerpb.Taken{}}
+	case Acquire, Permit, Refusal, Cancel, Releases, Adopt:
+		setAdmissionBody(wire, message, now)
+	case TargetNews, TargetKnown, CopyPart, StatusAsk, StatusTold:
+		setTargetBody(wire, message)
+	case Quorum, Propose, Proposed, Renew, Renewed:
+		setStateBody(wire, message)
+	default:
+		return errors.Wrapf(ErrFrame, "message of type %T", message)
+	}
+	return nil
+}
+
+func body(wire *peerpb.Frame, now time.Time) Message {
+	switch b := wire.Body.(type) {
+	case *peerpb.Frame_Ping:
+		return Ping{}
+	case *peerpb.Frame_Pong:
+		return Pong{}
+	case *peerpb.Frame_Failure:
+		return Failure{Message: b.Failure.Message}
+	case *peerpb.Frame_Taken:
+		return Taken{}
+	}
+	if message := admissionBody(wire, now); message != nil {
+		return message
+	}
+	if message := targetBody(wire); message != nil {
+		return message
+	}
+	return stateBody(wire)
+}
--- /dev/null
+++ b/peer/codec_admission.go
@@ -0,0 +1,177 @@
+package peer
+
+import (
+	"time"
+
+	"comfreytiller.dev/admission"
+	"comfreytiller.dev/peer/peerpb"
+)
+
+func setAdmissionBody(wire *peerpb.Frame, message Message, now time.Time) {
+	switch m := message.(type) {
+	case Acquire:
+		wire.Body = &peerpb.Frame_Acquire{Acquire: acquireToWire(m, now)}
+	case Permit:
+		wire.Body = &peerpb.Frame_Permit{Permit: permitToWire(m.Permit)}
+	case Refusal:
+		wire.Body = &peerpb.Frame_Refusal{Refusal: refusalToWire(m.Refusal)}
+	case Cancel:
+		wire.Body = &peerpb.Frame_Cancel{Cancel: &peerpb.Cancel{Service: m.Service, RequestId: m.RequestID}}
+	case Releases:
+		wire.Body = &peerpb.Frame_Releases{Releases: releasesToWire(m.Releases)}
+	case Adopt:
+		wire.Body = &peerpb.Frame_Adopt{Adopt: adoptToWire(m)}
+	}
+}
+
+func admissionBody(wire *peerpb.Frame, now time.Time) Message {
+	switch b := wire.Body.(type) {
+	case *peerpb.Frame_Acquire:
+		return acquireFromWire(b.Acquire, now)
+	case *peerpb.Frame_Permit:
+		return Permit{Permit: permitFromWire(b.Permit)}
+	case *peerpb.Frame_Refusal:
+		return Refusal{Refusal: refusalFromWire(b.Refusal)}
+	case *peerpb.Frame_Cancel:
+		return Cancel{Service: b.Cancel.Service, RequestID: b.Cancel.RequestId}
+	case *peerpb.Frame_Releases:
+		return releasesFromWire(b.Releases)
+	case *peerpb.Frame_Adopt:
+		return adoptFromWire(b.Adopt)
+	}
+	return nil
+}
+
+// The deadline travels as the time that remains, since hosts' clocks differ.
+func acquireToWire(m Acquire, now time.Time) *peerpb.Acquire {
+	r := m.Request
+	return &peerpb.Acquire{
+		Id:        r.ID,
+		Host:      r.Host,
+		Service:   r.Service,
+		Workspace: r.Workspace,
+		Chat:      r.Chat,
+		Priority:  int32(r.Priority),
+		Remaining: int64(r.Deadline.Sub(now)),
+		Exclude:   r.Exclude,
+		Fence:     m.Fence,
+	}
+}
+
+func acquireFromWire(w *peerpb.Acquire, now time.Time) Acquire {
+	return Acquire{
+		Request: admission.Request{
+			ID:        w.Id,
+			Host:      w.Host,
+			Service:   w.Service,
+			Workspace: w.Workspace,
+			Chat:      w.Chat,
+			Priority:  int(w.Priority),
+			Deadline:  now.Add(time.Duration(w.Remaining)),
+			Exclude:   w.Exclude,
+		},
+		Fence: w.Fence,
+	}
+}
+
+func permitToWire(p admission.Permit) *peerpb.Permit {
+	return &peerpb.Permit{
+		RequestId:   p.RequestID,
+		Host:        p.Host,
+		Service:     p.Service,
+		Workspace:   p.Workspace,
+		Chat:        p.Chat,
+		Target:      p.Target,
+		Incarnation: p.Incarnation,
+		Address:     p.Address,
+		Fence:       p.Fence,
+		ValidFor:    int64(p.ValidFor),
+		Warm:        p.Warm,
+		Waited:      int64(p.Waited),
+		Reason:      p.Reason,
+		ChecksFence: p.ChecksFence,
+		Resumes:     p.Resumes,
+	}
+}
+
+func permitFromWire(w *peerpb.Permit) admission.Permit {
+	return admission.Permit{
+		RequestID:   w.RequestId,
+		Host:        w.Host,
+		Service:     w.Service,
+		Workspace:   w.Workspace,
+		Chat:        w.Chat,
+		Target:      w.Target,
+		Incarnation: w.Incarnation,
+		Address:     w.Address,
+		Fence:       w.Fence,
+		ValidFor:    time.Duration(w.ValidFor),
+		Warm:        w.Warm,
+		Waited:      time.Duration(w.Waited),
+		Reason:      w.Reason,
+		ChecksFence: w.ChecksFence,
+		Resumes:     w.Resumes,
+	}
+}
+
+func refusalToWire(r admission.Refusal) *peerpb.Refusal {
+	return &peerpb.Refusal{
+		RequestId:  r.RequestID,
+		Code:       string(r.Code),
+		Message:    r.Message,
+		RetryAfter: int64(r.RetryAfter),
+	}
+}
+
+func refusalFromWire(w *peerpb.Refusal) admission.Refusal {
+	return admission.Refusal{
+		RequestID:  w.RequestId,
+		Code:       admission.RefusalCode(w.Code),
+		Message:    w.Message,
+		RetryAfter: time.Duration(w.RetryAfter),
+	}
+}
+
+func releasesToWire(releases []admission.Release) *peerpb.Releases {
+	wire := &peerpb.Releases{}
+	for _, r := range releases {
+		wire.Releases = append(wire.Releases, &peerpb.Release{
+			RequestId: r.RequestID,
+			Service:   r.Service,
+			Target:    r.Target,
+			Outcome:   string(r.Outcome),
+			FirstByte: int64(r.FirstByte),
+		})
+	}
+	return wire
+}
+
+func releasesFromWire(w *peerpb.Releases) Releases {
+	var releases []admission.Release
+	for _, r := range w.Releases {
+		releases = append(releases, admission.Release{
+			RequestID: r.RequestId,
+			Service:   r.Service,
+			Target:    r.Target,
+			Outcome:   admission.Outcome(r.Outcome),
+			FirstByte: time.Duration(r.FirstByte),
+		})
+	}
+	return Releases{Releases: releases}
+}
+
+func adoptToWire(m Adopt) *peerpb.Adopt {
+	wire := &peerpb.Adopt{Host: m.Host, Session: m.Session, Service: m.Service, Fence: m.Fence}
+	for _, permit := range m.Permits {
+		wire.Permits = append(wire.Permits, permitToWire(permit))
+	}
+	return wire
+}
+
+func adoptFromWire(w *peerpb.Adopt) Adopt {
+	m := Adopt{Host: w.Host, Session: w.Session, Service: w.Service, Fence: w.Fence}
+	for _, permit := range w.Permits {
+		m.Permits = append(m.Permits, permitFromWire(permit))
+	}
+	return m
+}
--- /dev/null
+++ b/peer/codec_target.go
@@ -0,0 +1,163 @@
+package peer
+
+import (
+	"comfreytiller.dev/peer/peerpb"
+	"comfreytiller.dev/target"
+)
+
+func setTargetBody(wire *peerpb.Frame, message Message) {
+	switch m := message.(type) {
+	case TargetNews:
+		wire.Body = &peerpb.Frame_TargetNews{TargetNews: newsToWire(m)}
+	case TargetKnown:
+		wire.Body = &peerpb.Frame_TargetKnown{TargetKnown: &peerpb.TargetKnown{Known: m.Known}}
+	case CopyPart:
+		wire.Body = &peerpb.Frame_CopyPart{CopyPart: &peerpb.CopyPart{
+			Service: m.Service, Fence: m.Fence, Data: m.Data,
+		}}
+	case StatusAsk:
+		wire.Body = &peerpb.Frame_StatusAsk{StatusAsk: &peerpb.StatusAsk{Service: m.Service}}
+	case StatusTold:
+		wire.Body = &peerpb.Frame_StatusTold{StatusTold: &peerpb.StatusTold{Status: m.Status}}
+	}
+}
+
+func targetBody(wire *peerpb.Frame) Message {
+	switch b := wire.Body.(type) {
+	case *peerpb.Frame_TargetNews:
+		return newsFromWire(b.TargetNews)
+	case *peerpb.Frame_TargetKnown:
+		return TargetKnown{Known: b.TargetKnown.Known}
+	case *peerpb.Frame_CopyPart:
+		return CopyPart{Service: b.CopyPart.Service, Fence: b.CopyPart.Fence, Data: b.CopyPart.Data}
+	case *peerpb.Frame_StatusAsk:
+		return StatusAsk{Service: b.StatusAsk.Service}
+	case *peerpb.Frame_StatusTold:
+		return StatusTold{Status: b.StatusTold.Status}
+	}
+	return nil
+}
+
+func newsToWire(m TargetNews) *peerpb.TargetNews {
+	wire := &peerpb.TargetNews{Service: m.Service}
+	switch {
+	case m.Announcement != nil:
+		wire.News = &peerpb.TargetNews_Announcement{Announcement: announcementToWire(*m.Announcement)}
+	case m.Load != nil:
+		wire.News = &peerpb.TargetNews_Load{Load: loadToWire(*m.Load)}
+	case m.Cache != nil:
+		wire.News = &peerpb.TargetNews_Cache{Cache: cacheToWire(*m.Cache)}
+	case m.Leave != nil:
+		wire.News = &peerpb.TargetNews_Leave{Leave: &peerpb.Leave{
+			Name: m.Leave.Name, Incarnation: m.Leave.Incarnation, Sequence: m.Leave.Sequence,
+		}}
+	}
+	return wire
+}
+
+// newsFromWire returns nil for news without content.
+func newsFromWire(w *peerpb.TargetNews) Message {
+	m := TargetNews{Service: w.Service}
+	switch n := w.News.(type) {
+	case *peerpb.TargetNews_Announcement:
+		m.Announcement = announcementFromWire(n.Announcement)
+	case *peerpb.TargetNews_Load:
+		m.Load = loadFromWire(n.Load)
+	case *peerpb.TargetNews_Cache:
+		m.Cache = cacheFromWire(n.Cache)
+	case *peerpb.TargetNews_Leave:
+		m.Leave = &target.Leave{Name: n.Leave.Name, Stamp: stamp(n.Leave.Incarnation, n.Leave.Sequence)}
+	default:
+		return nil
+	}
+	return m
+}
+
+func stamp(incarnation, sequence uint64) target.Stamp {
+	return target.Stamp{Incarnation: incarnation, Sequence: sequence}
+}
+
+func announcementToWire(a target.Announcement) *peerpb.Announcement {
+	return &peerpb.Announcement{
+		Name:          a.Name,
+		Incarnation:   a.Incarnation,
+		Sequence:      a.Sequence,
+		Address:       a.Address,
+		FailureDomain: a.FailureDomain,
+		Kind:          string(a.Kind),
+		Service:       a.Service,
+		Model:         a.Model,
+		Version:       a.Version,
+		Adapters:      a.Adapters,
+		Role:          string(a.Role),
+		Capacity:      int32(a.Capacity),
+		CachedChats:   int64(a.CachedChats),
+		Cold:          a.Cold,
+		ChecksFence:   a.ChecksFence,
+		Resumes:       a.Resumes,
+		MovesCache:    a.MovesCache,
+	}
+}
+
+func announcementFromWire(w *peerpb.Announcement) *target.Announcement {
+	return &target.Announcement{
+		Name:          w.Name,
+		Stamp:         stamp(w.Incarnation, w.Sequence),
+		Address:       w.Address,
+		FailureDomain: w.FailureDomain,
+		Kind:          target.Kind(w.Kind),
+		Service:       w.Service,
+		Model:         w.Model,
+		Version:       w.Version,
+		Adapters:      w.Adapters,
+		Role:          target.Role(w.Role),
+		Capacity:      int(w.Capacity),
+		CachedChats:   int(w.CachedChats),
+		Cold:          w.Cold,
+		ChecksFence:   w.ChecksFence,
+		Resumes:       w.Resumes,
+		MovesCache:    w.MovesCache,
+	}
+}
+
+func loadToWire(l target.LoadReport) *peerpb.LoadReport {
+	return &peerpb.LoadReport{
+		Name:        l.Name,
+		Incarnation: l.Incarnation,
+		Sequence:    l.Sequence,
+		InFlight:    int32(l.InFlight),
+		Queued:      int32(l.Queued),
+		CacheUsed:   l.CacheUsed,
+		Cold:        l.Cold,
+	}
+}
+
+func loadFromWire(w *peerpb.LoadReport) *target.LoadReport {
+	return &target.LoadReport{
+		Name:      w.Name,
+		Stamp:     stamp(w.Incarnation, w.Sequence),
+		InFlight:  int(w.InFlight),
+		Queued:    int(w.Queued),
+		CacheUsed: w.CacheUsed,
+		Cold:      w.Cold,
+	}
+}
+
+func cacheToWire(e target.CacheEvent) *peerpb.CacheEvent {
+	return &peerpb.CacheEvent{
+		Name:        e.Name,
+		Incarnation: e.Incarnation,
+		Sequence:    e.Sequence,
+		Change:      string(e.Change),
+		Chats:       e.Chats,
+	}
+}
+
+func cacheFromWire(w *peerpb.CacheEvent) *target.CacheEvent {
+	return &target.CacheEvent{
+		Name:   w.Name,
+		Stamp:  stamp(w.Incarnation, w.Sequence),
+		Change: target.CacheChange(w.Change),
+		Chats:  w.Chats,
+	}
+}
--- /dev/null
+++ b/peer/message.go
@@ -0,0 +1,147 @@
+package peer
+
+import (
+	"time"
+
+	"comfreytiller.dev/admission"
+	"comfreytiller.dev/target"
+)
+
+// Message is one of the types below.
+type Message interface{ message() }
+
+// Ping asks for a Pong; both keep a connection's silence apart from its loss.
+type Ping struct{}
+
+// Pong answers a Ping.
+type Pong struct{}
+
+// Failure answers a call that the peer could not execute.
+type Failure struct{ Message string }
+
+// Acquire asks the owner of a service for a permit.
+type Acquire struct {
+	Request admission.Request
+	// Fence is the owner's fencing number as the asking host knows it.
+	Fence uint64
+}
+
+// Permit answers an Acquire.
+type Permit struct{ Permit admission.Permit }
+
+// Refusal answers an Acquire.
+type Refusal struct{ Refusal admission.Refusal }
+
+// Cancel withdraws an Acquire.
+type Cancel struct {
+	Service   string
+	RequestID string
+}
+
+// Releases gives permits back.
+type Releases struct{ Releases []admission.Release }
+
+// Taken answers messages that only need to be known as received.
+type Taken struct{}
+
+// Adopt tells a new owner which permits a host holds for the service.
+type Adopt struct {
+	Host    string
+	Session uint64
+	Service string
+	Fence   uint64
+	Permits []admission.Permit
+}
+
+// TargetNews passes on what a target sent; exactly one field is set.
+type TargetNews struct {
+	Service      string
+	Announcement *target.Announcement
+	Load         *target.LoadReport
+	Cache        *target.CacheEvent
+	Leave        *target.Leave
+}
+
+// TargetKnown answers TargetNews.
+type TargetKnown struct{ Known bool }
+
+// CopyPart carries part of an owner's memory to the host that may follow it.
+type CopyPart struct {
+	Service string
+	Fence   uint64
+	Data    []byte
+}
+
+// Quorum carries encoded messages between state replicas.
+type Quorum struct{ Messages []byte }
+
+// Propose asks a state replica to commit a command.
+type Propose struct{ Command []byte }
+
+// Code tells how a state replica took a call.
+type Code string
+
+// The codes.
+const (
+	CodeDone       Code = "Done"
+	CodeNotLeader  Code = "NotLeader"
+	CodeUnknown    Code = "Unknown"
+	CodeNoSession  Code = "NoSession"
+	CodeNotReplica Code = "NotReplica"
+)
+
+// Proposed answers a Propose.
+type Proposed struct {
+	Code   Code
+	Result []byte
+	// Leader is the leader's peer address, where known.
+	Leader string
+}
+
+// Renew renews a session's lease and asks for news.
+type Renew struct {
+	Session      uint64
+	Revision     uint64
+	FleetVersion uint64
+	// Wait is how long the answer may wait for news.
+	Wait time.Duration
+	// IdleServices are the services owned by the host that cannot serve now.
+	IdleServices []string
+}
+
+// Renewed answers a Renew.
+type Renewed struct {
+	Code   Code
+	Leader string
+	// Delta is an encoded registry.Delta; empty for no news.
+	Delta []byte
+	// IdleServices are the services that cannot serve now, in the whole fleet.
+	IdleServices []string
+}
+
+// StatusAsk asks an owner for the status of a service.
+type StatusAsk struct{ Service string }
+
+// StatusTold answers StatusAsk with an encoded status.
+type StatusTold struct{ Status []byte }
+
+func (Ping) message()        {}
+func (Pong) message()        {}
+func (Failure) message()     {}
+func (Acquire) message()     {}
+func (Permit) message()      {}
+func (Refusal) message()     {}
+func (Cancel) message()      {}
+func (Releases) message()    {}
+func (Taken) message()       {}
+func (Adopt) message()       {}
+func (TargetNews) message()  {}
+func (TargetKnown) message() {}
+func (CopyPart) message()    {}
+func (Quorum) message()      {}
+func (Propose) message()     {}
+func (Proposed) message()    {}
+func (Renew) message()       {}
+func (Renewed) message()     {}
+func (StatusAsk) message()   {}
+func (StatusTold) message()  {}
