--- /dev/null
+++ b/settings/load.go
@@ -0,0 +1,201 @@
+package settings
+
+import (
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/tailscale/hujson"
+
+	"comfreytiller.dev/common/jsonc"
+)
+
+// Bounds of the settings.
+const (
+	maxTextBytes    = 1 << 20
+	maxNesting      = 8
+	maxReplicas     = 16
+	maxDrainTimeout = 24 * time.Hour
+	// minKeyBytes is the length of the shortest key.
+	minKeyBytes = 16
+)
+
+// Default values.
+const (
+	defaultLevel  = "info"
+	defaultFormat = "text"
+)
+
+// Load reads and checks the settings in a file. Faults in the text are a
+// *jsonc.Faults, wrapped with the file's name.
+func Load(file string) (*Settings, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrapf(err, "read settings %s", file)
+	}
+	parsed, err := Parse(text)
+	if err != nil {
+		return nil, errors.Wrapf(err, "settings %s", file)
+	}
+	return parsed, nil
+}
+
+// Parse reads and checks settings, files and folders that they name included.
+func Parse(text []byte) (*Settings, error) {
+	r := &jsonc.Reader{Text: text}
+	root, ok := r.Tree(jsonc.Bounds{TextBytes: maxTextBytes, Nesting: maxNesting})
+	if !ok {
+		return nil, jsonc.NewFaults(r.Faults)
+	}
+	parsed := &Settings{
+		OwnsServices: true,
+		Log:          Log{Level: defaultLevel, Format: defaultFormat},
+	}
+	readSettings(r, root, parsed)
+	if len(r.Faults) > 0 {
+		return nil, jsonc.NewFaults(r.Faults)
+	}
+	return parsed, nil
+}
+
+func readSettings(r *jsonc.Reader, root *hujson.Value, into *Settings) {
+	r.Object(
+		root, nil,
+		jsonc.Field{Name: "Host", Required: true, Read: jsonc.Name(r, &into.Host)},
+		jsonc.Field{Name: "FailureDomain", Required: true, Read: jsonc.Name(r, &into.FailureDomain)},
+		jsonc.Field{Name: "Callers", Required: true, Read: address(r, &into.Callers)},
+		jsonc.Field{Name: "Peers", Required: true, Read: address(r, &into.Peers)},
+		jsonc.Field{Name: "Admin", Required: true, Read: address(r, &into.Admin)},
+		jsonc.Field{Name: "KeyFile", Required: true, Read: keyFile(r, &into.KeyFile)},
+		jsonc.Field{Name: "TargetKeyFile", Read: keyFile(r, &into.TargetKeyFile)},
+		jsonc.Field{Name: "StateReplicas", Required: true, Read: addresses(r, &into.StateReplicas)},
+		jsonc.Field{Name: "OwnsServices", Read: jsonc.Boolean(r, &into.OwnsServices)},
+		jsonc.Field{Name: "State", Read: func(value *hujson.Value, at *jsonc.Place) {
+			into.State = readState(r, value, at)
+		}},
+		jsonc.Field{Name: "Log", Read: func(value *hujson.Value, at *jsonc.Place) {
+			readLog(r, value, at, &into.Log)
+		}},
+		jsonc.Field{Name: "Pprof", Read: jsonc.Boolean(r, &into.Pprof)},
+		jsonc.Field{Name: "DrainTimeout", Read: jsonc.Duration(r, &into.DrainTimeout, 0, maxDrainTimeout)},
+	)
+}
+
+func readState(r *jsonc.Reader, value *hujson.Value, at *jsonc.Place) *State {
+	state := &State{}
+	r.Object(
+		value, at,
+		jsonc.Field{Name: "Folder", Required: true, Read: folder(r, &state.Folder)},
+		jsonc.Field{Name: "Cluster", Required: true, Read: jsonc.Name(r, &state.Cluster)},
+		jsonc.Field{Name: "Members", Read: func(value *hujson.Value, at *jsonc.Place) {
+			r.List(value, at, maxReplicas, func(value *hujson.Value, at *jsonc.Place) {
+				state.Members = append(state.Members, readMember(r, value, at))
+			})
+		}},
+	)
+	return state
+}
+
+func readMember(r *jsonc.Reader, value *hujson.Value, at *jsonc.Place) Member {
+	var member Member
+	r.Object(
+		value, at,
+		jsonc.Field{Name: "Host", Required: true, Read: jsonc.Name(r, &member.Host)},
+		jsonc.Field{Name: "Address", Required: true, Read: address(r, &member.Address)},
+	)
+	return member
+}
+
+func readLog(r *jsonc.Reader, value *hujson.Value, at *jsonc.Place, into *Log) {
+	r.Object(
+		value, at,
+		jsonc.Field{Name: "Level", Read: oneOf(r, &into.Level, "debug", "info", "warning", "error")},
+		jsonc.Field{Name: "Format", Read: oneOf(r, &into.Format, "text", "json")},
+	)
+}
+
+// checked reads a string and reports what check says is wrong with it.
+func checked(r *jsonc.Reader, into *string, check func(string) string) func(*hujson.Value, *jsonc.Place) {
+	return func(value *hujson.Value, at *jsonc.Place) {
+		faults := len(r.Faults)
+		jsonc.Text(r, into)(value, at)
+		if len(r.Faults) > faults {
+			return
+		}
+		if wrong := check(*into); wrong != "" {
+			r.Faultf(value.StartOffset, at.String(), "%s", wrong)
+		}
+	}
+}
+
+// address reads an IP:port; names are not accepted, since hosts talk by IP
+// numbers.
+func address(r *jsonc.Reader, into *string) func(*hujson.Value, *jsonc.Place) {
+	return checked(r, into, func(text string) string {
+		parsed, err := netip.ParseAddrPort(text)
+		if err != nil || parsed.Port() == 0 {
+			return "\"" + text + "\" is no address; accepted is IP:port, such as \"127.0.0.1:8080\""
+		}
+		return ""
+	})
+}
+
+func addresses(r *jsonc.Reader, into *[]string) func(*hujson.Value, *jsonc.Place) {
+	return func(value *hujson.Value, at *jsonc.Place) {
+		r.List(value, at, maxReplicas, func(value *hujson.Value, at *jsonc.Place) {
+			var element string
+			address(r, &element)(value, at)
+			*into = append(*into, element)
+		})
+		if len(*into) == 0 {
+			r.Faultf(value.StartOffset, at.String(), "the list is empty; accepted is at least one IP:port")
+		}
+	}
+}
+
+func keyFile(r *jsonc.Reader, into *string) func(*hujson.Value, *jsonc.Place) {
+	return checked(r, into, func(text string) string {
+		key, err := ReadKey(text)
+		if err != nil {
+			return "the key can't be read: " + err.Error()
+		}
+		if len(key) < minKeyBytes {
+			return "the key is too short; accepted are at least 16 bytes"
+		}
+		return ""
+	})
+}
+
+func folder(r *jsonc.Reader, into *string) func(*hujson.Value, *jsonc.Place) {
+	return checked(r, into, func(text string) string {
+		info, err := os.Stat(text)
+		if err != nil {
+			return "the data folder is missing: " + err.Error() + "; accepted is a folder that exists"
+		}
+		if !info.IsDir() {
+			return "\"" + text + "\" is no folder; accepted is a folder that exists"
+		}
+		return ""
+	})
+}
+
+func oneOf(r *jsonc.Reader, into *string, accepted ...string) func(*hujson.Value, *jsonc.Place) {
+	return checked(r, into, func(text string) string {
+		if slices.Contains(accepted, text) {
+			return ""
+		}
+		return "\"" + text + "\" is unknown; accepted are " + strings.Join(accepted, ", ")
+	})
+}
+
+// ReadKey returns the key in a file, without white space around it.
+func ReadKey(file string) ([]byte, error) {
+	key, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrapf(err, "read key %s", file)
+	}
+	return []byte(strings.TrimSpace(string(key))), nil
+}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,83 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"comfreytiller.dev/common/jsonc"
+)
+
+// example writes a key and a folder and returns settings that name them.
+func example(t *testing.T) string {
+	t.Helper()
+	folder := t.TempDir()
+	key := filepath.Join(folder, "key")
+	require.NoError(t, os.WriteFile(key, []byte("0123456789abcdef\n"), 0o600))
+	return fmt.Sprintf(`{
+	// One host of three.
+	"Host": "rabat-a-1",
+	"FailureDomain": "Rabat-A",
+	"Callers": "127.0.0.1:8080",
+	"Peers": "127.0.0.1:7080",
+	"Admin": "127.0.0.1:9080",
+	"KeyFile": %q,
+	"StateReplicas": ["127.0.0.1:7080"],
+	"State": {"Folder": %q, "Cluster": "Agence", "Members": [{"Host": "rabat-a-1", "Address": "127.0.0.1:7080"}]},
+	"DrainTimeout": "30s",
+}`, key, folder)
+}
+
+func TestParseFillsDefaults(t *testing.T) {
+	parsed, err := Parse([]byte(example(t)))
+	require.NoError(t, err)
+	require.Equal(t, "rabat-a-1", parsed.Host)
+	require.True(t, parsed.OwnsServices)
+	require.Equal(t, Log{Level: "info", Format: "text"}, parsed.Log)
+	require.Equal(t, "Agence", parsed.State.Cluster)
+}
+
+func TestParseReportsEveryFaultWithItsPlace(t *testing.T) {
+	_, err := Parse([]byte(`{
+	"Host": "rabat a 1",
+	"FailureDomain": "Rabat-A",
+	"Callers": "localhost:8080",
+	"Peers": "127.0.0.1",
+	"Admin": "127.0.0.1:0",
+	"KeyFile": "/missing/key",
+	"StateReplicas": [],
+	"State": {"Folder": "/missing/folder", "Cluster": "Agence"},
+	"DrainTimeout": 30,
+	"Log": {"Level": "loud"},
+	"Colour": "red"
+}`))
+	require.ErrorIs(t, err, jsonc.ErrInvalid)
+	var faults *jsonc.Faults
+	require.ErrorAs(t, err, &faults)
+	var paths []string
+	for i, fault := range faults.All {
+		paths = append(paths, fault.Path)
+		if i > 0 {
+			require.GreaterOrEqual(t, fault.Line, faults.All[i-1].Line)
+		}
+	}
+	require.Equal(t, []string{
+		"Host", "Callers", "Peers", "Admin", "KeyFile", "StateReplicas",
+		"State.Folder", "DrainTimeout", "Log.Level", "Colour",
+	}, paths)
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"Host": "a"}`))
+	f.Add([]byte(`{"Log": {"Level": 3}, // comment
+	}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		parsed, err := Parse(text)
+		if err == nil {
+			require.NotEmpty(t, parsed.Host)
+		}
+	})
+}
