--- a/peer/codec.go
+++ b/peer/codec.go
@@ -24,7 +24,10 @@
 		return nil, err
 	}
 	data, err := proto.Marshal(wire)
-	return data, errors.Wrap(err, "encode frame")
+	if err != nil {
+		return nil, errors.Wrap(err, "encode frame")
+	}
+	return data, nil
 }
 
 // decodeFrame reads a frame. Times that travel as a remainder are set from now.
--- /dev/null
+++ b/peer/codec_test.go
@@ -0,0 +1,142 @@
+package peer
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"comfreytiller.dev/admission"
+	"comfreytiller.dev/target"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
+var epoch = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func permits() *rapid.Generator[admission.Permit] {
+	return rapid.Custom(func(t *rapid.T) admission.Permit {
+		text := rapid.StringN(0, 12, -1)
+		span := rapid.Int64Range(0, int64(time.Hour))
+		return admission.Permit{
+			RequestID:   text.Draw(t, "RequestID"),
+			Host:        text.Draw(t, "Host"),
+			Service:     text.Draw(t, "Service"),
+			Workspace:   text.Draw(t, "Workspace"),
+			Chat:        text.Draw(t, "Chat"),
+			Target:      text.Draw(t, "Target"),
+			Incarnation: rapid.Uint64().Draw(t, "Incarnation"),
+			Address:     text.Draw(t, "Address"),
+			Fence:       rapid.Uint64().Draw(t, "Fence"),
+			ValidFor:    time.Duration(span.Draw(t, "ValidFor")),
+			Warm:        rapid.Bool().Draw(t, "Warm"),
+			Waited:      time.Duration(span.Draw(t, "Waited")),
+			Reason:      text.Draw(t, "Reason"),
+			ChecksFence: rapid.Bool().Draw(t, "ChecksFence"),
+			Resumes:     rapid.Bool().Draw(t, "Resumes"),
+		}
+	})
+}
+
+// samples holds a message of each type with every field set.
+func samples() []Message {
+	mark := target.Stamp{Incarnation: 7, Sequence: 9}
+	return []Message{
+		Ping{},
+		Pong{},
+		Taken{},
+		Failure{Message: "m"},
+		Acquire{Request: admission.Request{
+			ID: "r", Host: "h", Service: "s", Workspace: "w", Chat: "c", Priority: 3,
+			Deadline: epoch.Add(time.Minute), Exclude: []string{"t"},
+		}, Fence: 4},
+		Refusal{Refusal: admission.Refusal{
+			RequestID: "r", Code: admission.RefusedQueueFull, Message: "m", RetryAfter: time.Second,
+		}},
+		Cancel{Service: "s", RequestID: "r"},
+		Releases{Releases: []admission.Release{{
+			RequestID: "r", Service: "s", Target: "t", Outcome: admission.OutcomeDone, FirstByte: time.Second,
+		}}},
+		TargetNews{Service: "s", Announcement: &target.Announcement{
+			Name: "t", Stamp: mark, Address: "a", FailureDomain: "f", Kind: target.KindModel,
+			Service: "s", Model: "m", Version: "v", Adapters: []string{"x"}, Role: target.RoleDecode,
+			Capacity: 2, CachedChats: 3, Cold: true, ChecksFence: true, Resumes: true, MovesCache: true,
+		}},
+		TargetNews{Service: "s", Load: &target.LoadReport{
+			Name: "t", Stamp: mark, InFlight: 1, Queued: 2, CacheUsed: 0.5, Cold: true,
+		}},
+		TargetNews{Service: "s", Cache: &target.CacheEvent{
+			Name: "t", Stamp: mark, Change: target.CacheStored, Chats: []string{"c"},
+		}},
+		TargetNews{Service: "s", Leave: &target.Leave{Name: "t", Stamp: mark}},
+		TargetKnown{Known: true},
+		CopyPart{Service: "s", Fence: 3, Data: []byte{1}},
+		Quorum{Messages: []byte{1}},
+		Propose{Command: []byte{1}},
+		Proposed{Code: CodeDone, Result: []byte{1}, Leader: "l"},
+		Renew{Session: 1, Revision: 2, FleetVersion: 3, Wait: time.Second, IdleServices: []string{"s"}},
+		Renewed{Code: CodeNotLeader, Leader: "l", Delta: []byte{1}, IdleServices: []string{"s"}},
+		StatusAsk{Service: "s"},
+		StatusTold{Status: []byte{1}},
+	}
+}
+
+func roundTrip(t require.TestingT, message Message) {
+	data, err := encodeFrame(frame{call: 5, answer: true, message: message}, epoch)
+	require.NoError(t, err)
+	back, err := decodeFrame(data, epoch)
+	require.NoError(t, err)
+	require.Equal(t, frame{call: 5, answer: true, message: message}, back)
+}
+
+func TestEveryMessageSurvivesTheCodec(t *testing.T) {
+	for _, message := range samples() {
+		roundTrip(t, message)
+	}
+}
+
+func TestPermitsSurviveTheCodec(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		permit := permits().Draw(t, "permit")
+		roundTrip(t, Permit{Permit: permit})
+		roundTrip(t, Adopt{Host: "h", Session: 1, Service: "s", Fence: 2, Permits: []admission.Permit{permit}})
+	})
+}
+
+// The clocks of two hosts differ, so what travels is the time that remains.
+func TestDeadlineTravelsAsTheTimeThatRemains(t *testing.T) {
+	sent := Acquire{Request: admission.Request{Deadline: epoch.Add(time.Minute)}}
+	data, err := encodeFrame(frame{message: sent}, epoch)
+	require.NoError(t, err)
+	other := epoch.Add(-time.Hour)
+	back, err := decodeFrame(data, other)
+	require.NoError(t, err)
+	require.Equal(t, other.Add(time.Minute), back.message.(Acquire).Request.Deadline)
+}
+
+func FuzzDecodeFrame(f *testing.F) {
+	for _, message := range samples() {
+		data, err := encodeFrame(frame{call: 1, message: message}, epoch)
+		require.NoError(f, err)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		decoded, err := decodeFrame(data, epoch)
+		if err != nil {
+			require.ErrorIs(t, err, ErrFrame)
+			return
+		}
+		again, err := encodeFrame(decoded, epoch)
+		require.NoError(t, err)
+		back, err := decodeFrame(again, epoch)
+		require.NoError(t, err)
+		require.Equal(t, decoded, back)
+	})
+}
--- a/peer/handshake.go
+++ b/peer/handshake.go
@@ -49,8 +49,10 @@
 	if !hmac.Equal(reply[nonceBytes:], proof(key, roleServer, own, theirs, host)) {
 		return errors.Wrapf(ErrKey, "server %s", conn.RemoteAddr())
 	}
-	_, err := conn.Write(proof(key, roleDialer, own, theirs, host))
-	return errors.Wrap(err, "send proof")
+	if _, err := conn.Write(proof(key, roleDialer, own, theirs, host)); err != nil {
+		return errors.Wrap(err, "send proof")
+	}
+	return nil
 }
 
 // welcome checks a dialer, whose Magic is not yet read, and returns its host
--- a/peer/node.go
+++ b/peer/node.go
@@ -78,7 +78,10 @@
 		return nil, err
 	}
 	answer, err := conn.call(ctx, message)
-	return answer, errors.Wrapf(err, "call %s", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "call %s", address)
+	}
+	return answer, nil
 }
 
 // Send queues a message to the host at address. It dials in the background
--- /dev/null
+++ b/peer/node_test.go
@@ -0,0 +1,142 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+)
+
+var testKey = []byte("0123456789abcdef")
+
+// listen serves a node on a free port and returns its address.
+func listen(t *testing.T, node *Node) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var served sync.WaitGroup
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			served.Add(1)
+			go func() {
+				defer served.Done()
+				_ = node.ServeConn(conn)
+			}()
+		}
+	}()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		node.Close()
+	})
+	return listener.Addr().String()
+}
+
+func newTestNode(host string, key []byte, clock clockwork.Clock, handler Handler) *Node {
+	return NewNode(Config{Host: host, Key: key, Clock: clock}, handler)
+}
+
+func TestCallsGetTheirOwnAnswers(t *testing.T) {
+	clock := clockwork.NewRealClock()
+	server := newTestNode("b", testKey, clock, func(from string, message Message, reply Reply) {
+		require.Equal(t, "a", from)
+		ask := message.(StatusAsk)
+		go reply(StatusTold{Status: []byte(ask.Service)})
+	})
+	address := listen(t, server)
+	client := newTestNode("a", testKey, clock, nil)
+	defer client.Close()
+
+	var calls sync.WaitGroup
+	for _, service := range []string{"x", "y", "z", "u", "v", "w"} {
+		calls.Go(func() {
+			answer, err := client.Call(context.Background(), address, StatusAsk{Service: service})
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			if got := string(answer.(StatusTold).Status); got != service {
+				t.Errorf("answer %q for service %q", got, service)
+			}
+		})
+	}
+	calls.Wait()
+}
+
+func TestHostWithoutTheKeyIsRefused(t *testing.T) {
+	clock := clockwork.NewRealClock()
+	server := newTestNode("b", testKey, clock, func(string, Message, Reply) {
+		t.Error("a message arrived without the key")
+	})
+	address := listen(t, server)
+	client := newTestNode("a", []byte("another key, too"), clock, nil)
+	defer client.Close()
+	_, err := client.Call(context.Background(), address, Ping{})
+	require.ErrorIs(t, err, ErrKey)
+}
+
+// A server that takes bytes and never answers stands for a connection that the
+// network has lost.
+func TestSilentConnectionIsClosed(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	near, far := net.Pipe()
+	defer func() { _ = far.Close() }()
+	go func() {
+		sink := make([]byte, 1024)
+		for {
+			if _, err := far.Read(sink); err != nil {
+				return
+			}
+		}
+	}()
+	conn := newConn("b", near, clock, nil)
+	go conn.run()
+	failed := make(chan error, 1)
+	go func() {
+		_, err := conn.call(context.Background(), StatusAsk{})
+		failed <- err
+	}()
+	for {
+		select {
+		case err := <-failed:
+			require.ErrorIs(t, err, ErrClosed)
+			return
+		default:
+			require.NoError(t, clock.BlockUntilContext(t.Context(), 1))
+			clock.Advance(silentAfter / 2)
+		}
+	}
+}
+
+func TestConnectionThatAnswersIsKept(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	conn := newConn("b", nil, clock, nil)
+	answer := make(chan Message, 1)
+	_, err := conn.expect(answer)
+	require.NoError(t, err)
+	for range 100 {
+		clock.Advance(silentAfter + time.Millisecond)
+		require.False(t, conn.check(clock.Now()), "a probe is due, not the end")
+		conn.note()
+	}
+	clock.Advance(silentAfter + time.Millisecond)
+	require.False(t, conn.check(clock.Now()))
+	clock.Advance(deadAfter + time.Millisecond)
+	require.True(t, conn.check(clock.Now()))
+}
+
+func TestIdleConnectionIsClosedLate(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	conn := newConn("b", nil, clock, nil)
+	clock.Advance(idleAfter - time.Second)
+	require.False(t, conn.check(clock.Now()))
+	clock.Advance(2 * time.Second)
+	require.True(t, conn.check(clock.Now()))
+}
