--- /dev/null
+++ b/quorum/election.go
@@ -0,0 +1,103 @@
+package quorum
+
+// campaign asks the voters for the node's next term, first without entering it
+// (PreCandidate) and then with it (Candidate).
+func (n *Node) campaign(role Role, transfer bool) {
+	n.role = role
+	n.leader = ""
+	n.votes = map[string]bool{n.state.ID: true}
+	n.retrySoon()
+	kind, term := MessagePreVote, n.state.Term+1
+	if role == Candidate {
+		kind = MessageVote
+		n.state.Term = term
+		n.state.Vote = n.state.ID
+	}
+	if n.countVotes() {
+		return
+	}
+	for _, m := range n.log.members() {
+		if !m.Voter || m.ID == n.state.ID {
+			continue
+		}
+		n.send(Message{
+			Kind: kind, To: m.ID, Term: term, Transfer: transfer,
+			Index: n.log.lastIndex(), LogTerm: n.log.lastTerm(),
+		})
+	}
+}
+
+// countVotes moves on if a majority granted the campaign, and tells whether.
+func (n *Node) countVotes() bool {
+	granted, refused := 0, 0
+	for _, m := range n.log.members() {
+		vote, known := n.votes[m.ID]
+		if !m.Voter || !known {
+			continue
+		}
+		if vote {
+			granted++
+		} else {
+			refused++
+		}
+	}
+	needed := majority(n.log.members())
+	switch {
+	case granted >= needed && n.role == PreCandidate:
+		n.campaign(Candidate, false)
+		return true
+	case granted >= needed:
+		n.becomeLeader()
+		return true
+	case refused >= needed:
+		n.role = Follower
+		n.votes = nil
+	}
+	return false
+}
+
+// handleVoteRequest grants at most one vote a term, to a candidate whose log
+// holds everything that this one's does.
+func (n *Node) handleVoteRequest(m *Message) {
+	current := m.LogTerm > n.log.lastTerm() ||
+		m.LogTerm == n.log.lastTerm() && m.Index >= n.log.lastIndex()
+	if m.Kind == MessagePreVote {
+		// A grant carries the term asked for; a refusal carries the own term.
+		grant := current && m.Term > n.state.Term
+		answer := Message{Kind: MessagePreVoteResponse, To: m.From, Reject: !grant}
+		if grant {
+			answer.Term = m.Term
+		}
+		n.send(answer)
+		return
+	}
+	free := n.state.Vote == m.From || n.state.Vote == "" && n.leader == ""
+	grant := current && free
+	if grant {
+		n.state.Vote = m.From
+		n.resetTimeout()
+	}
+	n.send(Message{Kind: MessageVoteResponse, To: m.From, Reject: !grant})
+}
+
+// handleVote records a voter's answer to the current campaign.
+func (n *Node) handleVote(m *Message) {
+	switch {
+	case m.Kind == MessagePreVoteResponse && n.role == PreCandidate:
+		if !m.Reject && m.Term != n.state.Term+1 {
+			return
+		}
+	case m.Kind == MessageVoteResponse && n.role == Candidate:
+	default:
+		return
+	}
+	n.votes[m.From] = !m.Reject
+	n.countVotes()
+}
+
+// handleTimeoutNow campaigns at once, since the leader hands over.
+func (n *Node) handleTimeoutNow(m *Message) {
+	if n.role == Follower && n.leader == m.From && isVoter(n.log.members(), n.state.ID) {
+		n.campaign(Candidate, true)
+	}
+}
--- /dev/null
+++ b/quorum/membership.go
@@ -0,0 +1,75 @@
+package quorum
+
+// Match is the last index that a member is known to hold durably; zero unless
+// this node leads.
+func (n *Node) Match(id string) uint64 {
+	if n.role != Leader {
+		return 0
+	}
+	if id == n.state.ID {
+		return n.log.stable
+	}
+	if p := n.progress[id]; p != nil {
+		return p.match
+	}
+	return 0
+}
+
+// CaughtUp tells whether a member holds everything committed.
+func (n *Node) CaughtUp(id string) bool {
+	if n.role != Leader || !n.committedInTerm() {
+		return false
+	}
+	return n.Match(id) >= n.log.committed
+}
+
+// MostCurrent is the other voter that holds most of the log; empty if there is
+// none.
+func (n *Node) MostCurrent() string {
+	best := ""
+	for _, m := range n.log.members() {
+		if !m.Voter || m.ID == n.state.ID {
+			continue
+		}
+		if best == "" || n.Match(m.ID) > n.Match(best) {
+			best = m.ID
+		}
+	}
+	return best
+}
+
+// SurvivesAnyLoss tells whether, whichever one voter is lost, a majority is left
+// of voters that hold everything committed and answered the heartbeat round.
+func (n *Node) SurvivesAnyLoss(round uint64) bool {
+	if n.role != Leader || !n.committedInTerm() || n.log.membersPending() {
+		return false
+	}
+	sound := 0
+	for _, m := range n.log.members() {
+		if m.Voter && n.soundSince(m.ID, round) {
+			sound++
+		}
+	}
+	return sound-1 >= majority(n.log.members())
+}
+
+// soundSince tells whether a member holds everything committed and answered the
+// heartbeat round.
+func (n *Node) soundSince(id string, round uint64) bool {
+	if id == n.state.ID {
+		return n.Match(id) >= n.log.committed
+	}
+	p := n.progress[id]
+	return p != nil && p.match >= n.log.committed && p.ackedRound >= round
+}
+
+// promotesEarly tells whether the membership gives a vote to a replica that does
+// not hold everything committed.
+func (n *Node) promotesEarly(members []Member) bool {
+	for _, m := range members {
+		if m.Voter && !isVoter(n.log.members(), m.ID) && !n.CaughtUp(m.ID) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/quorum/node.go
@@ -0,0 +1,275 @@
+package quorum
+
+import "math/rand/v2"
+
+// Role is a node's part in its term.
+type Role uint8
+
+// The roles.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
+// Timing and sizes that a zero NodeConfig field stands for.
+const (
+	// DefaultElectionTicks is the least number of ticks without a leader before
+	// an election; the most is this and DefaultElectionSpread.
+	DefaultElectionTicks  = 12
+	DefaultElectionSpread = 8
+	DefaultHeartbeatTicks = 4
+	// DefaultAppendBytes bounds the entries of one message.
+	DefaultAppendBytes = 256 << 10
+	// DefaultInflightBytes bounds the unacknowledged entries per follower.
+	DefaultInflightBytes = 1 << 20
+	// DefaultChunkBytes bounds one chunk of a snapshot.
+	DefaultChunkBytes = 64 << 10
+)
+
+// NodeConfig holds a node's limits; zero fields take the defaults.
+type NodeConfig struct {
+	ElectionTicks  int
+	ElectionSpread int
+	HeartbeatTicks int
+	AppendBytes    int
+	InflightBytes  int
+	ChunkBytes     int
+	// Seed starts the node's random election timeouts.
+	Seed uint64
+}
+
+func (c NodeConfig) withDefaults() NodeConfig {
+	orDefault(&c.ElectionTicks, DefaultElectionTicks)
+	orDefault(&c.ElectionSpread, DefaultElectionSpread)
+	orDefault(&c.HeartbeatTicks, DefaultHeartbeatTicks)
+	orDefault(&c.AppendBytes, DefaultAppendBytes)
+	orDefault(&c.InflightBytes, DefaultInflightBytes)
+	orDefault(&c.ChunkBytes, DefaultChunkBytes)
+	return c
+}
+
+func orDefault(value *int, fallback int) {
+	if *value == 0 {
+		*value = fallback
+	}
+}
+
+// Node is one replica's consensus state: a pure step function without I/O,
+// goroutines or a clock. It is not safe for concurrent use. After each batch of
+// calls the driver takes Ready, does what it says and calls Advance.
+type Node struct {
+	config NodeConfig
+	random *rand.Rand
+	state  HardState
+	saved  HardState
+	log    *entryLog
+
+	role   Role
+	leader string
+	// sinceLeader counts the ticks since a leader's message, or the start.
+	sinceLeader int
+	// elapsed counts towards timeout; on a leader, towards its quorum check.
+	elapsed   int
+	timeout   int
+	heartbeat int
+	votes     map[string]bool
+
+	progress map[string]*progress
+	round    uint64
+	reads    []pendingRead
+	// wantRound asks for a heartbeat round for new reads.
+	wantRound bool
+	// transferee is the member that is to lead next; handed is set once it was
+	// told to campaign.
+	transferee string
+	handed     bool
+
+	incoming *incomingSnapshot
+	install  *Snapshot
+
+	early     []Message
+	afterSave []Message
+	confirmed []ReadState
+	handedOut Ready
+}
+
+// NewNode returns a follower with what its storage held.
+func NewNode(config NodeConfig, state HardState, snapshot Snapshot, entries []Entry) *Node {
+	config = config.withDefaults()
+	if state.Term < snapshot.Term {
+		state.Term, state.Vote = snapshot.Term, ""
+	}
+	n := &Node{
+		config: config,
+		random: rand.New(rand.NewPCG(config.Seed, config.Seed)),
+		state:  state,
+		saved:  state,
+		log:    newEntryLog(snapshot, entries, state.Commit),
+	}
+	n.state.Commit = n.log.committed
+	n.resetTimeout()
+	return n
+}
+
+// ID is the replica's ID.
+func (n *Node) ID() string { return n.state.ID }
+
+// Cluster is the cluster's ID; empty until a leader's first message.
+func (n *Node) Cluster() string { return n.state.Cluster }
+
+// Term is the current term.
+func (n *Node) Term() uint64 { return n.state.Term }
+
+// Role is the node's role in the current term.
+func (n *Node) Role() Role { return n.role }
+
+// Leader is the current term's leader; empty if unknown.
+func (n *Node) Leader() string { return n.leader }
+
+// Members is the membership in force, committed or not.
+func (n *Node) Members() []Member { return n.log.members() }
+
+// CommitIndex is the last index known to be committed.
+func (n *Node) CommitIndex() uint64 { return n.log.committed }
+
+// AppliedIndex is the last index that an Advance marked as applied.
+func (n *Node) AppliedIndex() uint64 { return n.log.applied }
+
+// LastIndex is the last index of the log.
+func (n *Node) LastIndex() uint64 { return n.log.lastIndex() }
+
+// Tick moves the node's timers by one tick.
+func (n *Node) Tick() {
+	n.sinceLeader++
+	n.elapsed++
+	if n.role == Leader {
+		n.tickLeader()
+		return
+	}
+	if n.elapsed < n.timeout {
+		return
+	}
+	n.resetTimeout()
+	if isVoter(n.log.members(), n.state.ID) {
+		n.campaign(PreCandidate, false)
+	}
+}
+
+// resetTimeout starts a new randomized election timeout.
+func (n *Node) resetTimeout() {
+	n.elapsed = 0
+	n.timeout = n.config.ElectionTicks + n.random.IntN(n.config.ElectionSpread)
+}
+
+// retrySoon starts a short randomized timeout, for a campaign without a result.
+func (n *Node) retrySoon() {
+	n.elapsed = 0
+	n.timeout = 2 + n.random.IntN(n.config.ElectionSpread)
+}
+
+// becomeFollower enters the term, forgetting what belongs to an older one.
+func (n *Node) becomeFollower(term uint64, leader string) {
+	if term > n.state.Term {
+		n.state.Term = term
+		n.state.Vote = ""
+	}
+	n.role = Follower
+	n.leader = leader
+	n.votes = nil
+	n.progress = nil
+	n.reads = nil
+	n.wantRound = false
+	n.transferee = ""
+	n.handed = false
+	n.resetTimeout()
+}
+
+// StepDown makes a leader or candidate a follower of the same term.
+func (n *Node) StepDown() {
+	if n.role != Follower {
+		n.becomeFollower(n.state.Term, "")
+	}
+}
+
+// Step handles a message. Messages to another replica or from another cluster
+// are dropped.
+func (n *Node) Step(m Message) {
+	if m.To != n.state.ID || m.From == n.state.ID || !n.acceptCluster(&m) {
+		return
+	}
+	if m.Term < n.state.Term {
+		n.answerOldTerm(&m)
+		return
+	}
+	if m.Term > n.state.Term && !n.enterTerm(&m) {
+		return
+	}
+	switch m.Kind {
+	case MessagePreVote, MessageVote:
+		n.handleVoteRequest(&m)
+	case MessagePreVoteResponse, MessageVoteResponse:
+		n.handleVote(&m)
+	case MessageAppend:
+		n.handleAppend(&m)
+	case MessageSnapshot:
+		n.handleChunk(&m)
+	case MessageTimeoutNow:
+		n.handleTimeoutNow(&m)
+	case MessageAppendResponse, MessageSnapshotResponse:
+		n.handleAnswer(&m)
+	case MessageRead:
+		n.handleRead(&m)
+	case MessageReadResponse:
+		n.handleReadResponse(&m)
+	}
+}
+
+// acceptCluster takes the cluster of the first leader's message and refuses any
+// other from then on.
+func (n *Node) acceptCluster(m *Message) bool {
+	if n.state.Cluster == "" && m.Kind.fromLeader() && m.Cluster != "" {
+		n.state.Cluster = m.Cluster
+	}
+	return n.state.Cluster != "" && m.Cluster == n.state.Cluster
+}
+
+// enterTerm moves to a newer term and tells whether to handle the message.
+func (n *Node) enterTerm(m *Message) bool {
+	switch m.Kind {
+	case MessagePreVote:
+		return !n.followsLeader()
+	case MessageVote:
+		if n.followsLeader() && !m.Transfer {
+			return false
+		}
+	case MessagePreVoteResponse:
+		if !m.Reject {
+			return true
+		}
+	}
+	leader := ""
+	if m.Kind.fromLeader() {
+		leader = m.From
+	}
+	n.becomeFollower(m.Term, leader)
+	return true
+}
+
+// followsLeader tells whether a leader's lead may still be confirmed, so that
+// no vote may go to another. A node that was just started may have answered a
+// leader before it stopped.
+func (n *Node) followsLeader() bool {
+	return n.role == Leader || n.sinceLeader < n.config.ElectionTicks
+}
+
+// answerOldTerm tells a leader or candidate of an older term the current one.
+func (n *Node) answerOldTerm(m *Message) {
+	switch m.Kind {
+	case MessageAppend, MessageSnapshot:
+		n.send(Message{Kind: MessageAppendResponse, To: m.From, Reject: true, Index: m.Index, ToAddress: m.FromAddress})
+	case MessagePreVote:
+		n.send(Message{Kind: MessagePreVoteResponse, To: m.From, Reject: true})
+	}
+}
--- /dev/null
+++ b/quorum/ready.go
@@ -0,0 +1,120 @@
+package quorum
+
+// Ready is what a driver has to do, in the order of the fields.
+type Ready struct {
+	// Messages may be sent at once.
+	Messages []Message
+	// HardState is written, with Install and Entries, if MustSave is set.
+	HardState HardState
+	MustSave  bool
+	// Install is a snapshot from the leader, to be saved and restored; it
+	// replaces the log.
+	Install *Snapshot
+	Entries []Entry
+	// AfterSave may be sent once the write is durable.
+	AfterSave []Message
+	// Committed entries are applied after the write.
+	Committed []Entry
+	// Reads are confirmed read barriers.
+	Reads []ReadState
+}
+
+// ReadState is a confirmed read barrier: a read is current once everything up
+// to Index is applied.
+type ReadState struct {
+	ID    uint64
+	Index uint64
+}
+
+// send queues a message. A leader's own kinds may leave before the write.
+func (n *Node) send(m Message) {
+	m.Cluster = n.state.Cluster
+	m.From = n.state.ID
+	if m.Term == 0 {
+		m.Term = n.state.Term
+	}
+	if at := findMember(n.log.members(), m.To); at >= 0 {
+		m.ToAddress = n.log.members()[at].Address
+	}
+	if m.Kind.fromLeader() {
+		n.early = append(n.early, m)
+		return
+	}
+	n.afterSave = append(n.afterSave, m)
+}
+
+// HasReady tells whether Ready would give anything to do.
+func (n *Node) HasReady() bool {
+	n.flush()
+	return len(n.early) > 0 || len(n.afterSave) > 0 || len(n.confirmed) > 0 || n.install != nil ||
+		n.log.stable < n.log.lastIndex() || n.log.applied < n.log.committed || n.state.mustSave(n.saved)
+}
+
+// Ready returns what is to be done. The driver calls Advance when it is, and
+// nothing else before.
+func (n *Node) Ready() Ready {
+	n.flush()
+	n.state.Commit = n.log.committed
+	r := Ready{
+		Messages:  n.early,
+		HardState: n.state,
+		Install:   n.install,
+		Entries:   n.log.between(n.log.stable, n.log.lastIndex(), maxInt),
+		AfterSave: n.afterSave,
+		Committed: n.log.between(n.log.applied, n.log.committed, maxInt),
+		Reads:     n.confirmed,
+	}
+	newState := n.state.mustSave(n.saved)
+	r.MustSave = newState || n.install != nil || len(r.Entries) > 0
+	if newState {
+		r.AfterSave = append(r.Messages, r.AfterSave...)
+		r.Messages = nil
+	}
+	n.early, n.afterSave, n.confirmed = nil, nil, nil
+	n.handedOut = r
+	return r
+}
+
+// Advance says that everything of the last Ready is done.
+func (n *Node) Advance() {
+	r := n.handedOut
+	n.handedOut = Ready{}
+	if r.MustSave {
+		n.saved = r.HardState
+	}
+	if r.Install == n.install {
+		n.install = nil
+	}
+	if count := len(r.Entries); count > 0 {
+		n.log.stable = r.Entries[count-1].Index
+	}
+	if count := len(r.Committed); count > 0 {
+		n.log.applied = r.Committed[count-1].Index
+	}
+	if n.role == Leader {
+		n.maybeCommit()
+	}
+}
+
+// MakeSnapshot returns the snapshot whose data is the machine's state with
+// everything applied. It is saved before Compact is called.
+func (n *Node) MakeSnapshot(data []byte) Snapshot {
+	term, _ := n.log.term(n.log.applied)
+	return Snapshot{
+		Index:   n.log.applied,
+		Term:    term,
+		Members: sortedMembers(n.log.membersAt(n.log.applied)),
+		Data:    data,
+	}
+}
+
+// Compact drops the entries that the snapshot covers, but for the last keep of
+// them, which serve followers that are a little behind.
+func (n *Node) Compact(snapshot Snapshot, keep uint64) {
+	n.log.compact(snapshot, keep)
+}
+
+// SnapshotIndex is the index of the last snapshot.
+func (n *Node) SnapshotIndex() uint64 { return n.log.snapshot.Index }
+
+const maxInt = int(^uint(0) >> 1)
