--- /dev/null
+++ b/quorum/journal_test.go
@@ -0,0 +1,157 @@
+package quorum
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/require"
+)
+
+// memoryJournal is a strict Journal in memory. The write that brings left to
+// zero and all later ones fail without an effect, as after a crash; a negative
+// left never fails.
+type memoryJournal struct {
+	state         []byte
+	snapshotIndex uint64
+	snapshot      []byte
+	indexes       []uint64
+	records       [][]byte
+	left          int
+}
+
+var (
+	errCrash = errors.New("crashed")
+	errGap   = errors.New("records are not contiguous")
+)
+
+func newMemoryJournal() *memoryJournal { return &memoryJournal{left: -1} }
+
+func (j *memoryJournal) spend() error {
+	if j.left == 0 {
+		return errCrash
+	}
+	if j.left > 0 {
+		j.left--
+	}
+	return nil
+}
+
+func (j *memoryJournal) Append(state []byte, indexes []uint64, records [][]byte) error {
+	if err := j.spend(); err != nil {
+		return err
+	}
+	if state != nil {
+		j.state = slices.Clone(state)
+	}
+	for i, index := range indexes {
+		if at := slices.Index(j.indexes, index); at >= 0 {
+			j.indexes, j.records = j.indexes[:at], j.records[:at]
+		}
+		before := j.snapshotIndex
+		if len(j.indexes) > 0 {
+			before = j.indexes[len(j.indexes)-1]
+		}
+		if index != before+1 {
+			return errors.Wrapf(errGap, "%d after %d", index, before)
+		}
+		j.indexes = append(j.indexes, index)
+		j.records = append(j.records, slices.Clone(records[i]))
+	}
+	return nil
+}
+
+func (j *memoryJournal) SaveSnapshot(index uint64, data []byte) error {
+	if err := j.spend(); err != nil {
+		return err
+	}
+	j.snapshotIndex, j.snapshot = index, slices.Clone(data)
+	for len(j.indexes) > 0 && j.indexes[0] <= index {
+		j.indexes, j.records = j.indexes[1:], j.records[1:]
+	}
+	return nil
+}
+
+func (j *memoryJournal) Load() ([]byte, uint64, []byte, []uint64, [][]byte, error) {
+	return j.state, j.snapshotIndex, j.snapshot, slices.Clone(j.indexes), slices.Clone(j.records), nil
+}
+
+func (j *memoryJournal) Close() error { return nil }
+
+func entriesOf(term uint64, indexes ...uint64) []Entry {
+	var entries []Entry
+	for _, index := range indexes {
+		entries = append(entries, Entry{Index: index, Term: term, Data: fmt.Append(nil, index)})
+	}
+	return entries
+}
+
+func TestJournalStorageReplacesTail(t *testing.T) {
+	s := NewJournalStorage(newMemoryJournal())
+	state := HardState{Cluster: "c", ID: "a", Host: "h", Term: 2, Vote: "b", Commit: 1}
+	require.NoError(t, s.Save(state, entriesOf(1, 1, 2, 3)))
+	require.NoError(t, s.Save(state, entriesOf(2, 2)))
+	loaded, _, entries, err := s.Load()
+	require.NoError(t, err)
+	require.Equal(t, state, loaded)
+	require.Equal(t, append(entriesOf(1, 1), entriesOf(2, 2)...), entries)
+}
+
+func TestJournalStorageSnapshotKeepsMatchingTail(t *testing.T) {
+	members := []Member{{ID: "a", Voter: true}}
+	for _, reload := range []bool{false, true} {
+		s := NewJournalStorage(newMemoryJournal())
+		state := HardState{ID: "a", Host: "h", Term: 2}
+		require.NoError(t, s.Save(state, append(entriesOf(1, 1, 2), entriesOf(2, 3, 4)...)))
+		if reload {
+			_, _, _, err := s.Load()
+			require.NoError(t, err)
+		}
+		require.NoError(t, s.SaveSnapshot(Snapshot{Index: 3, Term: 2, Members: members, Data: []byte("x")}))
+		_, snapshot, entries, err := s.Load()
+		require.NoError(t, err)
+		require.Equal(t, uint64(3), snapshot.Index)
+		require.Equal(t, entriesOf(2, 4), entries)
+	}
+}
+
+// A snapshot that conflicts with the stored entries drops those after it, also
+// when the host crashes between the two writes; the earlier entries stay until
+// the snapshot stands.
+func TestJournalStorageSnapshotDropsConflictingTail(t *testing.T) {
+	snapshot := Snapshot{Index: 3, Term: 5, Members: []Member{{ID: "a", Voter: true}}}
+	for writes := range 3 {
+		j := newMemoryJournal()
+		s := NewJournalStorage(j)
+		require.NoError(t, s.Save(HardState{ID: "a", Host: "h", Term: 2}, entriesOf(1, 1, 2, 3, 4)))
+		j.left = writes
+		err := s.SaveSnapshot(snapshot)
+		_, loaded, entries, loadErr := s.Load()
+		require.NoError(t, loadErr)
+		switch writes {
+		case 0:
+			require.ErrorIs(t, err, errCrash)
+			require.Equal(t, entriesOf(1, 1, 2, 3, 4), entries)
+		case 1:
+			require.ErrorIs(t, err, errCrash)
+			require.Equal(t, entriesOf(1, 1, 2), entries)
+		case 2:
+			require.NoError(t, err)
+			require.Equal(t, uint64(3), loaded.Index)
+			require.Empty(t, entries)
+			j.left = -1
+			require.NoError(t, s.Save(HardState{ID: "a", Host: "h", Term: 5}, entriesOf(5, 4)))
+		}
+	}
+}
+
+func TestJournalStorageRefusesGaps(t *testing.T) {
+	j := newMemoryJournal()
+	s := NewJournalStorage(j)
+	require.NoError(t, s.Save(HardState{ID: "a", Host: "h"}, entriesOf(1, 1, 2, 3)))
+	j.indexes = slices.Delete(j.indexes, 1, 2)
+	j.records = slices.Delete(j.records, 1, 2)
+	_, _, _, err := s.Load()
+	require.ErrorIs(t, err, ErrCorrupt)
+}
--- /dev/null
+++ b/quorum/journalstorage.go
@@ -0,0 +1,178 @@
+package quorum
+
+import (
+	"math"
+
+	"github.com/go-faster/errors"
+)
+
+// Journal is what NewJournalStorage needs of a log on disk.
+type Journal interface {
+	// Append writes a state, or keeps the old one if it is nil, and records
+	// with contiguous indexes. A first index at or below the last one first
+	// drops the records from there. Everything is durable on return, by one
+	// sync.
+	Append(state []byte, indexes []uint64, records [][]byte) error
+	// SaveSnapshot writes a snapshot durably and atomically and drops the
+	// records up to the index. The next record has the index after the last
+	// record's, or after the snapshot's if no record is left.
+	SaveSnapshot(index uint64, data []byte) error
+	// Load returns what is stored.
+	Load() (state []byte, snapshotIndex uint64, snapshot []byte, indexes []uint64, records [][]byte, err error)
+	Close() error
+}
+
+// JournalStorage is a Storage over a Journal.
+type JournalStorage struct {
+	journal Journal
+	terms   termRuns
+}
+
+// NewJournalStorage returns a storage over the journal, which the caller closes.
+func NewJournalStorage(journal Journal) *JournalStorage {
+	return &JournalStorage{journal: journal}
+}
+
+// Save implements Storage.
+func (s *JournalStorage) Save(state HardState, entries []Entry) error {
+	indexes := make([]uint64, len(entries))
+	records := make([][]byte, len(entries))
+	for i := range entries {
+		indexes[i] = entries[i].Index
+		records[i] = EncodeEntry(entries[i])
+	}
+	if err := s.journal.Append(EncodeHardState(state), indexes, records); err != nil {
+		return errors.Wrap(err, "append to the journal")
+	}
+	for i := range entries {
+		s.terms.add(entries[i].Index, entries[i].Term)
+	}
+	return nil
+}
+
+// SaveSnapshot implements Storage. Entries from the snapshot's index on that
+// conflict with it are cut off first, by an empty record: they are certainly not
+// committed there, while those before may be.
+func (s *JournalStorage) SaveSnapshot(snapshot Snapshot) error {
+	term, held := s.terms.term(snapshot.Index)
+	conflict := held && term != snapshot.Term
+	if conflict {
+		if err := s.journal.Append(nil, []uint64{snapshot.Index}, [][]byte{{}}); err != nil {
+			return errors.Wrap(err, "cut the journal")
+		}
+		s.terms.truncate(snapshot.Index)
+	}
+	if err := s.journal.SaveSnapshot(snapshot.Index, EncodeSnapshot(snapshot)); err != nil {
+		return errors.Wrap(err, "save a snapshot in the journal")
+	}
+	s.terms.compact(snapshot.Index)
+	return nil
+}
+
+// Load implements Storage. It returns ErrCorrupt for records that no replica
+// writes.
+func (s *JournalStorage) Load() (HardState, Snapshot, []Entry, error) {
+	var (
+		state    HardState
+		snapshot Snapshot
+	)
+	stateData, snapshotIndex, snapshotData, indexes, records, err := s.journal.Load()
+	if err != nil {
+		return state, snapshot, nil, errors.Wrap(err, "load the journal")
+	}
+	if len(stateData) > 0 {
+		if state, err = DecodeHardState(stateData); err != nil {
+			return state, snapshot, nil, errors.Wrap(err, "load the hard state")
+		}
+	}
+	if snapshotIndex > 0 {
+		if snapshot, err = DecodeSnapshot(snapshotData); err != nil {
+			return state, snapshot, nil, errors.Wrap(err, "load the snapshot")
+		}
+	}
+	entries, err := decodeRecords(snapshot, indexes, records)
+	if err != nil {
+		return state, snapshot, nil, err
+	}
+	s.terms = termRuns{}
+	for i := range entries {
+		s.terms.add(entries[i].Index, entries[i].Term)
+	}
+	return state, snapshot, entries, nil
+}
+
+// decodeRecords returns the entries after the snapshot, up to a cut.
+func decodeRecords(snapshot Snapshot, indexes []uint64, records [][]byte) ([]Entry, error) {
+	var entries []Entry
+	for i, record := range records {
+		if len(record) == 0 {
+			break
+		}
+		if indexes[i] <= snapshot.Index {
+			continue
+		}
+		e, err := DecodeEntry(record)
+		if err != nil {
+			return nil, errors.Wrapf(err, "load entry %d", indexes[i])
+		}
+		if e.Index != indexes[i] {
+			return nil, errors.Wrapf(ErrCorrupt, "record %d holds entry %d", indexes[i], e.Index)
+		}
+		entries = append(entries, e)
+	}
+	return entries, checkEntries(snapshot.Index, snapshot.Term, math.MaxUint64, entries)
+}
+
+// termRuns holds the terms of a run of entries; terms change rarely.
+type termRuns struct {
+	runs []termRun
+	last uint64
+}
+
+// termRun is the first index of consecutive entries of one term.
+type termRun struct {
+	first uint64
+	term  uint64
+}
+
+// add sets the last entry, dropping what stood from its index on.
+func (r *termRuns) add(index, term uint64) {
+	r.truncate(index)
+	r.last = index
+	if count := len(r.runs); count == 0 || r.runs[count-1].term != term {
+		r.runs = append(r.runs, termRun{first: index, term: term})
+	}
+}
+
+// truncate drops the entries from the index on.
+func (r *termRuns) truncate(index uint64) {
+	for len(r.runs) > 0 && r.runs[len(r.runs)-1].first >= index {
+		r.runs = r.runs[:len(r.runs)-1]
+	}
+	r.last = min(r.last, index-1)
+}
+
+// compact drops the entries up to the index.
+func (r *termRuns) compact(index uint64) {
+	if index >= r.last {
+		r.runs, r.last = nil, 0
+		return
+	}
+	for len(r.runs) > 1 && r.runs[1].first <= index+1 {
+		r.runs = r.runs[1:]
+	}
+	r.runs[0].first = max(r.runs[0].first, index+1)
+}
+
+// term returns the term of the entry at the index, if there is one.
+func (r *termRuns) term(index uint64) (uint64, bool) {
+	if index > r.last {
+		return 0, false
+	}
+	for i := len(r.runs) - 1; i >= 0; i-- {
+		if r.runs[i].first <= index {
+			return r.runs[i].term, true
+		}
+	}
+	return 0, false
+}
