--- a/quorum/drive.go
+++ b/quorum/drive.go
@@ -39,26 +39,24 @@
 	r.transport.Send(ready.Messages)
 }
 
-// save makes the node's write durable.
+// save makes the node's write durable. A snapshot goes first: the state's commit
+// index may cover it, and the entries that it replaces are not committed.
 func (r *Replica) save(ready *Ready) error {
 	if !ready.MustSave {
 		return nil
 	}
-	if ready.Install == nil {
-		return wrapf(r.storage.Save(ready.HardState, ready.Entries), "save entries")
-	}
-	if err := r.storage.Save(ready.HardState, nil); err != nil {
-		return errors.Wrap(err, "save the state")
+	if ready.Install != nil {
+		if err := r.storage.SaveSnapshot(*ready.Install); err != nil {
+			return errors.Wrap(err, "save the leader's snapshot")
+		}
 	}
-	if err := r.storage.SaveSnapshot(*ready.Install); err != nil {
-		return errors.Wrap(err, "save the leader's snapshot")
+	if err := r.storage.Save(ready.HardState, ready.Entries); err != nil {
+		return errors.Wrap(err, "save the state and entries")
 	}
-	if len(ready.Entries) > 0 {
-		if err := r.storage.Save(ready.HardState, ready.Entries); err != nil {
-			return errors.Wrap(err, "save entries after a snapshot")
-		}
+	if ready.Install != nil {
+		return r.restore(*ready.Install)
 	}
-	return r.restore(*ready.Install)
+	return nil
 }
 
 // fail gives the lead up until the storage takes the pending write. Nothing of
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -1,5 +1,15 @@
 package quorum
 
+// mayCampaign tells whether the node has a vote, or had one before a change that
+// is not committed: only this node may hold that change, and the others may need
+// its vote to commit it.
+func (n *Node) mayCampaign() bool {
+	if isVoter(n.log.members(), n.state.ID) {
+		return true
+	}
+	return n.log.membersPending() && isVoter(n.log.membersBefore(), n.state.ID)
+}
+
 // campaign asks the voters for the node's next term, first without entering it
 // (PreCandidate) and then with it (Candidate).
 func (n *Node) campaign(role Role, transfer bool) {
--- a/quorum/log.go
+++ b/quorum/log.go
@@ -142,6 +142,15 @@
 	return l.sets[len(l.sets)-1].index > l.committed
 }
 
+// membersBefore is the membership that the last change replaced, if the log still
+// knows it.
+func (l *entryLog) membersBefore() []Member {
+	if len(l.sets) < 2 {
+		return nil
+	}
+	return l.sets[len(l.sets)-2].members
+}
+
 // membersAt is the membership that the entries up to the index set.
 func (l *entryLog) membersAt(index uint64) []Member {
 	for i := len(l.sets) - 1; i > 0; i-- {
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -152,7 +152,7 @@
 		return
 	}
 	n.resetTimeout()
-	if isVoter(n.log.members(), n.state.ID) {
+	if n.mayCampaign() {
 		n.campaign(PreCandidate, false)
 	}
 }
--- /dev/null
+++ b/quorum/sim_test.go
@@ -0,0 +1,389 @@
+package quorum
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/require"
+)
+
+// simFaults are the chances, per thousand steps, of each event.
+type simFaults struct {
+	Lose, Duplicate, Partition, Heal, Crash, Restart, Wipe int
+	// Members is the chance of a membership change, Snapshot of a snapshot.
+	Members, Snapshot, Transfer int
+}
+
+// simNode is a host with a disk and, while it runs, a node.
+type simNode struct {
+	host    string
+	journal *memoryJournal
+	storage *JournalStorage
+	node    *Node
+	machine versions
+	group   int
+	// writes and reads are the operations in progress here.
+	writes map[uint64]*simOp
+	reads  map[uint64]*simOp
+	lost   bool
+}
+
+// versions is the machine of the simulation: a value with a version.
+type versions struct {
+	Version int
+	Value   int
+}
+
+type simOp struct {
+	client int
+	call   int64
+	value  int
+	write  bool
+	term   uint64
+	index  uint64
+	ready  bool
+	out    versions
+}
+
+// entryKey names an entry across all logs.
+type entryKey struct{ index, term uint64 }
+
+// sim is a cluster over a network that loses, delays, duplicates and reorders.
+type sim struct {
+	t       require.TestingT
+	random  *rand.Rand
+	faults  simFaults
+	now     int64
+	nodes   []*simNode
+	wire    []Message
+	history []porcupine.Operation
+	ops     int
+	nextID  uint64
+	config  NodeConfig
+
+	leaders   map[uint64]string
+	entries   map[entryKey]Entry
+	before    map[entryKey]uint64
+	committed map[uint64]Entry
+	highest   uint64
+	// members is the last committed membership.
+	members memberSet
+}
+
+func newSim(t require.TestingT, seed uint64, size int, faults simFaults) *sim {
+	s := &sim{
+		t: t, random: rand.New(rand.NewPCG(seed, 1)), faults: faults, nextID: 1,
+		leaders: map[uint64]string{}, entries: map[entryKey]Entry{},
+		before: map[entryKey]uint64{}, committed: map[uint64]Entry{},
+		config: NodeConfig{AppendBytes: 60, InflightBytes: 200, ChunkBytes: 5},
+	}
+	var members []Member
+	for i := range size {
+		host := fmt.Sprintf("h%d", i)
+		members = append(members, Member{ID: "id-" + host, Host: host, Voter: true})
+	}
+	s.members = memberSet{index: firstIndex, members: members}
+	for _, m := range members {
+		n := s.addHost(m.Host)
+		require.NoError(t, Bootstrap(n.storage, "cluster", n.host, members))
+		s.boot(n)
+	}
+	return s
+}
+
+func (s *sim) addHost(host string) *simNode {
+	n := &simNode{host: host}
+	s.format(n)
+	s.nodes = append(s.nodes, n)
+	return n
+}
+
+// format gives the host an empty disk.
+func (s *sim) format(n *simNode) {
+	n.journal = newMemoryJournal()
+	n.storage = NewJournalStorage(n.journal)
+}
+
+// boot starts a node on the host's disk.
+func (s *sim) boot(n *simNode) {
+	n.journal.left = -1
+	state, snapshot, entries, err := identify(n.storage, "", n.host)
+	require.NoError(s.t, err)
+	config := s.config
+	config.Seed = s.random.Uint64()
+	n.node = NewNode(config, state, snapshot, entries)
+	n.machine = versions{}
+	n.restore(snapshot)
+	n.writes, n.reads = map[uint64]*simOp{}, map[uint64]*simOp{}
+}
+
+func (n *simNode) restore(snapshot Snapshot) {
+	if len(snapshot.Data) > 0 {
+		_, _ = fmt.Sscan(string(snapshot.Data), &n.machine.Version, &n.machine.Value)
+	}
+}
+
+// crash stops the node; what was not written is lost.
+func (s *sim) crash(n *simNode) {
+	for _, op := range n.writes {
+		s.finish(op, true)
+	}
+	n.node, n.writes, n.reads = nil, nil, nil
+}
+
+// finish records an operation; one without an outcome may take effect at any
+// later time.
+func (s *sim) finish(op *simOp, unknown bool) {
+	end := s.now
+	if unknown {
+		end = 1 << 60
+	}
+	s.history = append(s.history, porcupine.Operation{
+		ClientId: op.client, Call: op.call, Return: end,
+		Input: opInput{write: op.write, value: op.value}, Output: opOutput{state: op.out, unknown: unknown},
+	})
+}
+
+// process does what the node asks for, crashing between any two writes.
+func (s *sim) process(n *simNode) {
+	for n.node != nil && n.node.HasReady() {
+		if s.chance(s.faults.Crash) {
+			n.journal.left = s.random.IntN(4)
+		}
+		s.checkRole(n)
+		ready := n.node.Ready()
+		s.send(ready.Messages)
+		if !s.save(n, &ready) || s.chance(s.faults.Crash) {
+			s.crash(n)
+			return
+		}
+		s.send(ready.AfterSave)
+		s.apply(n, &ready)
+		n.node.Advance()
+		s.checkRole(n)
+		s.answerReads(n)
+	}
+}
+
+// save writes as the Replica does and tells whether the host lived on.
+func (s *sim) save(n *simNode, ready *Ready) bool {
+	r := &Replica{storage: n.storage, machine: ignoreRestore{}}
+	if err := r.save(ready); err != nil {
+		require.ErrorIs(s.t, err, errCrash)
+		return false
+	}
+	for _, e := range ready.Entries {
+		s.checkEntry(n, e)
+	}
+	return true
+}
+
+// ignoreRestore is a machine for the writes alone.
+type ignoreRestore struct{ Machine }
+
+func (ignoreRestore) Restore([]byte) error { return nil }
+
+func (s *sim) apply(n *simNode, ready *Ready) {
+	if ready.Install != nil {
+		require.Greater(s.t, ready.Install.Index, n.node.handedOut.HardState.Commit-1)
+		n.restore(*ready.Install)
+	}
+	for _, e := range ready.Committed {
+		s.checkCommitted(e)
+		if e.Kind == EntryCommand {
+			n.machine.Version++
+			_, _ = fmt.Sscan(string(e.Data), &n.machine.Value)
+		}
+		if op := n.writes[e.Index]; op != nil {
+			delete(n.writes, e.Index)
+			if op.term == e.Term {
+				op.out = n.machine
+				s.finish(op, false)
+			}
+		}
+	}
+	for _, read := range ready.Reads {
+		if op := n.reads[read.ID]; op != nil && !op.ready {
+			op.ready, op.index = true, read.Index
+		}
+	}
+}
+
+func (s *sim) answerReads(n *simNode) {
+	for _, id := range slices.Sorted(maps.Keys(n.reads)) {
+		op := n.reads[id]
+		if op.ready && op.index <= n.node.AppliedIndex() {
+			op.out = n.machine
+			s.finish(op, false)
+			delete(n.reads, id)
+		}
+	}
+}
+
+// checkRole checks that a term has one leader and that it holds everything that
+// was ever committed.
+func (s *sim) checkRole(n *simNode) {
+	if n.node.Role() != Leader {
+		return
+	}
+	term := n.node.Term()
+	if s.leaders[term] == "" {
+		s.leaders[term] = n.node.ID()
+		require.GreaterOrEqual(s.t, n.node.LastIndex(), s.highest, "a leader lacks committed entries")
+		for index := n.node.log.baseIndex + 1; index <= s.highest; index++ {
+			own, _ := n.node.log.term(index)
+			require.Equal(s.t, s.committed[index].Term, own, "a leader lacks the committed entry %d", index)
+		}
+	}
+	require.Equal(s.t, s.leaders[term], n.node.ID(), "two leaders in term %d", term)
+}
+
+// checkEntry checks that entries of one index and term are equal in all logs,
+// and so are the entries before them.
+func (s *sim) checkEntry(n *simNode, e Entry) {
+	key := entryKey{e.Index, e.Term}
+	term, _ := n.node.log.term(e.Index - 1)
+	if known, ok := s.entries[key]; ok {
+		require.Equal(s.t, known, e, "logs differ")
+		require.Equal(s.t, s.before[key], term, "logs differ before entry %d", e.Index)
+		return
+	}
+	s.entries[key] = e
+	s.before[key] = term
+}
+
+// checkCommitted checks that all replicas apply the same entry at an index.
+func (s *sim) checkCommitted(e Entry) {
+	if known, ok := s.committed[e.Index]; ok {
+		require.Equal(s.t, known, e, "a committed entry changed")
+		return
+	}
+	s.committed[e.Index] = e
+	s.highest = max(s.highest, e.Index)
+	if e.Kind == EntryMembers {
+		members, err := DecodeMembers(e.Data)
+		require.NoError(s.t, err)
+		s.members = memberSet{index: e.Index, members: members}
+	}
+}
+
+// send puts messages on the wire, encoded and decoded.
+func (s *sim) send(messages []Message) {
+	if len(messages) == 0 {
+		return
+	}
+	decoded, err := DecodeMessages(EncodeMessages(messages))
+	require.NoError(s.t, err)
+	s.wire = append(s.wire, decoded...)
+}
+
+func (s *sim) chance(perThousand int) bool { return s.random.IntN(1000) < perThousand }
+
+// deliver takes a random message off the wire.
+func (s *sim) deliver() {
+	if len(s.wire) == 0 {
+		return
+	}
+	at := s.random.IntN(len(s.wire))
+	m := s.wire[at]
+	if !s.chance(s.faults.Duplicate) {
+		s.wire[at] = s.wire[len(s.wire)-1]
+		s.wire = s.wire[:len(s.wire)-1]
+	}
+	from, to := s.byID(m.From), s.byID(m.To)
+	if to == nil || to.node == nil || from != nil && from.group != to.group || s.chance(s.faults.Lose) {
+		return
+	}
+	to.node.Step(m)
+	s.process(to)
+}
+
+func (s *sim) byID(id string) *simNode {
+	for _, n := range s.nodes {
+		if n.node != nil && n.node.ID() == id {
+			return n
+		}
+	}
+	return nil
+}
+
+// opInput and opOutput are an operation for porcupine.
+type opInput struct {
+	write bool
+	value int
+}
+
+type opOutput struct {
+	state   versions
+	unknown bool
+}
+
+var versionsModel = porcupine.Model{
+	Init: func() any { return versions{} },
+	Step: func(state, input, output any) (bool, any) {
+		current, in, out := state.(versions), input.(opInput), output.(opOutput)
+		if in.write {
+			current = versions{Version: current.Version + 1, Value: in.value}
+		}
+		return out.unknown || out.state == current, current
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+// checkHistory checks that the recorded operations are linearizable.
+func (s *sim) checkHistory() {
+	for _, n := range s.nodes {
+		for _, op := range n.writes {
+			s.finish(op, true)
+		}
+	}
+	require.True(s.t, porcupine.CheckOperations(versionsModel, s.history), "the history is not linearizable")
+}
+
+// runSim runs the steps and then checks that the cluster converges.
+func runSim(t require.TestingT, seed uint64, size, steps int, faults simFaults) *sim {
+	s := newSim(t, seed, size, faults)
+	for range steps {
+		s.step()
+	}
+	s.converge()
+	s.checkHistory()
+	return s
+}
+
+// TestSimSeeds runs fixed seeds.
+func TestSimSeeds(t *testing.T) {
+	for seed := range uint64(100) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := runSim(t, seed, 3, 4000, allFaults)
+			t.Logf("terms %d, committed %d, operations %d, hosts %d", len(s.leaders), s.highest, len(s.history), len(s.nodes))
+		})
+	}
+}
+
+// TestSimFailedSeeds runs what once failed, with the fault that it showed.
+func TestSimFailedSeeds(t *testing.T) {
+	cases := []struct {
+		name   string
+		seed   uint64
+		size   int
+		steps  int
+		faults simFaults
+	}{
+		{
+			"a commit index was saved before the snapshot that it covered", 0x4ce9, 3, 3000,
+			simFaults{Lose: 175, Duplicate: 169, Crash: 17, Restart: 31, Snapshot: 19, Transfer: 3},
+		},
+	}
+	for _, seed := range []uint64{11, 35, 92, 98} {
+		name := fmt.Sprintf("a leader that removed itself did not campaign again, %d", seed)
+		t.Run(name, func(t *testing.T) { runSim(t, seed, 3, 4000, allFaults) })
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { runSim(t, c.seed, c.size, c.steps, c.faults) })
+	}
+}
--- /dev/null
+++ b/quorum/simstep_test.go
@@ -0,0 +1,270 @@
+package quorum
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// allFaults is a mix in which leaders still get some work done.
+var allFaults = simFaults{
+	Lose: 50, Duplicate: 30, Partition: 4, Heal: 10, Crash: 4, Restart: 30, Wipe: 1,
+	Members: 10, Snapshot: 10, Transfer: 3,
+}
+
+// maxSimOps bounds the history, whose check is exponential in operations
+// without an outcome.
+const (
+	maxSimOps   = 40
+	maxSimHosts = 7
+	maxSimWire  = 300
+)
+
+// step does one random thing.
+func (s *sim) step() {
+	s.now++
+	s.fault()
+	switch roll := s.random.IntN(100); {
+	case roll < 60:
+		s.deliver()
+	case roll < 95:
+		if n := s.anyNode(); n.node != nil {
+			n.node.Tick()
+			s.process(n)
+		}
+	default:
+		s.operate(s.anyNode())
+	}
+	if len(s.wire) > maxSimWire {
+		s.wire = slices.Delete(s.wire, 0, maxSimWire/3)
+	}
+}
+
+func (s *sim) anyNode() *simNode { return s.nodes[s.random.IntN(len(s.nodes))] }
+
+// fault does what goes wrong or is changed by operators.
+func (s *sim) fault() {
+	n := s.anyNode()
+	switch {
+	case s.chance(s.faults.Partition):
+		n.group = s.random.IntN(3)
+	case s.chance(s.faults.Heal):
+		n.group = 0
+	case n.node == nil && s.chance(s.faults.Wipe):
+		s.format(n)
+		s.boot(n)
+	case n.node == nil && s.chance(s.faults.Restart):
+		s.boot(n)
+	case n.node == nil:
+	case s.chance(s.faults.Crash):
+		s.crash(n)
+	case s.chance(s.faults.Snapshot):
+		s.snapshot(n)
+	case s.chance(s.faults.Members):
+		s.changeMembers()
+	case s.chance(s.faults.Transfer):
+		members := n.node.Members()
+		if len(members) > 0 {
+			_ = n.node.TransferLeadership(members[s.random.IntN(len(members))].ID)
+			s.process(n)
+		}
+	}
+}
+
+// snapshot compacts the node's log as the Replica does.
+func (s *sim) snapshot(n *simNode) {
+	if n.node.AppliedIndex() <= n.node.SnapshotIndex() {
+		return
+	}
+	snapshot := n.node.MakeSnapshot(fmt.Append(nil, n.machine.Version, n.machine.Value))
+	if err := n.storage.SaveSnapshot(snapshot); err != nil {
+		require.ErrorIs(s.t, err, errCrash)
+		s.crash(n)
+		return
+	}
+	n.node.Compact(snapshot, uint64(s.random.IntN(3)))
+}
+
+// operate starts a client's operation at the node.
+func (s *sim) operate(n *simNode) {
+	if n.node == nil || s.ops >= maxSimOps {
+		return
+	}
+	op := &simOp{client: s.ops, call: s.now, value: s.ops + 100, write: s.random.IntN(2) == 0}
+	if !op.write {
+		s.nextID++
+		if n.node.ReadBarrier(s.nextID) {
+			s.ops++
+			n.reads[s.nextID] = op
+			s.process(n)
+		}
+		return
+	}
+	index, term, err := n.node.Propose(fmt.Append(nil, op.value))
+	if err != nil {
+		return
+	}
+	s.ops++
+	op.term = term
+	if old := n.writes[index]; old != nil {
+		s.finish(old, true)
+	}
+	n.writes[index] = op
+	s.process(n)
+}
+
+// changeMembers proposes a random step of the membership at some leader.
+func (s *sim) changeMembers() {
+	for _, n := range s.nodes {
+		if n.node == nil || n.node.Role() != Leader {
+			continue
+		}
+		members := slices.Clone(n.node.Members())
+		at := s.random.IntN(len(members))
+		switch s.random.IntN(4) {
+		case 0:
+			members = s.addMember(members)
+		case 1, 2:
+			members[at].Voter = true
+		case 3:
+			members = slices.Delete(members, at, at+1)
+		}
+		if !sameMembers(members, n.node.Members()) {
+			_, _, _ = n.node.ProposeMembers(members)
+			s.process(n)
+		}
+		return
+	}
+}
+
+// addMember adds a running host that is not a member, or a new one.
+func (s *sim) addMember(members []Member) []Member {
+	for _, n := range s.nodes {
+		if n.node != nil && findMember(members, n.node.ID()) < 0 {
+			return append(members, Member{ID: n.node.ID(), Host: n.host})
+		}
+	}
+	if len(s.nodes) == maxSimHosts {
+		return members
+	}
+	n := s.addHost(fmt.Sprintf("h%d", len(s.nodes)))
+	s.boot(n)
+	return append(members, Member{ID: n.node.ID(), Host: n.host})
+}
+
+// converge ends every fault and expects a leader that commits, if a majority of
+// the voters still has its disk.
+func (s *sim) converge() {
+	s.faults = simFaults{}
+	for _, n := range s.nodes {
+		n.group = 0
+		n.journal.left = -1
+		if n.node == nil {
+			s.boot(n)
+		}
+	}
+	const rounds = 400
+	target := uint64(0)
+	for range rounds {
+		s.now++
+		for _, n := range s.nodes {
+			n.node.Tick()
+			s.process(n)
+		}
+		for len(s.wire) > 0 {
+			s.deliver()
+		}
+		leader := s.soundLeader()
+		if leader == nil {
+			continue
+		}
+		if target == 0 {
+			target = leader.node.LastIndex()
+		}
+		if s.allHold(leader, target) {
+			return
+		}
+	}
+	require.True(s.t, s.majorityLost(), "the cluster did not converge: %s", s.describe())
+}
+
+// describe shows the nodes for a failed run.
+func (s *sim) describe() string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "committed membership %+v", s.members)
+	for _, n := range s.nodes {
+		l := n.node.log
+		fmt.Fprintf(&text, "\n%s %s role %d term %d vote %s leader %q log %d..%d of term %d committed %d pending members %t",
+			n.host, n.node.ID(), n.node.Role(), n.node.Term(), n.node.state.Vote, n.node.Leader(),
+			l.baseIndex, l.lastIndex(), l.lastTerm(), l.committed, l.membersPending())
+		for id, p := range n.node.progress {
+			fmt.Fprintf(&text, "\n  %s %+v", id, *p)
+		}
+		fmt.Fprintf(&text, "\n  members %+v", n.node.Members())
+	}
+	return text.String()
+}
+
+// soundLeader returns the leader that a majority follows.
+func (s *sim) soundLeader() *simNode {
+	for _, n := range s.nodes {
+		if n.node.Role() == Leader && n.node.committedInTerm() {
+			return n
+		}
+	}
+	return nil
+}
+
+// allHold tells whether every member that has its disk applied the index.
+func (s *sim) allHold(leader *simNode, index uint64) bool {
+	for _, m := range leader.node.Members() {
+		if n := s.byID(m.ID); n != nil && n.node.AppliedIndex() < index {
+			return false
+		}
+	}
+	return leader.node.AppliedIndex() >= index
+}
+
+// majorityLost tells whether the last committed membership, or a later one that
+// is in some log, has lost the disks of a majority of its voters.
+func (s *sim) majorityLost() bool {
+	if s.lostMajority(s.members.members) {
+		return true
+	}
+	for _, n := range s.nodes {
+		for _, set := range n.node.log.sets {
+			if set.index > s.members.index && s.lostMajority(set.members) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (s *sim) lostMajority(members []Member) bool {
+	alive := 0
+	for _, m := range members {
+		if m.Voter && s.byID(m.ID) != nil {
+			alive++
+		}
+	}
+	return alive < majority(members)
+}
+
+// The rules of the log hold under every mix of faults.
+func TestSimProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(name string, most int) int { return rapid.IntRange(0, most).Draw(t, name) }
+		faults := simFaults{
+			Lose: draw("lose", 200), Duplicate: draw("duplicate", 200), Partition: draw("partition", 20),
+			Heal: draw("heal", 50), Crash: draw("crash", 20), Restart: draw("restart", 60), Wipe: draw("wipe", 3),
+			Members: draw("members", 30), Snapshot: draw("snapshot", 30), Transfer: draw("transfer", 20),
+		}
+		size := rapid.SampledFrom([]int{1, 3, 3, 5}).Draw(t, "size")
+		runSim(t, rapid.Uint64().Draw(t, "seed"), size, 3000, faults)
+	})
+}
