--- a/quorum/election.go
+++ b/quorum/election.go
@@ -37,8 +37,12 @@
 	}
 }
 
-// countVotes moves on if a majority granted the campaign, and tells whether.
+// countVotes moves on if a majority granted the campaign, and tells whether. The
+// own vote counts once it is durable.
 func (n *Node) countVotes() bool {
+	if n.role == Candidate && n.state.mustSave(n.saved) {
+		return false
+	}
 	granted, refused := 0, 0
 	for _, m := range n.log.members() {
 		vote, known := n.votes[m.ID]
--- a/quorum/ready.go
+++ b/quorum/ready.go
@@ -91,7 +91,10 @@
 	if count := len(r.Committed); count > 0 {
 		n.log.applied = r.Committed[count-1].Index
 	}
-	if n.role == Leader {
+	switch n.role {
+	case Candidate:
+		n.countVotes()
+	case Leader:
 		n.maybeCommit()
 	}
 }
--- a/quorum/sim_test.go
+++ b/quorum/sim_test.go
@@ -108,6 +108,15 @@
 	n.storage = NewJournalStorage(n.journal)
 }
 
+// join gives the host an empty disk with a fresh identity, made up from a count
+// so that a seed always gives the same run.
+func (s *sim) join(n *simNode) {
+	s.format(n)
+	s.nextID++
+	require.NoError(s.t, n.storage.Save(HardState{ID: fmt.Sprintf("%s-%d", n.host, s.nextID), Host: n.host}, nil))
+	s.boot(n)
+}
+
 // boot starts a node on the host's disk.
 func (s *sim) boot(n *simNode) {
 	n.journal.left = -1
@@ -355,12 +364,20 @@
 	return s
 }
 
-// TestSimSeeds runs fixed seeds.
+// TestSimSeeds runs fixed seeds for clusters of one, three and five.
 func TestSimSeeds(t *testing.T) {
-	for seed := range uint64(100) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			s := runSim(t, seed, 3, 4000, allFaults)
-			t.Logf("terms %d, committed %d, operations %d, hosts %d", len(s.leaders), s.highest, len(s.history), len(s.nodes))
+	const seeds = 150
+	for _, size := range []int{1, 3, 5} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			terms, committed, operations := 0, uint64(0), 0
+			for seed := range uint64(seeds) {
+				s := runSim(t, seed, size, 5000, allFaults)
+				terms += len(s.leaders)
+				committed += s.highest
+				operations += len(s.history)
+			}
+			t.Logf("%d terms, %d entries committed, %d operations", terms, committed, operations)
+			require.Greater(t, operations, 10*seeds, "the runs did too little")
 		})
 	}
 }
@@ -383,6 +400,9 @@
 		name := fmt.Sprintf("a leader that removed itself did not campaign again, %d", seed)
 		t.Run(name, func(t *testing.T) { runSim(t, seed, 3, 4000, allFaults) })
 	}
+	t.Run("a single voter led before its vote was durable", func(t *testing.T) {
+		runSim(t, 2709, 1, 6000, allFaults)
+	})
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) { runSim(t, c.seed, c.size, c.steps, c.faults) })
 	}
--- a/quorum/simstep_test.go
+++ b/quorum/simstep_test.go
@@ -55,8 +55,7 @@
 	case s.chance(s.faults.Heal):
 		n.group = 0
 	case n.node == nil && s.chance(s.faults.Wipe):
-		s.format(n)
-		s.boot(n)
+		s.join(n)
 	case n.node == nil && s.chance(s.faults.Restart):
 		s.boot(n)
 	case n.node == nil:
@@ -152,7 +151,7 @@
 		return members
 	}
 	n := s.addHost(fmt.Sprintf("h%d", len(s.nodes)))
-	s.boot(n)
+	s.join(n)
 	return append(members, Member{ID: n.node.ID(), Host: n.host})
 }
 
