--- /dev/null
+++ b/fleet/bounds.go
@@ -0,0 +1,89 @@
+package fleet
+
+import "time"
+
+// Bounds of a text as a whole.
+const (
+	// MaxTextBytes is the size of the largest text that Parse takes.
+	MaxTextBytes = 4 << 20
+	// MaxNesting is the deepest nesting of objects and arrays.
+	MaxNesting = 16
+	// MaxFaults is the largest number of faults that Parse reports.
+	MaxFaults = 100
+	// maxFaultBytes is the length of the longest path or message of a fault.
+	maxFaultBytes = 400
+	// MaxNameBytes is the length of the longest name.
+	MaxNameBytes = 64
+)
+
+// Bounds of the lists.
+const (
+	maxFailureDomains = 64
+	maxServices       = 1000
+	maxWorkspaces     = 100_000
+	maxCalls          = 1000
+	maxAdapters       = 1000
+)
+
+// Bounds of the values.
+const (
+	maxPriority        = 1000
+	maxInFlight        = 100_000
+	maxLoadFactor      = 100
+	maxQueue           = 1_000_000
+	maxBodyBytes       = 1 << 30
+	maxRampRequests    = 1_000_000
+	maxReplicas        = 100_000
+	maxShare           = 1_000_000
+	maxConcurrentLoads = 100_000
+	maxBytesPerSecond  = 1 << 50
+	maxQueueWait       = time.Hour
+	maxFirstByte       = time.Hour
+	maxTotal           = 24 * time.Hour
+)
+
+// Defaults of the values that a text leaves out. Idempotent and Stream are
+// false, Priority, ColdFirstByte, Placement.Min and Placement.Max are 0.
+const (
+	// DefaultInFlightPerTarget is the default of Limits.InFlightPerTarget.
+	DefaultInFlightPerTarget = 16
+	// DefaultLoadFactor is the default of Limits.LoadFactor.
+	DefaultLoadFactor = 1.25
+	// DefaultQueue is the default of Limits.Queue.
+	DefaultQueue = 64
+	// DefaultQueueWait is the default of Limits.QueueWait.
+	DefaultQueueWait = 10 * time.Second
+	// DefaultBodyBytes is the default of Limits.BodyBytes.
+	DefaultBodyBytes = 1 << 20
+	// DefaultColdLimit is the default of WarmUp.ColdLimit.
+	DefaultColdLimit = 1
+	// DefaultRampRequests is the default of WarmUp.RampRequests.
+	DefaultRampRequests = 32
+	// DefaultSpread is the default of Placement.Spread.
+	DefaultSpread = 1
+	// DefaultFirstByte is the default of Timeouts.FirstByte.
+	DefaultFirstByte = 30 * time.Second
+	// DefaultGap is the default of Timeouts.Gap.
+	DefaultGap = 10 * time.Second
+	// DefaultTotal is the default of Timeouts.Total.
+	DefaultTotal = 10 * time.Minute
+	// DefaultShare is the default of Workspace.Share.
+	DefaultShare = 1
+	// DefaultConcurrentLoads is the default of Store.ConcurrentLoads.
+	DefaultConcurrentLoads = 2
+	// DefaultBytesPerSecond is the default of Store.BytesPerSecond.
+	DefaultBytesPerSecond = 1 << 30
+)
+
+// The kinds of service.
+const (
+	KindModel = "Model"
+	KindPlain = "Plain"
+)
+
+// The roles that engines play.
+const (
+	RoleMixed   = ""
+	RolePrefill = "Prefill"
+	RoleDecode  = "Decode"
+)
--- /dev/null
+++ b/registry/claims.go
@@ -0,0 +1,94 @@
+package registry
+
+import (
+	"slices"
+	"time"
+)
+
+// claims holds the claims and bounds the answers stored with them.
+type claims struct {
+	byKey map[ClaimKey]*Claim
+	// open holds the keys of each dispatcher's open claims.
+	open map[uint64]map[ClaimKey]bool
+	// stored holds the keys of the answers with a body, oldest first.
+	stored      []ClaimKey
+	storedBytes int
+}
+
+func newClaims() claims {
+	return claims{
+		byKey: map[ClaimKey]*Claim{},
+		open:  map[uint64]map[ClaimKey]bool{},
+	}
+}
+
+// put stores a claim that is not there, or replaces one that is not open.
+func (c *claims) put(claim *Claim) {
+	c.byKey[claim.ClaimKey] = claim
+	if claim.State != ClaimOpen {
+		return
+	}
+	keys := c.open[claim.Dispatcher]
+	if keys == nil {
+		keys = map[ClaimKey]bool{}
+		c.open[claim.Dispatcher] = keys
+	}
+	keys[claim.ClaimKey] = true
+}
+
+// move gives a claim another state than open.
+func (c *claims) move(claim *Claim, to ClaimState, now time.Time) {
+	if keys := c.open[claim.Dispatcher]; claim.State == ClaimOpen {
+		delete(keys, claim.ClaimKey)
+		if len(keys) == 0 {
+			delete(c.open, claim.Dispatcher)
+		}
+	}
+	claim.State = to
+	claim.Changed = now
+}
+
+// doubtAll moves the open claims of a session to in doubt.
+func (c *claims) doubtAll(session uint64, now time.Time) {
+	for key := range c.open[session] {
+		claim := c.byKey[key]
+		claim.State = ClaimInDoubt
+		claim.Changed = now
+	}
+	delete(c.open, session)
+}
+
+// store keeps an answer within the bounds.
+func (c *claims) store(claim *Claim, answer Answer, index uint64) {
+	answer = answer.bounded()
+	claim.Answer = answer
+	claim.Finished = index
+	if len(answer.Body) == 0 {
+		return
+	}
+	c.stored = append(c.stored, claim.ClaimKey)
+	c.storedBytes += len(answer.Body)
+	for c.storedBytes > MaxStoredAnswerBytes {
+		c.dropBody(c.byKey[c.stored[0]])
+		c.stored = c.stored[1:]
+	}
+}
+
+func (c *claims) dropBody(claim *Claim) {
+	c.storedBytes -= len(claim.Answer.Body)
+	claim.Answer.Body = nil
+	claim.Answer.Truncated = true
+}
+
+// expire removes the claims that ended before the time.
+func (c *claims) expire(before time.Time) (count uint64) {
+	for key, claim := range c.byKey {
+		if claim.ended() && claim.Changed.Before(before) {
+			c.storedBytes -= len(claim.Answer.Body)
+			delete(c.byKey, key)
+			count++
+		}
+	}
+	c.stored = slices.DeleteFunc(c.stored, func(key ClaimKey) bool { return c.byKey[key] == nil })
+	return count
+}
--- /dev/null
+++ b/registry/codec.go
@@ -0,0 +1,198 @@
+package registry
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+
+	"comfreytiller.dev/registry/registrypb"
+)
+
+// encode writes a wire message. The messages have no maps, so the same message
+// gives the same bytes.
+func encode(message proto.Message) []byte {
+	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(message)
+	if err != nil {
+		// Only a string that is not UTF-8 in a command of the caller's gets
+		// here. No bytes are a malformed command.
+		return nil
+	}
+	return encoded
+}
+
+func decode(encoded []byte, into proto.Message) error {
+	if err := proto.Unmarshal(encoded, into); err != nil {
+		return errors.Wrap(ErrMalformed, err.Error())
+	}
+	return nil
+}
+
+func timeToWire(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixNano()
+}
+
+func timeFromWire(nanoseconds int64) time.Time {
+	if nanoseconds == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, nanoseconds).UTC()
+}
+
+func operationToWire(operation Operation) *registrypb.Operation {
+	return &registrypb.Operation{Id: operation.ID, Time: timeToWire(operation.Time)}
+}
+
+func operationFromWire(wire *registrypb.Operation) Operation {
+	return Operation{ID: wire.GetId(), Time: timeFromWire(wire.GetTime())}
+}
+
+func keyToWire(key ClaimKey) *registrypb.ClaimKey {
+	return &registrypb.ClaimKey{Workspace: key.Workspace, Service: key.Service, Key: key.Key}
+}
+
+func keyFromWire(wire *registrypb.ClaimKey) ClaimKey {
+	return ClaimKey{Workspace: wire.GetWorkspace(), Service: wire.GetService(), Key: wire.GetKey()}
+}
+
+func answerToWire(answer Answer) *registrypb.Answer {
+	return &registrypb.Answer{
+		Status:      int64(answer.Status),
+		ContentType: answer.ContentType,
+		Body:        answer.Body,
+		Truncated:   answer.Truncated,
+	}
+}
+
+func answerFromWire(wire *registrypb.Answer) Answer {
+	return Answer{
+		Status:      int(wire.GetStatus()),
+		ContentType: wire.GetContentType(),
+		Body:        bytesFromWire(wire.GetBody()),
+		Truncated:   wire.GetTruncated(),
+	}
+}
+
+// bytesFromWire gives nil for no bytes, whether the field was there or not.
+func bytesFromWire(wire []byte) []byte {
+	if len(wire) == 0 {
+		return nil
+	}
+	return wire
+}
+
+func claimToWire(claim *Claim) *registrypb.Claim {
+	return &registrypb.Claim{
+		Key:         keyToWire(claim.ClaimKey),
+		State:       string(claim.State),
+		Fingerprint: claim.Fingerprint,
+		Dispatcher:  claim.Dispatcher,
+		Attempt:     claim.Attempt,
+		Answer:      answerToWire(claim.Answer),
+		Opened:      timeToWire(claim.Opened),
+		Changed:     timeToWire(claim.Changed),
+		Ran:         claim.Ran,
+		Note:        claim.Note,
+		Finished:    claim.Finished,
+	}
+}
+
+func claimFromWire(wire *registrypb.Claim) *Claim {
+	return &Claim{
+		ClaimKey:    keyFromWire(wire.GetKey()),
+		State:       ClaimState(wire.GetState()),
+		Fingerprint: wire.GetFingerprint(),
+		Dispatcher:  wire.GetDispatcher(),
+		Attempt:     wire.GetAttempt(),
+		Answer:      answerFromWire(wire.GetAnswer()),
+		Opened:      timeFromWire(wire.GetOpened()),
+		Changed:     timeFromWire(wire.GetChanged()),
+		Ran:         wire.GetRan(),
+		Note:        wire.GetNote(),
+		Finished:    wire.GetFinished(),
+	}
+}
+
+func orderToWire(order Order) *registrypb.Order {
+	return &registrypb.Order{
+		Id:          order.ID,
+		Target:      order.Target,
+		Incarnation: order.Incarnation,
+		Kind:        order.Kind,
+		Service:     order.Service,
+		Model:       order.Model,
+		Version:     order.Version,
+		Adapter:     order.Adapter,
+		Role:        order.Role,
+		Fence:       order.Fence,
+		State:       string(order.State),
+		Time:        timeToWire(order.Time),
+	}
+}
+
+func orderFromWire(wire *registrypb.Order) Order {
+	return Order{
+		ID:          wire.GetId(),
+		Target:      wire.GetTarget(),
+		Incarnation: wire.GetIncarnation(),
+		Kind:        wire.GetKind(),
+		Service:     wire.GetService(),
+		Model:       wire.GetModel(),
+		Version:     wire.GetVersion(),
+		Adapter:     wire.GetAdapter(),
+		Role:        wire.GetRole(),
+		Fence:       wire.GetFence(),
+		State:       OrderState(wire.GetState()),
+		Time:        timeFromWire(wire.GetTime()),
+	}
+}
+
+func sessionToWire(host Host) *registrypb.Session {
+	return &registrypb.Session{
+		Number:        host.Session,
+		Host:          host.Name,
+		FailureDomain: host.FailureDomain,
+		PeerAddress:   host.PeerAddress,
+		CallerAddress: host.CallerAddress,
+		Owns:          host.Owns,
+		Start:         host.Start,
+		Closing:       host.Closing,
+	}
+}
+
+func sessionFromWire(wire *registrypb.Session) Host {
+	return Host{
+		Name:          wire.GetHost(),
+		Session:       wire.GetNumber(),
+		FailureDomain: wire.GetFailureDomain(),
+		PeerAddress:   wire.GetPeerAddress(),
+		CallerAddress: wire.GetCallerAddress(),
+		Owns:          wire.GetOwns(),
+		Start:         wire.GetStart(),
+		Closing:       wire.GetClosing(),
+	}
+}
+
+func ownerToWire(service string, owner Owner) *registrypb.Owner {
+	return &registrypb.Owner{
+		Service:       service,
+		Host:          owner.Host,
+		Session:       owner.Session,
+		Backup:        owner.Backup,
+		BackupSession: owner.BackupSession,
+		Fence:         owner.Fence,
+	}
+}
+
+func ownerFromWire(wire *registrypb.Owner) Owner {
+	return Owner{
+		Host:          wire.GetHost(),
+		Session:       wire.GetSession(),
+		Backup:        wire.GetBackup(),
+		BackupSession: wire.GetBackupSession(),
+		Fence:         wire.GetFence(),
+	}
+}
--- /dev/null
+++ b/registry/command.go
@@ -0,0 +1,182 @@
+package registry
+
+import "time"
+
+// Command is one change of the replicated state. Commands are values; the state
+// reads no clock, so each carries the times that it needs.
+type Command interface {
+	isCommand()
+}
+
+// Operation names an operator's command, so that it can be sent again after a
+// lost answer and get the same answer.
+type Operation struct {
+	// ID is unique to the operation: 1 to MaxIdentifierBytes bytes.
+	ID string
+	// Time is when the operator made the operation. It stays the same when the
+	// operation is sent again.
+	Time time.Time
+}
+
+// OpenSession opens a session for the process of a host.
+type OpenSession struct {
+	Host          string
+	FailureDomain string
+	PeerAddress   string
+	CallerAddress string
+	Owns          bool
+	// Start is a random number that the process draws when it starts. It tells
+	// a command that is sent again from one of the host's next process.
+	Start uint64
+}
+
+// CloseReason says why a session ends.
+type CloseReason string
+
+// The reasons to close a session.
+const (
+	// CloseGraceful is proposed by the session's own process, which has stopped
+	// granting and dispatching.
+	CloseGraceful CloseReason = "Graceful"
+	// CloseExpired is proposed by the leader, one margin after the session's
+	// lease must have ended.
+	CloseExpired CloseReason = "Expired"
+)
+
+// CloseSession ends a session. Its services get new owners and its open claims
+// become in doubt with the same command.
+type CloseSession struct {
+	Session uint64
+	Reason  CloseReason
+	// Term is the term in which the leader decided that the lease has ended. A
+	// CloseExpired that is committed in another term has no effect: the
+	// session may have been renewed in between.
+	Term uint64
+}
+
+// MoveOwner gives a service to another host. Only the owner's own session
+// proposes it, after it has stopped granting.
+type MoveOwner struct {
+	Service string
+	Session uint64
+	// Fence is the fence of the grant that is given up.
+	Fence uint64
+}
+
+// ApplyFleet replaces the fleet text.
+type ApplyFleet struct {
+	Operation Operation
+	// Base is the version that the text was made from.
+	Base uint64
+	Text []byte
+	// Force accepts a text that removes services in use.
+	Force bool
+}
+
+// SetOutage takes a failure domain or a target out or brings it back. Just one
+// of both is named.
+type SetOutage struct {
+	Operation     Operation
+	FailureDomain string
+	Target        string
+	Out           bool
+	// Base is the OutageVersion that the operator has seen; 0 for any.
+	Base uint64
+}
+
+// Pin binds a target to a service; an empty service releases it.
+type Pin struct {
+	Operation Operation
+	Target    string
+	Service   string
+}
+
+// OpenClaim asks for the right to dispatch a request that runs at most once.
+type OpenClaim struct {
+	Key ClaimKey
+	// Fingerprint is the hash of the call and its body.
+	Fingerprint uint64
+	// Session and Attempt name the dispatcher. Attempts of a session rise; the
+	// same attempt sent again gets the same answer.
+	Session uint64
+	Attempt uint64
+	Time    time.Time
+}
+
+// FinishClaim records that the request has run, and its answer.
+type FinishClaim struct {
+	Key     ClaimKey
+	Session uint64
+	Attempt uint64
+	Answer  Answer
+	Time    time.Time
+}
+
+// CancelClaim records that the request was never sent and never will be.
+type CancelClaim struct {
+	Key         ClaimKey
+	Fingerprint uint64
+	Session     uint64
+	Attempt     uint64
+	Time        time.Time
+}
+
+// DoubtClaim records that the request may have run.
+type DoubtClaim struct {
+	Key     ClaimKey
+	Session uint64
+	Attempt uint64
+	Time    time.Time
+}
+
+// SettleClaim is an operator's verdict on a claim in doubt.
+type SettleClaim struct {
+	Operation Operation
+	Key       ClaimKey
+	// Ran says whether the request ran, as the operator found out.
+	Ran  bool
+	Note string
+}
+
+// ExpireClaims forgets the claims that ended before a time. Open claims and
+// claims in doubt are kept.
+type ExpireClaims struct {
+	Before time.Time
+}
+
+// RecordOrder records an order to a target before it is sent.
+type RecordOrder struct {
+	ID          string
+	Target      string
+	Incarnation uint64
+	Kind        string
+	Service     string
+	Model       string
+	Version     string
+	Adapter     string
+	Role        string
+	Time        time.Time
+}
+
+// FinishOrder records how an order ended.
+type FinishOrder struct {
+	ID string
+	// State is OrderDone or OrderFailed.
+	State OrderState
+	Time  time.Time
+}
+
+func (OpenSession) isCommand()  {}
+func (CloseSession) isCommand() {}
+func (MoveOwner) isCommand()    {}
+func (ApplyFleet) isCommand()   {}
+func (SetOutage) isCommand()    {}
+func (Pin) isCommand()          {}
+func (OpenClaim) isCommand()    {}
+func (FinishClaim) isCommand()  {}
+func (CancelClaim) isCommand()  {}
+func (DoubtClaim) isCommand()   {}
+func (SettleClaim) isCommand()  {}
+func (ExpireClaims) isCommand() {}
+func (RecordOrder) isCommand()  {}
+func (FinishOrder) isCommand()  {}
--- /dev/null
+++ b/registry/machine_test.go
@@ -0,0 +1,64 @@
+package registry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const testText = `{
+	// A small fleet.
+	"Name": "test",
+	"FailureDomains": ["north", "south", "west"],
+	"Services": [
+		{"Name": "engines", "Kind": "Model", "Model": "m1", "Calls": [{"Name": "Ask", "Idempotent": true}]},
+		{"Name": "treasury", "Kind": "Plain", "Calls": [{"Name": "ReleasePayment"}]},
+	],
+	"Workspaces": [{"Name": "rabat"}],
+}
+`
+
+var testStart = time.Date(2026, 3, 1, 9, 0, 0, 0, time.UTC)
+
+// replica applies commands to a machine at rising indexes.
+type replica struct {
+	*Machine
+	index uint64
+	term  uint64
+}
+
+func newReplica() *replica {
+	return &replica{Machine: NewMachine(), term: 1}
+}
+
+func (r *replica) do(t require.TestingT, command Command) Result {
+	r.index++
+	result, err := DecodeResult(r.Apply(r.index, r.term, EncodeCommand(command)))
+	require.NoError(t, err)
+	return result
+}
+
+func (r *replica) open(t require.TestingT, host, domain string, start uint64) uint64 {
+	result := r.do(t, OpenSession{
+		Host: host, FailureDomain: domain, PeerAddress: "127.0.0.1:7000", CallerAddress: "127.0.0.1:8000", Owns: true, Start: start,
+	})
+	require.NoError(t, result.Err())
+	return result.Session
+}
+
+func (r *replica) applyText(t require.TestingT, operation string, base uint64, text string) Result {
+	return r.do(t, ApplyFleet{Operation: Operation{ID: operation, Time: testStart}, Base: base, Text: []byte(text)})
+}
+
+func TestAFleetIsAppliedAndOwned(t *testing.T) {
+	r := newReplica()
+	changed := r.Changed()
+	session := r.open(t, "host-1", "north", 1)
+	<-changed
+	require.Equal(t, uint64(1), r.applyText(t, "op-1", 0, testText).Version)
+	view := r.View()
+	require.Equal(t, "test", view.Fleet.Name)
+	require.Equal(t, session, view.Owners["engines"].Session)
+	require.Equal(t, uint64(2), view.Owners["engines"].Fence)
+}
--- a/registry/view.go
+++ b/registry/view.go
@@ -1,6 +1,10 @@
 package registry
 
-import "comfreytiller.dev/fleet"
+import (
+	"maps"
+
+	"comfreytiller.dev/fleet"
+)
 
 // View is the part of the replicated state that every host follows. A view is
 // never changed once made.
@@ -14,8 +18,13 @@
 	Fleet *fleet.Fleet
 	// Hosts are the open sessions, by host name.
 	Hosts map[string]Host
+	// Closing are the sessions of processes that a newer process of the same
+	// host has superseded, by number. Their leases may still be live.
+	Closing map[uint64]Host
 	// Owners are the owners of the services, by service name.
 	Owners map[string]Owner
+	// OutageVersion counts the changes of outages and pins; it only rises.
+	OutageVersion uint64
 	// DomainsOut and TargetsOut are what operators have taken out.
 	DomainsOut map[string]bool
 	TargetsOut map[string]bool
@@ -23,7 +32,7 @@
 	Pins map[string]string
 }
 
-// Host is one open session.
+// Host is one session.
 type Host struct {
 	Name          string
 	Session       uint64
@@ -34,14 +43,96 @@
 	CallerAddress string
 	// Owns is set when the host may own services.
 	Owns bool
+	// Start is the random number of the host's process.
+	Start uint64
+	// Closing is set when a newer process of the host has opened a session.
+	Closing bool
 }
 
 // Owner is the host that admits the requests of a service.
 type Owner struct {
 	Host    string
 	Session uint64
-	// Backup is the host that keeps a copy of the chats' memory.
-	Backup string
+	// Backup is the host that keeps a copy of the chats' memory; empty for
+	// none. BackupSession is its session.
+	Backup        string
+	BackupSession uint64
 	// Fence is the log index of the grant; it rises with each owner.
 	Fence uint64
 }
+
+// emptyView is the view before the first change.
+func emptyView() *View {
+	return &View{
+		Hosts:      map[string]Host{},
+		Closing:    map[uint64]Host{},
+		Owners:     map[string]Owner{},
+		DomainsOut: map[string]bool{},
+		TargetsOut: map[string]bool{},
+		Pins:       map[string]string{},
+	}
+}
+
+// IsOut reports whether operators have taken out the target or its failure
+// domain.
+func (v *View) IsOut(target, failureDomain string) bool {
+	return v.TargetsOut[target] || v.DomainsOut[failureDomain]
+}
+
+// ShouldMove reports whether the owner of the service should give it up with
+// MoveOwner: its failure domain is out and another host could own the service
+// in one that is not.
+func (v *View) ShouldMove(service string) bool {
+	owner, owned := v.Owners[service]
+	host, open := v.Hosts[owner.Host]
+	if !owned || !open || host.Session != owner.Session || !v.DomainsOut[host.FailureDomain] {
+		return false
+	}
+	chosen, found := v.selector().owner(service, owner.Session)
+	return found && !v.DomainsOut[chosen.FailureDomain]
+}
+
+func (v *View) selector() selector {
+	hosts := make([]Host, 0, len(v.Hosts))
+	for _, host := range v.Hosts {
+		if host.Owns {
+			hosts = append(hosts, host)
+		}
+	}
+	return newSelector(hosts, v.Owners, v.DomainsOut)
+}
+
+// next makes the view after a command. It shares with the last view what the
+// command has not changed.
+func (s *state) next(last *View) *View {
+	view := *last
+	view.Revision = s.revision
+	if s.changed.fleet {
+		view.FleetVersion, view.FleetText, view.Fleet = s.fleetVersion, s.fleetText, s.fleet
+	}
+	if s.changed.hosts {
+		view.Hosts, view.Closing = splitSessions(s.sessions)
+	}
+	if s.changed.owners {
+		view.Owners = maps.Clone(s.owners)
+	}
+	if s.changed.outages {
+		view.OutageVersion = s.outageVersion
+		view.DomainsOut = maps.Clone(s.domainsOut)
+		view.TargetsOut = maps.Clone(s.targetsOut)
+		view.Pins = maps.Clone(s.pins)
+	}
+	return &view
+}
+
+func splitSessions(sessions map[uint64]Host) (open map[string]Host, closing map[uint64]Host) {
+	open, closing = map[string]Host{}, map[uint64]Host{}
+	for number, session := range sessions {
+		if session.Closing {
+			closing[number] = session
+		} else {
+			open[session.Name] = session
+		}
+	}
+	return open, closing
+}
