--- a/common/jsonc/reader.go
+++ b/common/jsonc/reader.go
@@ -14,6 +14,20 @@
 type Reader struct {
 	Text   []byte
 	Faults []Fault
+	// More counts the faults beyond MaxFaults. To find the place of a fault
+	// costs a pass over the text, so theirs is not looked for.
+	More int
+}
+
+// Err returns everything that is wrong with the text as a *Faults; nil for
+// nothing.
+func (r *Reader) Err() error {
+	if len(r.Faults) == 0 {
+		return nil
+	}
+	faults := NewFaults(r.Faults)
+	faults.More += r.More
+	return faults
 }
 
 // Place is the way from the root of the text to a value.
@@ -56,6 +70,10 @@
 
 // Faultf records a fault at an offset of the text.
 func (r *Reader) Faultf(offset int, path, format string, arguments ...any) {
+	if len(r.Faults) >= MaxFaults {
+		r.More++
+		return
+	}
 	line, column := position(r.Text, offset)
 	r.Faults = append(r.Faults, Fault{
 		Line:    line,
--- a/fleet/bounds.go
+++ b/fleet/bounds.go
@@ -8,12 +8,8 @@
 	MaxTextBytes = 4 << 20
 	// MaxNesting is the deepest nesting of objects and arrays.
 	MaxNesting = 16
-	// MaxFaults is the largest number of faults that Parse reports.
-	MaxFaults = 100
 	// maxFaultBytes is the length of the longest path or message of a fault.
 	maxFaultBytes = 400
-	// MaxNameBytes is the length of the longest name.
-	MaxNameBytes = 64
 )
 
 // Bounds of the lists.
--- a/fleet/check.go
+++ b/fleet/check.go
@@ -11,15 +11,23 @@
 
 // checker finds the faults that no value shows alone.
 type checker struct {
-	fleet  *Fleet
+	fleet *Fleet
+	// unread are the paths whose values could not be read.
+	unread []string
 	report func(path, message string)
 }
 
-// check reports the faults of the parsed text at their places in the tree.
+// check reports the faults of the parsed text at their places in the tree. It
+// leaves out what only follows from a value that could not be read.
 func (r *reader) check(parsed *Fleet, root *hujson.Value) {
 	c := &checker{fleet: parsed}
+	for _, fault := range r.Faults {
+		c.unread = append(c.unread, fault.Path)
+	}
 	c.report = func(path, message string) {
-		r.fault(offsetOf(root, path), path, "%s", message)
+		if !c.isUnread(path) {
+			r.Faultf(offsetOf(root, path), path, "%s", message)
+		}
 	}
 	c.domains()
 	c.services()
@@ -27,6 +35,33 @@
 	c.workspaces()
 }
 
+// isUnread reports whether the value, one around it or one within it could not
+// be read.
+func (c *checker) isUnread(path string) bool {
+	for _, unread := range c.unread {
+		if within(path, unread) || within(unread, path) {
+			return true
+		}
+	}
+	return false
+}
+
+func within(path, around string) bool {
+	rest, found := strings.CutPrefix(path, around)
+	return found && (rest == "" || rest[0] == '.' || rest[0] == '[')
+}
+
+// allNamed reports whether all names of that list could be read, so that a name
+// that is not among them is unknown.
+func (c *checker) allNamed(list, member string) bool {
+	for _, unread := range c.unread {
+		if unread == list || (within(unread, list) && strings.HasSuffix(unread, member)) {
+			return false
+		}
+	}
+	return true
+}
+
 // offsetOf returns where the value of that path begins, or the nearest value
 // around it when the text leaves it to the default.
 func offsetOf(root *hujson.Value, path string) int {
@@ -73,7 +108,7 @@
 func (c *checker) unique(path, what string, names []string) {
 	seen := make(map[string]bool, len(names))
 	for i, name := range names {
-		if seen[name] {
+		if seen[name] && name != "" {
 			c.faultf(fmt.Sprintf(path, i), "the %s %q stands twice; each name is accepted once", what, name)
 		}
 		seen[name] = true
@@ -152,8 +187,9 @@
 	if wish.Max > 0 && wish.Spread > wish.Max {
 		c.faultf(path+".Spread", "%d failure domains cannot be used by at most %d replicas", wish.Spread, wish.Max)
 	}
-	if wish.Spread > len(c.fleet.FailureDomains) {
-		c.faultf(path+".Spread", "%d is more than the %d failure domains of the fleet", wish.Spread, len(c.fleet.FailureDomains))
+	domains := len(c.fleet.FailureDomains)
+	if wish.Spread > domains && domains > 0 && c.allNamed("FailureDomains", "]") {
+		c.faultf(path+".Spread", "%d is more than the %d failure domains of the fleet", wish.Spread, domains)
 	}
 	if !slices.Contains([]string{RoleMixed, RolePrefill, RoleDecode}, wish.Role) {
 		c.faultf(path+".Role", "%q is not a role; accepted are %q, %q and %q for both", wish.Role, RolePrefill, RoleDecode, RoleMixed)
@@ -164,6 +200,7 @@
 }
 
 func (c *checker) workspaces() {
+	complete := c.allNamed("Services", "Name")
 	known := make(map[string]bool, len(c.fleet.Services))
 	for _, service := range c.fleet.Services {
 		known[service.Name] = true
@@ -172,7 +209,7 @@
 	for i, workspace := range c.fleet.Workspaces {
 		names = append(names, workspace.Name)
 		for j, service := range workspace.Services {
-			if !known[service] {
+			if !known[service] && complete {
 				c.faultf(fmt.Sprintf("Workspaces[%d].Services[%d]", i, j), "there is no service %q; accepted are the names under Services", service)
 			}
 		}
--- a/fleet/dependencies.go
+++ b/fleet/dependencies.go
@@ -11,10 +11,11 @@
 	for i, service := range c.fleet.Services {
 		index[service.Name] = i
 	}
+	complete := c.allNamed("Services", "Name")
 	for i, service := range c.fleet.Services {
 		path := fmt.Sprintf("Services[%d].DependsOn", i)
 		for j, needed := range service.DependsOn {
-			if _, known := index[needed]; !known {
+			if _, known := index[needed]; !known && complete {
 				c.faultf(fmt.Sprintf("%s[%d]", path, j), "there is no service %q; accepted are the names under Services", needed)
 			}
 		}
