--- a/registry/bounds.go
+++ b/registry/bounds.go
@@ -1,5 +1,10 @@
 package registry
 
+import "time"
+
+// MaxClockError is how far the state's clock may be ahead of the leader's.
+const MaxClockError = time.Hour
+
 // Bounds of the replicated state.
 const (
 	// MaxIdentifierBytes is the length of the longest name or identifier.
--- a/registry/claim.go
+++ b/registry/claim.go
@@ -79,12 +79,12 @@
 	// Ran and Note are the verdict of a settled claim.
 	Ran  bool
 	Note string
-	// Finished is the log index at which the answer was stored.
+	// Finished is the number of the log entry that stored the answer.
 	Finished uint64
 }
 
 func (c *Claim) dispatchedBy(session, attempt uint64) bool {
-	return c.Dispatcher == session && c.Attempt == attempt
+	return session != 0 && c.Dispatcher == session && c.Attempt == attempt
 }
 
 // ended reports whether nothing more can happen to the request of the claim
--- a/registry/claim_commands.go
+++ b/registry/claim_commands.go
@@ -50,7 +50,7 @@
 
 // finishClaim records the outcome. It is taken from the dispatcher while the
 // claim is open, and late while it is in doubt.
-func (s *state) finishClaim(index uint64, command FinishClaim) Result {
+func (s *state) finishClaim(number uint64, command FinishClaim) Result {
 	claim, result := s.dispatched(command.Key, command.Session, command.Attempt)
 	if claim == nil {
 		return result
@@ -60,7 +60,7 @@
 		return Result{Code: CodeOK, Claim: *claim}
 	case ClaimOpen, ClaimInDoubt:
 		s.claims.move(claim, ClaimDone, s.tick(command.Time))
-		s.claims.store(claim, command.Answer, index)
+		s.claims.store(claim, command.Answer, number)
 		return Result{Code: CodeOK, Claim: *claim}
 	}
 	return refuseClaim(claim)
@@ -135,6 +135,10 @@
 }
 
 func (s *state) expireClaims(command ExpireClaims) Result {
+	if !command.Now.IsZero() && s.clock.Sub(command.Now) > MaxClockError {
+		s.clock = command.Now
+		s.claims.changedBy(command.Now)
+	}
 	return Result{Code: CodeOK, Count: s.claims.expire(command.Before)}
 }
 
@@ -150,6 +154,9 @@
 	return claim, Result{}
 }
 
+// refuseClaim tells the state of the claim and leaves out its answer.
 func refuseClaim(claim *Claim) Result {
-	return Result{Code: CodeRefused, Detail: "the claim is " + string(claim.State), Claim: *claim}
+	refused := *claim
+	refused.Answer = Answer{}
+	return Result{Code: CodeRefused, Detail: "the claim is " + string(claim.State), Claim: refused}
 }
--- a/registry/claims.go
+++ b/registry/claims.go
@@ -59,10 +59,10 @@
 }
 
 // store keeps an answer within the bounds.
-func (c *claims) store(claim *Claim, answer Answer, index uint64) {
+func (c *claims) store(claim *Claim, answer Answer, number uint64) {
 	answer = answer.bounded()
 	claim.Answer = answer
-	claim.Finished = index
+	claim.Finished = number
 	if len(answer.Body) == 0 {
 		return
 	}
@@ -80,6 +80,15 @@
 	claim.Answer.Truncated = true
 }
 
+// changedBy moves the times of claims that are later than now back to it.
+func (c *claims) changedBy(now time.Time) {
+	for _, claim := range c.byKey {
+		if claim.Changed.After(now) {
+			claim.Changed = now
+		}
+	}
+}
+
 // expire removes the claims that ended before the time.
 func (c *claims) expire(before time.Time) (count uint64) {
 	for key, claim := range c.byKey {
--- a/registry/codec.go
+++ b/registry/codec.go
@@ -9,10 +9,14 @@
 	"comfreytiller.dev/registry/registrypb"
 )
 
-// encode writes a wire message. The messages have no maps, so the same message
+// marshal writes a wire message. The messages have no maps, so the same message
 // gives the same bytes.
+func marshal(message proto.Message) ([]byte, error) {
+	return proto.MarshalOptions{Deterministic: true}.Marshal(message)
+}
+
 func encode(message proto.Message) []byte {
-	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(message)
+	encoded, err := marshal(message)
 	if err != nil {
 		// Only a string that is not UTF-8 in a command of the caller's gets
 		// here. No bytes are a malformed command.
--- a/registry/command.go
+++ b/registry/command.go
@@ -3,18 +3,19 @@
 import "time"
 
 // Command is one change of the replicated state. Commands are values; the state
-// reads no clock, so each carries the times that it needs.
+// reads no clock, so each carries the times that it needs, by the clock of the
+// leader that proposes it.
 type Command interface {
 	isCommand()
 }
 
 // Operation names an operator's command, so that it can be sent again after a
-// lost answer and get the same answer.
+// lost answer and get the same answer. The answers to the newest MaxOperations
+// commands are remembered.
 type Operation struct {
 	// ID is unique to the operation: 1 to MaxIdentifierBytes bytes.
 	ID string
-	// Time is when the operator made the operation. It stays the same when the
-	// operation is sent again.
+	// Time is when the leader proposed the operation.
 	Time time.Time
 }
 
@@ -141,6 +142,9 @@
 // ExpireClaims forgets the claims that ended before a time. Open claims and
 // claims in doubt are kept.
 type ExpireClaims struct {
+	// Now is the leader's time. A state whose clock is ahead of it by more than
+	// MaxClockError was led by a wrong clock once and goes back to it.
+	Now    time.Time
 	Before time.Time
 }
 
--- a/registry/command_codec.go
+++ b/registry/command_codec.go
@@ -81,7 +81,7 @@
 		}}}
 	case ExpireClaims:
 		return &registrypb.Command{Kind: &registrypb.Command_ExpireClaims{ExpireClaims: &registrypb.ExpireClaims{
-			Before: timeToWire(c.Before),
+			Now: timeToWire(c.Now), Before: timeToWire(c.Before),
 		}}}
 	case RecordOrder:
 		return &registrypb.Command{Kind: &registrypb.Command_RecordOrder{RecordOrder: &registrypb.RecordOrder{
@@ -140,7 +140,8 @@
 		c := kind.DoubtClaim
 		return DoubtClaim{keyFromWire(c.GetKey()), c.GetSession(), c.GetAttempt(), timeFromWire(c.GetTime())}
 	case *registrypb.Command_ExpireClaims:
-		return ExpireClaims{timeFromWire(kind.ExpireClaims.GetBefore())}
+		c := kind.ExpireClaims
+		return ExpireClaims{timeFromWire(c.GetNow()), timeFromWire(c.GetBefore())}
 	case *registrypb.Command_RecordOrder:
 		return recordOrderFromWire(kind.RecordOrder)
 	case *registrypb.Command_FinishOrder:
--- a/registry/configuration.go
+++ b/registry/configuration.go
@@ -11,7 +11,7 @@
 )
 
 // applyFleet accepts a text made from the version in force.
-func (s *state) applyFleet(index uint64, command ApplyFleet) Result {
+func (s *state) applyFleet(number uint64, command ApplyFleet) Result {
 	if command.Base != s.fleetVersion {
 		return Result{
 			Code:        CodeConflict,
@@ -32,7 +32,7 @@
 	s.fleet = next
 	s.changed.fleet = true
 	s.dropPins()
-	s.assignOwners(index)
+	s.assignOwners(number)
 	return Result{Code: CodeOK, Version: s.fleetVersion}
 }
 
@@ -97,7 +97,7 @@
 	}
 }
 
-func (s *state) setOutage(index uint64, command SetOutage) Result {
+func (s *state) setOutage(number uint64, command SetOutage) Result {
 	if result, ok := s.checkOutage(command); !ok {
 		return result
 	}
@@ -115,7 +115,7 @@
 	}
 	s.outageVersion++
 	s.changed.outages = true
-	s.assignOwners(index)
+	s.assignOwners(number)
 	return Result{Code: CodeOK, Version: s.outageVersion}
 }
 
--- a/registry/history.go
+++ b/registry/history.go
@@ -3,7 +3,7 @@
 const (
 	// historyViews is the number of views that a host may lag behind and still
 	// get a small delta.
-	historyViews = 256
+	historyViews = 128
 	// historyTextBytes bounds the distinct fleet texts that the history keeps.
 	historyTextBytes = 16 << 20
 )
--- a/registry/machine.go
+++ b/registry/machine.go
@@ -38,9 +38,10 @@
 		return EncodeResult(refuse(CodeMalformed, err.Error()))
 	}
 	m.state.changed = changes{}
-	result := m.state.apply(index, term, decoded)
+	number := m.state.base + index
+	result := m.state.apply(number, term, decoded)
 	if m.state.changed.any() {
-		m.state.revision = index
+		m.state.revision = number
 		m.publish(m.state.next(m.view.Load()))
 	}
 	return EncodeResult(result)
--- a/registry/operations.go
+++ b/registry/operations.go
@@ -2,7 +2,6 @@
 
 import (
 	"strconv"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -12,9 +11,6 @@
 	byID map[string]doneOperation
 	// order holds the IDs, oldest first.
 	order []string
-	// forgotten is the latest time of any operation that is no longer
-	// remembered.
-	forgotten time.Time
 }
 
 // doneOperation is an operator's command that has its answer.
@@ -34,15 +30,13 @@
 	if len(o.order) <= MaxOperations {
 		return
 	}
-	oldest := o.byID[o.order[0]]
-	if oldest.Time.After(o.forgotten) {
-		o.forgotten = oldest.Time
-	}
-	delete(o.byID, oldest.ID)
-	o.order = append([]string(nil), o.order[1:]...)
+	delete(o.byID, o.order[0])
+	o.order = o.order[1:]
 }
 
-// once executes an operator's command unless it has an answer already.
+// once executes an operator's command unless it has an answer already. The
+// answers to the newest MaxOperations commands are remembered, counted in
+// commands and not by a clock.
 //
 // A verdict is kept, not the text that goes with a conflict: the answer to a
 // command that is sent again carries the text in force then.
@@ -57,9 +51,6 @@
 	if exists {
 		return s.withText(done.result)
 	}
-	if !s.operations.forgotten.IsZero() && !operation.Time.After(s.operations.forgotten) {
-		return refuse(CodeOperationExpired, "operation "+operation.ID)
-	}
 	s.tick(operation.Time)
 	result := execute()
 	s.operations.add(doneOperation{operation, fingerprint, result})
--- a/registry/order.go
+++ b/registry/order.go
@@ -24,14 +24,14 @@
 	Version     string
 	Adapter     string
 	Role        string
-	// Fence is the log index at which the order was recorded.
+	// Fence is the number of the log entry at which the order was recorded.
 	Fence uint64
 	State OrderState
 	// Time is when the order was recorded or ended, by the state's clock.
 	Time time.Time
 }
 
-func (s *state) recordOrder(index uint64, command RecordOrder) Result {
+func (s *state) recordOrder(number uint64, command RecordOrder) Result {
 	if !validIdentifier(command.ID) || !validIdentifier(command.Target) {
 		return refuse(CodeMalformed, "an order needs an ID and a target")
 	}
@@ -55,7 +55,7 @@
 		Version:     command.Version,
 		Adapter:     command.Adapter,
 		Role:        command.Role,
-		Fence:       index,
+		Fence:       number,
 		State:       OrderPending,
 		Time:        s.tick(command.Time),
 	}
--- a/registry/ownership.go
+++ b/registry/ownership.go
@@ -11,7 +11,7 @@
 
 // assignOwners gives each service of the fleet an owner and a backup. An owner
 // stays as long as its session is open or closing.
-func (s *state) assignOwners(index uint64) {
+func (s *state) assignOwners(number uint64) {
 	if s.fleet == nil {
 		return
 	}
@@ -26,7 +26,7 @@
 		if _, live := s.sessions[owner.Session]; owned && live {
 			continue
 		}
-		if !s.grant(service, index, 0) && owned {
+		if !s.grant(service, number, 0) && owned {
 			delete(s.owners, service)
 			s.changed.owners = true
 		}
@@ -47,29 +47,29 @@
 
 // grant gives the service to the best host but the excluded session. It
 // reports false when there is none.
-func (s *state) grant(service string, index, excluded uint64) bool {
+func (s *state) grant(service string, number, excluded uint64) bool {
 	chosen, found := s.selector().owner(service, excluded)
 	if !found {
 		return false
 	}
-	s.owners[service] = Owner{Host: chosen.Name, Session: chosen.Session, Fence: index}
+	s.owners[service] = Owner{Host: chosen.Name, Session: chosen.Session, Fence: number}
 	s.changed.owners = true
 	return true
 }
 
 // moveOwner passes a service on when its owner has given it up.
-func (s *state) moveOwner(index uint64, command MoveOwner) Result {
+func (s *state) moveOwner(number uint64, command MoveOwner) Result {
 	owner, owned := s.owners[command.Service]
 	if !owned || owner.Session != command.Session || owner.Fence != command.Fence {
 		return refuse(CodeNotOwner, fmt.Sprintf("service %s, session %d, fence %d", command.Service, command.Session, command.Fence))
 	}
-	if !s.grant(command.Service, index, command.Session) {
+	if !s.grant(command.Service, number, command.Session) {
 		return refuse(CodeNoCandidate, "service "+command.Service)
 	}
 	for _, service := range serviceNames(s.fleet) {
 		s.assignBackup(service)
 	}
-	return Result{Code: CodeOK, Version: index}
+	return Result{Code: CodeOK, Version: number}
 }
 
 // assignBackup keeps the backup while no other host is in a better failure
@@ -80,7 +80,8 @@
 		return
 	}
 	var next Owner
-	if chosen, found := s.selector().backup(service, owner); found {
+	domain := s.sessions[owner.Session].FailureDomain
+	if chosen, found := s.selector().backup(service, owner, domain); found {
 		next = Owner{Backup: chosen.Name, BackupSession: chosen.Session}
 	}
 	if owner.Backup == next.Backup && owner.BackupSession == next.BackupSession {
@@ -128,8 +129,12 @@
 
 // rank orders hosts for one role; the lowest goes first.
 type rank struct {
-	out       bool
-	busy      bool
+	// out: operators have taken out the host's failure domain.
+	out bool
+	// avoided: the host owns a service already, or shares the owner's failure
+	// domain.
+	avoided bool
+	// notBackup: the host does not hold the copy of the chats' memory.
 	notBackup bool
 	load      int
 	score     uint64
@@ -139,7 +144,7 @@
 func (r rank) compare(other rank) int {
 	return cmp.Or(
 		compareBools(r.out, other.out),
-		compareBools(r.busy, other.busy),
+		compareBools(r.avoided, other.avoided),
 		compareBools(r.notBackup, other.notBackup),
 		cmp.Compare(r.load, other.load),
 		cmp.Compare(other.score, r.score),
@@ -165,7 +170,7 @@
 		owned := c.owned[host.Session]
 		return rank{
 			out:       c.domainsOut[host.FailureDomain],
-			busy:      owned > 0,
+			avoided:   owned > 0,
 			notBackup: host.Session != previous.BackupSession,
 			load:      owned,
 			score:     rendezvous.Score(service, host.Name),
@@ -175,12 +180,11 @@
 }
 
 // backup chooses a host of another failure domain than the owner's.
-func (c selector) backup(service string, owner Owner) (Host, bool) {
-	domain, _ := c.find(owner.Session)
+func (c selector) backup(service string, owner Owner, ownerDomain string) (Host, bool) {
 	return c.best(func(host Host) (rank, bool) {
 		return rank{
 			out:       c.domainsOut[host.FailureDomain],
-			busy:      host.FailureDomain == domain.FailureDomain,
+			avoided:   host.FailureDomain == ownerDomain,
 			notBackup: host.Session != owner.BackupSession,
 			load:      c.owned[host.Session] + c.backed[host.Session],
 			score:     rendezvous.Score(service, host.Name),
@@ -189,15 +193,6 @@
 	})
 }
 
-func (c selector) find(session uint64) (Host, bool) {
-	for _, host := range c.hosts {
-		if host.Session == session {
-			return host, true
-		}
-	}
-	return Host{}, false
-}
-
 func (c selector) best(rankOf func(host Host) (rank, bool)) (best Host, found bool) {
 	var bestRank rank
 	for _, host := range c.hosts {
--- a/registry/result.go
+++ b/registry/result.go
@@ -38,9 +38,6 @@
 	CodeWrongTerm Code = "WrongTerm"
 	// CodeOperationReused: the operation's ID was used for another command.
 	CodeOperationReused Code = "OperationReused"
-	// CodeOperationExpired: the operation is older than all remembered ones, so
-	// that it is not known whether it had its effect.
-	CodeOperationExpired Code = "OperationExpired"
 	// CodeRefused: the state of the claim or order does not allow the command.
 	CodeRefused Code = "Refused"
 	// CodeFull: a bound of the state is reached; nothing changed.
@@ -49,39 +46,37 @@
 
 // The errors of Result.Err, one for each code.
 var (
-	ErrMalformed        = errors.New("malformed command")
-	ErrStale            = errors.New("log entry older than the state")
-	ErrConflict         = errors.New("conflict")
-	ErrInvalid          = errors.New("invalid fleet text")
-	ErrInUse            = errors.New("service in use")
-	ErrUnknown          = errors.New("unknown name")
-	ErrNoSession        = errors.New("session is not open")
-	ErrSuperseded       = errors.New("superseded by another process of the host")
-	ErrNotOwner         = errors.New("not the owner")
-	ErrNoCandidate      = errors.New("no other host can own the service")
-	ErrWrongTerm        = errors.New("decided in another term")
-	ErrOperationReused  = errors.New("operation ID used for another command")
-	ErrOperationExpired = errors.New("operation older than all remembered ones")
-	ErrRefused          = errors.New("state does not allow the command")
-	ErrFull             = errors.New("bound of the state reached")
+	ErrMalformed       = errors.New("malformed command")
+	ErrStale           = errors.New("log entry older than the state")
+	ErrConflict        = errors.New("conflict")
+	ErrInvalid         = errors.New("invalid fleet text")
+	ErrInUse           = errors.New("service in use")
+	ErrUnknown         = errors.New("unknown name")
+	ErrNoSession       = errors.New("session is not open")
+	ErrSuperseded      = errors.New("superseded by another process of the host")
+	ErrNotOwner        = errors.New("not the owner")
+	ErrNoCandidate     = errors.New("no other host can own the service")
+	ErrWrongTerm       = errors.New("decided in another term")
+	ErrOperationReused = errors.New("operation ID used for another command")
+	ErrRefused         = errors.New("state does not allow the command")
+	ErrFull            = errors.New("bound of the state reached")
 )
 
 var codeErrors = map[Code]error{
-	CodeMalformed:        ErrMalformed,
-	CodeStale:            ErrStale,
-	CodeConflict:         ErrConflict,
-	CodeInvalid:          ErrInvalid,
-	CodeInUse:            ErrInUse,
-	CodeUnknown:          ErrUnknown,
-	CodeNoSession:        ErrNoSession,
-	CodeSuperseded:       ErrSuperseded,
-	CodeNotOwner:         ErrNotOwner,
-	CodeNoCandidate:      ErrNoCandidate,
-	CodeWrongTerm:        ErrWrongTerm,
-	CodeOperationReused:  ErrOperationReused,
-	CodeOperationExpired: ErrOperationExpired,
-	CodeRefused:          ErrRefused,
-	CodeFull:             ErrFull,
+	CodeMalformed:       ErrMalformed,
+	CodeStale:           ErrStale,
+	CodeConflict:        ErrConflict,
+	CodeInvalid:         ErrInvalid,
+	CodeInUse:           ErrInUse,
+	CodeUnknown:         ErrUnknown,
+	CodeNoSession:       ErrNoSession,
+	CodeSuperseded:      ErrSuperseded,
+	CodeNotOwner:        ErrNotOwner,
+	CodeNoCandidate:     ErrNoCandidate,
+	CodeWrongTerm:       ErrWrongTerm,
+	CodeOperationReused: ErrOperationReused,
+	CodeRefused:         ErrRefused,
+	CodeFull:            ErrFull,
 }
 
 // Result is the answer to a command.
--- a/registry/session.go
+++ b/registry/session.go
@@ -7,7 +7,7 @@
 // An older process of the host may still hold a live lease. Its session stays,
 // closing, with the services that it owns, until CloseSession; the new session
 // inherits nothing before.
-func (s *state) openSession(index uint64, command OpenSession) Result {
+func (s *state) openSession(number uint64, command OpenSession) Result {
 	if !validIdentifier(command.Host) || len(command.FailureDomain) > MaxIdentifierBytes ||
 		len(command.PeerAddress) > MaxIdentifierBytes || len(command.CallerAddress) > MaxIdentifierBytes {
 		return refuse(CodeMalformed, "a session needs a host, and addresses of bounded length")
@@ -25,9 +25,9 @@
 		return refuse(CodeFull, "too many sessions")
 	}
 	s.supersede(command.Host)
-	s.sessions[index] = Host{
+	s.sessions[number] = Host{
 		Name:          command.Host,
-		Session:       index,
+		Session:       number,
 		FailureDomain: command.FailureDomain,
 		PeerAddress:   command.PeerAddress,
 		CallerAddress: command.CallerAddress,
@@ -35,8 +35,8 @@
 		Start:         command.Start,
 	}
 	s.changed.hosts = true
-	s.assignOwners(index)
-	return Result{Code: CodeOK, Session: index}
+	s.assignOwners(number)
+	return Result{Code: CodeOK, Session: number}
 }
 
 // supersede marks the open session of the host as closing.
@@ -49,7 +49,7 @@
 	}
 }
 
-func (s *state) closeSession(index, term uint64, command CloseSession) Result {
+func (s *state) closeSession(number, term uint64, command CloseSession) Result {
 	if command.Reason != CloseGraceful && command.Reason != CloseExpired {
 		return refuse(CodeMalformed, "a session is closed as Graceful or Expired")
 	}
@@ -62,7 +62,7 @@
 	delete(s.sessions, command.Session)
 	s.changed.hosts = true
 	s.claims.doubtAll(command.Session, s.clock)
-	s.assignOwners(index)
+	s.assignOwners(number)
 	return Result{Code: CodeOK, Session: command.Session}
 }
 
--- a/registry/snapshot.go
+++ b/registry/snapshot.go
@@ -19,25 +19,25 @@
 // snapshotMark begins a snapshot; its last byte is the version of the format.
 const snapshotMark = "CFRS\x01"
 
-const snapshotHeaderBytes = len(snapshotMark) + 8
+const checksumBytes = 8
 
 // Snapshot returns the whole state. The same state gives the same bytes.
 func (m *Machine) Snapshot() ([]byte, error) {
 	m.mutex.RLock()
 	defer m.mutex.RUnlock()
-	return seal(m.state.toWire()), nil
+	return seal(snapshotMark, m.state.toWire())
 }
 
 // Restore replaces the whole state. On an error nothing has changed; it wraps
 // ErrSnapshot.
 func (m *Machine) Restore(snapshot []byte) error {
-	wire, err := open(snapshot)
+	wire, err := open(snapshotMark, snapshot)
 	if err != nil {
-		return err
+		return errors.Wrap(ErrSnapshot, err.Error())
 	}
 	restored, err := stateFromWire(wire)
 	if err != nil {
-		return err
+		return errors.Wrap(ErrSnapshot, err.Error())
 	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -49,41 +49,44 @@
 }
 
 // seal adds the mark and the checksum.
-func seal(wire *registrypb.State) []byte {
-	body := encode(wire)
-	sealed := make([]byte, 0, snapshotHeaderBytes+len(body))
-	sealed = append(sealed, snapshotMark...)
+func seal(mark string, wire *registrypb.State) ([]byte, error) {
+	body, err := marshal(wire)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode the registry's state")
+	}
+	sealed := make([]byte, 0, len(mark)+checksumBytes+len(body))
+	sealed = append(sealed, mark...)
 	sealed = binary.BigEndian.AppendUint64(sealed, xxhash.Sum64(body))
-	return append(sealed, body...)
+	return append(sealed, body...), nil
 }
 
-func open(sealed []byte) (*registrypb.State, error) {
-	if len(sealed) < snapshotHeaderBytes || string(sealed[:len(snapshotMark)]) != snapshotMark {
-		return nil, errors.Wrap(ErrSnapshot, "the mark is missing or of an unknown format")
+func open(mark string, sealed []byte) (*registrypb.State, error) {
+	if len(sealed) < len(mark)+checksumBytes || string(sealed[:len(mark)]) != mark {
+		return nil, errors.New("the mark is missing or of an unknown format")
 	}
-	body := sealed[snapshotHeaderBytes:]
-	if binary.BigEndian.Uint64(sealed[len(snapshotMark):]) != xxhash.Sum64(body) {
-		return nil, errors.Wrap(ErrSnapshot, "the checksum does not match")
+	body := sealed[len(mark)+checksumBytes:]
+	if binary.BigEndian.Uint64(sealed[len(mark):]) != xxhash.Sum64(body) {
+		return nil, errors.New("the checksum does not match")
 	}
 	var wire registrypb.State
 	if err := decode(body, &wire); err != nil {
-		return nil, errors.Wrap(ErrSnapshot, err.Error())
+		return nil, err
 	}
 	return &wire, nil
 }
 
 func (s *state) toWire() *registrypb.State {
 	wire := &registrypb.State{
-		Applied:          s.applied,
-		Revision:         s.revision,
-		Clock:            timeToWire(s.clock),
-		FleetVersion:     s.fleetVersion,
-		FleetText:        s.fleetText,
-		OutageVersion:    s.outageVersion,
-		DomainsOut:       sortedKeys(s.domainsOut),
-		TargetsOut:       sortedKeys(s.targetsOut),
-		Pins:             pinsToWire(s.pins),
-		OperationsBefore: timeToWire(s.operations.forgotten),
+		Applied:       s.applied,
+		NumberBase:    s.base,
+		Revision:      s.revision,
+		Clock:         timeToWire(s.clock),
+		FleetVersion:  s.fleetVersion,
+		FleetText:     s.fleetText,
+		OutageVersion: s.outageVersion,
+		DomainsOut:    sortedKeys(s.domainsOut),
+		TargetsOut:    sortedKeys(s.targetsOut),
+		Pins:          pinsToWire(s.pins),
 	}
 	for _, number := range sortedKeys(s.sessions) {
 		wire.Sessions = append(wire.Sessions, sessionToWire(s.sessions[number]))
@@ -106,6 +109,7 @@
 func stateFromWire(wire *registrypb.State) (state, error) {
 	s := newState()
 	s.applied = wire.GetApplied()
+	s.base = wire.GetNumberBase()
 	s.revision = wire.GetRevision()
 	s.clock = timeFromWire(wire.GetClock())
 	s.fleetVersion = wire.GetFleetVersion()
@@ -114,7 +118,7 @@
 	if s.fleetVersion > 0 {
 		parsed, err := fleet.Parse(s.fleetText)
 		if err != nil {
-			return state{}, errors.Wrap(ErrSnapshot, "the fleet text: "+err.Error())
+			return state{}, errors.Wrap(err, "the fleet text")
 		}
 		s.fleet = parsed
 	}
@@ -132,7 +136,6 @@
 	for _, done := range wire.GetOperations() {
 		s.operations.add(doneFromWire(done))
 	}
-	s.operations.forgotten = timeFromWire(wire.GetOperationsBefore())
 	s.claims = claimsFromWire(wire.GetClaims())
 	for _, order := range wire.GetOrders() {
 		s.orders[order.GetTarget()] = orderFromWire(order)
--- a/registry/state.go
+++ b/registry/state.go
@@ -13,6 +13,9 @@
 	// that changed the view.
 	applied  uint64
 	revision uint64
+	// base is added to the log index to get a number that has never been used,
+	// neither in this cluster nor in one that this one continues from.
+	base uint64
 	// clock is the latest time of any command. It only rises, so that a host
 	// with a slow clock cannot shorten the retention of its claims.
 	clock time.Time
@@ -70,25 +73,25 @@
 	return s.clock
 }
 
-// apply executes a command.
-func (s *state) apply(index, term uint64, command Command) Result {
+// apply executes a command. The number is that of its log entry.
+func (s *state) apply(number, term uint64, command Command) Result {
 	switch command := command.(type) {
 	case OpenSession:
-		return s.openSession(index, command)
+		return s.openSession(number, command)
 	case CloseSession:
-		return s.closeSession(index, term, command)
+		return s.closeSession(number, term, command)
 	case MoveOwner:
-		return s.moveOwner(index, command)
+		return s.moveOwner(number, command)
 	case ApplyFleet:
-		return s.once(command.Operation, command.fingerprint(), func() Result { return s.applyFleet(index, command) })
+		return s.once(command.Operation, command.fingerprint(), func() Result { return s.applyFleet(number, command) })
 	case SetOutage:
-		return s.once(command.Operation, command.fingerprint(), func() Result { return s.setOutage(index, command) })
+		return s.once(command.Operation, command.fingerprint(), func() Result { return s.setOutage(number, command) })
 	case Pin:
 		return s.once(command.Operation, command.fingerprint(), func() Result { return s.pin(command) })
 	case OpenClaim:
 		return s.openClaim(command)
 	case FinishClaim:
-		return s.finishClaim(index, command)
+		return s.finishClaim(number, command)
 	case CancelClaim:
 		return s.cancelClaim(command)
 	case DoubtClaim:
@@ -98,7 +101,7 @@
 	case ExpireClaims:
 		return s.expireClaims(command)
 	case RecordOrder:
-		return s.recordOrder(index, command)
+		return s.recordOrder(number, command)
 	case FinishOrder:
 		return s.finishOrder(command)
 	}
