--- /dev/null
+++ b/registry/codec_test.go
@@ -0,0 +1,165 @@
+package registry
+
+import (
+	"encoding/binary"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/stretchr/testify/require"
+
+	"comfreytiller.dev/fleet"
+)
+
+// fill sets every field of a struct to a value that is not its zero value.
+func fill(value reflect.Value) {
+	switch value.Interface().(type) {
+	case time.Time:
+		value.Set(reflect.ValueOf(testStart))
+		return
+	case []fleet.Fault:
+		value.Set(reflect.ValueOf([]fleet.Fault{{Line: 1, Column: 2, Path: "p", Message: "m"}}))
+		return
+	}
+	switch value.Kind() {
+	case reflect.Struct:
+		for i := range value.NumField() {
+			fill(value.Field(i))
+		}
+	case reflect.String:
+		value.SetString("é" + value.Type().Name())
+	case reflect.Bool:
+		value.SetBool(true)
+	case reflect.Slice:
+		value.SetBytes([]byte("bytes"))
+	case reflect.Int:
+		value.SetInt(418)
+	default:
+		value.SetUint(1<<63 + 5)
+	}
+}
+
+var allCommands = []Command{
+	OpenSession{},
+	CloseSession{},
+	MoveOwner{},
+	ApplyFleet{},
+	SetOutage{},
+	Pin{},
+	OpenClaim{},
+	FinishClaim{},
+	CancelClaim{},
+	DoubtClaim{},
+	SettleClaim{},
+	ExpireClaims{},
+	RecordOrder{},
+	FinishOrder{},
+}
+
+func TestCommandsKeepEveryField(t *testing.T) {
+	for _, command := range allCommands {
+		filled := reflect.New(reflect.TypeOf(command)).Elem()
+		fill(filled)
+		if finish, ok := filled.Addr().Interface().(*FinishClaim); ok {
+			finish.Answer.Truncated = false
+		}
+		for _, want := range []Command{filled.Interface().(Command), command} {
+			got, err := DecodeCommand(EncodeCommand(want))
+			require.NoError(t, err)
+			require.Equal(t, want, got)
+		}
+	}
+}
+
+func TestResultsKeepEveryField(t *testing.T) {
+	var result Result
+	fill(reflect.ValueOf(&result).Elem())
+	got, err := DecodeResult(EncodeResult(result))
+	require.NoError(t, err)
+	require.Equal(t, result, got)
+	for code, want := range codeErrors {
+		require.ErrorIs(t, Result{Code: code}.Err(), want)
+	}
+	require.Error(t, Result{Code: "Odd"}.Err())
+}
+
+func TestACommandThatCannotBeEncodedIsMalformed(t *testing.T) {
+	encoded := EncodeCommand(OpenSession{Host: "\xff"})
+	_, err := DecodeCommand(encoded)
+	require.ErrorIs(t, err, ErrMalformed)
+}
+
+func FuzzDecodeCommand(f *testing.F) {
+	for _, command := range allCommands {
+		filled := reflect.New(reflect.TypeOf(command)).Elem()
+		fill(filled)
+		f.Add(EncodeCommand(filled.Interface().(Command)))
+	}
+	f.Fuzz(func(t *testing.T, encoded []byte) {
+		command, err := DecodeCommand(encoded)
+		if err != nil {
+			require.ErrorIs(t, err, ErrMalformed)
+			return
+		}
+		again, err := DecodeCommand(EncodeCommand(command))
+		require.NoError(t, err)
+		require.Equal(t, command, again)
+		r := newReplica()
+		r.open(t, "host-1", "north", 1)
+		r.Apply(r.index+1, 1, encoded)
+		r.restart(t)
+	})
+}
+
+func FuzzDecodeResult(f *testing.F) {
+	var result Result
+	fill(reflect.ValueOf(&result).Elem())
+	f.Add(EncodeResult(result))
+	f.Fuzz(func(t *testing.T, encoded []byte) {
+		result, err := DecodeResult(encoded)
+		if err != nil {
+			require.ErrorIs(t, err, ErrMalformed)
+			return
+		}
+		_ = result.Err()
+		EncodeResult(result)
+	})
+}
+
+func FuzzDecodeDelta(f *testing.F) {
+	r := filled(f)
+	f.Add(r.DeltaSince(0, 0).Encode())
+	view := r.View()
+	r.applyText(f, "next", 1, testText+"\n")
+	f.Add(r.DeltaSince(view.Revision, 1).Encode())
+	f.Fuzz(func(t *testing.T, encoded []byte) {
+		delta, err := DecodeDelta(encoded)
+		if err != nil {
+			require.ErrorIs(t, err, ErrMalformed)
+			return
+		}
+		for _, base := range []*View{nil, view} {
+			if next, err := delta.Apply(base); err == nil && base != nil {
+				require.GreaterOrEqual(t, next.FleetVersion, base.FleetVersion)
+				require.GreaterOrEqual(t, next.Revision, base.Revision)
+			}
+		}
+	})
+}
+
+func FuzzRestore(f *testing.F) {
+	body, err := marshal(filled(f).state.toWire())
+	require.NoError(f, err)
+	f.Add(body)
+	f.Fuzz(func(t *testing.T, body []byte) {
+		sealed := binary.BigEndian.AppendUint64([]byte(snapshotMark), xxhash.Sum64(body))
+		r := newReplica()
+		if err := r.Restore(append(sealed, body...)); err != nil {
+			require.ErrorIs(t, err, ErrSnapshot)
+			return
+		}
+		r.index = r.state.applied
+		r.do(t, OpenSession{Host: "host-1", Owns: true})
+	})
+}
--- a/registry/delta.go
+++ b/registry/delta.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
@@ -56,6 +57,43 @@
 	return whole
 }
 
+// EncodedDeltaSince is DeltaSince in bytes. Hosts that hold the same view share
+// the work.
+func (m *Machine) EncodedDeltaSince(revision, fleetVersion uint64) []byte {
+	m.deltas.Lock()
+	defer m.deltas.Unlock()
+	view := m.view.Load()
+	if m.deltas.to != view {
+		m.deltas.to, m.deltas.encoded = view, map[deltaBase][]byte{}
+	}
+	base := deltaBase{revision, fleetVersion}
+	if encoded, known := m.deltas.encoded[base]; known {
+		return encoded
+	}
+	delta := m.DeltaSince(revision, fleetVersion)
+	encoded := delta.Encode()
+	if delta.To == view.Revision && delta.FleetVersion == view.FleetVersion && len(m.deltas.encoded) < maxSharedDeltas {
+		m.deltas.encoded[base] = encoded
+	}
+	return encoded
+}
+
+// maxSharedDeltas bounds the encoded deltas that are kept for one view.
+const maxSharedDeltas = 64
+
+// sharedDeltas are the encoded deltas that lead to one view.
+type sharedDeltas struct {
+	sync.Mutex
+	to      *View
+	encoded map[deltaBase][]byte
+}
+
+// deltaBase names the view that a host holds.
+type deltaBase struct {
+	revision     uint64
+	fleetVersion uint64
+}
+
 // diff describes how to get from one view to a later one.
 func diff(from, to *View) Delta {
 	delta := Delta{
--- /dev/null
+++ b/registry/delta_test.go
@@ -0,0 +1,153 @@
+package registry
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// randomCommand draws a command that changes or may change the view.
+func randomCommand(t *rapid.T, r *replica, step int) Command {
+	operation := Operation{ID: fmt.Sprint("op-", step), Time: testStart}
+	host := rapid.IntRange(0, 5).Draw(t, "host")
+	switch rapid.IntRange(0, 8).Draw(t, "command") {
+	case 0, 1:
+		return OpenSession{
+			Host: fmt.Sprint("host-", host), FailureDomain: testDomains[host%3], PeerAddress: "127.0.0.1:7000",
+			Owns: host < 4, Start: rapid.Uint64Range(1, 2).Draw(t, "start"),
+		}
+	case 2:
+		return CloseSession{Session: rapid.Uint64Range(1, r.index+1).Draw(t, "session"), Reason: CloseGraceful}
+	case 3, 4:
+		text := strings.Replace(textOf(rapid.IntRange(1, 5).Draw(t, "services")), `"f"`, fmt.Sprintf(`"f%d"`, step), 1)
+		return ApplyFleet{operation, r.View().FleetVersion, []byte(text), rapid.Bool().Draw(t, "force")}
+	case 5:
+		return SetOutage{Operation: operation, FailureDomain: rapid.SampledFrom(testDomains).Draw(t, "domain"), Out: rapid.Bool().Draw(t, "out")}
+	case 6:
+		return SetOutage{Operation: operation, Target: fmt.Sprint("t-", host), Out: rapid.Bool().Draw(t, "out")}
+	case 7:
+		return Pin{operation, fmt.Sprint("t-", host), rapid.SampledFrom([]string{"", "s0", "s1"}).Draw(t, "service")}
+	}
+	return OpenClaim{Key: testKey, Fingerprint: uint64(step), Session: rapid.Uint64Range(1, r.index+1).Draw(t, "session"), Attempt: uint64(step)}
+}
+
+// TestReplicasAgree: the same commands give the same snapshot, with a restore
+// of one replica at any point; versions never go back; a delta from any earlier
+// view gives the current one.
+func TestReplicasAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := newReplica(), newReplica()
+		views := []*View{a.View()}
+		followers := []*View{nil, a.View()}
+		for step := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			command := randomCommand(t, a, step)
+			changed := a.Changed()
+			before := a.View()
+			require.Equal(t, a.do(t, command), b.do(t, command))
+			if rapid.IntRange(0, 5).Draw(t, "restart") == 0 {
+				b.restart(t)
+			}
+			snapshotA, err := a.Snapshot()
+			require.NoError(t, err)
+			snapshotB, err := b.Snapshot()
+			require.NoError(t, err)
+			require.Equal(t, snapshotA, snapshotB)
+			view := a.View()
+			require.Equal(t, view, b.View())
+			require.GreaterOrEqual(t, view.FleetVersion, before.FleetVersion)
+			require.GreaterOrEqual(t, view.OutageVersion, before.OutageVersion)
+			if view != before {
+				<-changed
+				require.Greater(t, view.Revision, before.Revision)
+				views = append(views, view)
+			}
+			source := rapid.SampledFrom([]*replica{a, b}).Draw(t, "source")
+			i := rapid.IntRange(0, len(followers)-1).Draw(t, "follower")
+			followers[i] = follow(t, source, followers[i])
+			require.Equal(t, view, followers[i])
+			old := rapid.SampledFrom(views).Draw(t, "old")
+			require.Equal(t, view, follow(t, source, old))
+			if old != view {
+				_, err = diff(emptyView(), old).Apply(view)
+				require.ErrorIs(t, err, ErrOlder, "a host never goes back")
+			}
+		}
+	})
+}
+
+func follow(t *rapid.T, source *replica, view *View) *View {
+	var revision, version uint64
+	if view != nil {
+		revision, version = view.Revision, view.FleetVersion
+	}
+	delta := source.DeltaSince(revision, version)
+	decoded, err := DecodeDelta(source.EncodedDeltaSince(revision, version))
+	require.NoError(t, err)
+	require.Equal(t, delta, decoded)
+	next, err := decoded.Apply(view)
+	require.NoError(t, err)
+	return next
+}
+
+func TestDeltasThatDoNotFit(t *testing.T) {
+	r := newReplica()
+	r.applyText(t, "op-1", 0, testText)
+	first := r.View()
+	r.applyText(t, "op-2", 1, strings.Replace(testText, "rabat", "fes", 1))
+	delta := r.DeltaSince(first.Revision, 1)
+	require.Equal(t, "fes", string(delta.Text.Middle))
+	_, err := delta.Apply(nil)
+	require.ErrorIs(t, err, ErrWrongBase)
+
+	other := *first
+	other.FleetText = []byte(strings.Replace(testText, "small", "large", 1))
+	_, err = delta.Apply(&other)
+	require.ErrorIs(t, err, ErrText, "the host holds another text")
+	short := *first
+	short.FleetText = short.FleetText[:10]
+	_, err = delta.Apply(&short)
+	require.ErrorIs(t, err, ErrText)
+	later := *first
+	later.FleetVersion = 0
+	_, err = delta.Apply(&later)
+	require.ErrorIs(t, err, ErrText)
+	newer := *first
+	newer.FleetVersion = 3
+	_, err = delta.Apply(&newer)
+	require.ErrorIs(t, err, ErrOlder)
+	delta.Text = nil
+	_, err = delta.Apply(first)
+	require.ErrorIs(t, err, ErrText)
+	require.Equal(t, testText, string(first.FleetText), "a view is never changed")
+
+	whole := r.DeltaSince(first.Revision, 7)
+	require.Zero(t, whole.From, "an unknown base gets the whole view")
+	next, err := whole.Apply(first)
+	require.NoError(t, err)
+	require.Equal(t, r.View(), next)
+}
+
+func TestTheHistoryIsBounded(t *testing.T) {
+	r := newReplica()
+	first := r.View()
+	for i := range historyViews + 10 {
+		r.do(t, SetOutage{Operation: Operation{ID: fmt.Sprint(i)}, Target: "t", Out: i%2 == 0})
+	}
+	require.Len(t, r.history.views, historyViews)
+	require.Zero(t, r.DeltaSince(first.Revision+1, 0).From)
+	large := strings.Replace(testText, "A small fleet.", strings.Repeat("x", 1<<20), 1)
+	for version := range uint64(20) {
+		require.NoError(t, r.applyText(t, fmt.Sprint("text-", version), version, large).Err())
+		large += "\n"
+	}
+	texts := 0
+	for _, view := range r.history.views {
+		texts += len(view.FleetText)
+	}
+	require.LessOrEqual(t, texts, historyTextBytes)
+	require.Equal(t, texts, r.history.textBytes)
+	require.Greater(t, len(r.history.views), 10)
+}
--- /dev/null
+++ b/registry/leases_test.go
@@ -0,0 +1,90 @@
+package registry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func viewOf(sessions ...uint64) *View {
+	view := emptyView()
+	for _, session := range sessions {
+		view.Hosts[string(rune('a'+session))] = Host{Session: session}
+	}
+	return view
+}
+
+func TestALeaseExpiresAMarginAfterItsEnd(t *testing.T) {
+	leases := NewLeases()
+	now := testStart
+	require.False(t, leases.Renew(1, now))
+	require.Empty(t, leases.Expired(now))
+	leases.Elected(now)
+	leases.Follow(viewOf(1, 2), now)
+	now = now.Add(10 * time.Second)
+	require.True(t, leases.Renew(1, now))
+	require.True(t, leases.Renew(1, now.Add(-time.Second)), "a late renewal shortens nothing")
+	require.Equal(t, []uint64{2}, leases.Expired(now))
+	require.False(t, leases.Renew(2, now), "no renewal once the expiry may be on its way")
+	require.Equal(t, []uint64{2}, leases.Expired(now), "named until it is closed")
+	leases.Follow(viewOf(1, 3), now)
+	end := now.Add(DefaultLease + DefaultMargin)
+	require.Empty(t, leases.Expired(end.Add(-1)))
+	require.Equal(t, []uint64{1, 3}, leases.Expired(end))
+}
+
+func TestASupersededSessionIsNotRenewed(t *testing.T) {
+	leases := NewLeases(WithLease(time.Second), WithMargin(time.Millisecond), WithElectionTimeout(0))
+	leases.Elected(testStart)
+	leases.Follow(viewOf(1), testStart)
+	view := viewOf(2)
+	view.Closing[1] = Host{Session: 1, Closing: true}
+	leases.Follow(view, testStart)
+	require.False(t, leases.Renew(1, testStart))
+	require.True(t, leases.Renew(2, testStart))
+	require.Empty(t, leases.Expired(testStart.Add(time.Second)), "its lease may be live")
+	require.Equal(t, []uint64{1, 2}, leases.Expired(testStart.Add(time.Second+time.Millisecond)))
+}
+
+// TestNoSessionExpiresWithALiveLease runs two leaders. The old one renews
+// until it notices the loss of its majority, at most an election timeout after
+// the new one was elected. Renewals take time on the way.
+func TestNoSessionExpiresWithALiveLease(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const lease, timeout, margin = 3 * time.Second, time.Second, 500 * time.Millisecond
+		options := []LeaseOption{WithLease(lease), WithElectionTimeout(timeout), WithMargin(margin)}
+		old, next := NewLeases(options...), NewLeases(options...)
+		now := testStart
+		old.Elected(now)
+		old.Follow(viewOf(1), now)
+		now = now.Add(time.Duration(rapid.IntRange(0, 10_000).Draw(t, "first lead")) * time.Millisecond)
+		elected := now
+		hostEnd := testStart.Add(lease)
+		if old.Renew(1, elected) {
+			hostEnd = elected.Add(lease)
+		}
+		next.Elected(elected)
+		next.Follow(viewOf(1), elected)
+		oldMayAnswer := true
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "passed")) * time.Millisecond)
+			oldMayAnswer = oldMayAnswer && !now.After(elected.Add(timeout))
+			sent := now.Add(-time.Duration(rapid.IntRange(0, 800).Draw(t, "way")) * time.Millisecond)
+			leader := next
+			if oldMayAnswer && rapid.Bool().Draw(t, "at the old leader") {
+				leader = old
+			}
+			if rapid.Bool().Draw(t, "renew") && leader.Renew(1, now) && sent.Add(lease).After(hostEnd) {
+				hostEnd = sent.Add(lease)
+			}
+			if len(next.Expired(now)) > 0 {
+				require.False(t, now.Before(hostEnd.Add(margin)), "expired %s before the lease's end", hostEnd.Sub(now))
+				require.False(t, next.Renew(1, now))
+				return
+			}
+		}
+		require.Equal(t, []uint64{1}, next.Expired(now.Add(lease+margin+timeout)), "a lost host expires in the end")
+	})
+}
--- a/registry/machine.go
+++ b/registry/machine.go
@@ -15,6 +15,7 @@
 	view    atomic.Pointer[View]
 	changed atomic.Pointer[chan struct{}]
 	history history
+	deltas  sharedDeltas
 }
 
 // NewMachine returns a machine with an empty state.
