--- /dev/null
+++ b/fleet/parse.go
@@ -0,0 +1,145 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/tailscale/hujson"
+
+	"comfreytiller.dev/common/jsonc"
+)
+
+// Parse reads and checks a text. Keys that are left out get their defaults. Its
+// error is a *Faults that holds everything that is wrong with the text.
+//
+// A call is idempotent only where the text says so.
+func Parse(text []byte) (*Fleet, error) {
+	r := &reader{Reader: jsonc.Reader{Text: text}}
+	root, ok := r.tree()
+	if !ok {
+		return nil, r.err()
+	}
+	parsed := r.fleet(root)
+	if r.More == 0 {
+		r.check(parsed, root)
+	}
+	if err := r.err(); err != nil {
+		return nil, err
+	}
+	return parsed, nil
+}
+
+func (r *reader) fleet(root *hujson.Value) *Fleet {
+	parsed := &Fleet{Store: defaultStore()}
+	r.Object(
+		root, nil,
+		jsonc.Field{Name: "Name", Required: true, Read: jsonc.Name(&r.Reader, &parsed.Name)},
+		jsonc.Field{Name: "FailureDomains", Required: true, Read: jsonc.Names(&r.Reader, &parsed.FailureDomains, maxFailureDomains)},
+		jsonc.Field{Name: "Services", Required: true, Read: func(value *hujson.Value, at *jsonc.Place) {
+			r.List(value, at, maxServices, func(value *hujson.Value, at *jsonc.Place) {
+				parsed.Services = append(parsed.Services, r.service(value, at))
+			})
+		}},
+		jsonc.Field{Name: "Workspaces", Read: func(value *hujson.Value, at *jsonc.Place) {
+			r.List(value, at, maxWorkspaces, func(value *hujson.Value, at *jsonc.Place) {
+				parsed.Workspaces = append(parsed.Workspaces, r.workspace(value, at))
+			})
+		}},
+		jsonc.Field{Name: "Store", Read: func(value *hujson.Value, at *jsonc.Place) {
+			r.store(value, at, &parsed.Store)
+		}},
+	)
+	return parsed
+}
+
+func (r *reader) service(value *hujson.Value, at *jsonc.Place) Service {
+	service := defaultService()
+	r.Object(
+		value, at,
+		jsonc.Field{Name: "Name", Required: true, Read: jsonc.Name(&r.Reader, &service.Name)},
+		jsonc.Field{Name: "Kind", Required: true, Read: jsonc.Text(&r.Reader, &service.Kind)},
+		jsonc.Field{Name: "Model", Read: jsonc.Text(&r.Reader, &service.Model)},
+		jsonc.Field{Name: "Version", Read: jsonc.Text(&r.Reader, &service.Version)},
+		jsonc.Field{Name: "Adapters", Read: jsonc.Names(&r.Reader, &service.Adapters, maxAdapters)},
+		jsonc.Field{Name: "DependsOn", Read: jsonc.Names(&r.Reader, &service.DependsOn, maxServices)},
+		jsonc.Field{Name: "Calls", Required: true, Read: func(value *hujson.Value, at *jsonc.Place) {
+			r.List(value, at, maxCalls, func(value *hujson.Value, at *jsonc.Place) {
+				service.Calls = append(service.Calls, r.call(value, at))
+			})
+		}},
+		jsonc.Field{Name: "Limits", Read: func(value *hujson.Value, at *jsonc.Place) { r.limits(value, at, &service.Limits) }},
+		jsonc.Field{Name: "WarmUp", Read: func(value *hujson.Value, at *jsonc.Place) { r.warmUp(value, at, &service.WarmUp) }},
+		jsonc.Field{Name: "Placement", Read: func(value *hujson.Value, at *jsonc.Place) { r.placement(value, at, &service.Placement) }},
+		jsonc.Field{Name: "Timeouts", Read: func(value *hujson.Value, at *jsonc.Place) { r.timeouts(value, at, &service.Timeouts) }},
+	)
+	return service
+}
+
+func (r *reader) call(value *hujson.Value, at *jsonc.Place) Call {
+	var call Call
+	r.Object(
+		value, at,
+		jsonc.Field{Name: "Name", Required: true, Read: jsonc.Name(&r.Reader, &call.Name)},
+		jsonc.Field{Name: "Idempotent", Read: jsonc.Boolean(&r.Reader, &call.Idempotent)},
+		jsonc.Field{Name: "Priority", Read: jsonc.Integer(&r.Reader, &call.Priority, 0, maxPriority)},
+		jsonc.Field{Name: "Stream", Read: jsonc.Boolean(&r.Reader, &call.Stream)},
+	)
+	return call
+}
+
+func (r *reader) limits(value *hujson.Value, at *jsonc.Place, limits *Limits) {
+	r.Object(
+		value, at,
+		jsonc.Field{Name: "InFlightPerTarget", Read: jsonc.Integer(&r.Reader, &limits.InFlightPerTarget, 1, maxInFlight)},
+		jsonc.Field{Name: "LoadFactor", Read: jsonc.Number(&r.Reader, &limits.LoadFactor, 1, maxLoadFactor)},
+		jsonc.Field{Name: "Queue", Read: jsonc.Integer(&r.Reader, &limits.Queue, 0, maxQueue)},
+		jsonc.Field{Name: "QueueWait", Read: jsonc.Duration(&r.Reader, &limits.QueueWait, 0, maxQueueWait)},
+		jsonc.Field{Name: "BodyBytes", Read: jsonc.Integer(&r.Reader, &limits.BodyBytes, 1, maxBodyBytes)},
+	)
+}
+
+func (r *reader) warmUp(value *hujson.Value, at *jsonc.Place, warmUp *WarmUp) {
+	r.Object(
+		value, at,
+		jsonc.Field{Name: "ColdLimit", Read: jsonc.Integer(&r.Reader, &warmUp.ColdLimit, 1, maxInFlight)},
+		jsonc.Field{Name: "RampRequests", Read: jsonc.Integer(&r.Reader, &warmUp.RampRequests, 1, maxRampRequests)},
+		jsonc.Field{Name: "ColdFirstByte", Read: jsonc.Duration(&r.Reader, &warmUp.ColdFirstByte, 0, maxFirstByte)},
+	)
+}
+
+func (r *reader) placement(value *hujson.Value, at *jsonc.Place, placement *Placement) {
+	r.Object(
+		value, at,
+		jsonc.Field{Name: "Min", Read: jsonc.Integer(&r.Reader, &placement.Min, 0, maxReplicas)},
+		jsonc.Field{Name: "Max", Read: jsonc.Integer(&r.Reader, &placement.Max, 0, maxReplicas)},
+		jsonc.Field{Name: "Spread", Read: jsonc.Integer(&r.Reader, &placement.Spread, 1, maxFailureDomains)},
+		jsonc.Field{Name: "Role", Read: jsonc.Text(&r.Reader, &placement.Role)},
+	)
+}
+
+func (r *reader) timeouts(value *hujson.Value, at *jsonc.Place, timeouts *Timeouts) {
+	r.Object(
+		value, at,
+		jsonc.Field{Name: "FirstByte", Read: jsonc.Duration(&r.Reader, &timeouts.FirstByte, time.Millisecond, maxFirstByte)},
+		jsonc.Field{Name: "Gap", Read: jsonc.Duration(&r.Reader, &timeouts.Gap, time.Millisecond, maxFirstByte)},
+		jsonc.Field{Name: "Total", Read: jsonc.Duration(&r.Reader, &timeouts.Total, time.Millisecond, maxTotal)},
+	)
+}
+
+func (r *reader) workspace(value *hujson.Value, at *jsonc.Place) Workspace {
+	workspace := Workspace{Share: DefaultShare}
+	r.Object(
+		value, at,
+		jsonc.Field{Name: "Name", Required: true, Read: jsonc.Name(&r.Reader, &workspace.Name)},
+		jsonc.Field{Name: "Share", Read: jsonc.Integer(&r.Reader, &workspace.Share, 1, maxShare)},
+		jsonc.Field{Name: "Services", Read: jsonc.Names(&r.Reader, &workspace.Services, maxServices)},
+	)
+	return workspace
+}
+
+func (r *reader) store(value *hujson.Value, at *jsonc.Place, store *Store) {
+	r.Object(
+		value, at,
+		jsonc.Field{Name: "ConcurrentLoads", Read: jsonc.Integer(&r.Reader, &store.ConcurrentLoads, 1, maxConcurrentLoads)},
+		jsonc.Field{Name: "BytesPerSecond", Read: jsonc.Integer(&r.Reader, &store.BytesPerSecond, 1, maxBytesPerSecond)},
+	)
+}
