--- /dev/null
+++ b/admission/config.go
@@ -0,0 +1,92 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"comfreytiller.dev/fleet"
+)
+
+// Config is what the operators' text and the outages say of one service.
+type Config struct {
+	Service    fleet.Service
+	Workspaces []fleet.Workspace
+	// DomainsOut and TargetsOut name the failure domains and targets that get
+	// no new work.
+	DomainsOut map[string]bool
+	TargetsOut map[string]bool
+}
+
+// The defaults of the options.
+const (
+	DefaultSuspectAfter    = 3 * time.Second
+	DefaultGoneAfter       = 15 * time.Second
+	DefaultForgetAfter     = 10 * time.Minute
+	DefaultPermitValid     = time.Second
+	DefaultNoTargetWait    = 2 * time.Second
+	DefaultQueueWait       = 30 * time.Second
+	DefaultQueue           = 1024
+	DefaultChats           = 250_000
+	DefaultChatAge         = 24 * time.Hour
+	DefaultFailuresToOpen  = 3
+	DefaultCircuitWait     = time.Second
+	DefaultCircuitWaitMost = 30 * time.Second
+)
+
+type options struct {
+	scope        tally.Scope
+	suspectAfter time.Duration
+	goneAfter    time.Duration
+	permitValid  time.Duration
+	noTargetWait time.Duration
+	chats        int
+	chatAge      time.Duration
+}
+
+func defaults() options {
+	return options{
+		scope:        tally.NoopScope,
+		suspectAfter: DefaultSuspectAfter,
+		goneAfter:    DefaultGoneAfter,
+		permitValid:  DefaultPermitValid,
+		noTargetWait: DefaultNoTargetWait,
+		chats:        DefaultChats,
+		chatAge:      DefaultChatAge,
+	}
+}
+
+// Option changes a default of a Service.
+type Option func(*options)
+
+// WithScope reports metrics below scope.
+func WithScope(scope tally.Scope) Option {
+	return func(o *options) { o.scope = scope }
+}
+
+// WithHeartbeat sets how long a target may be silent before it is suspect and
+// before it is gone.
+func WithHeartbeat(suspectAfter, goneAfter time.Duration) Option {
+	return func(o *options) {
+		o.suspectAfter = suspectAfter
+		o.goneAfter = goneAfter
+	}
+}
+
+// WithPermitValid sets how long a permit may be used after it was asked for.
+func WithPermitValid(valid time.Duration) Option {
+	return func(o *options) { o.permitValid = valid }
+}
+
+// WithNoTargetWait sets how long a request waits while no target may take work.
+func WithNoTargetWait(wait time.Duration) Option {
+	return func(o *options) { o.noTargetWait = wait }
+}
+
+// WithChats bounds the memory of chats by count and by age.
+func WithChats(count int, age time.Duration) Option {
+	return func(o *options) {
+		o.chats = count
+		o.chatAge = age
+	}
+}
--- /dev/null
+++ b/admission/copy.go
@@ -0,0 +1,90 @@
+package admission
+
+import (
+	"time"
+
+	"comfreytiller.dev/chat"
+	"comfreytiller.dev/target"
+)
+
+// Copy is what a backup host holds of a service, so that a new owner knows its
+// targets and chats.
+type Copy struct {
+	Targets []TargetCopy
+	Chats   chat.Batch
+}
+
+// TargetCopy is one target with its warm-up progress.
+type TargetCopy struct {
+	Announcement target.Announcement
+	// Announced is the stamp of the newest announcement or leave.
+	Announced target.Stamp
+	Left      bool
+	// Silent is the time since its last message.
+	Silent time.Duration
+	// Completed is the number of requests completed since it was cold.
+	Completed int
+	// ReportedCold is set while its newest report says that it is cold.
+	ReportedCold bool
+}
+
+// Export returns the targets and up to limit chats that changed since the last
+// export; with limit 0 all chats.
+func (s *Service) Export(now time.Time, limit int) Copy {
+	var out Copy
+	for _, t := range s.targets {
+		if !t.known {
+			continue
+		}
+		out.Targets = append(out.Targets, TargetCopy{
+			Announcement: t.announcement,
+			Announced:    t.announced,
+			Left:         t.left,
+			Silent:       now.Sub(t.lastSeen),
+			Completed:    t.warmUp.done,
+			ReportedCold: t.warmUp.reported,
+		})
+	}
+	if limit > 0 {
+		out.Chats = s.memory.Changes(now, limit)
+	} else {
+		out.Chats = s.memory.All(now)
+	}
+	return out
+}
+
+// Import takes what another owner exported. What is known here to be newer
+// stays.
+func (s *Service) Import(now time.Time, in Copy) {
+	s.advance(now)
+	for _, copied := range in.Targets {
+		s.importTarget(now, copied)
+	}
+	s.memory.Merge(now, in.Chats)
+	for at, t := range s.targets {
+		t.place = s.memory.PlaceOf(t.name)
+		s.bindPlace(t.place, at)
+	}
+	s.pump(now)
+}
+
+func (s *Service) importTarget(now time.Time, copied TargetCopy) {
+	at := s.slot(copied.Announcement.Name)
+	t := s.targets[at]
+	if t.known && !copied.Announced.After(t.announced) {
+		if copied.Announced.Incarnation == t.incarnation {
+			t.warmUp.done = max(t.warmUp.done, copied.Completed)
+			s.sync(now, at)
+		}
+		return
+	}
+	s.enter(now, at, copied.Announced.Incarnation)
+	t.known = true
+	t.left = copied.Left
+	t.announced = copied.Announced
+	t.announcement = copied.Announcement
+	t.lastSeen = now.Add(-copied.Silent)
+	t.warmUp = warmUp{done: max(t.warmUp.done, copied.Completed), reported: copied.ReportedCold}
+	s.openPlace(at)
+	s.sync(now, at)
+}
--- /dev/null
+++ b/admission/owner.go
@@ -0,0 +1,101 @@
+package admission
+
+import (
+	"time"
+
+	"comfreytiller.dev/chat"
+)
+
+// Adopt counts a permit that an earlier owner granted.
+func (s *Service) Adopt(now time.Time, permit Permit) {
+	s.advance(now)
+	if _, known := s.permits[permit.RequestID]; known {
+		return
+	}
+	if item, known := s.queue.waiting[permit.RequestID]; known {
+		s.queue.remove(item)
+	}
+	at := s.slot(permit.Target)
+	t := s.targets[at]
+	if permit.Incarnation > t.incarnation {
+		s.enter(now, at, permit.Incarnation)
+	}
+	granted := &grant{
+		permit:    permit,
+		target:    at,
+		counted:   permit.Incarnation == t.incarnation,
+		workspace: s.workspaceOf(permit.Workspace),
+		chat:      chat.KeyOf(permit.Chat),
+	}
+	granted.workspace.inFlight++
+	s.permits[permit.RequestID] = granted
+	if !granted.counted {
+		return
+	}
+	s.addInFlight(now, at, 1)
+	t.warmUp.bore(s.config.Service.WarmUp, t.full(s), int(s.candidates[at].InFlight))
+	s.openPlace(at)
+	s.memory.Use(now, granted.chat, t.place, false)
+	s.sync(now, at)
+}
+
+// Adopted says that every permit of earlier owners is counted. Grants are made
+// from here on.
+func (s *Service) Adopted(now time.Time) {
+	s.advance(now)
+	s.adopted = true
+	if !s.empty.IsZero() || s.load.Targets == 0 {
+		s.empty = now
+	}
+	s.pump(now)
+}
+
+// ReleaseHost drops the permits and waiting requests of a host whose session is
+// closed. They get no effect.
+func (s *Service) ReleaseHost(now time.Time, host string) {
+	s.advance(now)
+	for _, item := range s.queue.inOrder() {
+		if item.request.Host == host {
+			s.queue.remove(item)
+		}
+	}
+	for _, granted := range s.permits {
+		if granted.permit.Host == host {
+			s.drop(now, granted)
+			if granted.counted {
+				s.targets[granted.target].circuit.inconclusive(granted.probe)
+				s.sync(now, granted.target)
+			}
+		}
+	}
+	s.pump(now)
+}
+
+// sweepBudget bounds the chats that one Tick forgets.
+const sweepBudget = 256
+
+// Tick does what is due: heartbeats that stopped, deadlines in the queue, and
+// chats that are too old.
+func (s *Service) Tick(now time.Time) {
+	s.advance(now)
+	for s.queue.expiring.len() > 0 && !now.Before(s.queue.expiring.top().expires) {
+		s.refuseWaiting(now, s.queue.expiring.top(), RefusedDeadline, "the deadline passed in the queue")
+	}
+	s.refuseWithoutTargets(now)
+	s.memory.Sweep(now, sweepBudget)
+	s.pump(now)
+	s.metrics.state(s)
+}
+
+// refuseWithoutTargets gives up on requests that have waited long enough while
+// no target takes work.
+func (s *Service) refuseWithoutTargets(now time.Time) {
+	if !s.adopted || s.load.Targets > 0 || now.Sub(s.empty) < s.options.noTargetWait {
+		return
+	}
+	for _, item := range s.queue.inOrder() {
+		if now.Sub(item.since) >= s.options.noTargetWait {
+			s.refuseWaiting(now, item, RefusedNoTarget, "no target takes work")
+		}
+	}
+}
--- /dev/null
+++ b/admission/service_test.go
@@ -0,0 +1,86 @@
+package admission
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	_ "pgregory.net/rapid"
+
+	"comfreytiller.dev/fleet"
+	"comfreytiller.dev/target"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func reviews() Config {
+	return Config{
+		Service: fleet.Service{
+			Name:   "Reviews",
+			Kind:   "Model",
+			Limits: fleet.Limits{InFlightPerTarget: 8, LoadFactor: 1.25, Queue: 16, QueueWait: 10 * time.Second},
+			WarmUp: fleet.WarmUp{ColdLimit: 2, RampRequests: 6, ColdFirstByte: 2 * time.Second},
+		},
+		Workspaces: []fleet.Workspace{{Name: "Rabat", Share: 1}, {Name: "Fes", Share: 1}, {Name: "Other", Services: []string{"Treasury"}}},
+	}
+}
+
+func announcement(name string, incarnation, sequence uint64) target.Announcement {
+	return target.Announcement{
+		Name: name, Stamp: target.Stamp{Incarnation: incarnation, Sequence: sequence},
+		Address: "127.0.0.1:9000", FailureDomain: "A", Service: "Reviews", CachedChats: 100,
+	}
+}
+
+// warmService returns an owner of n warm targets, e0 to e(n-1).
+func warmService(n int, opts ...Option) *Service {
+	s := New(reviews(), 3, opts...)
+	for i := range n {
+		a := announcement(fmt.Sprintf("e%d", i), 1, 1)
+		a.FailureDomain = string(rune('A' + i%3))
+		s.Import(start, Copy{Targets: []TargetCopy{{Announcement: a, Announced: a.Stamp, Completed: 100}}})
+	}
+	s.Adopted(start)
+	return s
+}
+
+func request(id, chat string) Request {
+	return Request{ID: id, Host: "h1", Service: "Reviews", Workspace: "Rabat", Chat: chat}
+}
+
+// onlyPermit returns the permit of the only effect.
+func onlyPermit(t require.TestingT, s *Service) Permit {
+	effects := s.Effects()
+	require.Len(t, effects, 1)
+	require.NotNil(t, effects[0].Permit, "%v", effects[0].Refusal)
+	return *effects[0].Permit
+}
+
+func done(p Permit) Release {
+	return Release{RequestID: p.RequestID, Service: p.Service, Target: p.Target, Outcome: OutcomeDone, FirstByte: time.Millisecond}
+}
+
+func TestReturningChatGoesToItsWarmTarget(t *testing.T) {
+	s := warmService(6)
+	for round := range 3 {
+		for i := range 20 {
+			s.Acquire(start, request(fmt.Sprintf("r%d-%d", round, i), fmt.Sprintf("c%d", i)))
+			p := onlyPermit(t, s)
+			require.Equal(t, round > 0, p.Warm, p.Reason)
+			require.Equal(t, uint64(3), p.Fence)
+			s.Release(start, done(p))
+		}
+	}
+}
--- /dev/null
+++ b/route/choose.go
@@ -0,0 +1,159 @@
+package route
+
+import "slices"
+
+// first is the number of candidates in rendezvous order among which the least
+// loaded is taken.
+const first = 2
+
+// mostRefused bounds the refused candidates that a choice lists.
+const mostRefused = 4
+
+// Query is what a decision knows of one request.
+type Query struct {
+	// Chat is the chat's key; 0 for none.
+	Chat uint64
+	// Known lists the places where the chat's context is believed warm, the
+	// preferred one first; None for no place.
+	Known [2]int
+	// Excluded lists the candidates that the request has tried.
+	Excluded []int
+	// Bound is the largest number in flight on one target, this request
+	// included.
+	Bound int
+}
+
+// Refused is a candidate that was passed over.
+type Refused struct {
+	Target int
+	Reason Reason
+}
+
+// Choice is the outcome of a decision.
+type Choice struct {
+	// Target is the chosen candidate, or None.
+	Target int
+	// Known is set when it is one of the query's known places.
+	Known bool
+	// Refused holds the first RefusedCount candidates that were preferred and
+	// passed over.
+	Refused      [mostRefused]Refused
+	RefusedCount int
+}
+
+func (c *Choice) refuse(target int, reason Reason) {
+	if c.RefusedCount < mostRefused {
+		c.Refused[c.RefusedCount] = Refused{target, reason}
+		c.RefusedCount++
+	}
+}
+
+// Choose picks the target for one request. It allocates nothing.
+func Choose(query *Query, candidates []Candidate) Choice {
+	choice := Choice{Target: None}
+	for _, known := range query.Known {
+		if known == None {
+			continue
+		}
+		reason := query.refuses(known, &candidates[known])
+		if reason == Open {
+			choice.Target = known
+			choice.Known = true
+			return choice
+		}
+		choice.refuse(known, reason)
+	}
+	if query.Chat == 0 {
+		chooseLeastLoaded(query, candidates, &choice)
+		return choice
+	}
+	chooseHashed(query, candidates, &choice)
+	return choice
+}
+
+func (q *Query) refuses(index int, candidate *Candidate) Reason {
+	if slices.Contains(q.Excluded, index) {
+		return Excluded
+	}
+	return candidate.Refuses(q.Bound)
+}
+
+func (q *Query) knows(index int) bool {
+	return q.Known[0] == index || q.Known[1] == index
+}
+
+func chooseLeastLoaded(query *Query, candidates []Candidate, choice *Choice) {
+	for i := range candidates {
+		reason := query.refuses(i, &candidates[i])
+		if reason != Open {
+			choice.refuse(i, reason)
+			continue
+		}
+		if choice.Target == None || candidates[i].InFlight < candidates[choice.Target].InFlight {
+			choice.Target = i
+		}
+	}
+}
+
+// ranked is a candidate with its rendezvous score.
+type ranked struct {
+	target int
+	score  uint64
+	reason Reason
+}
+
+// insert puts item into the list of the highest scores, highest first.
+func insert(list []ranked, count int, item ranked) int {
+	at := count
+	for at > 0 && list[at-1].score < item.score {
+		at--
+	}
+	if at == len(list) {
+		return count
+	}
+	if count < len(list) {
+		count++
+	}
+	copy(list[at+1:count], list[at:count-1])
+	list[at] = item
+	return count
+}
+
+func chooseHashed(query *Query, candidates []Candidate, choice *Choice) {
+	var open [first]ranked
+	var refused [mostRefused]ranked
+	var opens, refusals int
+	for i := range candidates {
+		item := ranked{i, Score(query.Chat, candidates[i].Key), query.refuses(i, &candidates[i])}
+		if item.reason == Open {
+			opens = insert(open[:], opens, item)
+		} else if !query.knows(i) {
+			refusals = insert(refused[:], refusals, item)
+		}
+	}
+	var least ranked
+	choice.Target = None
+	for _, item := range open[:opens] {
+		if choice.Target == None || candidates[item.target].InFlight < candidates[choice.Target].InFlight {
+			choice.Target = item.target
+			least = item
+		}
+	}
+	for _, item := range refused[:refusals] {
+		if choice.Target == None || item.score > least.score {
+			choice.refuse(item.target, item.reason)
+		}
+	}
+}
+
+// Score returns the rendezvous weight of a target for a chat, both given by
+// their hashes. The finishing steps are those of SplitMix64.
+func Score(chat, target uint64) uint64 {
+	x := chat ^ target
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	x ^= x >> 31
+	return x
+}
