--- a/admission/config.go
+++ b/admission/config.go
@@ -6,6 +6,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"comfreytiller.dev/fleet"
+	"comfreytiller.dev/route"
 )
 
 // Config is what the operators' text and the outages say of one service.
@@ -25,6 +26,7 @@
 	DefaultForgetAfter     = 10 * time.Minute
 	DefaultPermitValid     = time.Second
 	DefaultNoTargetWait    = 2 * time.Second
+	DefaultWarmWait        = 500 * time.Millisecond
 	DefaultQueueWait       = 30 * time.Second
 	DefaultQueue           = 1024
 	DefaultChats           = 250_000
@@ -34,14 +36,21 @@
 	DefaultCircuitWaitMost = 30 * time.Second
 )
 
+// firstChoices is the number of targets in rendezvous order among which a chat
+// without a warm target takes the least loaded.
+const firstChoices = 2
+
 type options struct {
 	scope        tally.Scope
 	suspectAfter time.Duration
 	goneAfter    time.Duration
 	permitValid  time.Duration
 	noTargetWait time.Duration
+	warmWait     time.Duration
 	chats        int
 	chatAge      time.Duration
+	first        int
+	choose       func(*route.Query, []route.Candidate) route.Choice
 }
 
 func defaults() options {
@@ -51,8 +60,11 @@
 		goneAfter:    DefaultGoneAfter,
 		permitValid:  DefaultPermitValid,
 		noTargetWait: DefaultNoTargetWait,
+		warmWait:     DefaultWarmWait,
 		chats:        DefaultChats,
 		chatAge:      DefaultChatAge,
+		first:        firstChoices,
+		choose:       route.Choose,
 	}
 }
 
@@ -83,6 +95,12 @@
 	return func(o *options) { o.noTargetWait = wait }
 }
 
+// WithWarmWait sets how long a request whose turn has come waits for the target
+// where its chat is warm, while that is full, before it goes elsewhere.
+func WithWarmWait(wait time.Duration) Option {
+	return func(o *options) { o.warmWait = wait }
+}
+
 // WithChats bounds the memory of chats by count and by age.
 func WithChats(count int, age time.Duration) Option {
 	return func(o *options) {
--- a/admission/copy.go
+++ b/admission/copy.go
@@ -10,6 +10,10 @@
 // Copy is what a backup host holds of a service, so that a new owner knows its
 // targets and chats.
 type Copy struct {
+	// Current is set by an owner that hands over. The targets of any other copy
+	// get no work until the new owner hears of them, since they may have left
+	// or turned cold after the copy was made.
+	Current bool
 	Targets []TargetCopy
 	Chats   chat.Batch
 }
@@ -31,7 +35,7 @@
 // Export returns the targets and up to limit chats that changed since the last
 // export; with limit 0 all chats.
 func (s *Service) Export(now time.Time, limit int) Copy {
-	var out Copy
+	out := Copy{Current: s.adopted && limit <= 0}
 	for _, t := range s.targets {
 		if !t.known {
 			continue
@@ -58,7 +62,7 @@
 func (s *Service) Import(now time.Time, in Copy) {
 	s.advance(now)
 	for _, copied := range in.Targets {
-		s.importTarget(now, copied)
+		s.importTarget(now, copied, in.Current)
 	}
 	s.memory.Merge(now, in.Chats)
 	for at, t := range s.targets {
@@ -68,7 +72,7 @@
 	s.pump(now)
 }
 
-func (s *Service) importTarget(now time.Time, copied TargetCopy) {
+func (s *Service) importTarget(now time.Time, copied TargetCopy, current bool) {
 	at := s.slot(copied.Announcement.Name)
 	t := s.targets[at]
 	if t.known && !copied.Announced.After(t.announced) {
@@ -83,7 +87,11 @@
 	t.left = copied.Left
 	t.announced = copied.Announced
 	t.announcement = copied.Announcement
-	t.lastSeen = now.Add(-copied.Silent)
+	silent := copied.Silent
+	if !current {
+		silent = max(silent, s.options.suspectAfter)
+	}
+	t.lastSeen = now.Add(-silent)
 	t.warmUp = warmUp{done: max(t.warmUp.done, copied.Completed), reported: copied.ReportedCold}
 	s.openPlace(at)
 	s.sync(now, at)
--- a/admission/fleet.go
+++ b/admission/fleet.go
@@ -89,6 +89,7 @@
 	if incarnation > t.incarnation {
 		t.replaced = true
 		s.sync(now, at)
+		s.pump(now)
 		return at, false, false
 	}
 	return at, true, incarnation == t.incarnation
@@ -143,4 +144,5 @@
 	t.announced = leave.Stamp
 	t.left = true
 	s.sync(now, at)
+	s.pump(now)
 }
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -19,6 +19,12 @@
 	// position and expiry are the positions in the two heaps.
 	position int
 	expiry   int
+	// wants is the target where the chat is warm, or route.None.
+	wants int
+	// heldUntil is how long it waits for that target after its turn came; held
+	// is set while it does.
+	heldUntil time.Time
+	held      bool
 }
 
 // workspace is the queue and the share of one workspace.
@@ -32,6 +38,9 @@
 	finish   float64
 	position int
 	inFlight int
+	// waiting counts all its requests in the queue, requests holds those that
+	// are not held.
+	waiting  int
 	requests heap[*waiting]
 	drain    rate
 }
@@ -57,10 +66,15 @@
 	waiting  map[string]*waiting
 	active   heap[*workspace]
 	expiring heap[*waiting]
+	// held lists the requests that wait for their warm target, in the order of
+	// heldUntil. Some may have been removed since.
+	held []*waiting
+	// wanting lists the waiting requests by the target they want.
+	wanting map[int][]*waiting
 }
 
 func newQueue() *queue {
-	q := &queue{waiting: map[string]*waiting{}}
+	q := &queue{waiting: map[string]*waiting{}, wanting: map[int][]*waiting{}}
 	q.active.less = func(a, b *workspace) bool {
 		if a.start != b.start {
 			return a.start < b.start
@@ -86,12 +100,15 @@
 func (q *queue) add(item *waiting) {
 	q.arrivals++
 	item.arrival = q.arrivals
-	q.insert(item)
-}
-
-func (q *queue) insert(item *waiting) {
+	item.workspace.waiting++
 	q.waiting[item.request.ID] = item
 	q.expiring.push(item)
+	q.want(item, item.wants)
+	q.line(item)
+}
+
+// line puts a request into the line of its workspace.
+func (q *queue) line(item *waiting) {
 	w := item.workspace
 	w.requests.push(item)
 	if w.requests.len() == 1 {
@@ -100,10 +117,7 @@
 	}
 }
 
-// remove takes a request out without serving it.
-func (q *queue) remove(item *waiting) {
-	delete(q.waiting, item.request.ID)
-	q.expiring.remove(item.expiry)
+func (q *queue) unline(item *waiting) {
 	w := item.workspace
 	w.requests.remove(item.position)
 	if w.requests.len() == 0 {
@@ -111,6 +125,75 @@
 	}
 }
 
+// hold takes a request out of the line while it waits for its warm target.
+func (q *queue) hold(item *waiting, until time.Time) {
+	q.unline(item)
+	item.held = true
+	item.heldUntil = until
+	q.held = append(q.held, item)
+}
+
+// resume puts held requests back into the line whose time is over.
+func (q *queue) resume(now time.Time) {
+	for len(q.held) > 0 && (!q.held[0].held || !now.Before(q.held[0].heldUntil)) {
+		item := q.held[0]
+		q.held[0] = nil
+		q.held = q.held[1:]
+		if item.held {
+			item.held = false
+			q.line(item)
+		}
+	}
+}
+
+// resumeFor puts the held requests back that want the target.
+func (q *queue) resumeFor(target int, now time.Time) {
+	for _, item := range q.wanting[target] {
+		if item.held {
+			item.held = false
+			item.heldUntil = now
+			q.line(item)
+		}
+	}
+}
+
+// want notes which target a request wants.
+func (q *queue) want(item *waiting, target int) {
+	item.wants = target
+	if target >= 0 {
+		q.wanting[target] = append(q.wanting[target], item)
+	}
+}
+
+func (q *queue) unwant(item *waiting) {
+	if item.wants < 0 {
+		return
+	}
+	list := q.wanting[item.wants]
+	at := slices.Index(list, item)
+	list[at] = list[len(list)-1]
+	list[len(list)-1] = nil
+	if len(list) == 1 {
+		delete(q.wanting, item.wants)
+	} else {
+		q.wanting[item.wants] = list[:len(list)-1]
+	}
+	item.wants = -1
+}
+
+// remove takes a request out without serving it.
+func (q *queue) remove(item *waiting) {
+	delete(q.waiting, item.request.ID)
+	item.workspace.waiting--
+	q.expiring.remove(item.expiry)
+	q.unwant(item)
+	if item.held {
+		item.held = false
+		return
+	}
+	q.unline(item)
+}
+
 // inOrder returns the waiting requests in the order of their arrival.
 func (q *queue) inOrder() []*waiting {
 	list := make([]*waiting, 0, len(q.waiting))
@@ -129,11 +212,24 @@
 	return q.active.top().requests.top()
 }
 
+// tag returns the start tag of the workspace's next request.
+func (q *queue) tag(w *workspace) float64 {
+	if w.position >= 0 {
+		return w.start
+	}
+	return max(q.virtual, w.finish)
+}
+
 // serve takes a request out and charges its workspace.
 func (q *queue) serve(item *waiting) {
 	w := item.workspace
-	q.virtual = max(q.virtual, w.start)
-	w.finish = w.start + 1/w.share
+	tag := q.tag(w)
+	least := tag
+	if q.active.len() > 0 {
+		least = min(least, q.active.top().start)
+	}
+	q.virtual = max(q.virtual, least)
+	w.finish = tag + 1/w.share
 	w.start = w.finish
 	q.remove(item)
 	if w.position >= 0 {
@@ -141,6 +237,41 @@
 	}
 }
 
+// aheadMost is how many requests a workspace of share 1 may be ahead of the
+// others because their contexts are warm where there is room.
+const aheadMost = 4
+
+// warmNext returns the request that wants one of the targets with room and is
+// next among those, or nil. It may be ahead of its turn by aheadMost.
+func (q *queue) warmNext(hasRoom func(target int) bool) *waiting {
+	var best *waiting
+	for target, list := range q.wanting {
+		if !hasRoom(target) {
+			continue
+		}
+		for _, item := range list {
+			if best == nil || q.before(item, best) {
+				best = item
+			}
+		}
+	}
+	if best == nil || q.active.len() > 0 && q.tag(best.workspace) > q.active.top().start+aheadMost {
+		return nil
+	}
+	return best
+}
+
+func (q *queue) before(a, b *waiting) bool {
+	tagA, tagB := q.tag(a.workspace), q.tag(b.workspace)
+	if tagA != tagB {
+		return tagA < tagB
+	}
+	if a.request.Priority != b.request.Priority {
+		return a.request.Priority > b.request.Priority
+	}
+	return a.arrival < b.arrival
+}
+
 // rateWindow is the time over which a rate is measured.
 const rateWindow = 5 * time.Second
 
--- a/admission/refuse.go
+++ b/admission/refuse.go
@@ -45,7 +45,7 @@
 	if interval == 0 {
 		return min(max(s.config.Service.Limits.QueueWait, leastRetryAfter), mostRetryAfter)
 	}
-	return min(max(time.Duration(w.requests.len()+1)*interval, leastRetryAfter), mostRetryAfter)
+	return min(max(time.Duration(w.waiting+1)*interval, leastRetryAfter), mostRetryAfter)
 }
 
 // mostListed bounds the targets that a refusal's decision lists.
--- a/admission/service.go
+++ b/admission/service.go
@@ -139,8 +139,12 @@
 	limit, warming := t.limit(s)
 	candidate.Limit = int32(limit)
 	candidate.Warming = warming
+	admitted := candidate.Admits()
 	candidate.Closed = t.closed(now, s)
 	s.count(now, candidate)
+	if admitted && !candidate.Admits() {
+		s.queue.resumeFor(at, now)
+	}
 	if next := t.nextChange(now, s); next.Before(s.nextCheck) {
 		s.nextCheck = next
 	}
@@ -190,6 +194,7 @@
 func (s *Service) advance(now time.Time) {
 	if !now.Before(s.nextCheck) {
 		s.check(now)
+		s.pump(now)
 	}
 }
 
--- a/admission/service_test.go
+++ b/admission/service_test.go
@@ -15,7 +15,7 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true", "rapid.checks": "1000"} {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
 		}
@@ -50,7 +50,7 @@
 	for i := range n {
 		a := announcement(fmt.Sprintf("e%d", i), 1, 1)
 		a.FailureDomain = string(rune('A' + i%3))
-		s.Import(start, Copy{Targets: []TargetCopy{{Announcement: a, Announced: a.Stamp, Completed: 100}}})
+		s.Import(start, Copy{Current: true, Targets: []TargetCopy{{Announcement: a, Announced: a.Stamp, Completed: 100}}})
 	}
 	s.Adopted(start)
 	return s
--- a/admission/status.go
+++ b/admission/status.go
@@ -62,7 +62,7 @@
 		status.Targets = append(status.Targets, s.targetStatus(at))
 	}
 	for _, w := range s.workspaces {
-		status.Workspaces = append(status.Workspaces, WorkspaceStatus{w.name, w.requests.len(), w.inFlight})
+		status.Workspaces = append(status.Workspaces, WorkspaceStatus{w.name, w.waiting, w.inFlight})
 	}
 	slices.SortFunc(status.Targets, func(a, b TargetStatus) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortFunc(status.Workspaces, func(a, b WorkspaceStatus) int { return cmp.Compare(a.Name, b.Name) })
--- a/admission/world_test.go
+++ b/admission/world_test.go
@@ -226,9 +226,17 @@
 	return w.inFlight(e) < limit
 }
 
-// conserves checks that no request waits while a target has room for it.
+// conserves checks that no request waits while a target has room for it, but for
+// a short time for the target where its chat is warm.
 func (w *world) conserves(status Status, open map[string]bool) {
 	for id, request := range w.waiting {
+		item := w.owner.queue.waiting[id]
+		require.NotNil(w.t, item, "%s is lost", id)
+		if item.held {
+			require.True(w.t, w.now.Before(item.heldUntil))
+			require.LessOrEqual(w.t, item.heldUntil.Sub(w.now), DefaultWarmWait)
+			continue
+		}
 		if len(request.Exclude) > 0 {
 			continue
 		}
@@ -289,7 +297,7 @@
 	}
 	require.False(w.t, slices.ContainsFunc(w.owner.Effects(), func(e Effect) bool { return e.Permit != nil }), "a grant before adoption")
 	for _, e := range w.engines {
-		e.relearn(w)
+		e.relearn(w, graceful)
 	}
 	w.owner.Adopted(w.now)
 	w.backup = New(w.config, 0)
@@ -297,7 +305,7 @@
 
 // relearn sets what the test expects a new owner to know of the engine: no more
 // than it has shown.
-func (e *engine) relearn(w *world) {
+func (e *engine) relearn(w *world, graceful bool) {
 	before := w.limit(e)
 	at, known := w.owner.byName[e.name]
 	if !known {
@@ -307,9 +315,12 @@
 	t := w.owner.targets[at]
 	require.LessOrEqual(w.t, t.incarnation, e.incarnation)
 	same := e.announced == t.incarnation
+	if !graceful && t.known {
+		require.GreaterOrEqual(w.t, w.now.Sub(t.lastSeen), DefaultSuspectAfter, "trusted before it was heard of")
+	}
 	e.announced, e.known, e.replaced, e.heard, e.left = t.incarnation, t.known, false, t.lastSeen, t.left
 	e.done, e.slow, e.cold = t.warmUp.done, t.warmUp.slow, t.warmUp.reported
-	if same && !t.warmUp.reported {
+	if same && graceful && !t.warmUp.reported {
 		require.LessOrEqual(w.t, w.limit(e), max(before, w.inFlight(e)), "a new owner believes more than was shown")
 	}
 }
--- a/route/choose.go
+++ b/route/choose.go
@@ -2,9 +2,8 @@
 
 import "slices"
 
-// first is the number of candidates in rendezvous order among which the least
-// loaded is taken.
-const first = 2
+// MostFirst is the largest value of Query.First.
+const MostFirst = 4
 
 // mostRefused bounds the refused candidates that a choice lists.
 const mostRefused = 4
@@ -21,6 +20,9 @@
 	// Bound is the largest number in flight on one target, this request
 	// included.
 	Bound int
+	// First is the number of candidates in rendezvous order among which the
+	// least loaded is taken, from 1 to MostFirst.
+	First int
 }
 
 // Refused is a candidate that was passed over.
@@ -120,13 +122,14 @@
 }
 
 func chooseHashed(query *Query, candidates []Candidate, choice *Choice) {
-	var open [first]ranked
+	var open [MostFirst]ranked
 	var refused [mostRefused]ranked
 	var opens, refusals int
+	first := min(max(query.First, 1), MostFirst)
 	for i := range candidates {
 		item := ranked{i, Score(query.Chat, candidates[i].Key), query.refuses(i, &candidates[i])}
 		if item.reason == Open {
-			opens = insert(open[:], opens, item)
+			opens = insert(open[:first], opens, item)
 		} else if !query.knows(i) {
 			refusals = insert(refused[:], refusals, item)
 		}
--- a/route/route.go
+++ b/route/route.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	choice := route.Choose(&route.Query{Chat: key, Known: [2]int{3, route.None}, Bound: 12}, candidates)
+//	choice := route.Choose(&route.Query{Chat: key, Known: [2]int{3, route.None}, Bound: 12, First: 2}, candidates)
 //	if choice.Target == route.None {
 //		// every candidate was refused
 //	}
