--- /dev/null
+++ b/target/call.go
@@ -0,0 +1,122 @@
+package target
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// The ways an answer can fail. Each is wrapped in a SendError.
+var (
+	// ErrUnreachable: no connection could be opened.
+	ErrUnreachable = errors.New("target unreachable")
+	// ErrNotSent: the check before sending refused.
+	ErrNotSent = errors.New("call not sent")
+	// ErrSilent: nothing arrived within the budget for the first byte or the gap.
+	ErrSilent = errors.New("target silent")
+	// ErrCut: the answer ended before its end mark or its announced length.
+	ErrCut = errors.New("answer cut")
+	// ErrCrossed: the answer names another request.
+	ErrCrossed = errors.New("answer to another request")
+	// ErrMalformed: the answer does not follow the protocol.
+	ErrMalformed = errors.New("malformed answer")
+	// ErrTooLong: the answer is longer than the limit.
+	ErrTooLong = errors.New("answer too long")
+)
+
+// Call is one request to a target.
+type Call struct {
+	// RequestID is the fleet's own id of the request, the same for every attempt.
+	RequestID string
+	// Address is the target's IP:port.
+	Address   string
+	Service   string
+	Name      string
+	Workspace string
+	Chat      string
+	// Key is the caller's idempotency key; empty for none.
+	Key string
+	// Priority is honoured by engines: a higher number goes first.
+	Priority int
+	// Fence is the fencing number of the permit.
+	Fence       uint64
+	ContentType string
+	Body        []byte
+	// Offset is the number of events that the caller already has.
+	Offset int
+	// Fresh asks for a connection that was opened for this call.
+	Fresh bool
+	// FirstByte bounds the silence before the answer, Gap the silence within
+	// it; 0 is no bound.
+	FirstByte time.Duration
+	Gap       time.Duration
+	// BeforeSend is called after the last step that may block and before the
+	// first byte leaves. Its error keeps the call from being sent.
+	BeforeSend func() error
+}
+
+// SendError says how a call failed.
+type SendError struct {
+	// Sent is false only when no byte of the call can have left.
+	Sent bool
+	// Reused is set when the call went over a connection used before.
+	Reused bool
+	Err    error
+}
+
+// Error describes the failure.
+func (e *SendError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *SendError) Unwrap() error { return e.Err }
+
+// AnswerHeader is what is known of an answer when it begins.
+type AnswerHeader struct {
+	Status      int
+	ContentType string
+	// Stream is set when the answer is an event stream.
+	Stream bool
+	// Warm is set when a plain answer says that the context was warm.
+	Warm bool
+}
+
+// Event is one event of a stream.
+type Event struct {
+	// Offset counts the events of an answer from 0.
+	Offset int
+	Name   string
+	Data   []byte
+}
+
+// End is the end mark of a stream.
+type End struct {
+	// Events is the number of events of the whole answer.
+	Events int
+	// Warm is set when the chat's context was in the prefix memory.
+	Warm bool
+}
+
+// Answer is an answer that is being received. Its methods are called from one
+// goroutine, Close excepted.
+type Answer interface {
+	// Header returns what is known at the beginning.
+	Header() AnswerHeader
+	// Body returns the whole body of a plain answer, at most limit bytes.
+	Body(limit int) ([]byte, error)
+	// Next returns the next event of a stream, whose data is valid until the
+	// following call. It returns io.EOF after the end mark.
+	Next() (Event, error)
+	// End returns the end mark once Next has returned io.EOF.
+	End() End
+	// Close gives the connection up; a whole answer's connection is kept.
+	Close()
+}
+
+// Sender sends calls to targets.
+type Sender interface {
+	// Send returns when the answer begins. Its error is a *SendError.
+	Send(ctx context.Context, call Call) (Answer, error)
+	// Cancel tells the target at address to stop a request.
+	Cancel(ctx context.Context, address, requestID string) error
+}
