--- /dev/null
+++ b/standin/engine_report.go
@@ -0,0 +1,30 @@
+package standin
+
+import "comfreytiller.dev/target"
+
+// announcement returns what the engine announces now.
+func (e *Engine) announcement() target.Announcement {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return target.Announcement{
+		Name: e.settings.Name, Stamp: target.Stamp{Incarnation: e.incarnation},
+		Address: e.Address(), FailureDomain: e.settings.FailureDomain, Kind: target.KindModel,
+		Service: e.settings.Service, Model: e.settings.Model, Version: e.settings.Version,
+		Role: e.settings.Role, Capacity: e.settings.Slots, CachedChats: e.settings.CachedChats,
+		Cold: e.cold, ChecksFence: e.settings.ChecksFence, Resumes: true, MovesCache: true,
+	}
+}
+
+// loadReport returns the engine's load now.
+func (e *Engine) loadReport() target.LoadReport {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	queued := e.slots.queued()
+	return target.LoadReport{
+		Name: e.settings.Name, InFlight: len(e.running) - queued, Queued: queued,
+		CacheUsed: e.cache.used(), Cold: e.cold,
+	}
+}
+
+// LoseEvents drops the engine's next n cache events on the way.
+func (e *Engine) LoseEvents(n int) { e.announcer.loseEvents(n) }
--- /dev/null
+++ b/standin/engine_settings.go
@@ -0,0 +1,62 @@
+package standin
+
+import (
+	"time"
+
+	"comfreytiller.dev/target"
+)
+
+// EngineSettings describe a stand-in engine. Zero values leave a feature out.
+type EngineSettings struct {
+	Name          string
+	FailureDomain string
+	Service       string
+	Model         string
+	Version       string
+	Role          target.Role
+	// Hosts are the entry hosts to announce to, IP:port.
+	Hosts     []string
+	SharedKey string
+	// Heartbeat is the time between load reports.
+	Heartbeat   time.Duration
+	Incarnation uint64
+	// Slots is the number of requests that run at once; the rest wait inside
+	// the engine by priority. 0 is no bound.
+	Slots int
+	// CachedChats is the number of chats in the prefix memory; 0 is no bound.
+	CachedChats int
+	// ColdRequests is the number of requests completed before a started engine
+	// is warm; 0 starts warm.
+	ColdRequests int
+	// ColdBears and Bears are the numbers in flight beyond which the engine
+	// falls over while cold and while warm; 0 is no bound.
+	ColdBears int
+	Bears     int
+	// FirstByte is the time to the first token of a chat that is not in the
+	// prefix memory, WarmFirstByte of one that is, and ColdFirstByte while the
+	// engine is cold.
+	FirstByte     time.Duration
+	WarmFirstByte time.Duration
+	ColdFirstByte time.Duration
+	// Gap is the time between tokens.
+	Gap time.Duration
+	// Tokens is the length of an answer whose request names none.
+	Tokens int
+	// ChecksFence makes the engine refuse orders with an old fencing number.
+	ChecksFence bool
+	// LoadTime is how long an order to load a model takes.
+	LoadTime time.Duration
+}
+
+// defaultTokens is the length of an answer.
+const defaultTokens = 8
+
+func (s EngineSettings) withDefaults() EngineSettings {
+	if s.Tokens == 0 {
+		s.Tokens = defaultTokens
+	}
+	if s.Incarnation == 0 {
+		s.Incarnation = 1
+	}
+	return s
+}
--- a/target/call.go
+++ b/target/call.go
@@ -45,6 +45,8 @@
 	Body        []byte
 	// Offset is the number of events that the caller already has.
 	Offset int
+	// Stream asks for an event stream.
+	Stream bool
 	// Fresh asks for a connection that was opened for this call.
 	Fresh bool
 	// FirstByte bounds the silence before the answer, Gap the silence within
--- a/target/web/client.go
+++ b/target/web/client.go
@@ -138,6 +138,9 @@
 	if call.Offset > 0 {
 		request.Header.Set(HeaderOffset, strconv.Itoa(call.Offset))
 	}
+	if call.Stream {
+		request.Header.Set(fasthttp.HeaderAccept, contentStream)
+	}
 	if call.ContentType != "" {
 		request.Header.SetContentType(call.ContentType)
 	}
