Add the gateway: whole answers, retries, claims, drain, in a thin whole path

Idempotent calls are retried within a budget and cut streams resumed; any other call is sent at most once, with a claim when it has a key. Callers that go away are noticed by a one-byte read beside the HTTP server.

--- /dev/null
+++ b/gateway/drain.go
@@ -0,0 +1,47 @@
+package gateway
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+	"github.com/jonboulle/clockwork"
+)
+
+// ErrDrainLimit reports a drain that ended before every request did.
+var ErrDrainLimit = errors.New("drain limit reached")
+
+// Drain stops the gateway: its readiness fails and new requests are refused as
+// not run, on connections that then close. It returns when every request has
+// its answer and the connections are closed, or when ctx or the drain limit
+// ends it. Only a caller that does not read is cut, by its write budget.
+func (g *Gateway) Drain(ctx context.Context) error {
+	if g.settings.drainLimit > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = clockwork.WithTimeout(ctx, g.Clock, g.settings.drainLimit)
+		defer cancel()
+	}
+	idle := g.work.drain()
+	if g.settings.linger > 0 {
+		timer := g.Clock.NewTimer(g.settings.linger)
+		defer timer.Stop()
+		select {
+		case <-timer.Chan():
+		case <-ctx.Done():
+		}
+	}
+	select {
+	case <-idle:
+	case <-ctx.Done():
+		return errors.Wrapf(ErrDrainLimit, "%d requests in hand", g.work.count())
+	}
+	if err := g.server.ShutdownWithContext(ctx); err != nil {
+		return errors.Wrapf(ErrDrainLimit, "close connections: %v", err)
+	}
+	return nil
+}
+
+// Draining reports whether the gateway refuses new requests.
+func (g *Gateway) Draining() bool { return g.work.draining() }
+
+// InFlight returns the number of requests in hand.
+func (g *Gateway) InFlight() int { return g.work.count() }
--- /dev/null
+++ b/gateway/failure.go
@@ -0,0 +1,125 @@
+package gateway
+
+import (
+	"encoding/json"
+	"math"
+	"strconv"
+	"time"
+
+	"comfreytiller.dev/admission"
+	"github.com/valyala/fasthttp"
+)
+
+// Ran tells whether a failed request ran.
+type Ran string
+
+// The values of Ran.
+const (
+	// RanNo: no byte of the request has left this host for a target.
+	RanNo Ran = "No"
+	// RanYes: the request has run, but its answer can't be given.
+	RanYes Ran = "Yes"
+	// RanUnknown: the request may have run.
+	RanUnknown Ran = "Unknown"
+)
+
+// Code names what went wrong.
+type Code string
+
+// The codes of failures that callers see. Those of refused permits are the
+// codes of admission.RefusalCode.
+const (
+	CodeBadRequest   Code = "BadRequest"
+	CodeNotFound     Code = "NotFound"
+	CodeMethod       Code = "Method"
+	CodeForbidden    Code = "Forbidden"
+	CodeBodyTooLarge Code = "BodyTooLarge"
+	CodeHeaderLimit  Code = "HeaderTooLarge"
+	CodeURILimit     Code = "URITooLong"
+	CodeSlowSender   Code = "SlowSender"
+	CodeConnections  Code = "TooManyConnections"
+	CodeDraining     Code = "Draining"
+	CodeNotReady     Code = "NotReady"
+	CodeNoOwner      Code = "NoOwner"
+	CodeDeadline     Code = "Deadline"
+	CodeTarget       Code = "TargetFailed"
+	CodeInDoubt      Code = "InDoubt"
+	CodeRunning      Code = "Running"
+	CodeConflict     Code = "KeyConflict"
+	CodeCancelled    Code = "Cancelled"
+	CodeNotStored    Code = "AnswerNotStored"
+	CodeClaims       Code = "ClaimsUnavailable"
+	CodeCallerGone   Code = "CallerGone"
+)
+
+// Failure is an error as callers see it.
+type Failure struct {
+	Status  int
+	Code    Code
+	Message string
+	Ran     Ran
+	// RetryAfter is when asking again may help; 0 when it won't.
+	RetryAfter time.Duration
+}
+
+// Error describes the failure.
+func (f *Failure) Error() string { return string(f.Code) + ": " + f.Message }
+
+// failure returns a failure of a request that did not run.
+func failure(status int, code Code, message string) *Failure {
+	return &Failure{Status: status, Code: code, Message: message, Ran: RanNo}
+}
+
+// after sets when asking again may help.
+func (f *Failure) after(d time.Duration) *Failure {
+	f.RetryAfter = d
+	return f
+}
+
+// FailureBody is the error body on the wire. RetryAfter is in seconds.
+type FailureBody struct {
+	Code       string
+	Message    string
+	Ran        string
+	RetryAfter float64
+}
+
+// EncodeFailure writes the error body.
+func EncodeFailure(f *Failure) []byte {
+	body, _ := json.Marshal(FailureBody{
+		Code: string(f.Code), Message: f.Message, Ran: string(f.Ran), RetryAfter: f.RetryAfter.Seconds(),
+	})
+	return body
+}
+
+// refusalFailure maps a refused permit.
+func refusalFailure(refusal *admission.Refusal) *Failure {
+	status := fasthttp.StatusServiceUnavailable
+	switch refusal.Code {
+	case admission.RefusedQueueFull:
+		status = fasthttp.StatusTooManyRequests
+	case admission.RefusedDeadline:
+		status = fasthttp.StatusGatewayTimeout
+	case admission.RefusedUnknownService:
+		status = fasthttp.StatusNotFound
+	case admission.RefusedUnknownWorkspace:
+		status = fasthttp.StatusForbidden
+	}
+	return failure(status, Code(refusal.Code), refusal.Message).after(refusal.RetryAfter)
+}
+
+// fail answers a request with a failure.
+func (g *Gateway) fail(ctx *fasthttp.RequestCtx, f *Failure) {
+	ctx.Response.ResetBody()
+	ctx.SetStatusCode(f.Status)
+	ctx.SetContentType(contentJSON)
+	if f.RetryAfter > 0 {
+		seconds := int(math.Ceil(f.RetryAfter.Seconds()))
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(seconds))
+	}
+	ctx.SetBody(EncodeFailure(f))
+	if g.work.draining() {
+		ctx.SetConnectionClose()
+	}
+	g.meters.failed(f)
+}
--- /dev/null
+++ b/gateway/fakes_test.go
@@ -0,0 +1,156 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"comfreytiller.dev/admission"
+	"comfreytiller.dev/fleet"
+	"github.com/go-faster/errors"
+)
+
+// fakeAdmitter gives permits for the first target that is not excluded.
+type fakeAdmitter struct {
+	mu       sync.Mutex
+	targets  []admission.Permit
+	asked    []admission.Request
+	released []admission.Release
+	refusal  *admission.Refusal
+	onGrant  func()
+	wait     bool
+}
+
+func (f *fakeAdmitter) Acquire(ctx context.Context, r admission.Request) (admission.Permit, error) {
+	if f.wait {
+		<-ctx.Done()
+		return admission.Permit{}, ctx.Err()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.asked = append(f.asked, r)
+	if f.refusal != nil {
+		return admission.Permit{}, f.refusal
+	}
+	for _, permit := range f.targets {
+		if slices.Contains(r.Exclude, permit.Target) {
+			continue
+		}
+		permit.RequestID = r.ID
+		if f.onGrant != nil {
+			f.onGrant()
+		}
+		return permit, nil
+	}
+	return admission.Permit{}, &admission.Refusal{RequestID: r.ID, Code: admission.RefusedNoTarget, RetryAfter: 2 * time.Second}
+}
+
+func (f *fakeAdmitter) Release(release admission.Release) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.released = append(f.released, release)
+}
+
+func (f *fakeAdmitter) grants() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.asked)
+}
+
+// outcomes returns how the permits ended.
+func (f *fakeAdmitter) outcomes() []admission.Outcome {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var all []admission.Outcome
+	for _, release := range f.released {
+		all = append(all, release.Outcome)
+	}
+	return all
+}
+
+type fakeCatalog struct {
+	fleet       *fleet.Fleet
+	unavailable atomic.Bool
+}
+
+func (f *fakeCatalog) Fleet() *fleet.Fleet   { return f.fleet }
+func (f *fakeCatalog) Available(string) bool { return !f.unavailable.Load() }
+
+var errLeaseOver = errors.New("the session lease has ended")
+
+type fakeAuthority struct{ over atomic.Bool }
+
+func (f *fakeAuthority) Check() error {
+	if f.over.Load() {
+		return errLeaseOver
+	}
+	return nil
+}
+
+// fakeClaims keeps claims in memory.
+type fakeClaims struct {
+	mu         sync.Mutex
+	claims     map[ClaimKey]Claim
+	failFinish bool
+	failOpen   bool
+	steps      []string
+}
+
+var errQuorum = errors.New("no quorum")
+
+func (f *fakeClaims) Open(_ context.Context, key ClaimKey, fingerprint uint64, _ time.Time) (Claim, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.steps = append(f.steps, "Open")
+	if f.failOpen {
+		return Claim{}, errQuorum
+	}
+	if claim, ok := f.claims[key]; ok {
+		switch {
+		case claim.Fingerprint != fingerprint:
+			claim.State = ClaimConflict
+		case claim.State == ClaimOpen:
+			claim.State = ClaimRunning
+		}
+		return claim, nil
+	}
+	claim := Claim{ClaimKey: key, State: ClaimOpen, Fingerprint: fingerprint}
+	f.claims[key] = claim
+	return claim, nil
+}
+
+func (f *fakeClaims) change(key ClaimKey, step string, state ClaimState, answer Answer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.steps = append(f.steps, step)
+	claim := f.claims[key]
+	claim.State, claim.Answer = state, answer
+	f.claims[key] = claim
+}
+
+func (f *fakeClaims) Finish(_ context.Context, key ClaimKey, answer Answer) error {
+	if f.failFinish {
+		return errQuorum
+	}
+	answer.Body = slices.Clone(answer.Body)
+	f.change(key, "Finish", ClaimDone, answer)
+	return nil
+}
+
+func (f *fakeClaims) Cancel(_ context.Context, key ClaimKey) error {
+	f.change(key, "Cancel", ClaimCancelled, Answer{})
+	return nil
+}
+
+func (f *fakeClaims) Doubt(_ context.Context, key ClaimKey) error {
+	f.change(key, "Doubt", ClaimInDoubt, Answer{})
+	return nil
+}
+
+func (f *fakeClaims) history() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.steps)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -1,96 +1,137 @@
 // Package gateway is the data path of an entry host: it takes a caller's
 // request, gets a permit for a target, relays the answer as it comes and makes
 // sure that it is whole.
+//
+// An idempotent call is retried on another target within a budget, and a cut
+// stream is resumed at its offset. Any other call is sent to a target at most
+// once; with an idempotency key a claim at the quorum keeps that true across
+// hosts and restarts. An error body tells whether the request ran: "No" only
+// when no byte of it can have left this host.
+//
+// A caller that closes its connection is noticed at once, since one byte is
+// read from the connection while its answer is awaited; its work on the engine
+// is then cancelled.
+//
+// # Usage
+//
+//	entry := gateway.New(gateway.Dependencies{
+//		Admitter: admitter, Catalog: catalog, Authority: authority, Claims: claims,
+//		Sender: web.NewClient(clock), Clock: clock, Logger: logger, Scope: scope,
+//		Host: "rabat-a-1",
+//	}, gateway.WithMaxConnections(4096))
+//	go entry.Serve(listener)
+//	...
+//	err := entry.Drain(ctx)
 package gateway
 
 import (
-	"context"
-	"time"
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"strconv"
+	"strings"
+	"sync/atomic"
 
-	"comfreytiller.dev/admission"
-	"comfreytiller.dev/fleet"
+	"comfreytiller.dev/common/logs"
+	"comfreytiller.dev/target"
+	"github.com/go-faster/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	"github.com/valyala/fasthttp"
 )
 
-// Admitter gives permits. The host's implementation asks the owner of the
-// service.
-type Admitter interface {
-	// Acquire waits for a permit until the request's deadline. Its error is an
-	// *admission.Refusal when no part of the request ran.
-	Acquire(ctx context.Context, request admission.Request) (admission.Permit, error)
-	// Release gives a permit back. It does not block.
-	Release(release admission.Release)
+// Dependencies are what a gateway works with. Admitter, Catalog, Authority,
+// Claims and Sender are needed; the rest has defaults.
+type Dependencies struct {
+	Admitter  Admitter
+	Catalog   Catalog
+	Authority Authority
+	Claims    Claims
+	Sender    target.Sender
+	Clock     clockwork.Clock
+	// Logger gets one line for each routing decision, with the prefix "Route".
+	Logger *logrus.Logger
+	Scope  tally.Scope
+	// Host is this host's name.
+	Host string
+	// Ready adds a condition to readiness; nil for none.
+	Ready func() error
 }
 
-// Catalog gives the fleet in force.
-type Catalog interface {
-	// Fleet returns the fleet in force on this host; nil before the first.
-	Fleet() *fleet.Fleet
-	// Available reports whether a service and all it depends on can serve.
-	Available(service string) bool
+// Gateway serves callers.
+type Gateway struct {
+	Dependencies
+	settings settings
+	server   *fasthttp.Server
+	meters   *meters
+	budgets  *budgets
+	work     *work
+	log      *logrus.Logger
+	idPrefix string
+	lastID   atomic.Uint64
 }
 
-// Authority tells whether this host may give work to targets.
-type Authority interface {
-	// Check returns nil only while the host's session lease is live by its own
-	// monotonic clock less a margin. It is called after the last step that may
-	// block before bytes are sent to a target.
-	Check() error
+// New returns a gateway that serves nothing yet.
+func New(dependencies Dependencies, options ...Option) *Gateway {
+	g := &Gateway{Dependencies: dependencies, settings: defaultSettings()}
+	for _, option := range options {
+		option(&g.settings)
+	}
+	if g.Clock == nil {
+		g.Clock = clockwork.NewRealClock()
+	}
+	if g.Scope == nil {
+		g.Scope = tally.NoopScope
+	}
+	if g.Logger == nil {
+		g.Logger = logs.Discard()
+	}
+	g.log = logs.Part(g.Logger, "Route")
+	g.meters = newMeters(g.Scope)
+	g.budgets = newBudgets(g.settings.retryShare)
+	g.work = newWork()
+	g.idPrefix = g.Host + "-" + nonce() + "-"
+	g.server = g.newServer()
+	return g
 }
 
-// ClaimState is the state of a claim for a request that runs at most once.
-type ClaimState string
-
-// The claim states.
-const (
-	// ClaimOpen: this caller holds the claim and may dispatch once.
-	ClaimOpen ClaimState = "Open"
-	// ClaimDone: the request has run; the answer is stored.
-	ClaimDone ClaimState = "Done"
-	// ClaimInDoubt: the request may have run; no answer is known.
-	ClaimInDoubt ClaimState = "InDoubt"
-	// ClaimCancelled: the request has not run and never will under this claim.
-	ClaimCancelled ClaimState = "Cancelled"
-	// ClaimConflict: the key was used with another request.
-	ClaimConflict ClaimState = "Conflict"
-)
-
-// ClaimKey names a claim.
-type ClaimKey struct {
-	Workspace string
-	Service   string
-	Key       string
+// Serve takes callers' connections from listener until Drain.
+func (g *Gateway) Serve(listener net.Listener) error {
+	if err := g.server.Serve(g.Listener(listener)); err != nil {
+		return errors.Wrap(err, "serve callers")
+	}
+	return nil
 }
 
-// Claim is a claim as the quorum knows it.
-type Claim struct {
-	ClaimKey
-	State ClaimState
-	// Fingerprint is the hash of the call and its body.
-	Fingerprint uint64
-	// Dispatcher is the session that may dispatch.
-	Dispatcher uint64
-	Answer     Answer
+// Handler serves one request. It is exported for a server that also serves
+// other paths; that server should take its connections from Listener.
+func (g *Gateway) Handler(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	switch {
+	case path == PathHealth:
+		g.health(ctx)
+	case path == PathReady:
+		g.ready(ctx)
+	case strings.HasPrefix(path, PathServices):
+		g.serveCall(ctx, path)
+	default:
+		if handler := g.settings.handler(path); handler != nil {
+			handler(ctx)
+			return
+		}
+		g.fail(ctx, failure(fasthttp.StatusNotFound, CodeNotFound, "no such path"))
+	}
 }
 
-// Answer is a whole answer as it is stored with a claim.
-type Answer struct {
-	Status      int
-	ContentType string
-	Body        []byte
-	// Truncated is set when the body was too long to store.
-	Truncated bool
+// nextID returns an id that no other request of the fleet has.
+func (g *Gateway) nextID() string {
+	return g.idPrefix + strconv.FormatUint(g.lastID.Add(1), 10)
 }
 
-// Claims commits claims at the quorum.
-type Claims interface {
-	// Open commits the claim or returns the state of the one that exists. Only
-	// the state ClaimOpen allows the caller to dispatch, once.
-	Open(ctx context.Context, key ClaimKey, fingerprint uint64, now time.Time) (Claim, error)
-	// Finish commits the outcome and the answer.
-	Finish(ctx context.Context, key ClaimKey, answer Answer) error
-	// Cancel commits that the request was never sent. Only the dispatcher may
-	// cancel its open claim; after it, "not run" is true.
-	Cancel(ctx context.Context, key ClaimKey) error
-	// Doubt commits that the request may have run.
-	Doubt(ctx context.Context, key ClaimKey) error
+// nonce tells this process's ids from those of an earlier one.
+func nonce() string {
+	var random [6]byte
+	_, _ = rand.Read(random[:])
+	return hex.EncodeToString(random[:])
 }
--- /dev/null
+++ b/gateway/relay.go
@@ -0,0 +1,172 @@
+package gateway
+
+import (
+	"encoding/json"
+
+	"comfreytiller.dev/admission"
+	"comfreytiller.dev/target"
+	"comfreytiller.dev/target/web"
+	"github.com/go-faster/errors"
+)
+
+// errBroken ends a stream that failed: the connection closes without the last
+// chunk.
+var errBroken = errors.New("answer not whole")
+
+// errCallerGone ends a stream that nobody reads.
+var errCallerGone = errors.New("caller gone")
+
+// errorEvent is the name of the event that tells why a stream is not whole.
+const errorEvent = "error"
+
+// relay is the body of a streamed answer. Each Read gives one event, which the
+// HTTP server sends as one chunk.
+type relay struct {
+	*visit
+	attempt *attempt
+	record  *record
+
+	next    int
+	begun   bool
+	pending []byte
+	buffer  []byte
+	err     error
+	closed  bool
+}
+
+// endBody is the data of the end mark that callers get.
+type endBody struct {
+	Request string
+	Events  int
+	Target  string
+	Warm    bool
+}
+
+// Read returns the next part of the stream.
+func (r *relay) Read(p []byte) (int, error) {
+	if len(r.pending) == 0 {
+		if r.err != nil {
+			return 0, r.err
+		}
+		r.advance()
+	}
+	n := copy(p, r.pending)
+	r.pending = r.pending[n:]
+	return n, nil
+}
+
+// advance prepares the next event, the end mark or the error event.
+func (r *relay) advance() {
+	event, err := r.event()
+	switch {
+	case err == nil:
+		r.next++
+		r.buffer = web.AppendNumbered(r.buffer[:0], event.Offset, event.Name, event.Data)
+	case errors.Is(err, errEOF):
+		r.end()
+	default:
+		r.fail(err)
+	}
+	r.pending = r.buffer
+	r.record.add(r.pending)
+}
+
+// event returns the next event, from another connection if this one failed.
+func (r *relay) event() (target.Event, error) {
+	for {
+		event, err := r.read()
+		if err == nil || errors.Is(err, errEOF) {
+			return event, err
+		}
+		if !r.resume(err) {
+			return event, err
+		}
+	}
+}
+
+// read returns the attempt's next event; its first one has been read already.
+func (r *relay) read() (target.Event, error) {
+	if r.begun {
+		return r.attempt.answer.Next()
+	}
+	r.begun = true
+	if r.attempt.ended {
+		return target.Event{}, errEOF
+	}
+	return r.attempt.event, nil
+}
+
+// resume continues a cut stream at its offset through another connection.
+func (r *relay) resume(cause error) bool {
+	if !r.call.Idempotent || !r.attempt.permit.Resumes || r.ctx.Err() != nil {
+		return false
+	}
+	r.giveUp(cause)
+	for r.resumes < r.gateway.settings.resumes {
+		r.resumes++
+		a, err := r.try(r.ctx, r.next, true)
+		if err == nil {
+			r.attempt, r.begun = a, false
+			r.gateway.meters.resumed.Inc(1)
+			return true
+		}
+		if r.ctx.Err() != nil || !r.retryable(err) || !r.gateway.budgets.of(r.service.Name).take() || !r.backOff() {
+			return false
+		}
+	}
+	return false
+}
+
+// giveUp releases the attempt that failed. A target whose connection was cut
+// may be asked again; one that misbehaved is not.
+func (r *relay) giveUp(cause error) {
+	r.gateway.logAttempt(r.exchange, r.attempt, cause)
+	if !errors.Is(cause, target.ErrCut) {
+		r.excluded = append(r.excluded, r.attempt.permit.Target)
+	}
+	r.finish(r.attempt, admission.OutcomeFailed)
+}
+
+// end prepares the end mark of a whole stream.
+func (r *relay) end() {
+	end := r.attempt.answer.End()
+	r.finish(r.attempt, admission.OutcomeDone)
+	r.gateway.logDone(r.exchange, r.attempt, end.Warm)
+	r.gateway.meters.answered.Inc(1)
+	data, _ := json.Marshal(endBody{
+		Request: r.callerID, Events: r.next, Target: r.attempt.permit.Target, Warm: end.Warm,
+	})
+	r.buffer = web.AppendNumbered(r.buffer[:0], r.next, web.EndEvent, data)
+	r.err = errEOF
+	r.record.add(r.buffer)
+	r.record.done()
+	r.record = nil
+}
+
+// fail prepares the error event of a stream that is not whole.
+func (r *relay) fail(err error) {
+	r.record.failed()
+	r.abandon(r.attempt, err)
+	f := r.failure(err)
+	r.gateway.meters.failed(f)
+	r.buffer = web.AppendNumbered(r.buffer[:0], r.next, errorEvent, EncodeFailure(f))
+	r.err = errBroken
+}
+
+// Close ends the visit. A stream whose caller has gone is stopped on the
+// target, but a call that runs at most once is read to its end.
+func (r *relay) Close() error {
+	if r.closed {
+		return nil
+	}
+	r.closed = true
+	for r.err == nil && !r.call.Idempotent {
+		r.advance()
+	}
+	if r.err == nil {
+		r.leave()
+		r.abandon(r.attempt, errCallerGone)
+	}
+	r.close()
+	return nil
+}
--- /dev/null
+++ b/gateway/seams.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"comfreytiller.dev/admission"
+	"comfreytiller.dev/fleet"
+)
+
+// Admitter gives permits. The host's implementation asks the owner of the
+// service.
+type Admitter interface {
+	// Acquire waits for a permit until the request's deadline. Its error is an
+	// *admission.Refusal when no part of the request ran.
+	Acquire(ctx context.Context, request admission.Request) (admission.Permit, error)
+	// Release gives a permit back. It does not block.
+	Release(release admission.Release)
+}
+
+// Catalog gives the fleet in force.
+type Catalog interface {
+	// Fleet returns the fleet in force on this host; nil before the first.
+	Fleet() *fleet.Fleet
+	// Available reports whether a service and all it depends on can serve.
+	Available(service string) bool
+}
+
+// Authority tells whether this host may give work to targets.
+type Authority interface {
+	// Check returns nil only while the host's session lease is live by its own
+	// monotonic clock less a margin. It is called after the last step that may
+	// block before bytes are sent to a target.
+	Check() error
+}
+
+// ClaimState is the state of a claim for a request that runs at most once.
+type ClaimState string
+
+// The claim states.
+const (
+	// ClaimOpen: this caller holds the claim and may dispatch once.
+	ClaimOpen ClaimState = "Open"
+	// ClaimRunning: another dispatcher holds the claim, or an earlier Open of
+	// this one does.
+	ClaimRunning ClaimState = "Running"
+	// ClaimDone: the request has run; the answer is stored.
+	ClaimDone ClaimState = "Done"
+	// ClaimInDoubt: the request may have run; no answer is known.
+	ClaimInDoubt ClaimState = "InDoubt"
+	// ClaimCancelled: the request has not run and never will under this claim.
+	ClaimCancelled ClaimState = "Cancelled"
+	// ClaimConflict: the key was used with another request.
+	ClaimConflict ClaimState = "Conflict"
+)
+
+// ClaimKey names a claim.
+type ClaimKey struct {
+	Workspace string
+	Service   string
+	Key       string
+}
+
+// Claim is a claim as the quorum knows it.
+type Claim struct {
+	ClaimKey
+	State ClaimState
+	// Fingerprint is the hash of the call and its body.
+	Fingerprint uint64
+	// Dispatcher is the session that may dispatch.
+	Dispatcher uint64
+	Answer     Answer
+}
+
+// Answer is a whole answer as it is stored with a claim.
+type Answer struct {
+	Status      int
+	ContentType string
+	Body        []byte
+	// Truncated is set when the body was too long to store.
+	Truncated bool
+}
+
+// Claims commits claims at the quorum.
+type Claims interface {
+	// Open commits the claim or returns the state of the one that exists. Only
+	// the state ClaimOpen allows the caller to dispatch, once.
+	Open(ctx context.Context, key ClaimKey, fingerprint uint64, now time.Time) (Claim, error)
+	// Finish commits the outcome and the answer.
+	Finish(ctx context.Context, key ClaimKey, answer Answer) error
+	// Cancel commits that the request was never sent. Only the dispatcher may
+	// cancel its open claim; after it, "not run" is true.
+	Cancel(ctx context.Context, key ClaimKey) error
+	// Doubt commits that the request may have run.
+	Doubt(ctx context.Context, key ClaimKey) error
+}
--- a/target/web/client.go
+++ b/target/web/client.go
@@ -76,7 +76,7 @@
 	if call.BeforeSend != nil {
 		if err := call.BeforeSend(); err != nil {
 			c.unused(l)
-			return nil, &target.SendError{Err: errors.Wrapf(target.ErrNotSent, "%v", err)}
+			return nil, &target.SendError{Err: errors.Join(target.ErrNotSent, err)}
 		}
 	}
 	request := fasthttp.AcquireRequest()
