--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -55,7 +55,7 @@
 	release bool
 }
 
-func (g *Gateway) newExchange(r *request, gone context.Context) *exchange {
+func (g *Gateway) newExchange(gone context.Context, r *request) *exchange {
 	ctx, cancel := clockwork.WithDeadline(gone, g.Clock, r.deadline)
 	return &exchange{request: r, gateway: g, ctx: ctx, cancel: cancel, gone: gone}
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -133,6 +133,7 @@
 	r.finish(r.attempt, admission.OutcomeDone)
 	r.gateway.logDone(r.exchange, r.attempt, end.Warm)
 	r.gateway.meters.answered.Inc(1)
+	r.gateway.meters.repeated.Inc(int64(end.Repeated))
 	data, _ := json.Marshal(endBody{
 		Request: r.callerID, Events: r.next, Target: r.attempt.permit.Target, Warm: end.Warm,
 	})
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -46,7 +46,7 @@
 // newVisit begins to watch the caller's connection.
 func (g *Gateway) newVisit(ctx *fasthttp.RequestCtx, r *request) *visit {
 	gone, leave := context.WithCancel(context.Background())
-	v := &visit{exchange: g.newExchange(r, gone), leave: leave, stopWatch: func() {}, endDispatch: func() {}}
+	v := &visit{exchange: g.newExchange(gone, r), leave: leave, stopWatch: func() {}, endDispatch: func() {}}
 	if caller, ok := ctx.Conn().(*callerConn); ok {
 		v.stopWatch = caller.watch(leave)
 	}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -218,8 +218,8 @@
 	}
 	if bears > 0 && len(e.running) > bears {
 		e.stats.Falls++
-		clear(e.running)
 		e.restart(false)
+		clear(e.running)
 		return r, true
 	}
 	r.warm = r.chat != "" && e.cache.has(r.chat)
--- a/standin/server.go
+++ b/standin/server.go
@@ -35,12 +35,18 @@
 	s := &server{clock: clock, listener: listener, done: make(chan struct{}), conns: map[net.Conn]struct{}{}}
 	s.http = &fasthttp.Server{
 		Handler: handler, NoDefaultServerHeader: true, MaxRequestBodySize: maxBody,
-		ConnState: s.track, CloseOnShutdown: true,
+		ConnState: s.track, CloseOnShutdown: true, Logger: quiet{},
 	}
 	go func() { _ = s.http.Serve(listener) }()
 	return s, nil
 }
 
+// quiet drops the HTTP server's messages about connections that faults cut.
+type quiet struct{}
+
+// Printf drops a message.
+func (quiet) Printf(string, ...any) {}
+
 // Address is the IP:port that takes calls and orders.
 func (s *server) Address() string { return s.listener.Addr().String() }
 
--- a/target/call.go
+++ b/target/call.go
@@ -97,6 +97,8 @@
 	Events int
 	// Warm is set when the chat's context was in the prefix memory.
 	Warm bool
+	// Repeated is the number of events that arrived again and were dropped.
+	Repeated int
 }
 
 // Answer is an answer that is being received. Its methods are called from one
--- a/target/web/answer.go
+++ b/target/web/answer.go
@@ -28,11 +28,12 @@
 	chunks bool
 	events *EventReader
 	next   int
+	begun  bool
 	end    target.End
 	whole  bool
 	closed bool
-	// Repeated counts events that arrived twice and were dropped.
-	Repeated int
+	// repeated counts events that arrived again and were dropped.
+	repeated int
 }
 
 // endBody is the data of the end mark.
@@ -54,7 +55,6 @@
 	if err := header.Read(a.link.reader); err != nil {
 		return a.failure(err)
 	}
-	a.link.guard.Disarm()
 	if id := string(header.Peek(HeaderRequest)); id != a.call.RequestID {
 		return errors.Wrapf(target.ErrCrossed, "asked %s, answered %q", a.call.RequestID, id)
 	}
@@ -64,6 +64,9 @@
 		Warm:        string(header.Peek(HeaderWarm)) == "true",
 	}
 	a.header.Stream = strings.HasPrefix(a.header.ContentType, contentStream)
+	if !a.header.Stream {
+		a.link.guard.Disarm()
+	}
 	return a.frame(header.ContentLength(), header.ConnectionClose())
 }
 
@@ -151,9 +154,7 @@
 		return target.Event{}, errors.Wrap(target.ErrMalformed, "not an event stream")
 	}
 	for {
-		a.link.guard.Arm(a.call.Gap)
-		raw, err := a.events.Next()
-		a.link.guard.Disarm()
+		raw, err := a.nextRaw()
 		if err != nil {
 			return target.Event{}, a.failure(err)
 		}
@@ -165,7 +166,7 @@
 			return target.Event{}, a.finish(raw.Data)
 		}
 		if offset < a.next {
-			a.Repeated++
+			a.repeated++
 			continue
 		}
 		if offset > a.next {
@@ -176,6 +177,18 @@
 	}
 }
 
+// nextRaw reads an event within the gap, the first one within what is left of
+// the first-byte budget.
+func (a *Answer) nextRaw() (RawEvent, error) {
+	if a.begun {
+		a.link.guard.Arm(a.call.Gap)
+	}
+	a.begun = true
+	raw, err := a.events.Next()
+	a.link.guard.Disarm()
+	return raw, err
+}
+
 // finish checks the end mark and the framing after it. It returns io.EOF when
 // the stream is whole.
 func (a *Answer) finish(data []byte) error {
@@ -189,7 +202,7 @@
 	if body.Events != a.next {
 		return errors.Wrapf(target.ErrCut, "%d of %d events", a.next, body.Events)
 	}
-	a.end = target.End{Events: body.Events, Warm: body.Warm}
+	a.end = target.End{Events: body.Events, Warm: body.Warm, Repeated: a.repeated}
 	a.link.guard.Arm(a.call.Gap)
 	_, err := a.events.Next()
 	a.link.guard.Disarm()
