--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -36,7 +36,9 @@
 	gone context.Context
 
 	excluded []string
+	// attempts counts the permits asked for, tries the attempts that failed.
 	attempts int
+	tries    int
 	expired  int
 	resumes  int
 	// sent is set once a byte of the request may have left.
@@ -64,7 +66,7 @@
 // first event, for a plain answer when it is whole.
 func (x *exchange) try(ctx context.Context, offset int, fresh bool) (*attempt, error) {
 	asked := x.gateway.Clock.Now()
-	permit, err := x.gateway.Admitter.Acquire(x.ctx, x.admission())
+	permit, err := x.acquire()
 	if err != nil {
 		return nil, err
 	}
@@ -85,13 +87,24 @@
 // exclude keeps the next attempt from the target that failed, unless the
 // failure was that of a connection used before.
 func (x *exchange) exclude(a *attempt, err error) {
-	var sendError *target.SendError
-	if errors.Is(err, target.ErrNotSent) || errors.As(err, &sendError) && sendError.Reused {
+	if errors.Is(err, target.ErrNotSent) || reusedFailed(err) {
 		return
 	}
 	x.excluded = append(x.excluded, a.permit.Target)
 }
 
+// acquire asks for a permit. Targets that failed are avoided, but only while
+// there are others.
+func (x *exchange) acquire() (admission.Permit, error) {
+	permit, err := x.gateway.Admitter.Acquire(x.ctx, x.admission())
+	var refusal *admission.Refusal
+	if len(x.excluded) == 0 || !errors.As(err, &refusal) || refusal.Code != admission.RefusedNoTarget {
+		return permit, err
+	}
+	x.excluded = nil
+	return x.gateway.Admitter.Acquire(x.ctx, x.admission())
+}
+
 // admission asks for a permit for the next attempt.
 func (x *exchange) admission() admission.Request {
 	x.attempts++
@@ -213,7 +226,7 @@
 func (x *exchange) run() (*attempt, *Failure) {
 	x.gateway.budgets.of(x.service.Name).request()
 	for {
-		a, err := x.try(x.ctx, 0, x.attempts > 0 || !x.call.Idempotent)
+		a, err := x.try(x.ctx, 0, x.tries > 0 || !x.call.Idempotent)
 		if err == nil {
 			return a, nil
 		}
@@ -235,13 +248,26 @@
 	if !x.retryable(err) {
 		return false
 	}
-	if x.attempts >= x.gateway.settings.attempts || !x.gateway.budgets.of(x.service.Name).take() {
+	x.tries++
+	if x.tries >= x.gateway.settings.attempts || !x.payRetry(err) {
 		return false
 	}
 	x.gateway.meters.retries.Inc(1)
 	return x.backOff()
 }
 
+// payRetry takes a retry from the budget. The failure of a connection used
+// before costs nothing: the pool has then dropped the target's connections, and
+// the next attempt opens one, so such retries end by themselves.
+func (x *exchange) payRetry(err error) bool {
+	return reusedFailed(err) || x.gateway.budgets.of(x.service.Name).take()
+}
+
+func reusedFailed(err error) bool {
+	var sendError *target.SendError
+	return errors.As(err, &sendError) && sendError.Reused
+}
+
 // retryable reports whether another attempt is allowed at all: for idempotent
 // work after a failure of the target, and for other work only while no byte has
 // left.
@@ -271,7 +297,7 @@
 // backOff waits a random time around the mean, which doubles with each attempt.
 // It reports false when the deadline comes first.
 func (x *exchange) backOff() bool {
-	mean := x.gateway.settings.backoff << (x.attempts - 1)
+	mean := x.gateway.settings.backoff << max(x.tries-1, 0)
 	if mean <= 0 {
 		return true
 	}
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -190,3 +191,15 @@
 func eventually(t testing.TB, condition func() bool, what string) {
 	require.Eventually(t, condition, patience, time.Millisecond, what)
 }
+
+// ranOf returns "Done" for an answer, and what a failure says of having run.
+func ranOf(status int, text string) string {
+	if status == http.StatusOK {
+		return "Done"
+	}
+	var body FailureBody
+	if err := json.Unmarshal([]byte(text), &body); err != nil {
+		return text
+	}
+	return body.Ran
+}
--- /dev/null
+++ b/gateway/once_test.go
@@ -0,0 +1,257 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"comfreytiller.dev/admission"
+	"comfreytiller.dev/standin"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const payment = `{"Amount":250}`
+
+// sentFaults are failures after the request has left.
+var sentFaults = []standin.FaultKind{
+	standin.FaultSilent, standin.FaultCut, standin.FaultTruncated, standin.FaultCrossed,
+	standin.FaultLate, standin.FaultNeverEnding,
+}
+
+func TestAPaymentThatMayHaveRunIsNeverRunAgain(t *testing.T) {
+	for _, kind := range sentFaults {
+		t.Run(string(kind), func(t *testing.T) {
+			b := newBench(t, WithAnswerBytes(1<<20))
+			plain := b.plain("treasury-1")
+			other := b.plain("treasury-2")
+			b.retries("Treasury", 5)
+			plain.Inject(standin.Fault{Kind: kind, Times: 1, Delay: time.Second})
+
+			status, text := b.get("Treasury/Pay", payment, HeaderKey, "pay-1")
+			require.Equal(t, 502, status)
+			require.Contains(t, text, `"Ran":"Unknown"`)
+			require.Equal(t, []string{"Open", "Doubt"}, b.claims.history())
+
+			status, text = b.get("Treasury/Pay", payment, HeaderKey, "pay-1")
+			require.Equal(t, 502, status)
+			require.Contains(t, text, `"Code":"InDoubt"`)
+			require.Contains(t, text, `"Ran":"Unknown"`)
+			require.Equal(t, 1, plain.Total()+other.Total())
+		})
+	}
+}
+
+func TestAPaymentWithoutAKeyIsSentOnce(t *testing.T) {
+	for _, kind := range sentFaults {
+		b := newBench(t, WithAnswerBytes(1<<20))
+		plain := b.plain("treasury-1")
+		other := b.plain("treasury-2")
+		b.retries("Treasury", 5)
+		plain.Inject(standin.Fault{Kind: kind, Times: 1, Delay: time.Second})
+		status, text := b.get("Treasury/Pay", payment)
+		require.Equal(t, 502, status, kind)
+		require.Contains(t, text, `"Ran":"Unknown"`)
+		require.Equal(t, 1, plain.Total()+other.Total())
+		require.Empty(t, b.claims.history())
+	}
+}
+
+func TestNotRunIsTrue(t *testing.T) {
+	cases := []struct {
+		name    string
+		prepare func(*bench)
+		status  int
+		code    string
+		claim   []string
+	}{
+		{"refused", func(b *bench) {
+			b.admitter.refusal = &admission.Refusal{Code: admission.RefusedQueueFull, RetryAfter: 3 * time.Second}
+		}, 429, "QueueFull", []string{"Open", "Cancel"}},
+		{"no target", func(b *bench) { b.admitter.targets = nil }, 503, "NoTarget", []string{"Open", "Cancel"}},
+		{"lease over after the permit", func(b *bench) {
+			b.admitter.onGrant = func() { b.authority.over.Store(true) }
+		}, 503, "NotReady", []string{"Open", "Cancel"}},
+		{"permit expired", func(b *bench) { b.admitter.targets[0].ValidFor = 1 }, 503, "NotReady", []string{"Open", "Cancel"}},
+		{"unreachable", func(b *bench) { b.admitter.targets[0].Address = closedPort(b.t) }, 503, "TargetFailed", []string{"Open", "Cancel"}},
+		{"no quorum", func(b *bench) { b.claims.failOpen = true }, 503, "ClaimsUnavailable", []string{"Open", "Cancel"}},
+		{"a dependency is down", func(b *bench) { b.catalog.unavailable.Store(true) }, 503, "Dependency", nil},
+		{"no fleet", func(b *bench) { b.catalog.fleet = nil }, 503, "NotReady", nil},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t)
+			plain := b.plain("treasury-1")
+			test.prepare(b)
+			response := b.post("Treasury/Pay", payment, HeaderKey, "pay-1")
+			text, err := read(response)
+			require.NoError(t, err)
+			require.Equal(t, test.status, response.StatusCode)
+			require.Contains(t, text, `"Code":"`+test.code+`"`)
+			require.Contains(t, text, `"Ran":"No"`)
+			require.NotEmpty(t, response.Header.Get("Retry-After"))
+			require.Equal(t, test.claim, b.claims.history())
+			require.Zero(t, plain.Total())
+			for _, outcome := range b.admitter.outcomes() {
+				require.NotEqual(t, admission.OutcomeDone, outcome)
+			}
+		})
+	}
+}
+
+// closedPort returns an address at which nothing listens.
+func closedPort(t testing.TB) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, listener.Close())
+	return listener.Addr().String()
+}
+
+func TestAPaymentGoesToAnotherTargetWhileNoByteHasLeft(t *testing.T) {
+	b := newBench(t)
+	b.permit("treasury-0", closedPort(t))
+	plain := b.plain("treasury-1")
+	b.retries("Treasury", 1)
+	status, _ := b.get("Treasury/Pay", payment, HeaderKey, "pay-1")
+	require.Equal(t, 200, status)
+	require.Equal(t, 1, plain.Runs("pay-1"))
+	require.Equal(t, []admission.Outcome{admission.OutcomeFailed, admission.OutcomeDone}, b.admitter.outcomes())
+}
+
+func TestAKeyStandsForOneRequest(t *testing.T) {
+	b := newBench(t)
+	plain := b.plain("treasury-1")
+	status, _ := b.get("Treasury/Pay", payment, HeaderKey, "pay-1")
+	require.Equal(t, 200, status)
+	status, text := b.get("Treasury/Pay", `{"Amount":999}`, HeaderKey, "pay-1")
+	require.Equal(t, 409, status)
+	require.Contains(t, text, `"Code":"KeyConflict"`)
+	require.Contains(t, text, `"Ran":"No"`)
+	require.Equal(t, 1, plain.Total())
+}
+
+func TestATrueAnswerIsGivenThoughItsClaimCannotBeFinished(t *testing.T) {
+	b := newBench(t)
+	plain := b.plain("treasury-1")
+	b.claims.failFinish = true
+	status, text := b.get("Treasury/Pay", payment, HeaderKey, "pay-1")
+	require.Equal(t, 200, status)
+	require.Contains(t, text, `"Run":1`)
+	status, text = b.get("Treasury/Pay", payment, HeaderKey, "pay-1")
+	require.Equal(t, 409, status)
+	require.Contains(t, text, `"Ran":"Unknown"`)
+	require.Equal(t, 1, plain.Total())
+}
+
+func TestAnAnswerTooLongToStoreIsToldAsRun(t *testing.T) {
+	b := newBench(t, WithStoredBytes(8))
+	b.plain("treasury-1")
+	status, _ := b.get("Treasury/Pay", payment, HeaderKey, "pay-1")
+	require.Equal(t, 200, status)
+	status, text := b.get("Treasury/Pay", payment, HeaderKey, "pay-1")
+	require.Equal(t, 409, status)
+	require.Contains(t, text, `"Ran":"Yes"`)
+}
+
+func TestAFilingStreamIsStoredAndReplayed(t *testing.T) {
+	b := newBench(t)
+	engine := b.engine(standin.EngineSettings{Name: "engine-1"})
+	status, text := b.get("Reviews/File", dossier, HeaderKey, "file-1")
+	require.Equal(t, 200, status)
+	require.Equal(t, wantTokens(dossier, 12), parseStream(t, text).tokens)
+	status, again := b.get("Reviews/File", dossier, HeaderKey, "file-1")
+	require.Equal(t, 200, status)
+	require.Equal(t, text, again)
+	require.Equal(t, 1, engine.Stats().Requests)
+}
+
+func TestACutFilingIsNotResumed(t *testing.T) {
+	b := newBench(t)
+	engine := b.engine(standin.EngineSettings{Name: "engine-1"})
+	b.engine(standin.EngineSettings{Name: "engine-2"})
+	b.retries("Reviews", 5)
+	engine.Inject(standin.Fault{Kind: standin.FaultCut, After: 4, Times: 1})
+	text, err := read(b.post("Reviews/File", dossier, HeaderKey, "file-1"))
+	require.Error(t, err)
+	require.Contains(t, parseStream(t, text).failed, `"Ran":"Unknown"`)
+	require.Equal(t, []string{"Open", "Doubt"}, b.claims.history())
+	require.Equal(t, 1, b.admitter.grants())
+}
+
+func TestAPaymentRunsToItsEndWhenItsCallerGoesAway(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	b := newBench(t)
+	b.catalog.fleet.Services[1].Timeouts.FirstByte = patience
+	plain, err := standin.NewPlain(clock, standin.PlainSettings{Name: "treasury-1", Latency: time.Minute})
+	require.NoError(t, err)
+	t.Cleanup(plain.Close)
+	b.permit("treasury-1", plain.Address())
+
+	ctx, leave := context.WithCancel(context.Background())
+	left := make(chan error, 1)
+	go func() {
+		_, err := b.tryPost(ctx, "Treasury/Pay", payment, HeaderKey, "pay-1")
+		left <- err
+	}()
+	require.NoError(t, clock.BlockUntilContext(t.Context(), 1))
+	leave()
+	require.Error(t, <-left)
+	clock.Advance(time.Minute)
+	eventually(t, func() bool { return len(b.claims.history()) == 2 }, "the outcome is stored")
+	require.Equal(t, []string{"Open", "Finish"}, b.claims.history())
+	status, text := b.get("Treasury/Pay", payment, HeaderKey, "pay-1")
+	require.Equal(t, 200, status)
+	require.Contains(t, text, `"Run":1`)
+	require.Equal(t, 1, plain.Runs("pay-1"))
+}
+
+// However often a payment is sent, and whatever its targets do, it runs at most
+// once, and an answer "not run" to its first sending is true.
+func TestAPaymentRunsAtMostOnce(t *testing.T) {
+	b := newBench(t, WithAnswerBytes(1<<20))
+	b.catalog.fleet.Services[1].Timeouts.FirstByte = 30 * time.Millisecond
+	b.permit("treasury-0", closedPort(t))
+	plains := []*standin.Plain{b.plain("treasury-1"), b.plain("treasury-2")}
+	number := 0
+	rapid.Check(t, func(t *rapid.T) {
+		number++
+		key := "pay-" + string(rune('a'+number%26)) + b.gateway.nextID()
+		for _, plain := range plains {
+			plain.Clear()
+			if rapid.Bool().Draw(t, "faulty") {
+				kind := rapid.SampledFrom([]standin.FaultKind{standin.FaultCut, standin.FaultTruncated, standin.FaultCrossed, standin.FaultSilent}).Draw(t, "kind")
+				plain.Inject(standin.Fault{Kind: kind, Times: 1})
+			}
+		}
+		b.retries("Treasury", rapid.IntRange(0, 2).Draw(t, "retries"))
+		answers := b.sendTogether(key, rapid.IntRange(1, 4).Draw(t, "senders"))
+		runs := plains[0].Runs(key) + plains[1].Runs(key)
+		require.LessOrEqual(t, runs, 1)
+		if answers["Done"] > 0 {
+			require.Equal(t, 1, runs)
+		}
+		if answers["No"] > 0 && answers["Done"]+answers["Unknown"] == 0 {
+			require.Zero(t, runs)
+		}
+	})
+}
+
+// sendTogether sends a payment several times at once and counts the answers.
+func (b *bench) sendTogether(key string, senders int) map[string]int {
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	answers := map[string]int{}
+	for range senders {
+		group.Go(func() {
+			status, text := b.get("Treasury/Pay", payment, HeaderKey, key)
+			mu.Lock()
+			defer mu.Unlock()
+			answers[ranOf(status, text)]++
+		})
+	}
+	group.Wait()
+	return answers
+}
--- a/target/web/answer.go
+++ b/target/web/answer.go
@@ -32,6 +32,8 @@
 	end    target.End
 	whole  bool
 	closed bool
+	// closing is set when the target closes the connection after the answer.
+	closing bool
 	// repeated counts events that arrived again and were dropped.
 	repeated int
 }
@@ -74,10 +76,7 @@
 // refused, since its end can't be told from a cut.
 func (a *Answer) frame(length int, closing bool) error {
 	a.length = length
-	if closing {
-		a.link.reused = true
-		a.client = nil
-	}
+	a.closing = closing
 	switch {
 	case length >= 0:
 		a.body = io.LimitReader(a.link.reader, int64(length))
@@ -232,7 +231,7 @@
 	}
 	a.closed = true
 	cancelled := !a.stop()
-	if !a.whole || cancelled || a.client == nil {
+	if !a.whole || cancelled || a.closing {
 		a.link.discard()
 		return
 	}
--- a/target/web/client.go
+++ b/target/web/client.go
@@ -84,6 +84,9 @@
 	fillCall(request, call)
 	answer, err := c.exchange(ctx, l, request, call)
 	if err != nil {
+		if l.reused && ctx.Err() == nil {
+			c.pool.drop(call.Address)
+		}
 		return nil, &target.SendError{Sent: true, Reused: l.reused, Err: err}
 	}
 	return answer, nil
--- a/target/web/pool.go
+++ b/target/web/pool.go
@@ -135,6 +135,18 @@
 	p.idle[address] = links
 }
 
+// drop closes the idle connections to an address: one of them was found dead,
+// so the others may be too.
+func (p *pool) drop(address string) {
+	p.mu.Lock()
+	links := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, l := range links {
+		l.discard()
+	}
+}
+
 // close closes every idle connection.
 func (p *pool) close() {
 	p.mu.Lock()
