--- /dev/null
+++ b/gateway/caller_test.go
@@ -0,0 +1,93 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"comfreytiller.dev/admission"
+	"comfreytiller.dev/standin"
+	"github.com/stretchr/testify/require"
+)
+
+// long is a time that no test waits for.
+const long = time.Hour
+
+func TestACallerThatGoesAwayFreesTheEngine(t *testing.T) {
+	cases := []struct {
+		name     string
+		path     string
+		settings standin.EngineSettings
+	}{
+		{"between two tokens", "Reviews/Draft", standin.EngineSettings{Gap: long}},
+		{"before the first token", "Reviews/Draft", standin.EngineSettings{FirstByte: long}},
+		{"while a plain answer is made", "Reviews/Status", standin.EngineSettings{FirstByte: long}},
+		{"while tokens flow", "Reviews/Draft", standin.EngineSettings{Gap: time.Millisecond, Tokens: 1 << 20}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t)
+			timeouts := &b.catalog.fleet.Services[0].Timeouts
+			timeouts.FirstByte, timeouts.Gap = long, long
+			test.settings.Name = "engine-1"
+			engine := b.engine(test.settings)
+
+			ctx, leave := context.WithCancel(context.Background())
+			defer leave()
+			go func() {
+				response, err := b.tryPost(ctx, test.path, "prompt")
+				if err == nil {
+					_, _ = io.Copy(io.Discard, response.Body)
+				}
+			}()
+			eventually(t, func() bool { return engine.InFlight() == 1 }, "the engine is at work")
+			leave()
+			eventually(t, func() bool { return engine.InFlight() == 0 }, "the engine is free")
+			eventually(t, func() bool { return len(b.admitter.outcomes()) == 1 }, "the permit is released")
+			require.Equal(t, []admission.Outcome{admission.OutcomeCancelled}, b.admitter.outcomes())
+			eventually(t, func() bool { return b.gateway.InFlight() == 0 }, "the request is over")
+		})
+	}
+}
+
+func TestACallerThatGoesAwayLeavesTheQueue(t *testing.T) {
+	b := newBench(t)
+	b.admitter.wait = true
+	ctx, leave := context.WithCancel(context.Background())
+	go func() { _, _ = b.tryPost(ctx, "Reviews/Draft", "prompt") }()
+	eventually(t, func() bool { return b.gateway.InFlight() == 1 }, "the request waits")
+	leave()
+	eventually(t, func() bool { return b.gateway.InFlight() == 0 }, "the request is over")
+}
+
+// The watch may read the first byte of the next request; it must not be lost.
+func TestARequestSentAheadIsServedToo(t *testing.T) {
+	b := newBench(t)
+	b.catalog.fleet.Services[0].Timeouts.FirstByte = patience
+	engine := b.engine(standin.EngineSettings{Name: "engine-1", FirstByte: 50 * time.Millisecond})
+	connection, err := net.Dial("tcp", b.address)
+	require.NoError(t, err)
+	defer connection.Close()
+	send := func(id string) {
+		_, err := fmt.Fprintf(connection, "POST /v1/services/Reviews/Status HTTP/1.1\r\nHost: h\r\n"+
+			"Comfreytiller-Workspace: Students\r\nComfreytiller-Request: %s\r\nContent-Length: 2\r\n\r\n{}", id)
+		require.NoError(t, err)
+	}
+	send("one")
+	eventually(t, func() bool { return engine.InFlight() == 1 }, "the engine is at work")
+	send("two")
+	reader := bufio.NewReader(connection)
+	for _, id := range []string{"one", "two"} {
+		response, err := http.ReadResponse(reader, nil)
+		require.NoError(t, err)
+		require.Equal(t, 200, response.StatusCode)
+		require.Equal(t, id, response.Header.Get(HeaderRequest))
+		_, err = read(response)
+		require.NoError(t, err)
+	}
+}
--- a/gateway/once.go
+++ b/gateway/once.go
@@ -47,7 +47,9 @@
 		return Claim{State: ClaimOpen}, nil
 	}
 	retryAfter := v.gateway.settings.retryAfter
-	claim, err := v.gateway.Claims.Open(v.ctx, v.claimKey(), v.fingerprint(), v.gateway.Clock.Now())
+	ctx, cancel := clockwork.WithTimeout(v.ctx, v.gateway.Clock, v.gateway.settings.claimTimeout)
+	defer cancel()
+	claim, err := v.gateway.Claims.Open(ctx, v.claimKey(), v.fingerprint(), v.gateway.Clock.Now())
 	if err != nil {
 		v.cancelClaim()
 		return claim, failure(fasthttp.StatusServiceUnavailable, CodeClaims, err.Error()).after(retryAfter)
@@ -146,12 +148,23 @@
 }
 
 // commit tries a change of the claim within the claim timeout, whatever has
-// become of the caller.
+// become of the caller. The caller's answer waits for it only shortly: it is
+// true whether the change is committed or not.
 func (v *visit) commit(what string, change func(ctx context.Context) error) {
-	ctx, cancel := clockwork.WithTimeout(context.Background(), v.gateway.Clock, v.gateway.settings.claimTimeout)
-	defer cancel()
-	if err := change(ctx); err != nil {
-		v.gateway.log.WithError(errors.Wrapf(err, "%s claim", what)).
-			Warnf("The claim of request %s is left to the end of this host's session.", v.id)
+	done := make(chan struct{})
+	v.gateway.work.run(func() {
+		defer close(done)
+		ctx, cancel := clockwork.WithTimeout(context.Background(), v.gateway.Clock, v.gateway.settings.claimTimeout)
+		defer cancel()
+		if err := change(ctx); err != nil {
+			v.gateway.log.WithError(errors.Wrapf(err, "%s claim", what)).
+				Warnf("The claim of request %s is left to the end of this host's session.", v.id)
+		}
+	})
+	timer := v.gateway.Clock.NewTimer(v.gateway.settings.claimWait)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.Chan():
 	}
 }
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -29,6 +29,7 @@
 	defaultRetryAfter     = time.Second
 	defaultCancelTimeout  = 2 * time.Second
 	defaultClaimTimeout   = 5 * time.Second
+	defaultClaimWait      = 500 * time.Millisecond
 	defaultLinger         = 200 * time.Millisecond
 )
 
@@ -51,6 +52,7 @@
 	retryAfter     time.Duration
 	cancelTimeout  time.Duration
 	claimTimeout   time.Duration
+	claimWait      time.Duration
 	linger         time.Duration
 	drainLimit     time.Duration
 	handlers       []prefixHandler
@@ -72,7 +74,7 @@
 		storedBytes: defaultStoredBytes, readTimeout: defaultReadTimeout, idleTimeout: defaultIdleTimeout,
 		writeStall: defaultWriteStall, retryShare: defaultRetryShare, attempts: defaultAttempts,
 		resumes: defaultResumes, backoff: defaultBackoff, retryAfter: defaultRetryAfter,
-		cancelTimeout: defaultCancelTimeout, claimTimeout: defaultClaimTimeout, linger: defaultLinger,
+		cancelTimeout: defaultCancelTimeout, claimTimeout: defaultClaimTimeout, claimWait: defaultClaimWait, linger: defaultLinger,
 	}
 }
 
@@ -119,6 +121,12 @@
 // WithCancelTimeout bounds the message that stops a request on a target.
 func WithCancelTimeout(d time.Duration) Option { return func(s *settings) { s.cancelTimeout = d } }
 
+// WithClaimTimeout bounds a change of a claim, and how long an answer waits for
+// the change to be committed.
+func WithClaimTimeout(limit, wait time.Duration) Option {
+	return func(s *settings) { s.claimTimeout, s.claimWait = limit, wait }
+}
+
 // WithLinger sets how long a draining gateway goes on answering new requests
 // with a refusal, so that the balancer sees its readiness fail.
 func WithLinger(d time.Duration) Option { return func(s *settings) { s.linger = d } }
