--- /dev/null
+++ b/gateway/drain_test.go
@@ -0,0 +1,134 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"comfreytiller.dev/standin"
+	"github.com/stretchr/testify/require"
+)
+
+// drainLoad counts what callers saw while a gateway drained.
+type drainLoad struct {
+	whole   atomic.Int64
+	refused atomic.Int64
+	cut     atomic.Int64
+}
+
+// caller makes calls one after the other until it is refused.
+func (l *drainLoad) caller(b *bench) {
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	for {
+		request, err := http.NewRequest(http.MethodPost, "http://"+b.address+PathServices+"Reviews/Draft", strings.NewReader(dossier))
+		if err != nil {
+			l.cut.Add(1)
+			return
+		}
+		request.Header.Set(HeaderWorkspace, "Students")
+		response, err := client.Do(request)
+		if err != nil {
+			l.cut.Add(1)
+			return
+		}
+		text, err := read(response)
+		switch {
+		case response.StatusCode == 503 && err == nil && strings.Contains(text, `"Ran":"No"`) && response.Close:
+			l.refused.Add(1)
+			return
+		case response.StatusCode == 200 && err == nil && strings.Contains(text, "event: end"):
+			l.whole.Add(1)
+		default:
+			l.cut.Add(1)
+			return
+		}
+	}
+}
+
+func TestADrainUnderLoadCutsNoRequest(t *testing.T) {
+	const callers = 40
+	b := newBench(t, WithLinger(300*time.Millisecond))
+	b.engine(standin.EngineSettings{Name: "engine-1", Gap: 2 * time.Millisecond})
+	var load drainLoad
+	var group sync.WaitGroup
+	for range callers {
+		group.Go(func() { load.caller(b) })
+	}
+	eventually(t, func() bool { return load.whole.Load() >= callers }, "the callers are served")
+	require.NoError(t, b.gateway.Drain(t.Context()))
+	group.Wait()
+	require.NoError(t, <-b.served)
+	require.Zero(t, load.cut.Load())
+	require.Equal(t, int64(callers), load.refused.Load())
+	require.Zero(t, b.gateway.InFlight())
+}
+
+func TestADrainFailsReadinessAndFinishesStreams(t *testing.T) {
+	b := newBench(t, WithLinger(0))
+	b.catalog.fleet.Services[0].Timeouts.Gap = patience
+	b.engine(standin.EngineSettings{Name: "engine-1", Gap: 30 * time.Millisecond})
+	response := b.post("Reviews/Draft", dossier)
+	drained := make(chan error, 1)
+	go func() { drained <- b.gateway.Drain(context.Background()) }()
+	eventually(t, b.gateway.Draining, "the drain has begun")
+
+	ready, err := http.Get("http://" + b.address + PathReady)
+	require.NoError(t, err)
+	text, err := read(ready)
+	require.NoError(t, err)
+	require.Equal(t, 503, ready.StatusCode)
+	require.Contains(t, text, `"Code":"Draining"`)
+
+	refused := b.post("Reviews/Draft", dossier)
+	text, err = read(refused)
+	require.NoError(t, err)
+	require.Equal(t, 503, refused.StatusCode)
+	require.True(t, refused.Close)
+	require.Contains(t, text, `"Ran":"No"`)
+
+	text, err = read(response)
+	require.NoError(t, err)
+	require.Equal(t, wantTokens(dossier, 12), parseStream(t, text).tokens)
+	require.NoError(t, <-drained)
+}
+
+func TestACallerThatNeverReadsDoesNotBlockTheDrain(t *testing.T) {
+	b := newBench(t, WithWriteStall(100*time.Millisecond))
+	engine := b.engine(standin.EngineSettings{Name: "engine-1"})
+	connection := b.neverRead()
+	defer connection.Close()
+	eventually(t, func() bool { return engine.Stats().Requests == 1 }, "the engine is asked")
+	require.NoError(t, b.gateway.Drain(t.Context()))
+}
+
+func TestTheDrainLimitEndsAStreamThatDoesNot(t *testing.T) {
+	b := newBench(t, WithDrainLimit(50*time.Millisecond))
+	timeouts := &b.catalog.fleet.Services[0].Timeouts
+	timeouts.Gap = long
+	engine := b.engine(standin.EngineSettings{Name: "engine-1", Gap: long})
+	ctx, leave := context.WithCancel(context.Background())
+	defer leave()
+	go func() { _, _ = b.tryPost(ctx, "Reviews/Draft", dossier) }()
+	eventually(t, func() bool { return engine.InFlight() == 1 }, "the engine is at work")
+	require.ErrorIs(t, b.gateway.Drain(t.Context()), ErrDrainLimit)
+}
+
+func TestReadinessFollowsTheLease(t *testing.T) {
+	b := newBench(t)
+	get := func(path string) int {
+		response, err := http.Get("http://" + b.address + path)
+		require.NoError(t, err)
+		_, err = read(response)
+		require.NoError(t, err)
+		return response.StatusCode
+	}
+	require.Equal(t, 200, get(PathReady))
+	b.authority.over.Store(true)
+	require.Equal(t, 503, get(PathReady))
+	require.Equal(t, 200, get(PathHealth))
+}
