--- /dev/null
+++ b/journal/snapshot.go
@@ -0,0 +1,93 @@
+package journal
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+
+	"github.com/go-faster/errors"
+)
+
+// A snapshot file is a magic number, the index it covers, the length of the
+// data, their checksum and the data.
+const (
+	snapshotMagic       = "ctsnap\x00\x01"
+	snapshotHeaderBytes = 8 + 8 + 8 + 4
+	snapshotFormat      = "snapshot-%016x"
+)
+
+func snapshotName(index uint64) string {
+	return fmt.Sprintf(snapshotFormat, index)
+}
+
+// SaveSnapshot stores a snapshot that covers all records up to index and then
+// drops those records; the ones above it stay. It returns once the snapshot is
+// durable. A full disk gives ErrFull and keeps the old snapshot and all records.
+func (j *Journal) SaveSnapshot(index uint64, data []byte) error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.failure != nil {
+		return j.failure
+	}
+	if index == 0 || index < j.snapshotIndex {
+		return errors.Wrapf(ErrIndex, "snapshot at %d below the one at %d", index, j.snapshotIndex)
+	}
+	if err := j.publish(snapshotName(index), encodeSnapshot(index, data)); err != nil {
+		return errors.Wrap(err, "save snapshot")
+	}
+	old := j.snapshotIndex
+	j.snapshotIndex = index
+	j.lastIndex = max(j.lastIndex, index)
+	if old != 0 && old != index {
+		_ = j.files.Remove(j.path(snapshotName(old)))
+	}
+	j.removeCovered()
+	return nil
+}
+
+func encodeSnapshot(index uint64, data []byte) []byte {
+	content := make([]byte, 0, snapshotHeaderBytes+len(data))
+	content = append(content, snapshotMagic...)
+	content = binary.LittleEndian.AppendUint64(content, index)
+	content = binary.LittleEndian.AppendUint64(content, uint64(len(data)))
+	sum := crc32.Update(crc32.Checksum(content, castagnoli), castagnoli, data)
+	content = binary.LittleEndian.AppendUint32(content, sum)
+	return append(content, data...)
+}
+
+// readSnapshot returns the data of the snapshot at index; nil for index 0.
+func (j *Journal) readSnapshot(index uint64) ([]byte, error) {
+	if index == 0 {
+		return nil, nil
+	}
+	name := snapshotName(index)
+	content, err := j.files.ReadFile(j.path(name))
+	if err != nil {
+		return nil, errors.Wrapf(err, "read %s", name)
+	}
+	data, reason := decodeSnapshot(index, content)
+	if reason != "" {
+		return nil, &CorruptError{File: j.path(name), Reason: reason}
+	}
+	return data, nil
+}
+
+// decodeSnapshot returns the data, or the reason why the content is not the
+// snapshot at index.
+func decodeSnapshot(index uint64, content []byte) ([]byte, string) {
+	if len(content) < snapshotHeaderBytes || string(content[:8]) != snapshotMagic {
+		return nil, "no snapshot header"
+	}
+	if binary.LittleEndian.Uint64(content[8:]) != index {
+		return nil, "index differs from the file's name"
+	}
+	data := content[snapshotHeaderBytes:]
+	if binary.LittleEndian.Uint64(content[16:]) != uint64(len(data)) {
+		return nil, "length differs from the header"
+	}
+	sum := crc32.Update(crc32.Checksum(content[:24], castagnoli), castagnoli, data)
+	if binary.LittleEndian.Uint32(content[24:]) != sum {
+		return nil, "checksum differs"
+	}
+	return data, ""
+}
