Add the planner: goal, orders, pacing of loads

Thin but whole: wishes and reports in; orders are recorded, drained, sent under one ID until their end is known, and closed. A new leader takes over recorded orders and waits out the last one's authority.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -1,2 +1,120 @@
 // Package placement decides which target serves which service.
+//
+// A Planner runs on the state leader. It is decision code: it does no I/O, starts
+// no goroutine and takes the time as an argument; the same calls give the same
+// effects. What it decides leaves it as orders, and an order goes this way:
+//
+//  1. RecordOrder: the host commits the order to the log. From then on the owner
+//     of the target's service gives the target no new work (for orders that take
+//     it out of service), whoever leads.
+//  2. The host calls OrderRecorded. The planner waits until the target runs
+//     nothing any more and checks the minimum of its service again.
+//  3. SendOrder: the host sends the order to the target, again and again under
+//     the same ID until its end is known.
+//  4. CloseOrder: the host removes the order from the log. The target takes work
+//     again as its announcement says.
+//
+// A target has at most one order at a time, and none is replaced while its end is
+// not known. An order carries the leader's fencing number, so that a target that
+// checks it refuses an old leader; for targets that don't, a new leader first
+// takes over the recorded orders and waits out the authority of the last one, and
+// Step gives nothing to send once the leader's own authority has ended.
+//
+// # Usage
+//
+//	planner := placement.New(placement.WithAuthorityWait(5 * time.Second))
+//	planner.Configure(now, text, domainsOut, targetsOut, pins)
+//	planner.Lead(now, fence, recorded)
+//	planner.Observe(now, targets)
+//	for _, effect := range planner.Step(now, authorityUntil) {
+//		switch e := effect.(type) {
+//		case placement.RecordOrder: // commit e.Order, then OrderRecorded
+//		case placement.SendOrder:   // send before e.Until, then OrderAnswered
+//		case placement.CloseOrder:  // commit the removal
+//		case placement.MoveChats:   // tell the owner where the chats are warm
+//		case placement.Log, placement.Alarm:
+//		}
+//	}
 package placement
+
+import "time"
+
+// Times are the waits of a Planner.
+type Times struct {
+	// AuthorityWait is how long a new leader sends nothing: the longest time
+	// for which its predecessor may still act.
+	AuthorityWait time.Duration
+	// LossGrace is how long a target may be missing or unready before others
+	// take its place.
+	LossGrace time.Duration
+	// DrainSettle is the time after which all hosts know of a recorded order.
+	DrainSettle time.Duration
+	// DrainTimeout ends an order whose target does not run empty.
+	DrainTimeout time.Duration
+	// Resend is the wait for an answer; it doubles up to ResendMost.
+	Resend     time.Duration
+	ResendMost time.Duration
+	// OrderTimeout is the longest time that an order may take once sent.
+	OrderTimeout time.Duration
+	// ReportSettle is how long a target's report may lag behind its answer.
+	ReportSettle time.Duration
+	// Retry is the pause after a target failed an order; it doubles up to
+	// RetryMost.
+	Retry     time.Duration
+	RetryMost time.Duration
+	// WarmGrace is the time after which a ready target counts as warm even if it
+	// reports that it is cold.
+	WarmGrace time.Duration
+	// PressureUp is how long a service must be pressed before it gets a target.
+	PressureUp time.Duration
+	// PressureHold is the shortest time between two moves that pressure makes
+	// for, or takes from, one service.
+	PressureHold time.Duration
+}
+
+// DefaultTimes suits targets that load in minutes and hosts that renew in
+// seconds.
+func DefaultTimes() Times {
+	return Times{
+		AuthorityWait: 5 * time.Second,
+		LossGrace:     15 * time.Second,
+		DrainSettle:   5 * time.Second,
+		DrainTimeout:  10 * time.Minute,
+		Resend:        5 * time.Second,
+		ResendMost:    time.Minute,
+		OrderTimeout:  15 * time.Minute,
+		ReportSettle:  20 * time.Second,
+		Retry:         time.Minute,
+		RetryMost:     time.Hour,
+		WarmGrace:     2 * time.Minute,
+		PressureUp:    30 * time.Second,
+		PressureHold:  5 * time.Minute,
+	}
+}
+
+// Option changes how a Planner is made.
+type Option func(*Planner)
+
+// WithTimes replaces all waits.
+func WithTimes(times Times) Option {
+	return func(p *Planner) { p.times = times }
+}
+
+// WithAuthorityWait sets how long a new leader sends nothing.
+func WithAuthorityWait(wait time.Duration) Option {
+	return func(p *Planner) { p.times.AuthorityWait = wait }
+}
+
+// WithModelBytes sets the size in bytes that a model is taken to have until a
+// target has reported it.
+func WithModelBytes(size int64) Option {
+	return func(p *Planner) { p.modelBytes = size }
+}
+
+// WithHandover sets the limits for moving chats off leaving targets.
+func WithHandover(limits HandoverLimits) Option {
+	return func(p *Planner) { p.handover.limits = limits }
+}
+
+// defaultModelBytes is the size of a model that no target has reported.
+const defaultModelBytes = 16 << 30
