--- a/placement/assignment.go
+++ b/placement/assignment.go
@@ -88,6 +88,9 @@
 	if e.order != nil {
 		return e.order.Service
 	}
+	if e.mismatched {
+		return ""
+	}
 	return e.Service
 }
 
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -48,7 +48,9 @@
 	// pause after the last one.
 	failures int
 	retryAt  time.Time
-	order    *pending
+	// mismatched is set while the target shows something that nobody ordered.
+	mismatched bool
+	order      *pending
 	// exporting and importing are its cache orders.
 	exporting *pending
 	importing *pending
@@ -61,6 +63,9 @@
 		e.retryAt = time.Time{}
 		e.readySince = time.Time{}
 	}
+	if state.Service != e.Service || state.Model != e.Model || state.Version != e.Version {
+		e.mismatched = false
+	}
 	e.TargetState = state
 	e.seen = now
 	switch {
--- a/placement/goal.go
+++ b/placement/goal.go
@@ -14,7 +14,7 @@
 	p.fill(a)
 	p.repairSpread(a)
 	p.relievePressure(now, a)
-	p.makeRoomForRolls(now, a)
+	p.makeRoomForRolls(a)
 	p.useIdle(a)
 	return a
 }
--- a/placement/guard.go
+++ b/placement/guard.go
@@ -11,9 +11,10 @@
 }
 
 // serves reports whether the target takes work for its service now: nobody took
-// it out, it is not missing, and it has no order that takes it out.
+// it out, it is not missing, shows what it was told, and has no order that takes
+// it out.
 func (p *Planner) serves(e *engine) bool {
-	return e.Ready && e.lostAt.IsZero() && p.inService(e) && (e.order == nil || !e.order.TakesOut())
+	return e.Ready && !e.mismatched && e.lostAt.IsZero() && p.inService(e) && (e.order == nil || !e.order.TakesOut())
 }
 
 // serving returns the number of warm targets that serve each service.
@@ -32,7 +33,7 @@
 // counts does not hold the engine any more when it has its order already.
 func (p *Planner) guard(now time.Time, e *engine, counts map[string]int) string {
 	s := p.byName[e.Service]
-	if s == nil || !e.Ready || !p.inService(e) || !e.lostAt.IsZero() {
+	if s == nil || !e.Ready || e.mismatched || !p.inService(e) || !e.lostAt.IsZero() {
 		return ""
 	}
 	left := counts[e.Service]
@@ -46,7 +47,7 @@
 }
 
 // checkServices raises the alarms of services below their minimum.
-func (p *Planner) checkServices(now time.Time) {
+func (p *Planner) checkServices() {
 	ready := map[string]int{}
 	for _, name := range p.names {
 		if e := p.engines[name]; p.serves(e) {
--- a/placement/lifecycle.go
+++ b/placement/lifecycle.go
@@ -56,12 +56,12 @@
 	for _, o := range slices.Clone(p.orders) {
 		e := p.engines[o.Target]
 		switch {
+		case !o.TakesOut():
+			p.progressCache(now, o, e)
 		case e.Incarnation > o.Incarnation:
 			p.close(now, o, OutcomeRestarted, "the target restarted")
 		case !e.present(p.observedAt):
 			p.progressMissing(now, o, e)
-		case !o.TakesOut():
-			p.progressCache(now, o, e)
 		case o.wasSent() && o.shows(&e.TargetState) && (e.Ready || o.Kind == Unload):
 			p.close(now, o, OutcomeDone, "the target shows it")
 		default:
@@ -219,6 +219,7 @@
 // mismatch ends an order whose target did something else.
 func (p *Planner) mismatch(now time.Time, o *pending, e *engine) {
 	text := fmt.Sprintf("ordered %s with %s %s, shows %q with %s %s", o.Service, o.Model, o.Version, e.Service, e.Model, e.Version)
+	e.mismatched = e.Service != o.beforeService || !o.before.loadedOn(&e.TargetState)
 	p.fail(now, o, OutcomeMismatch, Alarm{Kind: AlarmOrderMismatch, Text: text})
 }
 
@@ -231,6 +232,10 @@
 func (p *Planner) fail(now time.Time, o *pending, outcome Outcome, alarm Alarm) {
 	alarm.Service, alarm.Target = o.Service, o.Target
 	p.alarms.event(alarm)
+	if t := p.handover.owner(o); t != nil {
+		p.dropBatch(now, t, alarm.Text)
+		return
+	}
 	e := p.engines[o.Target]
 	pause := p.times.Retry << min(e.failures, 16)
 	e.failures++
@@ -258,5 +263,7 @@
 		e.failures = 0
 	}
 	p.logf("%s: order %s, %s on %s: %s, %s.", o.Service, o.ID, o.Kind, o.Target, outcome, reason)
-	p.effects = append(p.effects, CloseOrder{ID: o.ID, Target: o.Target, Outcome: outcome})
+	if o.TakesOut() {
+		p.effects = append(p.effects, CloseOrder{ID: o.ID, Target: o.Target, Outcome: outcome})
+	}
 }
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -39,7 +39,6 @@
 	effects []Effect
 	alarms  alarmSet
 	waits   map[string]string
-	reasons map[string]Reason
 }
 
 // New returns a planner that knows no fleet and does not lead.
@@ -52,7 +51,6 @@
 		store:      store{sizes: map[string]int64{}},
 		handover:   newHandover(),
 		waits:      map[string]string{},
-		reasons:    map[string]Reason{},
 	}
 	for _, option := range options {
 		option(p)
@@ -168,6 +166,7 @@
 	p.sendAfter = now.Add(p.times.AuthorityWait)
 	p.effects = nil
 	p.orders = nil
+	p.handover.transfers = nil
 	p.store.restart(now)
 	for _, name := range p.names {
 		e := p.engines[name]
@@ -227,7 +226,7 @@
 		p.dispatch(now)
 		p.planHandover(now)
 	}
-	p.checkServices(now)
+	p.checkServices()
 	p.effects = append(p.effects, p.alarms.take()...)
 	effects := p.effects
 	p.effects = nil
--- a/placement/roll.go
+++ b/placement/roll.go
@@ -23,7 +23,7 @@
 	matching := 0
 	for _, name := range p.names {
 		e := p.engines[name]
-		if e.Service != s.Name || !e.Ready {
+		if e.Service != s.Name || !e.Ready || e.mismatched {
 			continue
 		}
 		if wish.loadedOn(&e.TargetState) {
@@ -67,19 +67,23 @@
 		return
 	}
 	s.roll.stopped = true
-	s.roll.reason = fmt.Sprintf("%s on %s: %s", sizeText(o), o.Target, reason)
+	s.roll.reason = fmt.Sprintf("%s %s on %s: %s", o.Model, o.Version, o.Target, reason)
 	p.logf("%s: roll stopped: %s", s.Name, s.roll.reason)
 }
 
+// ResumeRoll lets a stopped roll of the service go on with the same build.
+func (p *Planner) ResumeRoll(service string) {
+	if s := p.byName[service]; s != nil {
+		s.roll.stopped = false
+		s.roll.reason = ""
+	}
+}
+
 // changing reports whether targets have another build than the wish.
 func (s *service) changing() bool {
 	return s.roll.lastGood.model != "" && !s.roll.lastGood.equal(buildOf(&s.Service))
 }
 
-func sizeText(o *pending) string {
-	return fmt.Sprintf("%s %s", o.Model, o.Version)
-}
-
 // stale reports whether the engine stays with its service and lacks the build or
 // the role.
 func (a *assignment) stale(i int) bool {
@@ -167,7 +171,7 @@
 
 // makeRoomForRolls gives a service that is at its minimum one more engine, so
 // that the others can change in turn.
-func (p *Planner) makeRoomForRolls(now time.Time, a *assignment) {
+func (p *Planner) makeRoomForRolls(a *assignment) {
 	rolling := make([]bool, len(a.services))
 	for i := range a.engines {
 		if a.stale(i) {
--- a/placement/status.go
+++ b/placement/status.go
@@ -16,6 +16,7 @@
 	Services  []ServiceStatus
 	Targets   []TargetStatus
 	Orders    []OrderStatus
+	Handovers []HandoverStatus
 	// StoreBacklog is the number of bytes that loads were started for and that
 	// the weight store can't have given yet.
 	StoreBacklog int64
@@ -66,6 +67,7 @@
 		Leading:      p.leading,
 		SendsFrom:    p.sendAfter,
 		StoreBacklog: int64(p.store.backlog),
+		Handovers:    p.handover.status(),
 		Alarms:       p.alarms.list(),
 	}
 	for _, s := range p.services {
