--- a/placement/lifecycle.go
+++ b/placement/lifecycle.go
@@ -125,6 +125,7 @@
 	}
 	o.before = build{model: e.Model, version: e.Version, adapters: e.Adapters}
 	o.beforeService = e.Service
+	o.beforeMismatched = e.mismatched
 	o.deadline = now.Add(max(p.times.OrderTimeout, 2*p.store.expected(o.Bytes)))
 	p.send(now, o)
 }
@@ -219,7 +220,7 @@
 // mismatch ends an order whose target did something else.
 func (p *Planner) mismatch(now time.Time, o *pending, e *engine) {
 	text := fmt.Sprintf("ordered %s with %s %s, shows %q with %s %s", o.Service, o.Model, o.Version, e.Service, e.Model, e.Version)
-	e.mismatched = e.Service != o.beforeService || !o.before.loadedOn(&e.TargetState)
+	e.mismatched = o.beforeMismatched || e.Service != o.beforeService || !o.before.loadedOn(&e.TargetState)
 	p.fail(now, o, OutcomeMismatch, Alarm{Kind: AlarmOrderMismatch, Text: text})
 }
 
--- a/placement/order.go
+++ b/placement/order.go
@@ -147,8 +147,10 @@
 	adopted bool
 	// before is what the target served when the order was first sent.
 	before build
-	// beforeService is the service of that time.
-	beforeService string
+	// beforeService is the service of that time; beforeMismatched says that
+	// nobody had ordered what the target showed.
+	beforeService    string
+	beforeMismatched bool
 }
 
 // holdsSlot reports whether the load may still take from the weight store.
