--- a/commands/apply.go
+++ b/commands/apply.go
@@ -8,7 +8,7 @@
 	"comfreytiller.dev/comfreytiller/operator/operatorpb"
 )
 
-func applyCommand(a *app) *command {
+func applyCommand(*app) *command {
 	var file, operationID string
 	var force bool
 	base := -1
--- a/commands/check.go
+++ b/commands/check.go
@@ -10,7 +10,7 @@
 	"comfreytiller.dev/fleet"
 )
 
-func checkCommand(a *app) *command {
+func checkCommand(*app) *command {
 	var file string
 	var offline bool
 	return &command{
--- a/host/operators.go
+++ b/host/operators.go
@@ -62,9 +62,9 @@
 	return lines
 }
 
-func changeLines(old, new *fleet.Fleet) []string {
+func changeLines(old, changed *fleet.Fleet) []string {
 	var lines []string
-	for _, change := range fleet.Diff(old, new) {
+	for _, change := range fleet.Diff(old, changed) {
 		lines = append(lines, change.String())
 	}
 	return lines
