Add process tests: six daemons, three state replicas, a steady load

The first run found metric names that two parts shared under different tags, which made the daemon panic: each part now has a scope of its own.

--- a/commands/daemon.go
+++ b/commands/daemon.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/integrii/flaggy"
@@ -19,6 +20,9 @@
 	"comfreytiller.dev/settings"
 )
 
+// metricsInterval is the pause between updates of the metrics endpoint.
+const metricsInterval = time.Second
+
 // daemonArguments are the arguments of the daemon.
 type daemonArguments struct {
 	settings  string
@@ -75,6 +79,9 @@
 	parser.Bool(&into.bootstrap, "b", "Bootstrap", "Write the first state of a new cluster.")
 	parser.String(&into.restore, "r", "Restore", "Start from a backup.")
 	parser.Bool(&into.version, "v", "Version", "Print the version.")
+	if err := knownFlags(parser.Flags, arguments); err != nil {
+		return err
+	}
 	if err := parse(parser, arguments); err != nil {
 		return err
 	}
@@ -129,13 +136,18 @@
 			return host.Dependencies{}, errors.Wrapf(err, "read backup %s", given.restore)
 		}
 	}
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	reporter := prometheus.NewReporter(prometheus.Options{OnRegisterError: func(err error) {
+		log.Errorf("Host: A metric is left out: %v.", err)
+	}})
 	scope, _ := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:         "comfreytiller",
 		Tags:           map[string]string{"host": loaded.Host},
 		CachedReporter: reporter,
 		Separator:      prometheus.DefaultSeparator,
-	}, 0)
+		// The library's own names are not valid for its reporter.
+		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
+	}, metricsInterval)
 	return host.Dependencies{
 		Settings:  loaded,
 		Key:       key,
--- a/commands/operator.go
+++ b/commands/operator.go
@@ -72,12 +72,33 @@
 		c.setUp(sub)
 	}
 	parser.AttachSubcommand(sub, 1)
-	if err := parse(parser, arguments); err != nil {
+	err := knownFlags(sub.Flags, arguments)
+	if err == nil {
+		err = parse(parser, arguments)
+	}
+	if err != nil {
 		return a.report(c, &failure{code: ExitUsage, err: err})
 	}
 	return a.report(c, c.run(a))
 }
 
+// knownFlags reports a flag that the command does not have; the library would
+// pass over it.
+func knownFlags(flags []*flaggy.Flag, arguments []string) error {
+	known := map[string]bool{}
+	for _, flag := range flags {
+		known["-"+flag.ShortName] = true
+		known["--"+flag.LongName] = true
+	}
+	for _, argument := range arguments {
+		name, _, _ := strings.Cut(argument, "=")
+		if strings.HasPrefix(name, "-") && !known[name] {
+			return errors.Errorf("unknown flag %s", name)
+		}
+	}
+	return nil
+}
+
 // parse turns the library's panics on unknown flags into errors.
 func parse(parser *flaggy.Parser, arguments []string) (err error) {
 	defer func() {
--- a/host/host.go
+++ b/host/host.go
@@ -75,7 +75,7 @@
 	h := &Host{
 		Dependencies: dependencies,
 		log:          logs.Part(dependencies.Log, "Host"),
-		control:      meter.NewControl(dependencies.Scope),
+		control:      meter.NewControl(dependencies.Scope.SubScope("peer")),
 	}
 	if err := h.listen(); err != nil {
 		h.closeListeners()
@@ -172,7 +172,7 @@
 		Sender:    h.sender,
 		Clock:     h.Clock,
 		Logger:    logs.Part(h.Log, "Route"),
-		Scope:     h.Scope,
+		Scope:     h.Scope.SubScope("gateway"),
 		Host:      h.Settings.Host,
 		Ready:     h.session.Check,
 	},
--- a/host/owners.go
+++ b/host/owners.go
@@ -58,7 +58,7 @@
 }
 
 func (o *owners) scope(service string) tally.Scope {
-	return o.host.Scope.Tagged(map[string]string{"service": service})
+	return o.host.Scope.SubScope("admission").Tagged(map[string]string{"service": service})
 }
 
 // holder names one session of a host in requests and permits, so that a host
--- /dev/null
+++ b/integration/cluster_test.go
@@ -0,0 +1,378 @@
+package integration
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// conditionTimeout bounds every wait for a condition.
+const conditionTimeout = 30 * time.Second
+
+const conditionPoll = 20 * time.Millisecond
+
+var binaries struct {
+	once   sync.Once
+	folder string
+	err    error
+}
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if binaries.folder != "" {
+		_ = os.RemoveAll(binaries.folder)
+	}
+	os.Exit(code)
+}
+
+// binary builds both programs once and returns the path of one.
+func binary(t *testing.T, name string) string {
+	t.Helper()
+	binaries.once.Do(func() {
+		binaries.folder, binaries.err = os.MkdirTemp("", "comfreytiller-bin-")
+		if binaries.err != nil {
+			return
+		}
+		build := exec.Command("go", "build", "-o", binaries.folder, "../cmd/comfreytiller", "../cmd/comfreytillerd")
+		if out, err := build.CombinedOutput(); err != nil {
+			binaries.err = fmt.Errorf("build: %w: %s", err, out)
+		}
+	})
+	require.NoError(t, binaries.err)
+	return filepath.Join(binaries.folder, name)
+}
+
+// freeAddress returns a loopback address that nothing listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// eventually waits for a condition.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	require.Eventually(t, condition, conditionTimeout, conditionPoll, what)
+}
+
+// node is one daemon of a cluster.
+type node struct {
+	name    string
+	domain  string
+	callers string
+	peers   string
+	admin   string
+	folder  string
+	replica bool
+
+	settings string
+	log      string
+	cmd      *exec.Cmd
+	exited   chan error
+}
+
+// cluster is a fleet of daemons on loopback.
+type cluster struct {
+	t       *testing.T
+	folder  string
+	keyFile string
+	nodes   []*node
+}
+
+var domains = []string{"Rabat-A", "Rabat-B", "Rabat-C"}
+
+// newCluster starts hosts spread over three failure domains, the first ones
+// with state replicas.
+func newCluster(t *testing.T, hosts, replicas int) *cluster {
+	t.Helper()
+	c := &cluster{t: t, folder: t.TempDir()}
+	c.keyFile = filepath.Join(c.folder, "key")
+	require.NoError(t, os.WriteFile(c.keyFile, []byte("the key of the process tests"), 0o600))
+	for i := range hosts {
+		c.nodes = append(c.nodes, c.newNode(fmt.Sprintf("host-%d", i+1), domains[i%len(domains)], i < replicas))
+	}
+	for _, n := range c.nodes {
+		c.writeSettings(n)
+	}
+	for _, n := range c.nodes {
+		if n.replica {
+			c.start(n, "--Bootstrap")
+		}
+	}
+	for _, n := range c.nodes {
+		if !n.replica {
+			c.start(n)
+		}
+	}
+	t.Cleanup(c.close)
+	for _, n := range c.nodes {
+		c.awaitReady(n)
+	}
+	return c
+}
+
+func (c *cluster) newNode(name, domain string, replica bool) *node {
+	n := &node{
+		name:    name,
+		domain:  domain,
+		callers: freeAddress(c.t),
+		peers:   freeAddress(c.t),
+		admin:   freeAddress(c.t),
+		folder:  filepath.Join(c.folder, name),
+		replica: replica,
+	}
+	n.settings = filepath.Join(c.folder, name+".jsonc")
+	n.log = filepath.Join(c.folder, name+".log")
+	require.NoError(c.t, os.MkdirAll(n.folder, 0o700))
+	return n
+}
+
+func (c *cluster) writeSettings(n *node) {
+	type member struct{ Host, Address string }
+	type state struct {
+		Folder  string
+		Cluster string
+		Members []member
+	}
+	type settings struct {
+		Host, FailureDomain, Callers, Peers, Admin, KeyFile string
+
+		StateReplicas []string
+		State         *state `json:",omitempty"`
+	}
+	s := settings{
+		Host: n.name, FailureDomain: n.domain,
+		Callers: n.callers, Peers: n.peers, Admin: n.admin, KeyFile: c.keyFile,
+	}
+	var members []member
+	for _, other := range c.nodes {
+		if other.replica {
+			members = append(members, member{other.name, other.peers})
+			s.StateReplicas = append(s.StateReplicas, other.peers)
+		}
+	}
+	if n.replica {
+		s.State = &state{Folder: n.folder, Cluster: "Test", Members: members}
+	}
+	text, err := json.MarshalIndent(s, "", "  ")
+	require.NoError(c.t, err)
+	require.NoError(c.t, os.WriteFile(n.settings, text, 0o600))
+}
+
+func (c *cluster) start(n *node, arguments ...string) {
+	c.t.Helper()
+	log, err := os.OpenFile(n.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	require.NoError(c.t, err)
+	defer func() { _ = log.Close() }()
+	cmd := exec.Command(binary(c.t, "comfreytillerd"), append([]string{"--Settings", n.settings}, arguments...)...)
+	cmd.Stdout, cmd.Stderr = log, log
+	require.NoError(c.t, cmd.Start())
+	n.cmd = cmd
+	n.exited = make(chan error, 1)
+	go func(exited chan error) { exited <- cmd.Wait() }(n.exited)
+}
+
+func (c *cluster) signal(n *node, signal syscall.Signal) {
+	require.NoError(c.t, n.cmd.Process.Signal(signal))
+}
+
+// kill ends a daemon without a word.
+func (c *cluster) kill(n *node) {
+	c.signal(n, syscall.SIGKILL)
+	<-n.exited
+	n.cmd = nil
+}
+
+// stop ends a daemon gracefully; it must exit with 0.
+func (c *cluster) stop(n *node) {
+	c.t.Helper()
+	c.signal(n, syscall.SIGTERM)
+	select {
+	case err := <-n.exited:
+		require.NoError(c.t, err, "graceful stop of %s", n.name)
+	case <-time.After(conditionTimeout):
+		require.Fail(c.t, "no graceful stop", n.name)
+	}
+	n.cmd = nil
+}
+
+func (c *cluster) awaitReady(n *node) {
+	c.t.Helper()
+	eventually(c.t, n.name+" is ready", func() bool {
+		select {
+		case err := <-n.exited:
+			n.exited <- err
+			require.Fail(c.t, "daemon ended early", "%s: %v", n.name, err)
+		default:
+		}
+		status, _, err := get("http://" + n.admin + "/readyz")
+		return err == nil && status == 200
+	})
+}
+
+func (c *cluster) close() {
+	for _, n := range c.nodes {
+		if n.cmd != nil {
+			_ = n.cmd.Process.Signal(syscall.SIGCONT)
+			_ = n.cmd.Process.Kill()
+			<-n.exited
+		}
+		if c.t.Failed() {
+			c.printLog(n)
+		}
+	}
+}
+
+// printLog prints the end of a failed test's log.
+func (c *cluster) printLog(n *node) {
+	text, err := os.ReadFile(n.log)
+	if err != nil {
+		return
+	}
+	const tail = 6000
+	if len(text) > tail {
+		text = text[len(text)-tail:]
+	}
+	c.t.Logf("log of %s:\n%s", n.name, text)
+}
+
+// operate runs the operators' tool against a host.
+func (c *cluster) operate(n *node, arguments ...string) (string, int) {
+	arguments = append(arguments, "--Address", n.peers, "--KeyFile", c.keyFile)
+	cmd := exec.Command(binary(c.t, "comfreytiller"), arguments...)
+	var out bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &out
+	err := cmd.Run()
+	if err != nil && cmd.ProcessState == nil {
+		require.NoError(c.t, err)
+	}
+	return out.String(), cmd.ProcessState.ExitCode()
+}
+
+// mustOperate runs the operators' tool, which must succeed.
+func (c *cluster) mustOperate(n *node, arguments ...string) string {
+	c.t.Helper()
+	out, code := c.operate(n, arguments...)
+	require.Zero(c.t, code, "%s: %s", strings.Join(arguments, " "), out)
+	return out
+}
+
+// apply makes a text the one in force.
+func (c *cluster) apply(text string, arguments ...string) {
+	c.t.Helper()
+	file := filepath.Join(c.folder, "fleet.jsonc")
+	require.NoError(c.t, os.WriteFile(file, []byte(text), 0o600))
+	c.mustOperate(c.nodes[0], append([]string{"apply", file}, arguments...)...)
+}
+
+// fleetStatus is what the tests read of the status.
+type fleetStatus struct {
+	Version  uint64
+	Services []struct {
+		Name    string
+		Owner   string
+		Serving bool
+		Targets []struct {
+			Name  string
+			State string
+			Limit int
+		}
+	}
+	Replicas []struct {
+		ID, Host, Address string
+		Voter, Leader     bool
+	}
+}
+
+func (c *cluster) status(n *node) (fleetStatus, bool) {
+	out, code := c.operate(n, "status", "--Json")
+	var status fleetStatus
+	if code != 0 || json.Unmarshal([]byte(out), &status) != nil {
+		return fleetStatus{}, false
+	}
+	return status, true
+}
+
+// owner returns the host that decides for a service.
+func (c *cluster) owner(asked *node, service string) *node {
+	status, ok := c.status(asked)
+	if !ok {
+		return nil
+	}
+	for _, s := range status.Services {
+		if s.Name == service {
+			return c.named(s.Owner)
+		}
+	}
+	return nil
+}
+
+func (c *cluster) named(name string) *node {
+	for _, n := range c.nodes {
+		if n.name == name {
+			return n
+		}
+	}
+	return nil
+}
+
+// leader returns the host of the leading state replica.
+func (c *cluster) leader() *node {
+	c.t.Helper()
+	var leader *node
+	eventually(c.t, "a leader", func() bool {
+		for _, n := range c.nodes {
+			if !n.replica || n.cmd == nil {
+				continue
+			}
+			status, ok := c.status(n)
+			if !ok {
+				continue
+			}
+			for _, replica := range status.Replicas {
+				if replica.Leader {
+					leader = c.named(replica.Host)
+				}
+			}
+		}
+		return leader != nil && leader.cmd != nil
+	})
+	return leader
+}
+
+// awaitTargets waits until a service has that many targets that may take work.
+func (c *cluster) awaitTargets(asked *node, service string, wanted int) {
+	c.t.Helper()
+	eventually(c.t, fmt.Sprintf("%d targets of %s", wanted, service), func() bool {
+		status, ok := c.status(asked)
+		if !ok {
+			return false
+		}
+		for _, s := range status.Services {
+			if s.Name != service || !s.Serving {
+				continue
+			}
+			serving := 0
+			for _, t := range s.Targets {
+				if t.Limit > 0 && (t.State == "Ready" || t.State == "Warming") {
+					serving++
+				}
+			}
+			return serving == wanted
+		}
+		return false
+	})
+}
