--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -104,3 +104,26 @@
 		require.Zero(s.t, engine.Stats().Falls, "engine %d fell over", i+1)
 	}
 }
+
+// requestsIn returns the number of requests that the engines of a failure
+// domain have been given.
+func (s *system) requestsIn(domain string) int {
+	requests := 0
+	for i, engine := range s.engines {
+		if domains[i%len(domains)] == domain {
+			requests += engine.Stats().Requests
+		}
+	}
+	return requests
+}
+
+// others returns the hosts that run, but for one.
+func (s *system) others(one *node) []*node {
+	var others []*node
+	for _, n := range s.up() {
+		if n != one {
+			others = append(others, n)
+		}
+	}
+	return others
+}
--- a/integration/load_test.go
+++ b/integration/load_test.go
@@ -123,7 +123,7 @@
 // load is a steady, bounded load of returning chats and payments.
 type load struct {
 	t     *testing.T
-	hosts func() []*node
+	hosts atomic.Pointer[func() []*node]
 
 	chats    atomic.Int64
 	warm     atomic.Int64
@@ -150,7 +150,8 @@
 )
 
 func startLoad(t *testing.T, hosts func() []*node, chatters, payers int) *load {
-	l := &load{t: t, hosts: hosts, notRun: map[string]bool{}, stop: make(chan struct{})}
+	l := &load{t: t, notRun: map[string]bool{}, stop: make(chan struct{})}
+	l.use(hosts)
 	for i := range chatters {
 		l.workers.Go(func() { l.chatter(i) })
 	}
@@ -177,10 +178,23 @@
 }
 
 func (l *load) host(n int) *node {
-	hosts := l.hosts()
+	hosts := (*l.hosts.Load())()
 	return hosts[n%len(hosts)]
 }
 
+// use sends new requests to other hosts from now on, as a balancer does.
+func (l *load) use(hosts func() []*node) { l.hosts.Store(&hosts) }
+
+// settle waits until every request that runs now was started after it was
+// called, so that none is under way to a host left out by use.
+func (l *load) settle() {
+	l.t.Helper()
+	l.served(2 * settleChats)
+}
+
+// settleChats is more than the number of workers.
+const settleChats = 16
+
 func (l *load) chatter(worker int) {
 	for n := 0; l.next(chatPause); n++ {
 		body := fmt.Appendf(nil, `{"Tokens": %d, "Worker": %d, "Turn": %d}`, chatTokens, worker, n)
