Ask owners under one name a question, and only with a live lease

Cause: a question that failed was withdrawn at the owner under the same name as the next one, so the next was refused as cancelled; and a permit that came while the lease had lapsed was refused to the caller.

--- a/host/adoption.go
+++ b/host/adoption.go
@@ -106,18 +106,30 @@
 	batch := e.releases[service]
 	delete(e.releases, service)
 	e.mu.Unlock()
-	if len(batch) == 0 {
+	message := peer.Releases{Releases: releasesFor(owner.Fence, batch)}
+	if len(message.Releases) == 0 {
 		return
 	}
 	ctx, cancel := clockwork.WithTimeout(ctx, e.clock, ownerTimeout)
 	defer cancel()
-	if _, err := e.call(ctx, view, owner, peer.Releases{Releases: batch}); err != nil {
+	if _, err := e.call(ctx, view, owner, message); err != nil {
 		e.keepReleases(service, batch, err)
 	}
 }
 
+// releasesFor returns the releases that concern an owner's grant.
+func releasesFor(fence uint64, batch []pendingRelease) []admission.Release {
+	var releases []admission.Release
+	for _, pending := range batch {
+		if pending.fence == 0 || pending.fence == fence {
+			releases = append(releases, pending.release)
+		}
+	}
+	return releases
+}
+
 // keepReleases puts back what was not taken; a release may arrive twice.
-func (e *entry) keepReleases(service string, batch []admission.Release, err error) {
+func (e *entry) keepReleases(service string, batch []pendingRelease, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.releases[service] = append(batch, e.releases[service]...)
--- a/host/entry.go
+++ b/host/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -37,12 +38,20 @@
 	// live are the permits in use, by request ID.
 	live map[string]admission.Permit
 	// releases are the permits to give back, by service.
-	releases map[string][]admission.Release
+	releases map[string][]pendingRelease
 	// told are the owners that know this session's permits, by service.
 	told map[string]adoption
 	wake chan struct{}
 }
 
+// pendingRelease is a release on its way to an owner.
+type pendingRelease struct {
+	release admission.Release
+	// fence is the only grant that the release concerns; 0 for any. A question
+	// that failed concerns the owner that was asked: later ones never heard it.
+	fence uint64
+}
+
 // adoption names an owner's grant and the session that has told it its
 // permits.
 type adoption struct {
@@ -57,7 +66,7 @@
 		clock:    h.Clock,
 		session:  h.session,
 		live:     map[string]admission.Permit{},
-		releases: map[string][]admission.Release{},
+		releases: map[string][]pendingRelease{},
 		told:     map[string]adoption{},
 		wake:     make(chan struct{}, 1),
 	}
@@ -68,8 +77,9 @@
 func (e *entry) Acquire(ctx context.Context, request admission.Request) (admission.Permit, error) {
 	ctx, cancel := clockwork.WithDeadline(ctx, e.clock, request.Deadline)
 	defer cancel()
-	for {
-		permit, err := e.ask(ctx, request)
+	asked := request
+	for try := 1; ; try++ {
+		permit, err := e.askWithAuthority(ctx, asked)
 		if err == nil {
 			return permit, nil
 		}
@@ -82,7 +92,32 @@
 		}
 		e.log.Debugf("Asks again for %s of %s: %v.", request.ID, request.Service, err)
 		e.pause(ctx)
+		// The question that failed may still be withdrawn at the owner, which
+		// must not touch the next one.
+		asked.ID = request.ID + "~" + strconv.Itoa(try)
+	}
+}
+
+// askWithAuthority asks while this host's lease is live: a permit would be of
+// no use without it.
+func (e *entry) askWithAuthority(ctx context.Context, request admission.Request) (admission.Permit, error) {
+	if err := e.session.Check(); err != nil {
+		return admission.Permit{}, err
 	}
+	permit, err := e.ask(ctx, request)
+	if err != nil {
+		return admission.Permit{}, err
+	}
+	if err := e.session.Check(); err != nil {
+		e.Release(admission.Release{
+			RequestID: permit.RequestID,
+			Service:   permit.Service,
+			Target:    permit.Target,
+			Outcome:   admission.OutcomeUnsent,
+		})
+		return admission.Permit{}, err
+	}
+	return permit, nil
 }
 
 func (e *entry) gaveUp(request admission.Request, err error) error {
@@ -163,13 +198,13 @@
 // giveUp makes sure that the owner does not count a permit whose answer was
 // lost or is no longer wanted.
 func (e *entry) giveUp(request admission.Request, owner registry.Owner) {
-	if e.session.View().Owners[request.Service].Fence != owner.Fence {
-		return
-	}
-	e.queueRelease(admission.Release{
-		RequestID: request.ID,
-		Service:   request.Service,
-		Outcome:   admission.OutcomeUnsent,
+	e.queueRelease(pendingRelease{
+		fence: owner.Fence,
+		release: admission.Release{
+			RequestID: request.ID,
+			Service:   request.Service,
+			Outcome:   admission.OutcomeUnsent,
+		},
 	})
 }
 
@@ -178,13 +213,14 @@
 	e.mu.Lock()
 	delete(e.live, release.RequestID)
 	e.mu.Unlock()
-	e.queueRelease(release)
+	e.queueRelease(pendingRelease{release: release})
 }
 
-func (e *entry) queueRelease(release admission.Release) {
+func (e *entry) queueRelease(pending pendingRelease) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.releases[release.Service] = append(e.releases[release.Service], release)
+	service := pending.release.Service
+	e.releases[service] = append(e.releases[service], pending)
 	select {
 	case e.wake <- struct{}{}:
 	default:
