Release a permit whose answer was lost

Cause: an entry host that gave up on a question, and an owner that withdrew a grant for want of a lease, released without naming the target; the owner ignored such a release and counted the permit for ever, so that a warming treasury stayed at its limit. Seen as payments that waited 15 s in TestDrainedFailureDomain on a busy machine.

--- a/admission/release.go
+++ b/admission/release.go
@@ -8,7 +8,7 @@
 	s.advance(now)
 	defer s.pump(now)
 	granted, known := s.permits[release.RequestID]
-	if !known || granted.permit.Target != release.Target {
+	if !known || (release.Target != "" && granted.permit.Target != release.Target) {
 		return
 	}
 	s.drop(now, granted)
--- a/admission/request.go
+++ b/admission/request.go
@@ -108,8 +108,10 @@
 type Release struct {
 	RequestID string
 	Service   string
-	Target    string
-	Outcome   Outcome
+	// Target is the permit's target; empty where the permit was granted but its
+	// answer never arrived.
+	Target  string
+	Outcome Outcome
 	// FirstByte is the time from sending to the answer's first byte; 0 if none
 	// came.
 	FirstByte time.Duration
--- a/host/owners.go
+++ b/host/owners.go
@@ -262,9 +262,15 @@
 	}
 }
 
+// adopt counts a host's permits. Those of a session that is closed here would
+// stay counted for ever; a session that is not yet known here is told to ask
+// again.
 func (o *owners) adopt(m peer.Adopt) bool {
-	service := o.find(m.Service)
-	if service == nil || service.owner.Fence != m.Fence {
+	o.mu.Lock()
+	service := o.owned[m.Service]
+	live := o.view != nil && sessionsOf(o.view)[m.Session] != ""
+	o.mu.Unlock()
+	if service == nil || service.owner.Fence != m.Fence || !live {
 		return false
 	}
 	service.adopt(m.Session, m.Permits)
