quorum: focused tests of the node

Old terms by count, membership refusals, reads of an isolated leader, vote refusal by followers, chunk loss, bytes in flight, back-up by terms, hand-over and the confirmed lead under pauses and restarts.

--- /dev/null
+++ b/quorum/node_test.go
@@ -0,0 +1,381 @@
+package quorum
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// lockstep is a simulation without faults whose hosts tick together.
+func lockstep(t *testing.T, size int) *sim {
+	return newSim(t, 1, size, simFaults{})
+}
+
+// tick moves every running host by one tick and delivers everything.
+func (s *sim) tick() {
+	for _, n := range s.nodes {
+		if n.node != nil {
+			n.node.Tick()
+			s.process(n)
+		}
+	}
+	s.deliverAll()
+}
+
+func (s *sim) deliverAll() {
+	for len(s.wire) > 0 {
+		s.deliver()
+	}
+}
+
+// electLeader ticks until a host leads and has committed in its term.
+func (s *sim) electLeader() *simNode {
+	const limit = 100
+	for range limit {
+		s.tick()
+		for _, n := range s.nodes {
+			if n.node != nil && n.group == 0 && n.node.Role() == Leader && n.node.committedInTerm() {
+				return n
+			}
+		}
+	}
+	require.FailNow(s.t, "no leader")
+	return nil
+}
+
+func (s *sim) propose(n *simNode, value string) uint64 {
+	index, _, err := n.node.Propose([]byte(value))
+	require.NoError(s.t, err)
+	s.process(n)
+	return index
+}
+
+// leaderOfThree returns a node that leads term 4 of a, b and c and holds an
+// entry of term 2 that only it has.
+func leaderOfThree(t *testing.T) *Node {
+	members := []Member{{ID: "a", Voter: true}, {ID: "b", Voter: true}, {ID: "c", Voter: true}}
+	state := HardState{Cluster: "x", ID: "a", Host: "h", Term: 3}
+	n := NewNode(NodeConfig{}, state, Snapshot{Index: 1, Term: 1, Members: members}, entriesOf(2, 2))
+	n.campaign(Candidate, true)
+	n.Ready()
+	n.Advance()
+	n.Step(Message{Kind: MessageVoteResponse, Cluster: "x", From: "b", To: "a", Term: 4})
+	require.Equal(t, Leader, n.Role())
+	n.Ready()
+	n.Advance()
+	return n
+}
+
+func TestEntriesOfOlderTermsAreNotCommittedByCount(t *testing.T) {
+	n := leaderOfThree(t)
+	answer := Message{Kind: MessageAppendResponse, Cluster: "x", From: "b", To: "a", Term: 4, Index: 2}
+	n.Step(answer)
+	require.Equal(t, uint64(1), n.CommitIndex())
+	answer.Index = 3
+	n.Step(answer)
+	require.Equal(t, uint64(3), n.CommitIndex())
+}
+
+func TestMembershipRefusals(t *testing.T) {
+	n := leaderOfThree(t)
+	members := n.Members()
+	learner := append(members[:3:3], Member{ID: "d"})
+	_, _, err := n.ProposeMembers(learner)
+	require.ErrorIs(t, err, ErrTermNotCommitted)
+
+	n.Step(Message{Kind: MessageAppendResponse, Cluster: "x", From: "b", To: "a", Term: 4, Index: 3})
+	for _, bad := range [][]Member{
+		members[:1], {}, {{ID: "a"}, {ID: "b"}, {ID: "c"}}, append(learner[:4:4], Member{ID: "e"}), append(learner[:4:4], Member{ID: "d"}),
+	} {
+		_, _, err = n.ProposeMembers(bad)
+		require.ErrorIs(t, err, ErrMembersChange)
+	}
+	_, _, err = n.ProposeMembers(append(members[:3:3], Member{ID: "d", Voter: true}))
+	require.ErrorIs(t, err, ErrNotCaughtUp)
+	_, _, err = n.ProposeMembers(learner)
+	require.NoError(t, err)
+	_, _, err = n.ProposeMembers(members)
+	require.ErrorIs(t, err, ErrMembersPending)
+	n.StepDown()
+	_, _, err = n.ProposeMembers(members)
+	require.ErrorIs(t, err, ErrNotLeader)
+}
+
+func TestStepDropsStrangers(t *testing.T) {
+	n := leaderOfThree(t)
+	for _, m := range []Message{
+		{Kind: MessageAppend, Cluster: "other", From: "b", To: "a", Term: 9},
+		{Kind: MessageAppend, Cluster: "x", From: "b", To: "a-before-the-wipe", Term: 9},
+		{Kind: MessageAppend, From: "b", To: "a", Term: 9},
+	} {
+		n.Step(m)
+		require.Equal(t, Leader, n.Role())
+		require.Equal(t, uint64(4), n.Term())
+	}
+}
+
+// A leader on the small side of a partition confirms no read, although it still
+// believes that it leads, and then steps down.
+func TestIsolatedLeaderConfirmsNoRead(t *testing.T) {
+	s := lockstep(t, 3)
+	old := s.electLeader()
+	old.group = 1
+	for old.node.Role() == Leader {
+		s.nextID++
+		require.True(t, old.node.ReadBarrier(s.nextID))
+		for old.node.HasReady() {
+			require.Empty(t, old.node.Ready().Reads)
+			old.node.Advance()
+		}
+		old.node.Tick()
+	}
+	require.NotEqual(t, old.host, s.electLeader().host)
+	old.group = 0
+	for range old.node.config.HeartbeatTicks {
+		s.tick()
+	}
+	require.Equal(t, s.electLeader().node.ID(), old.node.Leader())
+}
+
+// A host that comes back from a partition does not disturb the leader.
+func TestReturningHostKeepsTheLeader(t *testing.T) {
+	s := lockstep(t, 3)
+	leader := s.electLeader()
+	term := leader.node.Term()
+	away := s.nodes[0]
+	if away == leader {
+		away = s.nodes[1]
+	}
+	away.group = 1
+	for range 100 {
+		s.tick()
+	}
+	away.group = 0
+	for range 30 {
+		s.tick()
+	}
+	require.Equal(t, term, leader.node.Term())
+	require.Equal(t, leader.node.ID(), away.node.Leader())
+}
+
+// A follower that heard from its leader ignores a vote request of a newer term,
+// and so does a host that was just started.
+func TestFollowersKeepTheirLeader(t *testing.T) {
+	s := lockstep(t, 3)
+	leader := s.electLeader()
+	for _, n := range s.nodes {
+		if n == leader {
+			continue
+		}
+		vote := Message{
+			Kind: MessageVote, Cluster: "cluster", From: leader.node.ID(), To: n.node.ID(),
+			Term: leader.node.Term() + 1, Index: 100, LogTerm: leader.node.Term(),
+		}
+		n.node.Step(vote)
+		require.Equal(t, leader.node.Term(), n.node.Term())
+		s.boot(n)
+		n.node.Step(vote)
+		require.Equal(t, leader.node.Term(), n.node.Term())
+		for range n.node.config.ElectionTicks {
+			n.node.Tick()
+		}
+		n.node.Step(vote)
+		require.Equal(t, leader.node.Term()+1, n.node.Term())
+	}
+}
+
+// Lost chunks are sent again from where the follower is, never from the start.
+func TestSnapshotChunksResumeAfterLoss(t *testing.T) {
+	s := lockstep(t, 3)
+	leader := s.electLeader()
+	behind := s.nodes[0]
+	if behind == leader {
+		behind = s.nodes[1]
+	}
+	behind.group = 1
+	for i := range 20 {
+		s.propose(leader, fmt.Sprint(i))
+		s.deliverAll()
+	}
+	snapshot := leader.node.MakeSnapshot(make([]byte, 100))
+	require.NoError(t, leader.storage.SaveSnapshot(snapshot))
+	leader.node.Compact(snapshot, 0)
+	behind.group = 0
+	sent, held := 0, uint64(0)
+	for range 200 {
+		s.tickAll()
+		for at := 0; at < len(s.wire); at++ {
+			m := s.wire[at]
+			if m.Kind == MessageSnapshot {
+				sent++
+				require.GreaterOrEqual(t, m.Chunk.Offset, held)
+				require.LessOrEqual(t, len(m.Chunk.Data), s.config.ChunkBytes)
+			}
+			if m.Kind == MessageSnapshotResponse {
+				held = m.Chunk.Offset
+			}
+			lost := m.Kind == MessageSnapshot && sent%3 == 0
+			if to := s.byID(m.To); to != nil && !lost {
+				to.node.Step(m)
+				s.process(to)
+			}
+		}
+		s.wire = nil
+	}
+	require.Equal(t, leader.node.CommitIndex(), behind.node.AppliedIndex())
+	require.Equal(t, snapshot.Index, behind.node.SnapshotIndex())
+	require.Equal(t, leader.node.CommitIndex(), leader.node.Match(behind.node.ID()))
+	require.Less(t, sent, 2*100/s.config.ChunkBytes)
+}
+
+func (s *sim) tickAll() {
+	for _, n := range s.nodes {
+		n.node.Tick()
+		s.process(n)
+	}
+}
+
+// A follower that does not answer is sent a bounded number of bytes.
+func TestInflightBytesAreBounded(t *testing.T) {
+	s := lockstep(t, 3)
+	leader := s.electLeader()
+	s.wire = nil
+	for range 100 {
+		s.propose(leader, "0123456789")
+	}
+	sent := map[string]int{}
+	for _, m := range s.wire {
+		for i := range m.Entries {
+			sent[m.To] += entrySize(&m.Entries[i])
+		}
+	}
+	require.Len(t, sent, 2)
+	for _, size := range sent {
+		require.Less(t, size, s.config.InflightBytes+s.config.AppendBytes+entrySize(&Entry{Data: []byte("0123456789")}))
+	}
+	s.deliverAll()
+	s.tick()
+	require.Equal(t, leader.node.LastIndex(), leader.node.CommitIndex())
+}
+
+// A follower with a long conflicting tail agrees after one refusal per term.
+func TestConflictingTailBacksUpByTerms(t *testing.T) {
+	n := leaderOfThree(t)
+	members := n.Members()
+	tail := append(entriesOf(2, 2), entriesOf(3, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13)...)
+	b := NewNode(NodeConfig{}, HardState{Cluster: "x", ID: "b", Host: "h", Term: 4}, Snapshot{Index: 1, Term: 1, Members: members}, tail)
+	refusals := 0
+	for range 10 {
+		n.Tick()
+		for n.HasReady() {
+			for _, m := range n.Ready().Messages {
+				b.Step(m)
+			}
+			n.Advance()
+		}
+		for b.HasReady() {
+			for _, m := range b.Ready().AfterSave {
+				if m.Reject {
+					refusals++
+				}
+				n.Step(m)
+			}
+			b.Advance()
+		}
+	}
+	require.LessOrEqual(t, refusals, 2)
+	require.Equal(t, n.LastIndex(), b.LastIndex())
+	require.Equal(t, n.LastIndex(), n.Match("b"))
+}
+
+// A leader that hands over is not confirmed from then on, refuses commands, and
+// the other leads without an election timeout.
+func TestTransferLeadership(t *testing.T) {
+	s := lockstep(t, 3)
+	leader := s.electLeader()
+	to := leader.node.MostCurrent()
+	s.propose(leader, "1")
+	require.NoError(t, leader.node.TransferLeadership(to))
+	_, _, err := leader.node.Propose([]byte("2"))
+	require.ErrorIs(t, err, ErrNotLeader)
+	s.process(leader)
+	for leader.node.Role() == Leader && !leader.node.handed {
+		require.NotZero(t, leader.node.ConfirmedRound())
+		s.deliver()
+	}
+	require.Zero(t, leader.node.ConfirmedRound())
+	s.deliverAll()
+	require.Equal(t, to, leader.node.Leader())
+	require.Equal(t, Leader, s.byID(to).node.Role())
+}
+
+// While a majority answered a heartbeat that was sent less than the window ago,
+// no other host leads a newer term, whatever hosts pause or restart.
+func TestConfirmedLeadIsTheOnlyOne(t *testing.T) {
+	confirmed := 0
+	for seed := range uint64(100) {
+		s := newSim(t, seed, 3, simFaults{Lose: 100, Duplicate: 50, Transfer: 5})
+		sentAt := map[leadRound]int64{}
+		paused := map[*simNode]int{}
+		for s.now = 1; s.now < 600; s.now++ {
+			for _, n := range s.nodes {
+				s.tickUnlessPaused(n, paused)
+			}
+			for range 2 * len(s.wire) {
+				if len(s.wire) > 0 && paused[s.byID(s.wire[0].To)] <= 0 {
+					s.deliver()
+				}
+			}
+			confirmed += s.checkConfirmed(sentAt)
+		}
+	}
+	require.Greater(t, confirmed, 10_000)
+}
+
+func (s *sim) tickUnlessPaused(n *simNode, paused map[*simNode]int) {
+	if paused[n]--; paused[n] > 0 {
+		return
+	}
+	if s.chance(15) {
+		paused[n] = s.random.IntN(60)
+	}
+	if s.chance(5) {
+		s.crash(n)
+		s.boot(n)
+	}
+	n.node.Tick()
+	s.process(n)
+	s.fault()
+}
+
+// leadRound names a heartbeat round of a leader.
+type leadRound struct {
+	id    string
+	term  uint64
+	round uint64
+}
+
+// checkConfirmed counts the hosts whose lead is confirmed now, and checks that
+// no other leads a newer term.
+func (s *sim) checkConfirmed(sentAt map[leadRound]int64) int {
+	window := int64(Config{}.withDefaults().confirmWindow() / DefaultTick)
+	count := 0
+	for _, n := range s.nodes {
+		key := leadRound{n.node.ID(), n.node.Term(), n.node.Round()}
+		if _, known := sentAt[key]; !known {
+			sentAt[key] = s.now
+		}
+		key.round = n.node.ConfirmedRound()
+		at, known := sentAt[key]
+		if key.round == 0 || !known || s.now-at >= window {
+			continue
+		}
+		count++
+		for _, other := range s.nodes {
+			newer := other.node.Role() == Leader && other.node.Term() > n.node.Term()
+			require.False(s.t, newer, "%s leads term %d while %s is confirmed in term %d", other.host, other.node.Term(), n.host, n.node.Term())
+		}
+	}
+	return count
+}
