--- a/quorum/node_test.go
+++ b/quorum/node_test.go
@@ -53,10 +53,10 @@
 
 // leaderOfThree returns a node that leads term 4 of a, b and c and holds an
 // entry of term 2 that only it has.
-func leaderOfThree(t *testing.T) *Node {
+func leaderOfThree(t *testing.T, more ...uint64) *Node {
 	members := []Member{{ID: "a", Voter: true}, {ID: "b", Voter: true}, {ID: "c", Voter: true}}
 	state := HardState{Cluster: "x", ID: "a", Host: "h", Term: 3}
-	n := NewNode(NodeConfig{}, state, Snapshot{Index: 1, Term: 1, Members: members}, entriesOf(2, 2))
+	n := NewNode(NodeConfig{}, state, Snapshot{Index: 1, Term: 1, Members: members}, entriesOf(2, append([]uint64{2}, more...)...))
 	n.campaign(Candidate, true)
 	n.Ready()
 	n.Advance()
@@ -177,10 +177,13 @@
 		s.boot(n)
 		n.node.Step(vote)
 		require.Equal(t, leader.node.Term(), n.node.Term())
-		for range n.node.config.ElectionTicks {
+		for range n.node.config.ElectionTicks - 1 {
 			n.node.Tick()
 		}
 		n.node.Step(vote)
+		require.Equal(t, leader.node.Term(), n.node.Term())
+		n.node.Tick()
+		n.node.Step(vote)
 		require.Equal(t, leader.node.Term()+1, n.node.Term())
 	}
 }
@@ -261,7 +264,7 @@
 
 // A follower with a long conflicting tail agrees after one refusal per term.
 func TestConflictingTailBacksUpByTerms(t *testing.T) {
-	n := leaderOfThree(t)
+	n := leaderOfThree(t, 3, 4, 5, 6, 7, 8, 9, 10, 11)
 	members := n.Members()
 	tail := append(entriesOf(2, 2), entriesOf(3, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13)...)
 	b := NewNode(NodeConfig{}, HardState{Cluster: "x", ID: "b", Host: "h", Term: 4}, Snapshot{Index: 1, Term: 1, Members: members}, tail)
