--- a/quorum/codec_test.go
+++ b/quorum/codec_test.go
@@ -70,3 +70,85 @@
 		require.Equal(t, messages, decoded)
 	})
 }
+
+// fuzzDecoder checks that what is accepted survives a round trip.
+func fuzzDecoder[T any](f *testing.F, decode func([]byte) (T, error), encode func(T) []byte, seeds ...T) {
+	for _, seed := range seeds {
+		data := encode(seed)
+		f.Add(data)
+		f.Add(data[:len(data)/2])
+		f.Add(append([]byte{0xff}, data...))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		value, err := decode(data)
+		if err != nil {
+			require.ErrorIs(t, err, ErrCorrupt)
+			return
+		}
+		again, err := decode(encode(value))
+		require.NoError(t, err)
+		require.Equal(t, encode(value), encode(again))
+	})
+}
+
+var twoMembers = []Member{{ID: "a", Host: "h1", Address: "1.2.3.4:5", Voter: true}, {ID: "b", Host: "h2"}}
+
+func FuzzDecodeMessages(f *testing.F) {
+	fuzzDecoder(f, DecodeMessages, EncodeMessages,
+		[]Message{{
+			Kind: MessageAppend, Cluster: "c", From: "a", To: "b", Term: 3, Index: 1, LogTerm: 1,
+			Entries: []Entry{{Index: 2, Term: 2, Data: []byte("x")}, {Index: 3, Term: 3, Kind: EntryMembers, Data: EncodeMembers(twoMembers)}},
+		}},
+		[]Message{{
+			Kind: MessageSnapshot, Cluster: "c", From: "a", To: "b", Term: 3,
+			Chunk: &Chunk{Index: 7, Term: 2, Members: twoMembers, Total: 5, Offset: 2, Data: []byte("abc")},
+		}},
+		[]Message{{Kind: MessageVote, Cluster: "c", From: "a", To: "b", Term: 3}, {Kind: MessageReadResponse, Cluster: "c", From: "a", To: "b", ReadID: 9}},
+	)
+}
+
+func FuzzDecodeEntry(f *testing.F) {
+	fuzzDecoder(f, DecodeEntry, EncodeEntry,
+		Entry{Index: 1, Term: 1, Data: []byte("x")}, Entry{Index: 2, Term: 1, Kind: EntryMembers, Data: EncodeMembers(twoMembers)})
+}
+
+func FuzzDecodeHardState(f *testing.F) {
+	fuzzDecoder(f, DecodeHardState, EncodeHardState, HardState{Cluster: "c", ID: "a", Host: "h", Term: 5, Vote: "b", Commit: 4})
+}
+
+func FuzzDecodeSnapshot(f *testing.F) {
+	fuzzDecoder(f, DecodeSnapshot, EncodeSnapshot, Snapshot{Index: 3, Term: 2, Members: twoMembers, Data: []byte("state")})
+}
+
+func FuzzDecodeMembers(f *testing.F) {
+	fuzzDecoder(f, DecodeMembers, EncodeMembers, twoMembers)
+}
+
+func TestDecodersRefuseWhatNoReplicaSends(t *testing.T) {
+	good := Message{Kind: MessageAppend, Cluster: "c", From: "a", To: "b", Term: 3, Index: 1, LogTerm: 1}
+	for name, spoil := range map[string]func(*Message){
+		"no kind":             func(m *Message) { m.Kind = 0 },
+		"unknown kind":        func(m *Message) { m.Kind = 99 },
+		"no sender":           func(m *Message) { m.From = "" },
+		"no cluster":          func(m *Message) { m.Cluster = "" },
+		"gap":                 func(m *Message) { m.Entries = entriesOf(1, 3) },
+		"newer than its term": func(m *Message) { m.Entries = entriesOf(4, 2) },
+		"falling term":        func(m *Message) { m.Entries = append(entriesOf(2, 2), entriesOf(1, 3)...) },
+		"unknown entry":       func(m *Message) { m.Entries = []Entry{{Index: 2, Term: 1, Kind: 9}} },
+		"broken members":      func(m *Message) { m.Entries = []Entry{{Index: 2, Term: 1, Kind: EntryMembers, Data: []byte{1}}} },
+		"stray chunk":         func(m *Message) { m.Chunk = &Chunk{} },
+		"chunk without data":  func(m *Message) { m.Kind = MessageSnapshot },
+		"chunk beyond end": func(m *Message) {
+			m.Kind = MessageSnapshot
+			m.Chunk = &Chunk{Index: 1, Term: 1, Members: twoMembers, Total: 2, Offset: 1, Data: []byte("ab")}
+		},
+		"entries in a vote": func(m *Message) { m.Kind, m.Entries = MessageVote, entriesOf(1, 2) },
+	} {
+		bad := good
+		spoil(&bad)
+		_, err := DecodeMessages(EncodeMessages([]Message{bad}))
+		require.ErrorIs(t, err, ErrCorrupt, name)
+	}
+	_, err := DecodeMessages(EncodeMessages([]Message{good}))
+	require.NoError(t, err)
+}
