--- a/registry/claim_test.go
+++ b/registry/claim_test.go
@@ -51,6 +51,7 @@
 			claim, _ := r.Claim(testKey)
 			require.Equal(t, test.before, claim.State)
 			r.do(t, CloseSession{Session: session, Reason: CloseExpired, Term: 1})
+			require.False(t, r.do(t, openTestClaim(session, 1)).Granted, "the attempt asks again when its time is over")
 			resent := r.do(t, openTestClaim(other, 1))
 			if test.after == ClaimCancelled {
 				require.True(t, resent.Granted, "a request that was never sent may be tried again")
@@ -153,6 +154,7 @@
 	}
 	oldest, _ := r.Claim(ClaimKey{Service: "treasury", Key: "2"})
 	require.Len(t, oldest.Answer.Body, MaxAnswerBytes)
+	r.restart(t)
 	store(kept+2, 1)
 	oldest, _ = r.Claim(ClaimKey{Service: "treasury", Key: "2"})
 	require.Equal(t, Answer{Status: 200, Truncated: true}, oldest.Answer, "the oldest body makes room")
@@ -184,6 +186,8 @@
 	r.do(t, FinishClaim{Key: slow, Session: session, Attempt: 9, Time: testStart.Add(-48 * time.Hour)})
 	require.Zero(t, r.do(t, ExpireClaims{Before: testStart}).Count, "a slow clock shortens no retention")
 	require.Equal(t, uint64(3), r.do(t, ExpireClaims{Before: testStart.Add(time.Minute)}).Count)
+	require.Zero(t, r.state.claims.storedBytes)
+	require.Empty(t, r.state.claims.stored)
 	require.Len(t, r.Claims(ClaimFilter{State: ClaimOpen}), 1)
 	require.Len(t, r.Claims(ClaimFilter{State: ClaimInDoubt}), 1)
 	require.Len(t, r.Claims(ClaimFilter{Service: "treasury", Limit: 2}), 2)
--- a/registry/configuration.go
+++ b/registry/configuration.go
@@ -28,7 +28,7 @@
 		return refuse(CodeInUse, "the text removes services in use: "+listOf(used))
 	}
 	s.fleetVersion++
-	s.fleetText = slices.Clone(command.Text)
+	s.fleetText = command.Text
 	s.fleet = next
 	s.changed.fleet = true
 	s.dropPins()
--- a/registry/delta_test.go
+++ b/registry/delta_test.go
@@ -92,6 +92,16 @@
 	return next
 }
 
+func TestTextPatches(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		from := []byte(rapid.StringOfN(rapid.SampledFrom([]rune("ab")), 0, 8, -1).Draw(t, "from"))
+		to := []byte(rapid.StringOfN(rapid.SampledFrom([]rune("ab")), 0, 8, -1).Draw(t, "to"))
+		got, err := newTextPatch(1, from, to).Apply(1, from)
+		require.NoError(t, err)
+		require.Equal(t, string(to), string(got))
+	})
+}
+
 func TestDeltasThatDoNotFit(t *testing.T) {
 	r := newReplica()
 	r.applyText(t, "op-1", 0, testText)
--- a/registry/leases_test.go
+++ b/registry/leases_test.go
@@ -68,7 +68,8 @@
 		next.Elected(elected)
 		next.Follow(viewOf(1), elected)
 		oldMayAnswer := true
-		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+		lost := rapid.IntRange(0, 10).Draw(t, "steps until the host is lost")
+		for step := range 30 {
 			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "passed")) * time.Millisecond)
 			oldMayAnswer = oldMayAnswer && !now.After(elected.Add(timeout))
 			sent := now.Add(-time.Duration(rapid.IntRange(0, 800).Draw(t, "way")) * time.Millisecond)
@@ -76,7 +77,7 @@
 			if oldMayAnswer && rapid.Bool().Draw(t, "at the old leader") {
 				leader = old
 			}
-			if rapid.Bool().Draw(t, "renew") && leader.Renew(1, now) && sent.Add(lease).After(hostEnd) {
+			if step < lost && rapid.Bool().Draw(t, "renew") && leader.Renew(1, now) && sent.Add(lease).After(hostEnd) {
 				hostEnd = sent.Add(lease)
 			}
 			if len(next.Expired(now)) > 0 {
--- a/registry/operations_test.go
+++ b/registry/operations_test.go
@@ -150,7 +150,9 @@
 	recorded := r.do(t, order)
 	require.NoError(t, recorded.Err())
 	require.Equal(t, r.index, recorded.Order.Fence)
-	require.Equal(t, recorded.Order, r.do(t, order).Order, "recorded once")
+	again := r.do(t, order)
+	require.NoError(t, again.Err())
+	require.Equal(t, recorded.Order, again.Order, "recorded once")
 	other := order
 	other.ID = "o-2"
 	busy := r.do(t, other)
--- a/registry/ownership_test.go
+++ b/registry/ownership_test.go
@@ -37,6 +37,11 @@
 	}
 	require.Len(t, used, 14, "seven owners and seven backups on as many hosts")
 
+	for i := range 15 {
+		r.open(t, fmt.Sprintf("late-%d", i), testDomains[i%3], uint64(i))
+	}
+	require.Equal(t, view.Owners, r.View().Owners, "hosts that join take no service and no copy")
+
 	owner := view.Owners["s0"]
 	r.do(t, CloseSession{Session: owner.Session, Reason: CloseGraceful})
 	next := r.View().Owners["s0"]
@@ -97,6 +102,10 @@
 	require.NotEqual(t, domain, r.View().Hosts[next.Host].FailureDomain)
 	require.NotEqual(t, domain, r.View().Hosts[next.Backup].FailureDomain)
 	require.False(t, r.View().ShouldMove("s0"))
+	for _, name := range testDomains {
+		r.do(t, SetOutage{Operation: Operation{ID: "out " + name}, FailureDomain: name, Out: true})
+	}
+	require.False(t, r.View().ShouldMove("s0"), "there is no better place")
 }
 
 // TestOwnershipRules runs random joins, losses, moves, outages and fleets.
@@ -176,13 +185,17 @@
 // checkSpread: no host gets a second service while another one, in a failure
 // domain that is not out, has none.
 func (o *ownerRules) checkSpread(t *rapid.T, view *View, owned map[uint64]int) {
-	able, idle := 0, 0
+	able, idle, elsewhere := 0, 0, 0
 	for _, host := range view.Hosts {
 		if !host.Owns {
 			continue
 		}
 		able++
-		if owned[host.Session] == 0 && !view.DomainsOut[host.FailureDomain] && host.Session != o.view.Owners[o.moved].Session {
+		if view.DomainsOut[host.FailureDomain] || host.Session == o.view.Owners[o.moved].Session {
+			continue
+		}
+		elsewhere++
+		if owned[host.Session] == 0 {
 			idle++
 		}
 	}
@@ -190,8 +203,14 @@
 		require.Len(t, view.Owners, len(view.Fleet.Services), "each service has an owner")
 	}
 	for service, owner := range view.Owners {
-		if granted := owner.Fence != o.view.Owners[service].Fence; granted && owned[owner.Session] > 1 {
+		if owner.Fence == o.view.Owners[service].Fence {
+			continue
+		}
+		if owned[owner.Session] > 1 {
 			require.Zero(t, idle, "service %s", service)
 		}
+		if view.DomainsOut[view.Hosts[owner.Host].FailureDomain] {
+			require.Zero(t, elsewhere, "service %s went to a failure domain that is out", service)
+		}
 	}
 }
