--- a/common/jsonc/tree.go
+++ b/common/jsonc/tree.go
@@ -1,6 +1,7 @@
 package jsonc
 
 import (
+	"bytes"
 	"fmt"
 	"strings"
 
@@ -81,13 +82,13 @@
 }
 
 func endOfComment(text []byte, start int) int {
-	rest := string(text[start:])
+	rest := text[start:]
 	end, width := -1, 0
 	switch {
-	case strings.HasPrefix(rest, "//"):
-		end, width = strings.Index(rest, "\n"), 1
-	case strings.HasPrefix(rest, "/*"):
-		end, width = strings.Index(rest[2:], "*/"), 4
+	case bytes.HasPrefix(rest, []byte("//")):
+		end, width = bytes.IndexByte(rest, '\n'), 1
+	case bytes.HasPrefix(rest, []byte("/*")):
+		end, width = bytes.Index(rest[2:], []byte("*/")), 4
 	default:
 		return start
 	}
