registry: order claims by the entry that opened them

The number of the log entry orders them with one comparison, and is a fencing number for the dispatch.

--- a/registry/claim.go
+++ b/registry/claim.go
@@ -69,6 +69,9 @@
 	ClaimKey
 	State       ClaimState
 	Fingerprint uint64
+	// Number is that of the log entry that opened the claim. It is the fencing
+	// number of the dispatch, and the order of claims in a snapshot.
+	Number uint64
 	// Dispatcher and Attempt name who may dispatch or did.
 	Dispatcher uint64
 	Attempt    uint64
--- a/registry/claim_commands.go
+++ b/registry/claim_commands.go
@@ -4,7 +4,7 @@
 
 // openClaim grants a claim to one attempt, or tells the state of the one that
 // exists.
-func (s *state) openClaim(command OpenClaim) Result {
+func (s *state) openClaim(number uint64, command OpenClaim) Result {
 	if !command.Key.valid() {
 		return refuse(CodeMalformed, "a claim needs a service and a key of bounded length")
 	}
@@ -23,6 +23,7 @@
 		ClaimKey:    command.Key,
 		State:       ClaimOpen,
 		Fingerprint: command.Fingerprint,
+		Number:      number,
 		Dispatcher:  command.Session,
 		Attempt:     command.Attempt,
 		Opened:      now,
@@ -69,13 +70,13 @@
 // cancelClaim records that the request was never sent. Where no claim exists,
 // it leaves a cancelled one, so that an OpenClaim of the same attempt that
 // arrives later opens nothing.
-func (s *state) cancelClaim(command CancelClaim) Result {
+func (s *state) cancelClaim(number uint64, command CancelClaim) Result {
 	if !command.Key.valid() {
 		return refuse(CodeMalformed, "a claim needs a service and a key of bounded length")
 	}
 	claim := s.claims.byKey[command.Key]
 	if claim == nil || (claim.State == ClaimCancelled && claim.Fingerprint == command.Fingerprint) {
-		return s.cancelUnopened(command)
+		return s.cancelUnopened(number, command)
 	}
 	if !claim.dispatchedBy(command.Session, command.Attempt) || claim.State != ClaimOpen {
 		return refuseClaim(claim)
@@ -84,12 +85,13 @@
 	return Result{Code: CodeOK, Claim: *claim}
 }
 
-func (s *state) cancelUnopened(command CancelClaim) Result {
+func (s *state) cancelUnopened(number uint64, command CancelClaim) Result {
 	now := s.tick(command.Time)
 	claim := &Claim{
 		ClaimKey:    command.Key,
 		State:       ClaimCancelled,
 		Fingerprint: command.Fingerprint,
+		Number:      number,
 		Dispatcher:  command.Session,
 		Attempt:     command.Attempt,
 		Opened:      now,
--- a/registry/codec.go
+++ b/registry/codec.go
@@ -12,7 +12,11 @@
 // marshal writes a wire message. The messages have no maps, so the same message
 // gives the same bytes.
 func marshal(message proto.Message) ([]byte, error) {
-	return proto.MarshalOptions{Deterministic: true}.Marshal(message)
+	return appendWire(nil, message)
+}
+
+func appendWire(to []byte, message proto.Message) ([]byte, error) {
+	return proto.MarshalOptions{Deterministic: true}.MarshalAppend(to, message)
 }
 
 func encode(message proto.Message) []byte {
@@ -93,6 +97,7 @@
 		Key:         keyToWire(claim.ClaimKey),
 		State:       string(claim.State),
 		Fingerprint: claim.Fingerprint,
+		Number:      claim.Number,
 		Dispatcher:  claim.Dispatcher,
 		Attempt:     claim.Attempt,
 		Answer:      answerToWire(claim.Answer),
@@ -109,6 +114,7 @@
 		ClaimKey:    keyFromWire(wire.GetKey()),
 		State:       ClaimState(wire.GetState()),
 		Fingerprint: wire.GetFingerprint(),
+		Number:      wire.GetNumber(),
 		Dispatcher:  wire.GetDispatcher(),
 		Attempt:     wire.GetAttempt(),
 		Answer:      answerFromWire(wire.GetAnswer()),
--- a/registry/snapshot.go
+++ b/registry/snapshot.go
@@ -50,14 +50,14 @@
 
 // seal adds the mark and the checksum.
 func seal(mark string, wire *registrypb.State) ([]byte, error) {
-	body, err := marshal(wire)
+	header := append([]byte(mark), make([]byte, checksumBytes)...)
+	sealed, err := appendWire(header, wire)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode the registry's state")
 	}
-	sealed := make([]byte, 0, len(mark)+checksumBytes+len(body))
-	sealed = append(sealed, mark...)
-	sealed = binary.BigEndian.AppendUint64(sealed, xxhash.Sum64(body))
-	return append(sealed, body...), nil
+	body := sealed[len(header):]
+	binary.BigEndian.PutUint64(sealed[len(mark):], xxhash.Sum64(body))
+	return sealed, nil
 }
 
 func open(mark string, sealed []byte) (*registrypb.State, error) {
@@ -159,9 +159,10 @@
 	return restored
 }
 
+// sorted returns the claims in the order in which they were opened.
 func (c *claims) sorted() []*Claim {
 	sorted := slices.Collect(maps.Values(c.byKey))
-	slices.SortFunc(sorted, func(a, b *Claim) int { return compareClaimKeys(a.ClaimKey, b.ClaimKey) })
+	slices.SortFunc(sorted, func(a, b *Claim) int { return cmp.Compare(a.Number, b.Number) })
 	return sorted
 }
 
--- a/registry/state.go
+++ b/registry/state.go
@@ -89,11 +89,11 @@
 	case Pin:
 		return s.once(command.Operation, command.fingerprint(), func() Result { return s.pin(command) })
 	case OpenClaim:
-		return s.openClaim(command)
+		return s.openClaim(number, command)
 	case FinishClaim:
 		return s.finishClaim(number, command)
 	case CancelClaim:
-		return s.cancelClaim(command)
+		return s.cancelClaim(number, command)
 	case DoubtClaim:
 		return s.doubtClaim(command)
 	case SettleClaim:
