--- /dev/null
+++ b/admission/decision_bench_test.go
@@ -0,0 +1,98 @@
+package admission
+
+import (
+	"fmt"
+	"runtime"
+	"strconv"
+	"testing"
+	"time"
+
+	"comfreytiller.dev/chat"
+	"comfreytiller.dev/route"
+)
+
+const (
+	allChats = 4_200_000
+	allModel = 22
+)
+
+// BenchmarkDecision measures one permit, from asking to release, and the
+// ordering of candidates alone. The baseline sorts all by rendezvous hashing.
+func BenchmarkDecision(b *testing.B) {
+	for _, targets := range []int{18, 910} {
+		b.Run(fmt.Sprintf("warm-%d", targets), func(b *testing.B) { benchmarkPermit(b, targets, 1000) })
+		b.Run(fmt.Sprintf("new-%d", targets), func(b *testing.B) { benchmarkPermit(b, targets, 1<<30) })
+		b.Run(fmt.Sprintf("choose-%d", targets), func(b *testing.B) { benchmarkChoose(b, targets) })
+	}
+	b.Run("memory", benchmarkMemory)
+}
+
+func benchmarkPermit(b *testing.B, targets, chats int) {
+	s := warmService(targets, WithChats(200_000, time.Hour))
+	requests := make([]Request, 4096)
+	for i := range requests {
+		requests[i] = request("r"+strconv.Itoa(i), "")
+	}
+	for i := range min(chats, 1000) {
+		s.memory.Use(start, chat.KeyOf("c"+strconv.Itoa(i)), s.targets[i%targets].place, false)
+	}
+	names := make([]string, 1<<16)
+	for i := range names {
+		names[i] = "c" + strconv.Itoa(i)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		r := requests[i%len(requests)]
+		r.ID = names[i%len(names)] + "-" + r.ID
+		r.Chat = names[i%min(chats, len(names))]
+		s.Acquire(start, r)
+		effects := s.Effects()
+		s.Release(start, done(*effects[0].Permit))
+	}
+}
+
+func benchmarkChoose(b *testing.B, targets int) {
+	s := warmService(targets)
+	query := route.Query{Known: [2]int{route.None, route.None}, Bound: 8, First: firstChoices}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		query.Chat = uint64(i) + 1
+		if route.Choose(&query, s.candidates).Target == route.None {
+			b.Fatal("no choice")
+		}
+	}
+}
+
+// benchmarkMemory fills the memories of 22 services with 4.2 million chats.
+func benchmarkMemory(b *testing.B) {
+	for range b.N {
+		before := heapInUse()
+		memories := make([]*chat.Memory, allModel)
+		for i := range memories {
+			memories[i] = chat.NewMemory(allChats/allModel+1, time.Hour)
+			for t := range 41 {
+				memories[i].Open("e"+strconv.Itoa(t), 1, 0)
+			}
+		}
+		for i := range allChats {
+			memories[i%allModel].Use(start, chat.Key(uint64(i)*0x9e3779b97f4a7c15+1), chat.Place(1+i/allModel%41), false)
+		}
+		bytes := float64(heapInUse() - before)
+		total := 0
+		for _, memory := range memories {
+			total += memory.Len()
+		}
+		b.ReportMetric(bytes/float64(total), "bytes/chat")
+		b.ReportMetric(float64(total), "chats")
+		b.ReportMetric(bytes/(1<<20), "MB")
+	}
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
