--- a/admission/copy.go
+++ b/admission/copy.go
@@ -73,7 +73,7 @@
 }
 
 func (s *Service) importTarget(now time.Time, copied TargetCopy, current bool) {
-	at := s.slot(copied.Announcement.Name)
+	at := s.slot(now, copied.Announcement.Name)
 	t := s.targets[at]
 	if t.known && !copied.Announced.After(t.announced) {
 		if copied.Announced.Incarnation == t.incarnation {
--- a/admission/fleet.go
+++ b/admission/fleet.go
@@ -17,7 +17,7 @@
 		return true
 	}
 	if !known {
-		at = s.slot(announcement.Name)
+		at = s.slot(now, announcement.Name)
 	}
 	t := s.targets[at]
 	if t.announced.After(announcement.Stamp) {
@@ -46,7 +46,7 @@
 	if t.incarnation == incarnation {
 		return
 	}
-	*t = targetState{name: t.name, incarnation: incarnation}
+	*t = targetState{name: t.name, incarnation: incarnation, lastSeen: t.lastSeen}
 	s.addInFlight(now, at, -int(s.candidates[at].InFlight))
 	for _, granted := range s.permits {
 		if granted.target == at {
@@ -71,7 +71,7 @@
 
 func (s *Service) bindPlace(place chat.Place, at int) {
 	for len(s.byPlace) <= int(place) {
-		s.byPlace = append(s.byPlace, -1)
+		s.byPlace = append(s.byPlace, 0)
 	}
 	if place != chat.NoPlace {
 		s.byPlace[place] = at
@@ -136,7 +136,7 @@
 func (s *Service) Leave(now time.Time, leave target.Leave) {
 	s.advance(now)
 	defer s.pump(now)
-	at := s.slot(leave.Name)
+	at := s.slot(now, leave.Name)
 	t := s.targets[at]
 	if t.announced.After(leave.Stamp) {
 		return
--- a/admission/owner.go
+++ b/admission/owner.go
@@ -16,7 +16,7 @@
 	if item, known := s.queue.waiting[permit.RequestID]; known {
 		s.queue.remove(item)
 	}
-	at := s.slot(permit.Target)
+	at := s.slot(now, permit.Target)
 	t := s.targets[at]
 	if permit.Incarnation > t.incarnation {
 		s.enter(now, at, permit.Incarnation)
--- a/admission/pump.go
+++ b/admission/pump.go
@@ -37,6 +37,8 @@
 	case !now.Before(item.expires):
 		s.refuseWaiting(now, item, RefusedDeadline, "the deadline passed in the queue")
 	case s.waitsForWarm(item):
+		s.queue.unwant(item)
+		s.queue.want(item, s.query(item).Known[0])
 		s.queue.hold(item, now.Add(s.options.warmWait))
 	case s.place(now, item):
 	case len(item.request.Exclude) > 0:
@@ -126,7 +128,11 @@
 	if place == chat.NoPlace || int(place) >= len(s.byPlace) {
 		return route.None
 	}
-	return s.byPlace[place]
+	at := s.byPlace[place]
+	if s.targets[at].place != place {
+		return route.None
+	}
+	return at
 }
 
 func (s *Service) allExcluded(excluded []int) bool {
--- a/admission/refuse.go
+++ b/admission/refuse.go
@@ -55,6 +55,9 @@
 func (s *Service) closedTargets() []Refused {
 	var list []Refused
 	for at := range s.candidates {
+		if s.targets[at].name == "" {
+			continue
+		}
 		if reason := s.candidates[at].Refuses(unlimited); reason != route.Open {
 			list = append(list, Refused{s.targets[at].name, reason.String()})
 		}
--- a/admission/service.go
+++ b/admission/service.go
@@ -23,6 +23,8 @@
 	candidates []route.Candidate
 	byName     map[string]int
 	byPlace    []int
+	// free lists the indexes that are not in use.
+	free []int
 	// load sums up the admitting candidates.
 	load route.Load
 	// empty is since when there is none.
@@ -120,17 +122,43 @@
 }
 
 // slot returns the index of the target of that name, and adds it if needed.
-func (s *Service) slot(name string) int {
+func (s *Service) slot(now time.Time, name string) int {
 	if at, known := s.byName[name]; known {
 		return at
 	}
 	at := len(s.targets)
-	s.targets = append(s.targets, &targetState{name: name})
-	s.candidates = append(s.candidates, route.Candidate{Key: xxhash.Sum64String(name), Closed: route.Unannounced})
+	if last := len(s.free) - 1; last >= 0 {
+		at = s.free[last]
+		s.free = s.free[:last]
+	} else {
+		s.targets = append(s.targets, nil)
+		s.candidates = append(s.candidates, route.Candidate{})
+	}
+	s.targets[at] = &targetState{name: name, lastSeen: now}
+	s.candidates[at] = route.Candidate{Key: xxhash.Sum64String(name), Closed: route.Unannounced}
 	s.byName[name] = at
 	return at
 }
 
+// forget frees the index of a target that is gone for long, unless permits on it
+// are still counted.
+func (s *Service) forget(now time.Time, at int) {
+	t := s.targets[at]
+	if t.name == "" || now.Sub(t.lastSeen) < DefaultForgetAfter {
+		return
+	}
+	for _, granted := range s.permits {
+		if granted.target == at {
+			return
+		}
+	}
+	delete(s.byName, t.name)
+	s.memory.Close(t.name)
+	s.targets[at] = &targetState{lastSeen: t.lastSeen}
+	s.candidates[at] = route.Candidate{Closed: route.Gone}
+	s.free = append(s.free, at)
+}
+
 // sync brings a candidate and the load up to date with its target.
 func (s *Service) sync(now time.Time, at int) {
 	candidate := &s.candidates[at]
@@ -187,6 +215,7 @@
 	s.nextCheck = now.Add(farFuture)
 	for at := range s.targets {
 		s.sync(now, at)
+		s.forget(now, at)
 	}
 }
 
--- a/admission/status.go
+++ b/admission/status.go
@@ -58,7 +58,7 @@
 	if s.load.Targets > 0 {
 		status.Mean = float64(s.load.InFlight) / float64(s.load.Targets)
 	}
-	for at := range s.targets {
+	for _, at := range s.byName {
 		status.Targets = append(status.Targets, s.targetStatus(at))
 	}
 	for _, w := range s.workspaces {
--- a/admission/target.go
+++ b/admission/target.go
@@ -66,6 +66,9 @@
 	if !next.After(now) {
 		next = t.lastSeen.Add(DefaultForgetAfter)
 	}
+	if !next.After(now) {
+		next = now.Add(s.options.goneAfter)
+	}
 	if t.circuit.open && t.circuit.openTill.After(now) && t.circuit.openTill.Before(next) {
 		return t.circuit.openTill
 	}
