Hand over, withdraw and import without loss

Read against the host that drives it: a release without a target was ignored, so a permit withdrawn for a lost lease stayed counted; a cancel while a service moves away granted other waiting requests, whose permits nobody sent; a current copy after older ones did not make its targets current.

--- a/admission/copy.go
+++ b/admission/copy.go
@@ -35,7 +35,7 @@
 // Export returns the targets and up to limit chats that changed since the last
 // export; with limit 0 all chats.
 func (s *Service) Export(now time.Time, limit int) Copy {
-	out := Copy{Current: s.adopted && limit <= 0}
+	out := Copy{Current: (s.adopted || s.suspended) && limit <= 0}
 	for _, t := range s.targets {
 		if !t.known {
 			continue
@@ -57,8 +57,10 @@
 	return out
 }
 
-// Import takes what another owner exported. What is known here to be newer
-// stays.
+// Import takes what another owner exported; copies are given in the order in
+// which they were made. What the targets themselves told this owner stays. A
+// backup may keep the copies in a Service of its own that is never adopted, and
+// export all of it to the new owner.
 func (s *Service) Import(now time.Time, in Copy) {
 	s.advance(now)
 	defer s.pump(now)
@@ -75,11 +77,11 @@
 func (s *Service) importTarget(now time.Time, copied TargetCopy, current bool) {
 	at := s.slot(now, copied.Announcement.Name)
 	t := s.targets[at]
-	if t.known && !copied.Announced.After(t.announced) {
-		if copied.Announced.Incarnation == t.incarnation {
-			t.warmUp.done = max(t.warmUp.done, copied.Completed)
-			s.sync(now, at)
-		}
+	if t.announced.After(copied.Announced) {
+		return
+	}
+	if t.heard {
+		s.importProgress(now, at, copied, current)
 		return
 	}
 	s.enter(now, at, copied.Announced.Incarnation)
@@ -92,7 +94,19 @@
 		silent = max(silent, s.options.suspectAfter)
 	}
 	t.lastSeen = now.Add(-silent)
-	t.warmUp = warmUp{done: max(t.warmUp.done, copied.Completed), reported: copied.ReportedCold}
+	t.warmUp = warmUp{done: copied.Completed, reported: copied.ReportedCold}
+	t.warmUp.bore(s.config.Service.WarmUp, t.full(s), int(s.candidates[at].InFlight))
 	s.openPlace(at)
 	s.sync(now, at)
 }
+
+// importProgress takes the warm-up progress of a target that told this owner
+// something already, unless that it is cold.
+func (s *Service) importProgress(now time.Time, at int, copied TargetCopy, current bool) {
+	t := s.targets[at]
+	if !current || t.warmUp.reported || t.incarnation != copied.Announced.Incarnation {
+		return
+	}
+	t.warmUp.done = max(t.warmUp.done, copied.Completed)
+	s.sync(now, at)
+}
--- a/admission/fleet.go
+++ b/admission/fleet.go
@@ -32,7 +32,7 @@
 	t.replaced = false
 	t.announced = announcement.Stamp
 	t.announcement = announcement
-	t.lastSeen = now
+	t.hear(now)
 	t.warmUp.report(announcement.Cold)
 	s.openPlace(at)
 	s.sync(now, at)
@@ -109,7 +109,7 @@
 		return true
 	}
 	t.reported = report.Stamp
-	t.lastSeen = now
+	t.hear(now)
 	t.warmUp.report(report.Cold)
 	t.peak.note(now, int(s.candidates[at].InFlight))
 	t.outside = max(report.InFlight+report.Queued-t.peak.highest(), 0)
@@ -143,6 +143,7 @@
 	}
 	s.enter(now, at, leave.Incarnation)
 	t.announced = leave.Stamp
+	t.heard = true
 	t.left = true
 	s.sync(now, at)
 }
--- a/admission/owner.go
+++ b/admission/owner.go
@@ -46,11 +46,23 @@
 	s.advance(now)
 	defer s.pump(now)
 	s.adopted = true
+	s.suspended = false
 	if !s.empty.IsZero() || s.load.Targets == 0 {
 		s.empty = now
 	}
 }
 
+// Suspend ends all grants until Adopted is called again, and refuses what waits
+// with RefusedNotOwner, so that it is asked for again at the next owner. An
+// export made then still is current.
+func (s *Service) Suspend(now time.Time) {
+	s.suspended = s.suspended || s.adopted
+	s.adopted = false
+	for _, item := range s.queue.inOrder() {
+		s.refuseWaiting(now, item, RefusedNotOwner, "the service moves to another owner")
+	}
+}
+
 // ReleaseHost drops the permits and waiting requests of a host whose session is
 // closed. They get no effect.
 func (s *Service) ReleaseHost(now time.Time, host string) {
--- a/admission/property_test.go
+++ b/admission/property_test.go
@@ -16,9 +16,9 @@
 // step does one random thing to the world.
 func (w *world) step() {
 	switch rapid.SampledFrom([]string{
-		"acquire", "acquire", "acquire", "acquire", "done", "done", "done", "fail", "unsent", "repeat", "cancel", "time",
+		"acquire", "acquire", "acquire", "acquire", "done", "done", "done", "fail", "unsent", "withdraw", "repeat", "cancel", "time",
 		"announce", "restart", "late", "load", "cold", "outside", "leave", "domain", "target", "host", "takeover",
-		"handover", "copy", "cache", "limits",
+		"handover", "resume", "copy", "cache", "limits",
 	}).Draw(w.t, "step") {
 	case "acquire":
 		w.acquire(w.newRequest())
@@ -28,6 +28,8 @@
 		w.release(OutcomeFailed, 0)
 	case "unsent":
 		w.release(OutcomeUnsent, 0)
+	case "withdraw":
+		w.withdraw()
 	case "repeat":
 		w.repeat()
 	case "cancel":
@@ -75,6 +77,9 @@
 		w.takeOver(false)
 	case "handover":
 		w.takeOver(true)
+	case "resume":
+		w.suspend()
+		w.owner.Adopted(w.now)
 	case "copy":
 		w.backup.Import(w.now, w.owner.Export(w.now, rapid.IntRange(1, 5).Draw(w.t, "chats")))
 	case "cache":
@@ -83,6 +88,18 @@
 	w.settle()
 }
 
+// suspend ends the owner's grants; the hosts ask again for what waits.
+func (w *world) suspend() {
+	w.owner.Suspend(w.now)
+	for _, effect := range w.owner.Effects() {
+		require.Equal(w.t, RefusedNotOwner, effect.Refusal.Code)
+		w.owner.Acquire(w.now, w.waiting[effect.Refusal.RequestID])
+	}
+	for id := range w.waiting {
+		require.Contains(w.t, w.owner.queue.waiting, id)
+	}
+}
+
 func (w *world) newRequest() Request {
 	w.next++
 	r := request(fmt.Sprintf("r%d", w.next), fmt.Sprintf("c%d", rapid.IntRange(0, 30).Draw(w.t, "chat")))
@@ -162,3 +179,16 @@
 		require.Zero(t, w.owner.queue.len())
 	})
 }
+
+// withdraw takes a permit back before it leaves, and asks for it again.
+func (w *world) withdraw() {
+	for _, id := range slices.Sorted(maps.Keys(w.permits)) {
+		p := w.permits[id]
+		delete(w.permits, id)
+		delete(w.answered, id)
+		w.owner.Withdraw(w.now, id)
+		w.settle()
+		w.acquire(Request{ID: id, Host: p.Host, Service: p.Service, Workspace: p.Workspace, Chat: p.Chat})
+		return
+	}
+}
--- a/admission/refuse.go
+++ b/admission/refuse.go
@@ -24,7 +24,9 @@
 		Message:    message,
 		RetryAfter: s.retryAfter(now, request.Workspace, code),
 	}
-	s.recent.add(now, request.ID, refusal)
+	if code != RefusedNotOwner {
+		s.recent.add(now, request.ID, refusal)
+	}
 	s.metrics.refused(code)
 	decision := decisionOf(request, waited)
 	decision.Reason = string(code)
--- a/admission/release.go
+++ b/admission/release.go
@@ -3,19 +3,33 @@
 import "time"
 
 // Release gives a permit back. Unknown permits are ignored, so that a release
-// may be repeated.
+// may be repeated. A host that does not know the target leaves it empty.
 func (s *Service) Release(now time.Time, release Release) {
 	s.advance(now)
 	defer s.pump(now)
 	granted, known := s.permits[release.RequestID]
-	if !known || granted.permit.Target != release.Target {
+	if !known || release.Target != "" && granted.permit.Target != release.Target {
 		return
 	}
+	s.giveBack(now, granted, &release)
+	s.recent.add(now, release.RequestID, nil)
+}
+
+// Withdraw takes back a permit that never left the owner's host. The request may
+// be asked for again.
+func (s *Service) Withdraw(now time.Time, requestID string) {
+	s.advance(now)
+	defer s.pump(now)
+	if granted, known := s.permits[requestID]; known {
+		s.giveBack(now, granted, &Release{Outcome: OutcomeUnsent})
+	}
+}
+
+func (s *Service) giveBack(now time.Time, granted *grant, release *Release) {
 	s.drop(now, granted)
 	if granted.counted {
-		s.learn(now, granted, &release)
+		s.learn(now, granted, release)
 	}
-	s.recent.add(now, release.RequestID, nil)
 }
 
 // drop stops counting a permit.
--- a/admission/rules_test.go
+++ b/admission/rules_test.go
@@ -80,6 +80,7 @@
 	s := warmService(2)
 	s.Announce(start, announcement("cold", 1, 1))
 	require.Len(t, fill(s, start, "r", 30), 8+8+2)
+	require.Equal(t, "Warming", s.candidates[s.byName["cold"]].Refuses(unlimited).String())
 }
 
 func TestTargetsThatTurnColdAreLimited(t *testing.T) {
@@ -331,6 +332,54 @@
 	require.Equal(t, map[string]RefusalCode{"r8": RefusedUnknownWorkspace}, refusalsOf(s.Effects()))
 }
 
+// A leave that is older than the newest announcement, and a copy that is older
+// than what the target itself told, change nothing.
+func TestOldNewsChangeNothing(t *testing.T) {
+	s := warmService(1)
+	old := s.Export(start, 0)
+	s.Announce(start, announcement("e0", 1, 5))
+	s.Leave(start, target.Leave{Name: "e0", Stamp: target.Stamp{Incarnation: 1, Sequence: 4}})
+	require.Equal(t, "Ready", stateOf(s, "e0").State)
+	report := load("e0", 6, 0)
+	report.Cold = true
+	s.Load(start, report)
+	old.Targets[0].Left = true
+	s.Import(start, old)
+	require.Equal(t, TargetStatus{State: "Warming", Limit: 2}, TargetStatus{State: stateOf(s, "e0").State, Limit: stateOf(s, "e0").Limit})
+}
+
+// A backup keeps bounded copies and gives a new owner the targets and chats; the
+// targets get work once they are heard of.
+func TestBackupGivesANewOwnerWhatItNeeds(t *testing.T) {
+	s, backup := warmService(3), New(reviews(), 0)
+	places := map[string]string{}
+	for i := range 20 {
+		chat := fmt.Sprintf("c%d", i)
+		s.Acquire(start, request("r"+chat, chat))
+		p := onlyPermit(t, s)
+		places[chat] = p.Target
+		s.Release(start, done(p))
+		copied := s.Export(start, 7)
+		require.LessOrEqual(t, len(copied.Chats.Entries), 7)
+		backup.Import(start, copied)
+	}
+	next := New(reviews(), 4)
+	next.Import(after(time.Second), backup.Export(after(time.Second), 0))
+	next.Adopted(after(time.Second))
+	require.Equal(t, "Suspect", stateOf(next, "e0").State)
+	for i := range 3 {
+		require.True(t, next.Load(after(time.Second), load(fmt.Sprintf("e%d", i), 9, 0)))
+	}
+	for chat, place := range places {
+		next.Acquire(after(time.Second), request("again"+chat, chat))
+		p := onlyPermit(t, next)
+		require.Equal(t, place, p.Target)
+		require.True(t, p.Warm)
+		next.Release(after(time.Second), done(p))
+	}
+	require.Equal(t, 8, stateOf(next, "e0").Limit)
+}
+
 func TestMetricsCountDecisions(t *testing.T) {
 	scope := tally.NewTestScope("", nil)
 	s := warmService(1, WithScope(scope))
--- a/admission/service.go
+++ b/admission/service.go
@@ -16,7 +16,9 @@
 	config  Config
 	fence   uint64
 	adopted bool
-	factor  route.Factor
+	// suspended is set between Suspend and Adopted.
+	suspended bool
+	factor    route.Factor
 
 	// targets and candidates have the same indexes.
 	targets    []*targetState
--- a/admission/target.go
+++ b/admission/target.go
@@ -24,15 +24,23 @@
 	// announced itself yet.
 	replaced bool
 	lastSeen time.Time
-	place    chat.Place
-	warmUp   warmUp
-	circuit  circuit
+	// heard is set once the target itself told this owner something.
+	heard   bool
+	place   chat.Place
+	warmUp  warmUp
+	circuit circuit
 	// outside is the work that the target reports beyond what was granted.
 	outside int
 	// peak is the highest number in flight that a late report may show.
 	peak peak
 }
 
+// hear notes a message of the target.
+func (t *targetState) hear(now time.Time) {
+	t.lastSeen = now
+	t.heard = true
+}
+
 // closed returns why the target takes no new work at all, or route.Open.
 func (t *targetState) closed(now time.Time, s *Service) route.Reason {
 	silent := now.Sub(t.lastSeen)
--- a/route/choose_test.go
+++ b/route/choose_test.go
@@ -11,12 +11,12 @@
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
 	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
 		}
 	}
+	flag.Parse()
 	os.Exit(m.Run())
 }
 
