--- a/admission/acquire.go
+++ b/admission/acquire.go
@@ -18,6 +18,10 @@
 		s.refuse(now, &request, 0, code, message)
 		return
 	}
+	if !s.makeRoom(now, &request) {
+		s.refuse(now, &request, 0, RefusedQueueFull, queueFull)
+		return
+	}
 	s.queue.add(s.newWaiting(now, request))
 }
 
@@ -57,12 +61,27 @@
 		return RefusedUnknownWorkspace, "the workspace may not use the service"
 	case !request.Deadline.IsZero() && !now.Before(request.Deadline):
 		return RefusedDeadline, "the deadline has passed"
-	case w.waiting >= s.queueLimit():
-		return RefusedQueueFull, "the workspace's queue is full"
 	}
 	return "", ""
 }
 
+const queueFull = "the workspace's queue is full"
+
+// makeRoom reports whether the request may enter its workspace's queue. From a
+// full queue it displaces one of a lower priority.
+func (s *Service) makeRoom(now time.Time, request *Request) bool {
+	w := s.workspaces[request.Workspace]
+	if w.waiting < s.queueLimit() {
+		return true
+	}
+	last := s.queue.last(w)
+	if last.request.Priority >= request.Priority {
+		return false
+	}
+	s.refuseWaiting(now, last, RefusedQueueFull, queueFull)
+	return true
+}
+
 func (s *Service) queueLimit() int {
 	if limit := s.config.Service.Limits.Queue; limit > 0 {
 		return limit
--- a/admission/decision_bench_test.go
+++ b/admission/decision_bench_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"comfreytiller.dev/chat"
+	"comfreytiller.dev/common/rendezvous"
 	"comfreytiller.dev/route"
 )
 
@@ -23,6 +24,7 @@
 		b.Run(fmt.Sprintf("warm-%d", targets), func(b *testing.B) { benchmarkPermit(b, targets, 1000) })
 		b.Run(fmt.Sprintf("new-%d", targets), func(b *testing.B) { benchmarkPermit(b, targets, 1<<30) })
 		b.Run(fmt.Sprintf("choose-%d", targets), func(b *testing.B) { benchmarkChoose(b, targets) })
+		b.Run(fmt.Sprintf("baseline-%d", targets), func(b *testing.B) { benchmarkRank(b, targets) })
 	}
 	b.Run("memory", benchmarkMemory)
 }
@@ -65,6 +67,18 @@
 	}
 }
 
+// benchmarkRank is the baseline: all names sorted by rendezvous hashing.
+func benchmarkRank(b *testing.B, targets int) {
+	names := make([]string, targets)
+	for i := range names {
+		names[i] = "e" + strconv.Itoa(i)
+	}
+	b.ReportAllocs()
+	for i := range b.N {
+		rendezvous.Rank(strconv.Itoa(i), names)
+	}
+}
+
 // benchmarkMemory fills the memories of 22 services with 4.2 million chats.
 func benchmarkMemory(b *testing.B) {
 	for range b.N {
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -204,6 +204,25 @@
 	return list
 }
 
+// last returns the workspace's request that would be served last.
+func (q *queue) last(w *workspace) *waiting {
+	var last *waiting
+	consider := func(item *waiting) {
+		if last == nil || q.before(last, item) {
+			last = item
+		}
+	}
+	for _, item := range w.requests.items {
+		consider(item)
+	}
+	for _, item := range q.held {
+		if item.held && item.workspace == w {
+			consider(item)
+		}
+	}
+	return last
+}
+
 // next returns the request whose turn it is, or nil.
 func (q *queue) next() *waiting {
 	if q.active.len() == 0 {
--- a/admission/rules_test.go
+++ b/admission/rules_test.go
@@ -242,7 +242,11 @@
 	for i := range 4 {
 		s.Release(after(time.Duration(i+1)*500*time.Millisecond), done(running[i]))
 	}
+	urgent := request("urgent", "")
+	urgent.Priority = 1
 	fill(s, after(2*time.Second), "y", 4)
+	s.Acquire(after(2*time.Second), urgent)
+	require.Equal(t, map[string]RefusalCode{"y3": RefusedQueueFull}, refusalsOf(s.Effects()), "the last of a lower priority")
 	s.Effects()
 	s.Acquire(after(2*time.Second), request("z", ""))
 	retry := s.Effects()[0].Refusal.RetryAfter
@@ -391,3 +395,23 @@
 	require.Equal(t, 16.0, snapshot.Gauges()["queue_depth+"].Value())
 	require.Equal(t, 1.0, snapshot.Gauges()["max_over_mean+"].Value())
 }
+
+// The same messages at the same times give the same effects.
+func TestSameInputGivesTheSameOutput(t *testing.T) {
+	run := func() []string {
+		var lines []string
+		m := newModel(1, vernici(), 6)
+		m.onGrant = func(p Permit, _ time.Duration) { lines = append(lines, p.RequestID+p.Target+p.Reason) }
+		for _, e := range m.engines {
+			m.join(e)
+		}
+		for i := range 400 {
+			m.after(time.Duration(i)*10*time.Millisecond, func() { m.ask(fmt.Sprintf("w%d", i%10), fmt.Sprintf("chat-%d", i%40)) })
+		}
+		m.after(2*time.Second, func() { m.owner.ReleaseHost(m.now, "h3") })
+		m.after(3*time.Second, func() { m.takeOut(map[string]bool{"A": true}) })
+		m.runUntil(after(20 * time.Second))
+		return lines
+	}
+	require.Equal(t, run(), run())
+}
