--- a/admission/rules_test.go
+++ b/admission/rules_test.go
@@ -218,6 +218,33 @@
 	})
 }
 
+// A chat whose target is at its bound waits a short time for it, then goes
+// elsewhere.
+func TestChatWaitsShortlyForItsFullTarget(t *testing.T) {
+	for name, freed := range map[string]bool{"freed": true, "not freed": false} {
+		t.Run(name, func(t *testing.T) {
+			s := warmService(2)
+			s.Acquire(start, request("a", "chat"))
+			first := onlyPermit(t, s)
+			s.Acquire(start, request("b", "chat"))
+			require.Equal(t, first.Target, onlyPermit(t, s).Target)
+			s.Acquire(start, request("c", "chat"))
+			s.Tick(after(DefaultWarmWait - time.Millisecond))
+			require.Empty(t, s.Effects())
+			if freed {
+				s.Release(after(DefaultWarmWait-time.Millisecond), done(first))
+				require.Equal(t, first.Target, onlyPermit(t, s).Target)
+				return
+			}
+			s.Tick(after(DefaultWarmWait))
+			effects := s.Effects()
+			require.NotEqual(t, first.Target, effects[0].Permit.Target)
+			require.Equal(t, []Refused{{first.Target, "AtBound"}}, effects[0].Decision.Refused)
+			require.Contains(t, effects[0].Decision.String(), "not "+first.Target+": AtBound")
+		})
+	}
+}
+
 func TestPriorityThenArrivalWithinAWorkspace(t *testing.T) {
 	s := warmService(1)
 	running := fill(s, start, "r", 8)
@@ -287,6 +314,10 @@
 	s.Release(start, done(first))
 	s.Release(start, Release{RequestID: "unknown", Target: "e0"})
 	require.Zero(t, s.Status().InFlight)
+	s.Acquire(start, request("c", ""))
+	require.Equal(t, "c", onlyPermit(t, s).RequestID)
+	s.Release(start, Release{RequestID: "c", Outcome: OutcomeUnsent})
+	require.Zero(t, s.Status().InFlight, "its host need not know the target")
 	s.Acquire(start, request("a", ""))
 	s.Cancel(start, "b")
 	s.Acquire(start, request("b", ""))
@@ -342,6 +373,7 @@
 	s := warmService(1)
 	old := s.Export(start, 0)
 	s.Announce(start, announcement("e0", 1, 5))
+	same := s.Export(start, 0)
 	s.Leave(start, target.Leave{Name: "e0", Stamp: target.Stamp{Incarnation: 1, Sequence: 4}})
 	require.Equal(t, "Ready", stateOf(s, "e0").State)
 	report := load("e0", 6, 0)
@@ -349,6 +381,7 @@
 	s.Load(start, report)
 	old.Targets[0].Left = true
 	s.Import(start, old)
+	s.Import(start, same)
 	require.Equal(t, TargetStatus{State: "Warming", Limit: 2}, TargetStatus{State: stateOf(s, "e0").State, Limit: stateOf(s, "e0").Limit})
 }
 
