Name the holder of a displaced chat's context in its permit

Where both engines move KV cache, the permit's CacheFrom is the address of the target that holds the newest context.

--- a/admission/domain_bench_test.go
+++ b/admission/domain_bench_test.go
@@ -65,9 +65,10 @@
 	return float64(d.waits[len(d.waits)*99/100]) / float64(time.Millisecond)
 }
 
-func moveDomain(opts ...Option) *domainMove {
+func moveDomain(movesCache bool, opts ...Option) *domainMove {
 	config := vernici()
 	m := newModel(1, config, 18, opts...)
+	m.movesCache = movesCache
 	d := &domainMove{model: m}
 	m.onRun = d.run
 	for _, e := range m.engines {
@@ -98,7 +99,7 @@
 	item := &waiting{chat: chat.KeyOf(name)}
 	query := m.owner.query(item)
 	query.Bound = unlimited
-	choice := route.Choose(&query, m.owner.candidates)
+	choice := route.Choose(&query.Query, m.owner.candidates)
 	m.owner.memory.Use(m.now, item.chat, m.owner.targets[choice.Target].place, false)
 	m.byName[m.owner.targets[choice.Target].name].run(name)
 	m.seen[name] = true
@@ -106,7 +107,7 @@
 
 func BenchmarkDomainMove(b *testing.B) {
 	for range b.N {
-		ours := moveDomain()
+		ours := moveDomain(false)
 		m := ours.model
 		b.ReportMetric(float64(ours.late), "late-new-work/op")
 		b.ReportMetric(float64(m.refused)/float64(m.granted+m.refused), "refused/ratio")
@@ -114,7 +115,10 @@
 		b.ReportMetric(ours.windows[0].ratio(), "reuse-before")
 		b.ReportMetric(ours.windows[1].ratio(), "reuse-during")
 		b.ReportMetric(ours.windows[2].ratio(), "reuse-after")
-		baseline := moveDomain(withPolicy(withoutMemory))
+		moving := moveDomain(true)
+		b.ReportMetric(moving.windows[1].ratio(), "moving-during")
+		b.ReportMetric(moving.p99(), "moving-p99-ms")
+		baseline := moveDomain(false, withPolicy(withoutMemory))
 		b.ReportMetric(baseline.windows[1].ratio(), "baseline-during")
 		b.ReportMetric(baseline.windows[2].ratio(), "baseline-after")
 		b.ReportMetric(baseline.p99(), "baseline-p99-ms")
--- a/admission/grant.go
+++ b/admission/grant.go
@@ -3,17 +3,16 @@
 import (
 	"time"
 
-	"comfreytiller.dev/chat"
 	"comfreytiller.dev/route"
 )
 
 // grant turns a waiting request into a permit.
-func (s *Service) grant(now time.Time, item *waiting, query *route.Query, choice *route.Choice) {
+func (s *Service) grant(now time.Time, item *waiting, query *lookup, choice *route.Choice) {
 	s.queue.serve(item)
 	item.workspace.drain.add(now)
 	item.workspace.inFlight++
 	t := s.targets[choice.Target]
-	reason := s.reasonOf(item, query, choice)
+	reason := reasonOf(query, choice)
 	waited := now.Sub(item.since)
 	granted := &grant{
 		permit: Permit{
@@ -32,6 +31,7 @@
 			Reason:      reason.String(),
 			ChecksFence: t.announcement.ChecksFence,
 			Resumes:     t.announcement.Resumes,
+			CacheFrom:   s.cacheFrom(now, query, choice.Target),
 		},
 		target:    choice.Target,
 		counted:   true,
@@ -39,7 +39,8 @@
 		chat:      item.chat,
 		probe:     t.circuit.open,
 	}
-	granted.moved = s.memory.Use(now, item.chat, t.place, s.lastIsOut(item.chat))
+	out := query.last != route.None && !s.candidates[query.last].Admits()
+	granted.moved = s.memory.Use(now, item.chat, t.place, out)
 	t.circuit.sent()
 	s.addInFlight(now, choice.Target, 1)
 	if granted.probe {
@@ -55,26 +56,32 @@
 	})
 }
 
-// lastIsOut reports whether the chat's last target takes no new work.
-func (s *Service) lastIsOut(key chat.Key) bool {
-	last := s.targetAt(s.memory.Find(key).Last)
-	return last != route.None && !s.candidates[last].Admits()
-}
-
 // reasonOf names why the target was chosen.
-func (s *Service) reasonOf(item *waiting, query *route.Query, choice *route.Choice) route.Reason {
-	known := s.memory.Find(item.chat)
+func reasonOf(query *lookup, choice *route.Choice) route.Reason {
 	switch {
-	case item.chat == 0:
+	case query.Chat == 0:
 		return route.LeastLoaded
 	case !choice.Known:
 		return route.Hashed
-	case choice.Target == s.targetAt(known.Last) && known.Certain:
+	case choice.Target == query.last && query.known.Certain:
 		return route.Warm
-	case choice.Target == s.targetAt(known.Last):
+	case choice.Target == query.last:
 		return route.Uncertain
-	case known.Displaced && choice.Target == query.Known[0]:
+	case query.known.Displaced && choice.Target == query.Known[0]:
 		return route.Home
 	}
 	return route.Second
 }
+
+// cacheFrom returns the address of the target that holds the newest copy of the
+// chat's context, if the chosen one can import it from there.
+func (s *Service) cacheFrom(now time.Time, query *lookup, chosen int) string {
+	if query.last == route.None || query.last == chosen || !s.targets[chosen].announcement.MovesCache {
+		return ""
+	}
+	source := s.targets[query.last]
+	if !source.announcement.MovesCache || source.replaced || now.Sub(source.lastSeen) >= s.options.suspectAfter {
+		return ""
+	}
+	return source.announcement.Address
+}
--- a/admission/model_test.go
+++ b/admission/model_test.go
@@ -15,6 +15,7 @@
 	linkDelay  = time.Millisecond
 	reportLag  = 500 * time.Millisecond
 	heartbeat  = time.Second
+	moveFirst  = 250 * time.Millisecond
 	warmFirst  = 100 * time.Millisecond
 	coldFirst  = 700 * time.Millisecond
 	generation = 100 * 26 * time.Millisecond
@@ -103,7 +104,9 @@
 	// seen names the chats that have run.
 	seen map[string]bool
 
-	waited                  []time.Duration
+	waited []time.Duration
+	// movesCache is set when the engines export and import contexts.
+	movesCache              bool
 	returning, reused, held int
 	granted, refused        int
 	// workspaceOf says in which workspace's queue a request goes.
@@ -190,8 +193,8 @@
 	e.heard = m.now
 	e.sequence++
 	a := target.Announcement{
-		Name: e.name, Stamp: target.Stamp{Incarnation: e.incarnation, Sequence: e.sequence}, Address: "127.0.0.1:9000",
-		FailureDomain: e.domain, Service: "Reviews", CachedChats: e.capacity,
+		Name: e.name, Stamp: target.Stamp{Incarnation: e.incarnation, Sequence: e.sequence}, Address: e.name,
+		FailureDomain: e.domain, Service: "Reviews", CachedChats: e.capacity, MovesCache: m.movesCache,
 	}
 	m.owner.Import(m.now, Copy{Current: true, Targets: []TargetCopy{{Announcement: a, Announced: a.Stamp, Completed: 1000}}})
 	m.after(m.exponential(heartbeat), func() { m.beat(e, e.incarnation) })
@@ -313,20 +316,26 @@
 	}
 	m.countReuse(p.Chat)
 	hit := e.run(p.Chat)
+	source := m.byName[p.CacheFrom]
+	moved := !hit && source != nil && source.alive && source.holds(p.Chat)
 	if m.seen[p.Chat] && hit {
 		m.reused++
 	}
 	m.seen[p.Chat] = true
-	if m.onRun != nil {
-		m.onRun(p, e, hit)
-	}
 	firstByte := warmFirst
-	if !hit {
+	switch {
+	case moved:
+		firstByte = moveFirst
+		hit = true
+	case !hit:
 		firstByte = coldFirst
 	}
 	if e.started < 8 {
 		firstByte += coldStart
 	}
+	if m.onRun != nil {
+		m.onRun(p, e, hit)
+	}
 	took := firstByte + generation/2 + m.exponential(generation/2)
 	e.started++
 	e.running++
--- a/admission/pump.go
+++ b/admission/pump.go
@@ -66,7 +66,7 @@
 		}
 		return
 	}
-	choice := s.options.choose(&query, s.candidates)
+	choice := s.options.choose(&query.Query, s.candidates)
 	s.grant(now, item, &query, &choice)
 }
 
@@ -89,10 +89,10 @@
 // place grants or refuses a waiting request, or reports that it must wait on.
 func (s *Service) place(now time.Time, item *waiting) bool {
 	query := s.query(item)
-	choice := s.options.choose(&query, s.candidates)
+	choice := s.options.choose(&query.Query, s.candidates)
 	if choice.Target == route.None {
 		query.Bound = max(query.Bound, s.factor.Bound(route.Unfilled(s.candidates)))
-		choice = s.options.choose(&query, s.candidates)
+		choice = s.options.choose(&query.Query, s.candidates)
 	}
 	if choice.Target != route.None {
 		s.grant(now, item, &query, &choice)
@@ -105,11 +105,20 @@
 	return false
 }
 
-func (s *Service) query(item *waiting) route.Query {
+// lookup is a query with what is known of the request's chat.
+type lookup struct {
+	route.Query
+	known chat.Known
+	// last is the target where the chat ran last, or route.None.
+	last int
+}
+
+func (s *Service) query(item *waiting) lookup {
 	known := s.memory.Find(item.chat)
-	query := route.Query{
+	query := lookup{known: known, last: s.targetAt(known.Last)}
+	query.Query = route.Query{
 		Chat:  uint64(item.chat),
-		Known: [2]int{s.targetAt(known.Last), s.targetAt(known.Second)},
+		Known: [2]int{query.last, s.targetAt(known.Second)},
 		Bound: s.factor.Bound(s.load),
 		First: s.options.first,
 	}
--- a/admission/request.go
+++ b/admission/request.go
@@ -49,6 +49,9 @@
 	// ChecksFence and Resumes repeat what the target announced.
 	ChecksFence bool
 	Resumes     bool
+	// CacheFrom is the IP:port of the target that holds the chat's newest
+	// context, when that is another one and both move KV cache; else empty.
+	CacheFrom string
 }
 
 // RefusalCode says why a request got no permit.
--- a/admission/rules_test.go
+++ b/admission/rules_test.go
@@ -340,6 +340,27 @@
 	require.Equal(t, p.Target, onlyPermit(t, s).Target)
 }
 
+// A displaced chat's permit names where its context can be had, if both engines
+// move contexts.
+func TestPermitNamesTheHolderOfTheContext(t *testing.T) {
+	for _, moves := range []bool{true, false} {
+		s := warmService(2)
+		for i := range 2 {
+			a := announcement(fmt.Sprintf("e%d", i), 1, 2)
+			a.MovesCache, a.Address = moves, a.Name
+			s.Announce(start, a)
+		}
+		s.Acquire(start, request("a", "chat"))
+		first := onlyPermit(t, s)
+		require.Empty(t, first.CacheFrom)
+		config := reviews()
+		config.TargetsOut = map[string]bool{first.Target: true}
+		s.Configure(start, config)
+		s.Acquire(start, request("b", "chat"))
+		require.Equal(t, moves, onlyPermit(t, s).CacheFrom == first.Target)
+	}
+}
+
 func TestRequestThatTriedEveryTargetIsRefused(t *testing.T) {
 	s := warmService(2)
 	r := request("a", "chat")
