--- a/admission/pump.go
+++ b/admission/pump.go
@@ -37,6 +37,8 @@
 	case !now.Before(item.expires):
 		s.refuseWaiting(now, item, RefusedDeadline, "the deadline passed in the queue")
 	case s.waitsForWarm(item):
+		s.queue.unwant(item)
+		s.queue.want(item, s.query(item).Known[0])
 		s.queue.hold(item, now.Add(s.options.warmWait))
 	case s.place(now, item):
 	case len(item.request.Exclude) > 0:
@@ -64,7 +66,7 @@
 		}
 		return
 	}
-	choice := s.options.choose(&query, s.candidates)
+	choice := s.options.choose(&query.Query, s.candidates)
 	s.grant(now, item, &query, &choice)
 }
 
@@ -87,10 +89,10 @@
 // place grants or refuses a waiting request, or reports that it must wait on.
 func (s *Service) place(now time.Time, item *waiting) bool {
 	query := s.query(item)
-	choice := s.options.choose(&query, s.candidates)
+	choice := s.options.choose(&query.Query, s.candidates)
 	if choice.Target == route.None {
 		query.Bound = max(query.Bound, s.factor.Bound(route.Unfilled(s.candidates)))
-		choice = s.options.choose(&query, s.candidates)
+		choice = s.options.choose(&query.Query, s.candidates)
 	}
 	if choice.Target != route.None {
 		s.grant(now, item, &query, &choice)
@@ -103,11 +105,20 @@
 	return false
 }
 
-func (s *Service) query(item *waiting) route.Query {
+// lookup is a query with what is known of the request's chat.
+type lookup struct {
+	route.Query
+	known chat.Known
+	// last is the target where the chat ran last, or route.None.
+	last int
+}
+
+func (s *Service) query(item *waiting) lookup {
 	known := s.memory.Find(item.chat)
-	query := route.Query{
+	query := lookup{known: known, last: s.targetAt(known.Last)}
+	query.Query = route.Query{
 		Chat:  uint64(item.chat),
-		Known: [2]int{s.targetAt(known.Last), s.targetAt(known.Second)},
+		Known: [2]int{query.last, s.targetAt(known.Second)},
 		Bound: s.factor.Bound(s.load),
 		First: s.options.first,
 	}
@@ -126,7 +137,11 @@
 	if place == chat.NoPlace || int(place) >= len(s.byPlace) {
 		return route.None
 	}
-	return s.byPlace[place]
+	at := s.byPlace[place]
+	if s.targets[at].place != place {
+		return route.None
+	}
+	return at
 }
 
 func (s *Service) allExcluded(excluded []int) bool {
