--- /dev/null
+++ b/gateway/log_test.go
@@ -0,0 +1,70 @@
+package gateway
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+
+	"comfreytiller.dev/common/logs"
+	"comfreytiller.dev/standin"
+	"github.com/stretchr/testify/require"
+)
+
+// lockedBuffer is a log output that may be read while it is written.
+type lockedBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(p)
+}
+
+func (b *lockedBuffer) lines() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return strings.Split(strings.TrimSpace(b.buffer.String()), "\n")
+}
+
+func TestEachRoutingDecisionHasOneLine(t *testing.T) {
+	b := newBench(t)
+	var out lockedBuffer
+	logger, err := logs.New(&out, "info", "text")
+	require.NoError(t, err)
+	b.gateway.log = logs.Part(logger, "Route")
+	first := b.engine(standin.EngineSettings{Name: "engine-1"})
+	b.engine(standin.EngineSettings{Name: "engine-2"})
+	b.retries("Reviews", 1)
+	first.Inject(standin.Fault{Kind: standin.FaultError, Times: 1})
+
+	b.get("Reviews/Draft", dossier, HeaderChat, "c-17")
+	lines := out.lines()
+	require.Len(t, lines, 2)
+	require.Contains(t, lines[0], "failed on engine-1.")
+	require.Contains(t, lines[1], `msg="Route: Request `)
+	for _, part := range []string{"ran on engine-2.", "Attempt=2", "Reason=Test", "Warm=false", "Workspace=Students", "FirstByte="} {
+		require.Contains(t, lines[1], part)
+	}
+}
+
+func TestTheMetricsTellOutcomesAndReuse(t *testing.T) {
+	b := newBench(t)
+	b.engine(standin.EngineSettings{Name: "engine-1"})
+	for range 3 {
+		b.get("Reviews/Draft", dossier, HeaderChat, "c-17")
+	}
+	b.get("Reviews/Else", dossier)
+	counters := map[string]int64{}
+	for key, counter := range b.scope.Snapshot().Counters() {
+		counters[key] = counter.Value()
+	}
+	require.Equal(t, int64(3), counters["requests+outcome=Answered"])
+	require.Equal(t, int64(1), counters["requests+outcome=NotFound"])
+	require.Equal(t, int64(2), counters["chats+context=Warm"])
+	require.Equal(t, int64(1), counters["chats+context=Cold"])
+	require.Equal(t, int64(3), counters["attempts+"])
+	require.Len(t, b.scope.Snapshot().Histograms(), 1)
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -19,8 +19,8 @@
 // errorEvent is the name of the event that tells why a stream is not whole.
 const errorEvent = "error"
 
-// relay is the body of a streamed answer. Each Read gives one event, which the
-// HTTP server sends as one chunk.
+// relay is the body of a streamed answer. Each Read waits for one event and adds
+// those that have arrived with it; the HTTP server sends them as one chunk.
 type relay struct {
 	*visit
 	attempt *attempt
@@ -48,27 +48,38 @@
 		if r.err != nil {
 			return 0, r.err
 		}
-		r.advance()
+		r.fill(len(p) / 2)
 	}
 	n := copy(p, r.pending)
 	r.pending = r.pending[n:]
 	return n, nil
 }
 
-// advance prepares the next event, the end mark or the error event.
+// fill prepares the next event and those that need no waiting, up to enough
+// bytes.
+func (r *relay) fill(enough int) {
+	r.buffer = r.buffer[:0]
+	r.advance()
+	for r.err == nil && len(r.buffer) < enough && r.attempt.answer.Ready() {
+		r.advance()
+	}
+	r.pending = r.buffer
+}
+
+// advance appends the next event, the end mark or the error event.
 func (r *relay) advance() {
 	event, err := r.event()
 	switch {
 	case err == nil:
 		r.next++
-		r.buffer = web.AppendNumbered(r.buffer[:0], event.Offset, event.Name, event.Data)
+		begin := len(r.buffer)
+		r.buffer = web.AppendNumbered(r.buffer, event.Offset, event.Name, event.Data)
+		r.record.add(r.buffer[begin:])
 	case errors.Is(err, errEOF):
 		r.end()
 	default:
 		r.fail(err)
 	}
-	r.pending = r.buffer
-	r.record.add(r.pending)
 }
 
 // event returns the next event, from another connection if this one failed.
@@ -127,7 +138,7 @@
 	r.finish(r.attempt, admission.OutcomeFailed)
 }
 
-// end prepares the end mark of a whole stream.
+// end appends the end mark of a whole stream.
 func (r *relay) end() {
 	end := r.attempt.answer.End()
 	r.finish(r.attempt, admission.OutcomeDone)
@@ -137,20 +148,20 @@
 	data, _ := json.Marshal(endBody{
 		Request: r.callerID, Events: r.next, Target: r.attempt.permit.Target, Warm: end.Warm,
 	})
-	r.buffer = web.AppendNumbered(r.buffer[:0], r.next, web.EndEvent, data)
+	begin := len(r.buffer)
+	r.buffer = web.AppendNumbered(r.buffer, r.next, web.EndEvent, data)
 	r.err = errEOF
-	r.record.add(r.buffer)
+	r.record.add(r.buffer[begin:])
 	r.record.done()
-	r.record = nil
 }
 
-// fail prepares the error event of a stream that is not whole.
+// fail appends the error event of a stream that is not whole.
 func (r *relay) fail(err error) {
 	r.record.failed()
 	r.abandon(r.attempt, err)
 	f := r.failure(err)
 	r.gateway.meters.failed(f)
-	r.buffer = web.AppendNumbered(r.buffer[:0], r.next, errorEvent, EncodeFailure(f))
+	r.buffer = web.AppendNumbered(r.buffer, r.next, errorEvent, EncodeFailure(f))
 	r.err = errBroken
 }
 
@@ -162,7 +173,7 @@
 	}
 	r.closed = true
 	for r.err == nil && !r.call.Idempotent {
-		r.advance()
+		r.fill(0)
 	}
 	if r.err == nil {
 		r.leave()
--- a/standin/blackhole.go
+++ b/standin/blackhole.go
@@ -19,6 +19,7 @@
 	mu       sync.Mutex
 	relays   []*relay
 	swallow  bool
+	closed   bool
 	accepted int
 	running  sync.WaitGroup
 }
@@ -73,6 +74,7 @@
 func (b *Blackhole) Close() {
 	_ = b.listener.Close()
 	b.mu.Lock()
+	b.closed = true
 	for _, r := range b.relays {
 		_ = r.from.Close()
 		_ = r.to.Close()
@@ -100,10 +102,15 @@
 func (b *Blackhole) relay(from, to net.Conn) {
 	r := &relay{from: from, to: to}
 	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closed {
+		_ = from.Close()
+		_ = to.Close()
+		return
+	}
 	r.lost.Store(b.swallow)
 	b.accepted++
 	b.relays = append(b.relays, r)
-	b.mu.Unlock()
 	b.running.Add(2)
 	go b.copy(r, to, from)
 	go b.copy(r, from, to)
--- a/target/call.go
+++ b/target/call.go
@@ -111,6 +111,8 @@
 	// Next returns the next event of a stream, whose data is valid until the
 	// following call. It returns io.EOF after the end mark.
 	Next() (Event, error)
+	// Ready reports whether Next has a whole event at hand and need not wait.
+	Ready() bool
 	// End returns the end mark once Next has returned io.EOF.
 	End() End
 	// Close gives the connection up; a whole answer's connection is kept.
--- a/target/web/answer.go
+++ b/target/web/answer.go
@@ -176,6 +176,9 @@
 	}
 }
 
+// Ready reports whether a whole event has been received.
+func (a *Answer) Ready() bool { return a.events != nil && a.events.Ready() }
+
 // nextRaw reads an event within the gap, the first one within what is left of
 // the first-byte budget.
 func (a *Answer) nextRaw() (RawEvent, error) {
--- a/target/web/stream.go
+++ b/target/web/stream.go
@@ -67,6 +67,12 @@
 	}
 }
 
+// Ready reports whether a whole event has been received.
+func (e *EventReader) Ready() bool {
+	waiting, _ := e.reader.Peek(e.reader.Buffered())
+	return bytes.Contains(waiting, []byte("\n\n")) || bytes.Contains(waiting, []byte("\n\r\n"))
+}
+
 // field takes one line; it reports false for comments and unknown fields.
 func (e *EventReader) field(line []byte, fields int) bool {
 	name, value, _ := bytes.Cut(line, []byte(":"))
