--- /dev/null
+++ b/target/web/main_test.go
@@ -0,0 +1,16 @@
+package web
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain pins the seed of the property tests, so that every run is the same.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
--- a/target/web/stream.go
+++ b/target/web/stream.go
@@ -28,6 +28,8 @@
 	name   []byte
 	data   []byte
 	long   []byte
+	// dataLines is the number of data lines of the event.
+	dataLines int
 }
 
 // NewEventReader returns a reader of the events in r.
@@ -39,7 +41,7 @@
 // call. It returns io.EOF only between events, and io.ErrUnexpectedEOF when the
 // stream ends within one.
 func (e *EventReader) Next() (RawEvent, error) {
-	e.id, e.name, e.data = e.id[:0], e.name[:0], e.data[:0]
+	e.id, e.name, e.data, e.dataLines = e.id[:0], e.name[:0], e.data[:0], 0
 	var fields, size int
 	for {
 		line, err := e.line()
@@ -58,7 +60,7 @@
 			}
 			return RawEvent{ID: e.id, Name: e.name, Data: e.data}, nil
 		}
-		if e.field(line, fields) {
+		if e.field(line) {
 			fields++
 		}
 		if bytes.IndexByte(line, '\r') >= 0 {
@@ -74,7 +76,7 @@
 }
 
 // field takes one line; it reports false for comments and unknown fields.
-func (e *EventReader) field(line []byte, fields int) bool {
+func (e *EventReader) field(line []byte) bool {
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	value = bytes.TrimPrefix(value, []byte(" "))
 	switch string(name) {
@@ -83,9 +85,10 @@
 	case "event":
 		e.name = append(e.name[:0], value...)
 	case "data":
-		if fields > 0 && len(e.data) > 0 {
+		if e.dataLines > 0 {
 			e.data = append(e.data, '\n')
 		}
+		e.dataLines++
 		e.data = append(e.data, value...)
 	default:
 		return false
