--- /dev/null
+++ b/standin/engine_test.go
@@ -0,0 +1,363 @@
+package standin
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"comfreytiller.dev/target"
+	"comfreytiller.dev/target/web"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+)
+
+// patience bounds the wait for a condition.
+const patience = 10 * time.Second
+
+func newEngine(t *testing.T, settings EngineSettings) *Engine {
+	settings.Name = "engine-1"
+	engine, err := NewEngine(clockwork.NewRealClock(), settings)
+	require.NoError(t, err)
+	t.Cleanup(engine.Close)
+	return engine
+}
+
+func newClient(t *testing.T) *web.Client {
+	client := web.NewClient(clockwork.NewRealClock())
+	t.Cleanup(client.Close)
+	return client
+}
+
+func draft(e *Engine, id string) target.Call {
+	return target.Call{RequestID: id, Address: e.Address(), Service: "Reviews", Name: "Draft", Stream: true, Body: []byte("p")}
+}
+
+// readTokens reads a stream and returns its tokens.
+func readTokens(client *web.Client, call target.Call) ([]string, target.End, error) {
+	answer, err := client.Send(context.Background(), call)
+	if err != nil {
+		return nil, target.End{}, err
+	}
+	defer answer.Close()
+	var tokens []string
+	for {
+		event, err := answer.Next()
+		if errors.Is(err, io.EOF) {
+			return tokens, answer.End(), nil
+		}
+		if err != nil {
+			return tokens, target.End{}, err
+		}
+		tokens = append(tokens, string(event.Data))
+	}
+}
+
+func TestAnEngineContinuesAnAnswerAtAnOffset(t *testing.T) {
+	client := newClient(t)
+	one, other := newEngine(t, EngineSettings{}), newEngine(t, EngineSettings{})
+	whole, _, err := readTokens(client, draft(one, "r-1"))
+	require.NoError(t, err)
+	require.Len(t, whole, defaultTokens)
+	call := draft(other, "r-1")
+	call.Offset = 3
+	rest, end, err := readTokens(client, call)
+	require.NoError(t, err)
+	require.Equal(t, whole[3:], rest)
+	require.Equal(t, defaultTokens, end.Events)
+	require.Equal(t, 1, other.Stats().Resumed)
+}
+
+func TestAnEngineHoldsOnlySoManyChats(t *testing.T) {
+	client := newClient(t)
+	engine := newEngine(t, EngineSettings{CachedChats: 2})
+	ask := func(chat string) bool {
+		call := draft(engine, "r-"+chat)
+		call.Chat = chat
+		_, end, err := readTokens(client, call)
+		require.NoError(t, err)
+		return end.Warm
+	}
+	require.False(t, ask("a"))
+	require.False(t, ask("b"))
+	require.True(t, ask("a"))
+	require.False(t, ask("c"))
+	require.False(t, ask("b"), "b was used longest ago")
+	engine.Flap(true)
+	require.True(t, ask("b"), "the prefix memory survived")
+	engine.Flap(false)
+	require.False(t, ask("b"))
+}
+
+func TestAColdEngineFallsOverWhenGivenMoreThanItBears(t *testing.T) {
+	client := newClient(t)
+	engine := newEngine(t, EngineSettings{ColdRequests: 2, ColdBears: 1, ColdFirstByte: time.Hour})
+	failed := make(chan error, 1)
+	go func() {
+		_, _, err := readTokens(client, draft(engine, "r-1"))
+		failed <- err
+	}()
+	require.Eventually(t, func() bool { return engine.InFlight() == 1 }, patience, time.Millisecond)
+	_, _, err := readTokens(client, draft(engine, "r-2"))
+	require.Error(t, err)
+	require.Error(t, <-failed)
+	stats := engine.Stats()
+	require.Equal(t, 1, stats.Falls)
+	require.Equal(t, 2, stats.MaxCold)
+	require.True(t, engine.Cold())
+}
+
+func TestAnEngineWarmsUpByItsOwnWork(t *testing.T) {
+	client := newClient(t)
+	engine := newEngine(t, EngineSettings{ColdRequests: 2, ColdBears: 1})
+	for _, id := range []string{"r-1", "r-2"} {
+		require.True(t, engine.Cold())
+		_, _, err := readTokens(client, draft(engine, id))
+		require.NoError(t, err)
+	}
+	require.False(t, engine.Cold())
+	engine.TurnCold()
+	require.True(t, engine.Cold())
+}
+
+func TestWaitingRequestsRunByPriority(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	engine, err := NewEngine(clock, EngineSettings{Name: "engine-1", Slots: 1, FirstByte: time.Second, Tokens: 1})
+	require.NoError(t, err)
+	t.Cleanup(engine.Close)
+	client := newClient(t)
+	var mu sync.Mutex
+	var order []string
+	var group sync.WaitGroup
+	ask := func(id string, priority int) {
+		call := draft(engine, id)
+		call.Priority = priority
+		group.Go(func() {
+			_, _, err := readTokens(client, call)
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil {
+				order = append(order, id)
+			}
+		})
+	}
+	ask("first", 0)
+	require.NoError(t, clock.BlockUntilContext(t.Context(), 1))
+	for i, id := range []string{"low", "high", "middle"} {
+		ask(id, []int{1, 9, 5}[i])
+		require.Eventually(t, func() bool { return engine.slots.queued() == i+1 }, patience, time.Millisecond)
+	}
+	for done := 1; done <= 4; done++ {
+		require.NoError(t, clock.BlockUntilContext(t.Context(), 1))
+		clock.Advance(time.Second)
+		require.Eventually(t, func() bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return len(order) == done
+		}, patience, time.Millisecond)
+	}
+	group.Wait()
+	require.Equal(t, []string{"first", "high", "middle", "low"}, order)
+}
+
+func TestAnEngineObeysOrders(t *testing.T) {
+	client := newClient(t)
+	for _, checks := range []bool{true, false} {
+		engine := newEngine(t, EngineSettings{Service: "Old", ChecksFence: checks})
+		load := func(id string, fence uint64, service string) target.OrderState {
+			reply, err := client.Order(t.Context(), engine.Address(), target.Order{
+				ID: id, Fence: fence, Kind: target.OrderLoadModel, Service: service, Model: "m", Version: "2",
+			})
+			require.NoError(t, err)
+			return reply.State
+		}
+		require.Equal(t, target.OrderDone, load("o-1", 7, "Reviews"))
+		require.Equal(t, target.OrderDone, load("o-1", 7, "Reviews"), "a resend is answered alike")
+		service, model, _ := engine.Serves()
+		require.Equal(t, "Reviews", service)
+		require.Equal(t, "m", model)
+		state := load("o-2", 6, "Stale")
+		service, _, _ = engine.Serves()
+		if checks {
+			require.Equal(t, target.OrderRefused, state)
+			require.Equal(t, "Reviews", service)
+		} else {
+			require.Equal(t, target.OrderDone, state)
+			require.Equal(t, "Stale", service)
+		}
+	}
+}
+
+func TestKVCacheMovesFromEngineToEngine(t *testing.T) {
+	client := newClient(t)
+	from, to := newEngine(t, EngineSettings{}), newEngine(t, EngineSettings{})
+	call := draft(from, "r-1")
+	call.Chat = "rabat/17"
+	_, _, err := readTokens(client, call)
+	require.NoError(t, err)
+	cache, err := client.Export(t.Context(), from.Address(), "rabat/17")
+	require.NoError(t, err)
+	require.NoError(t, client.Import(t.Context(), to.Address(), "rabat/17", cache))
+	require.True(t, to.Holds("rabat/17"))
+	_, err = client.Export(t.Context(), from.Address(), "unknown")
+	require.ErrorIs(t, err, web.ErrStatus)
+	require.Error(t, client.Import(t.Context(), to.Address(), "other", []byte("not a cache")))
+}
+
+// hostSink records what a target sends to a host.
+type hostSink struct {
+	mu            sync.Mutex
+	announcements []target.Announcement
+	loads         int
+	events        []target.CacheEvent
+	leaves        int
+	forgotten     bool
+}
+
+func (s *hostSink) Announce(_ context.Context, a target.Announcement) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.announcements = append(s.announcements, a)
+	s.forgotten = false
+	return nil
+}
+
+func (s *hostSink) Load(_ context.Context, _ target.LoadReport) (bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loads++
+	return !s.forgotten, nil
+}
+
+func (s *hostSink) Cache(_ context.Context, e target.CacheEvent) (bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.events = append(s.events, e)
+	return true, nil
+}
+
+func (s *hostSink) Leave(context.Context, target.Leave) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaves++
+	return nil
+}
+
+// sees waits until the sink's state meets the condition.
+func (s *hostSink) sees(t *testing.T, condition func() bool) {
+	require.Eventually(t, func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return condition()
+	}, patience, time.Millisecond)
+}
+
+func TestAnEngineAnnouncesItselfAndItsCache(t *testing.T) {
+	sink := &hostSink{}
+	receiver := web.NewReceiver(sink, web.WithSharedKey("secret"))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := &fasthttp.Server{Handler: receiver.Handle}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = listener.Close() })
+
+	clock := clockwork.NewFakeClock()
+	engine, err := NewEngine(clock, EngineSettings{
+		Name: "engine-1", Service: "Reviews", FailureDomain: "rabat-a", CachedChats: 1, Heartbeat: time.Second,
+		SharedKey: "secret", Hosts: []string{"127.0.0.1:1", listener.Addr().String()},
+	})
+	require.NoError(t, err)
+	t.Cleanup(engine.Close)
+	sink.sees(t, func() bool { return len(sink.announcements) == 1 })
+	require.Equal(t, engine.Address(), sink.announcements[0].Address)
+	require.NoError(t, clock.BlockUntilContext(t.Context(), 1))
+	clock.Advance(time.Second)
+	sink.sees(t, func() bool { return sink.loads == 1 })
+
+	client := newClient(t)
+	for _, chat := range []string{"a", "b"} {
+		call := draft(engine, "r-"+chat)
+		call.Chat = chat
+		_, _, err := readTokens(client, call)
+		require.NoError(t, err)
+	}
+	sink.sees(t, func() bool { return len(sink.events) == 3 })
+	require.Equal(t, target.CacheEvicted, sink.events[2].Change)
+	require.Equal(t, []uint64{1, 2, 3}, []uint64{sink.events[0].Sequence, sink.events[1].Sequence, sink.events[2].Sequence})
+
+	engine.LoseEvents(1)
+	call := draft(engine, "r-c")
+	call.Chat = "c"
+	_, _, err = readTokens(client, call)
+	require.NoError(t, err)
+	sink.sees(t, func() bool { return len(sink.events) == 4 })
+	require.Equal(t, uint64(5), sink.events[3].Sequence, "a lost event leaves a gap")
+
+	sink.mu.Lock()
+	sink.forgotten = true
+	sink.mu.Unlock()
+	clock.Advance(time.Second)
+	sink.sees(t, func() bool { return len(sink.announcements) == 2 })
+	engine.Flap(false)
+	sink.sees(t, func() bool { return len(sink.announcements) == 3 })
+	require.True(t, sink.announcements[2].Stamp.After(sink.announcements[1].Stamp))
+	engine.Leave()
+	sink.sees(t, func() bool { return sink.leaves == 1 })
+}
+
+func TestThePlainServiceCountsEveryRun(t *testing.T) {
+	plain, err := NewPlain(clockwork.NewRealClock(), PlainSettings{Name: "treasury-1", Service: "Treasury"})
+	require.NoError(t, err)
+	t.Cleanup(plain.Close)
+	client := newClient(t)
+	for _, id := range []string{"r-1", "r-2"} {
+		answer, err := client.Send(t.Context(), target.Call{
+			RequestID: id, Address: plain.Address(), Service: "Treasury", Name: "Pay", Key: "pay-1",
+		})
+		require.NoError(t, err)
+		_, err = answer.Body(1 << 10)
+		require.NoError(t, err)
+		answer.Close()
+	}
+	require.Equal(t, 2, plain.Runs("pay-1"))
+	require.Equal(t, 2, plain.MostRuns())
+	require.Equal(t, 1, plain.RunsOfRequest("r-1"))
+}
+
+func TestTheBlackholeLosesOpenConnectionsOnly(t *testing.T) {
+	engine := newEngine(t, EngineSettings{})
+	hole, err := NewBlackhole(engine.Address())
+	require.NoError(t, err)
+	t.Cleanup(hole.Close)
+	open := func() (net.Conn, *bufio.Reader) {
+		c, err := net.Dial("tcp", hole.Address())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		return c, bufio.NewReader(c)
+	}
+	ask := func(c net.Conn) {
+		_, err := io.WriteString(c, "GET /v1/else HTTP/1.1\r\nHost: h\r\n\r\n")
+		require.NoError(t, err)
+	}
+	lost, lostReader := open()
+	ask(lost)
+	_, err = http.ReadResponse(lostReader, nil)
+	require.NoError(t, err)
+	hole.LoseOpen()
+	ask(lost)
+	kept, keptReader := open()
+	ask(kept)
+	_, err = http.ReadResponse(keptReader, nil)
+	require.NoError(t, err)
+	require.NoError(t, lost.SetReadDeadline(time.Now().Add(20*time.Millisecond)))
+	rest, err := io.ReadAll(lostReader)
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded, "silent, not closed")
+	require.NotContains(t, string(rest), "HTTP/")
+}
