Never cancel a claim that this request did not open, and never stop a later attempt

A resend whose Open failed cancelled the key's claim. Its dispatcher is this host's session, so the claim could be that of an earlier request that had been sent, and a further resend was then told "not run". The claim is now left alone, and a host holds each key from its opening to its committed outcome.

The message that stops an abandoned attempt named only the request. A retry on the same target could arrive first and be stopped by it. Calls and cancels now carry the number of the attempt.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -47,6 +47,8 @@
 
 // attempt is one sending of a request to one target.
 type attempt struct {
+	// number grows with each attempt of the request.
+	number  int
 	permit  admission.Permit
 	answer  target.Answer
 	sentAt  time.Time
@@ -70,7 +72,7 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &attempt{permit: permit}
+	a := &attempt{number: x.attempts, permit: permit}
 	if offset > 0 && !permit.Resumes {
 		x.finish(a, admission.OutcomeUnsent)
 		return nil, &target.SendError{Err: errors.Wrapf(target.ErrNotSent, "%s does not resume", permit.Target)}
@@ -118,7 +120,7 @@
 // send sends the call and waits for the answer to begin, or for a plain answer
 // to be whole.
 func (x *exchange) send(ctx context.Context, a *attempt, asked time.Time, offset int, fresh bool) error {
-	call := x.targetCall(a.permit, offset, fresh)
+	call := x.targetCall(a, offset, fresh)
 	call.BeforeSend = func() error { return x.mayStillSend(a, asked) }
 	x.gateway.meters.attempts.Inc(1)
 	answer, err := x.gateway.Sender.Send(ctx, call)
@@ -160,9 +162,10 @@
 	return nil
 }
 
-func (x *exchange) targetCall(permit admission.Permit, offset int, fresh bool) target.Call {
+func (x *exchange) targetCall(a *attempt, offset int, fresh bool) target.Call {
+	permit := a.permit
 	return target.Call{
-		RequestID: x.id, Address: permit.Address, Service: x.service.Name, Name: x.call.Name,
+		RequestID: x.id, Attempt: a.number, Address: permit.Address, Service: x.service.Name, Name: x.call.Name,
 		Workspace: x.workspace, Chat: x.chat, Key: x.key, Priority: x.call.Priority, Fence: permit.Fence,
 		ContentType: x.contentType, Body: x.body, Offset: offset, Stream: x.call.Stream, Fresh: fresh,
 		FirstByte: x.service.Timeouts.FirstByte, Gap: x.service.Timeouts.Gap,
@@ -199,7 +202,7 @@
 	x.gateway.work.run(func() {
 		ctx, cancel := clockwork.WithTimeout(context.Background(), x.gateway.Clock, x.gateway.settings.cancelTimeout)
 		defer cancel()
-		_ = x.gateway.Sender.Cancel(ctx, a.permit.Address, x.id)
+		_ = x.gateway.Sender.Cancel(ctx, a.permit.Address, x.id, a.number)
 		x.finish(a, outcome)
 	})
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -67,6 +67,7 @@
 	meters   *meters
 	budgets  *budgets
 	work     *work
+	keys     *keys
 	log      *logrus.Logger
 	idPrefix string
 	lastID   atomic.Uint64
@@ -91,6 +92,7 @@
 	g.meters = newMeters(g.Scope)
 	g.budgets = newBudgets(g.settings.retryShare)
 	g.work = newWork()
+	g.keys = newKeys()
 	g.idPrefix = g.Host + "-" + nonce() + "-"
 	g.server = g.newServer()
 	return g
--- a/gateway/once.go
+++ b/gateway/once.go
@@ -41,19 +41,26 @@
 }
 
 // claim opens the claim of a request with a key. Without a failure the claim is
-// open, or done.
+// open, or done. A claim whose opening failed is left alone, never cancelled: it
+// may be that of an earlier request which was sent.
 func (v *visit) claim() (Claim, *Failure) {
 	if v.key == "" {
 		return Claim{State: ClaimOpen}, nil
 	}
 	retryAfter := v.gateway.settings.retryAfter
+	if !v.gateway.keys.hold(v.claimKey()) {
+		return Claim{}, v.running()
+	}
 	ctx, cancel := clockwork.WithTimeout(v.ctx, v.gateway.Clock, v.gateway.settings.claimTimeout)
 	defer cancel()
 	claim, err := v.gateway.Claims.Open(ctx, v.claimKey(), v.fingerprint(), v.gateway.Clock.Now())
 	if err != nil {
-		v.cancelClaim()
+		v.gateway.keys.release(v.claimKey())
 		return claim, failure(fasthttp.StatusServiceUnavailable, CodeClaims, err.Error()).after(retryAfter)
 	}
+	if claim.State != ClaimOpen {
+		v.gateway.keys.release(v.claimKey())
+	}
 	switch claim.State {
 	case ClaimOpen, ClaimDone:
 		return claim, nil
@@ -62,15 +69,20 @@
 	case ClaimCancelled:
 		return claim, failure(fasthttp.StatusConflict, CodeCancelled, "the request of this key was cancelled before it ran; use a new key")
 	case ClaimRunning:
-		f := failure(fasthttp.StatusConflict, CodeRunning, "a request with this key is running").after(retryAfter)
-		f.Ran = RanUnknown
-		return claim, f
+		return claim, v.running()
 	}
 	f := failure(fasthttp.StatusBadGateway, CodeInDoubt, "the request of this key may have run; an operator settles it")
 	f.Ran = RanUnknown
 	return claim, f
 }
 
+// running tells that another request holds the key.
+func (v *visit) running() *Failure {
+	f := failure(fasthttp.StatusConflict, CodeRunning, "a request with this key is running")
+	f.Ran = RanUnknown
+	return f.after(v.gateway.settings.retryAfter)
+}
+
 // dispatch sends the request. Another target is tried only while no byte has
 // left; after that the caller's going does not end it, only its deadline.
 func (v *visit) dispatch() (*attempt, *Failure) {
@@ -159,7 +171,9 @@
 		if err := change(ctx); err != nil {
 			v.gateway.log.WithError(errors.Wrapf(err, "%s claim", what)).
 				Warnf("The claim of request %s is left to the end of this host's session.", v.id)
+			return
 		}
+		v.gateway.keys.release(v.claimKey())
 	})
 	timer := v.gateway.Clock.NewTimer(v.gateway.settings.claimWait)
 	defer timer.Stop()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -128,14 +128,13 @@
 	return false
 }
 
-// giveUp releases the attempt that failed. A target whose connection was cut
-// may be asked again; one that misbehaved is not.
+// giveUp abandons the attempt that failed. A target whose connection was cut may
+// be asked again; one that misbehaved is avoided.
 func (r *relay) giveUp(cause error) {
-	r.gateway.logAttempt(r.exchange, r.attempt, cause)
 	if !errors.Is(cause, target.ErrCut) {
 		r.excluded = append(r.excluded, r.attempt.permit.Target)
 	}
-	r.finish(r.attempt, admission.OutcomeFailed)
+	r.abandon(r.attempt, cause)
 }
 
 // end appends the end mark of a whole stream.
--- a/standin/engine_test.go
+++ b/standin/engine_test.go
@@ -167,6 +167,30 @@
 	require.Equal(t, []string{"first", "high", "middle", "low"}, order)
 }
 
+func TestACancelSparesALaterAttempt(t *testing.T) {
+	for upTo, wantCancelled := range map[int]int{1: 0, 2: 1} {
+		clock := clockwork.NewFakeClock()
+		engine, err := NewEngine(clock, EngineSettings{Name: "engine-1", FirstByte: time.Second})
+		require.NoError(t, err)
+		t.Cleanup(engine.Close)
+		client := newClient(t)
+		call := draft(engine, "r-1")
+		call.Attempt = 2
+		ended := make(chan error, 1)
+		go func() {
+			_, _, err := readTokens(client, call)
+			ended <- err
+		}()
+		require.NoError(t, clock.BlockUntilContext(t.Context(), 1))
+		require.NoError(t, client.Cancel(t.Context(), engine.Address(), "r-1", upTo))
+		clock.Advance(time.Second)
+		err = <-ended
+		require.Equal(t, wantCancelled == 0, err == nil)
+		require.Eventually(t, func() bool { return engine.InFlight() == 0 }, patience, time.Millisecond)
+		require.Equal(t, wantCancelled, engine.Stats().Cancelled)
+	}
+}
+
 func TestAnEngineObeysOrders(t *testing.T) {
 	client := newClient(t)
 	for _, checks := range []bool{true, false} {
--- a/target/call.go
+++ b/target/call.go
@@ -29,6 +29,8 @@
 type Call struct {
 	// RequestID is the fleet's own id of the request, the same for every attempt.
 	RequestID string
+	// Attempt grows with each sending of the request.
+	Attempt int
 	// Address is the target's IP:port.
 	Address   string
 	Service   string
@@ -123,6 +125,7 @@
 type Sender interface {
 	// Send returns when the answer begins. Its error is a *SendError.
 	Send(ctx context.Context, call Call) (Answer, error)
-	// Cancel tells the target at address to stop a request.
-	Cancel(ctx context.Context, address, requestID string) error
+	// Cancel tells the target at address to stop a request, unless it was sent
+	// again by a later attempt.
+	Cancel(ctx context.Context, address, requestID string, attempt int) error
 }
--- a/target/web/client.go
+++ b/target/web/client.go
@@ -131,6 +131,7 @@
 	request.Header.SetMethod(fasthttp.MethodPost)
 	request.SetRequestURI("http://" + call.Address + PathServices + call.Service + "/" + call.Name)
 	request.Header.Set(HeaderRequest, call.RequestID)
+	request.Header.Set(HeaderAttempt, strconv.Itoa(call.Attempt))
 	setOptional(request, HeaderWorkspace, call.Workspace)
 	setOptional(request, HeaderChat, call.Chat)
 	setOptional(request, HeaderKey, call.Key)
--- a/target/web/header.go
+++ b/target/web/header.go
@@ -19,6 +19,7 @@
 	HeaderRequest   = "Comfreytiller-Request"
 	HeaderWorkspace = "Comfreytiller-Workspace"
 	HeaderChat      = "Comfreytiller-Chat"
+	HeaderAttempt   = "Comfreytiller-Attempt"
 	HeaderPriority  = "Comfreytiller-Priority"
 	HeaderFence     = "Comfreytiller-Fence"
 	HeaderOffset    = "Comfreytiller-Offset"
--- a/target/web/order.go
+++ b/target/web/order.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/url"
+	"strconv"
 	"time"
 
 	"comfreytiller.dev/target"
@@ -112,9 +113,11 @@
 	return err
 }
 
-// Cancel tells the target at address to stop a request.
-func (c *Client) Cancel(ctx context.Context, address, requestID string) error {
-	_, err := c.simple(ctx, address, fasthttp.MethodPost, PathCancel+url.PathEscape(requestID), nil, maxReplyBytes)
+// Cancel tells the target at address to stop a request, unless it was sent
+// again by a later attempt.
+func (c *Client) Cancel(ctx context.Context, address, requestID string, attempt int) error {
+	path := PathCancel + url.PathEscape(requestID) + "/" + strconv.Itoa(attempt)
+	_, err := c.simple(ctx, address, fasthttp.MethodPost, path, nil, maxReplyBytes)
 	return err
 }
 
