Enforce a service's body limit on escaped paths; let payments outlive their caller's timeout

The limit set before the body is read goes by the raw path, so a percent-encoded service name got the gateway's limit. It is checked again once the service is known. Connections that have something to read while idle, and the guard, have tests of their own.

--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -45,6 +45,7 @@
 		code   Code
 	}{
 		{"a body beyond the service's limit", post(pay, "", strings.Repeat("x", 1<<10+1)), 413, CodeBodyTooLarge},
+		{"a body beyond the limit, the path escaped", post(PathServices+"Tre%61sury/Pay", "", strings.Repeat("x", 1<<10+1)), 413, CodeBodyTooLarge},
 		{
 			"a chunked body beyond the limit",
 			"POST " + pay + " HTTP/1.1\r\n" + end + "Transfer-Encoding: chunked\r\n\r\n800\r\n" + strings.Repeat("x", 2048) + "\r\n0\r\n\r\n",
--- a/gateway/once.go
+++ b/gateway/once.go
@@ -84,9 +84,10 @@
 }
 
 // dispatch sends the request. Another target is tried only while no byte has
-// left; after that the caller's going does not end it, only its deadline.
+// left; after that neither the caller's going nor its own timeout ends it, only
+// the service's.
 func (v *visit) dispatch() (*attempt, *Failure) {
-	ctx, cancel := clockwork.WithDeadline(context.Background(), v.gateway.Clock, v.deadline)
+	ctx, cancel := clockwork.WithDeadline(context.Background(), v.gateway.Clock, v.started.Add(v.service.Timeouts.Total))
 	v.endDispatch = cancel
 	v.gateway.budgets.of(v.service.Name).request()
 	for {
--- a/gateway/once_test.go
+++ b/gateway/once_test.go
@@ -215,6 +215,18 @@
 	require.Equal(t, 1, b.admitter.grants())
 }
 
+func TestAPaymentRunsToItsEndWhenItsCallersTimeoutIsShort(t *testing.T) {
+	b := newBench(t)
+	plain, err := standin.NewPlain(clockwork.NewRealClock(), standin.PlainSettings{Name: "treasury-1", Latency: 100 * time.Millisecond})
+	require.NoError(t, err)
+	t.Cleanup(plain.Close)
+	b.permit("treasury-1", plain.Address())
+	status, text := b.get("Treasury/Pay", payment, HeaderKey, "pay-1", HeaderTimeout, "40ms")
+	require.Equal(t, 200, status)
+	require.Contains(t, text, `"Run":1`)
+	require.Equal(t, []string{"Open", "Finish"}, b.claims.history())
+}
+
 func TestAPaymentRunsToItsEndWhenItsCallerGoesAway(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	b := newBench(t)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -57,6 +57,9 @@
 	}
 	r.contentType = string(header.ContentType())
 	r.body = ctx.PostBody()
+	if limit := r.service.Limits.BodyBytes; limit > 0 && len(r.body) > limit {
+		return r, bodyTooLarge()
+	}
 	return r, r.setDeadline(string(header.Peek(HeaderTimeout)))
 }
 
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -59,7 +59,9 @@
 // Printf drops a message.
 func (quiet) Printf(string, ...any) {}
 
-// bodyLimit sets the body limit of the service that the header names.
+// bodyLimit sets the body limit of the service that the header names, so that a
+// larger body is not read. A path written in another way gets the gateway's
+// limit here and its service's once it is resolved.
 func (g *Gateway) bodyLimit(header *fasthttp.RequestHeader) fasthttp.RequestConfig {
 	limit := g.settings.bodyBytes
 	name, _, _ := strings.Cut(strings.TrimPrefix(string(header.RequestURI()), PathServices), "/")
@@ -77,7 +79,7 @@
 	var network net.Error
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		g.fail(ctx, failure(fasthttp.StatusRequestEntityTooLarge, CodeBodyTooLarge, "the body is larger than the service takes"))
+		g.fail(ctx, bodyTooLarge())
 	case errors.As(err, &small):
 		g.fail(ctx, failure(fasthttp.StatusRequestHeaderFieldsTooLarge, CodeHeaderLimit, "the header is too large"))
 	case errors.Is(err, fasthttp.ErrTimeout), errors.As(err, &network) && network.Timeout():
@@ -87,6 +89,10 @@
 	}
 }
 
+func bodyTooLarge() *Failure {
+	return failure(fasthttp.StatusRequestEntityTooLarge, CodeBodyTooLarge, "the body is larger than the service takes")
+}
+
 // health answers whether the process runs.
 func (g *Gateway) health(ctx *fasthttp.RequestCtx) {
 	ctx.SetContentType(contentJSON)
--- a/target/web/client_test.go
+++ b/target/web/client_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"comfreytiller.dev/target"
+	"comfreytiller.dev/target/conn"
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 )
@@ -119,6 +120,32 @@
 	require.Len(t, s.conns, 3, "nor one whose answer was not read to its end")
 }
 
+func TestAKeptConnectionWithSomethingToReadIsNotUsed(t *testing.T) {
+	for name, disturb := range map[string]func(net.Conn){
+		"a late duplicate": func(c net.Conn) { _, _ = io.WriteString(c, okAnswer) },
+		"its end":          func(c net.Conn) { _ = c.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newScript(t, okAnswer, okAnswer)
+			client := NewClient(clockwork.NewRealClock(), WithMaxIdle(time.Hour))
+			defer client.Close()
+			ask := func() {
+				answer, err := client.Send(context.Background(), s.call())
+				require.NoError(t, err)
+				_, err = answer.Body(10)
+				require.NoError(t, err)
+				answer.Close()
+			}
+			ask()
+			kept := client.pool.idle[s.listener.Addr().String()][0]
+			disturb(<-s.conns)
+			require.Eventually(t, func() bool { return !conn.Quiet(kept.Conn) }, 10*time.Second, time.Millisecond)
+			ask()
+			require.Len(t, s.conns, 1, "a new connection was opened")
+		})
+	}
+}
+
 func TestAFreshCallNeverUsesAnOldConnection(t *testing.T) {
 	s := newScript(t, okAnswer, okAnswer)
 	client := NewClient(clockwork.NewRealClock())
