--- a/peer/codec.go
+++ b/peer/codec.go
@@ -24,7 +24,10 @@
 		return nil, err
 	}
 	data, err := proto.Marshal(wire)
-	return data, errors.Wrap(err, "encode frame")
+	if err != nil {
+		return nil, errors.Wrap(err, "encode frame")
+	}
+	return data, nil
 }
 
 // decodeFrame reads a frame. Times that travel as a remainder are set from now.
@@ -54,7 +57,7 @@
 		setAdmissionBody(wire, message, now)
 	case TargetNews, TargetKnown, CopyPart, StatusAsk, StatusTold:
 		setTargetBody(wire, message)
-	case Quorum, Propose, Proposed, Renew, Renewed:
+	case Quorum, Propose, Proposed, Renew, Renewed, VersionsAsk, VersionsTold, IdentityAsk, IdentityTold:
 		setStateBody(wire, message)
 	default:
 		return errors.Wrapf(ErrFrame, "message of type %T", message)
