--- a/placement/dispatch.go
+++ b/placement/dispatch.go
@@ -21,27 +21,55 @@
 	moves := append(p.changes(now, a), p.rollMoves(now, a)...)
 	counts := p.serving(now)
 	loading := p.loading()
-	storeClosed := ""
 	for len(moves) > 0 {
 		i := mostUrgent(moves, counts, loading)
 		next := moves[i]
 		moves = slices.Delete(moves, i, i+1)
 		order := p.newOrder(next)
-		wait := p.guard(now, next.engine, counts)
-		if wait == "" && order.Kind == LoadModel {
-			if storeClosed == "" {
-				storeClosed = p.store.refusal(now, p.runningLoads(), order.Bytes)
-			}
-			wait = storeClosed
-		}
-		if wait != "" {
+		if wait := p.guard(now, next.engine, counts); wait != "" {
 			p.waits[next.engine.Name] = wait
 			continue
 		}
+		if order.Kind == LoadModel {
+			if wait := p.loadRefusal(now, &order); wait != "" {
+				p.waits[next.engine.Name] = wait
+				moves = p.dropLoads(moves, wait)
+				continue
+			}
+		}
 		p.give(now, next, order, counts, loading)
 	}
 }
 
+// loadRefusal returns why a load can't start now; empty if it can.
+func (p *Planner) loadRefusal(now time.Time, order *Order) string {
+	if order.Reason != ReasonMinimum && p.minimumLoading(now) {
+		return "a service below its minimum loads first"
+	}
+	return p.store.refusal(now, p.runningLoads(), order.Bytes)
+}
+
+// minimumLoading reports whether a load for a service's minimum is under way that
+// others would slow down. One that takes longer than its share of the store
+// explains does not hold up the rest.
+func (p *Planner) minimumLoading(now time.Time) bool {
+	return slices.ContainsFunc(p.orders, func(o *pending) bool {
+		return o.holdsSlot() && o.Reason == ReasonMinimum && now.Sub(o.RecordedAt) < p.store.expected(o.Bytes)
+	})
+}
+
+// dropLoads leaves only the moves that load nothing: no load goes before a more
+// urgent one that waits for the weight store.
+func (p *Planner) dropLoads(moves []move, wait string) []move {
+	return slices.DeleteFunc(moves, func(m move) bool {
+		if m.service == nil || m.service.build().loadedOn(&m.engine.TargetState) {
+			return false
+		}
+		p.waits[m.engine.Name] = wait
+		return true
+	})
+}
+
 // changes returns the engines whose service is to change.
 func (p *Planner) changes(now time.Time, a *assignment) []move {
 	var moves []move
