--- a/placement/dispatch.go
+++ b/placement/dispatch.go
@@ -46,7 +46,7 @@
 	if order.Reason != ReasonMinimum && p.minimumLoading(now) {
 		return "a service below its minimum loads first"
 	}
-	return p.store.refusal(now, p.runningLoads(), order.Bytes)
+	return p.store.refusal(now, p.runningLoads(now), order.Bytes)
 }
 
 // minimumLoading reports whether a load for a service's minimum is under way that
@@ -54,7 +54,7 @@
 // explains does not hold up the rest.
 func (p *Planner) minimumLoading(now time.Time) bool {
 	return slices.ContainsFunc(p.orders, func(o *pending) bool {
-		return o.holdsSlot() && o.Reason == ReasonMinimum && now.Sub(o.RecordedAt) < p.store.expected(o.Bytes)
+		return o.holdsSlot(now) && o.Reason == ReasonMinimum && now.Sub(o.RecordedAt) < p.store.expected(o.Bytes)
 	})
 }
 
--- a/placement/fakes_test.go
+++ b/placement/fakes_test.go
@@ -36,10 +36,12 @@
 	// one; failLoads fails every load; losesAnswers gives none.
 	ignoresOrders, wrongModel, failLoads, losesAnswers bool
 	missing                                            bool
-	running                                            *placement.Order
-	left                                               int64
-	done                                               map[string]bool
-	ran                                                []placement.Order
+	// coldFor is the number of seconds that it is cold after a load.
+	coldFor, coldLeft int
+	running           *placement.Order
+	left              int64
+	done              map[string]bool
+	ran               []placement.Order
 }
 
 // fakeFleet joins a planner with stand-in targets, a weight store and a log.
@@ -48,8 +50,10 @@
 	text    *fleet.Fleet
 	planner *placement.Planner
 	targets []*fakeTarget
-	// recorded are the orders that the log holds.
-	recorded []placement.Order
+	// recorded are the orders that the log holds; logStalls keeps it from
+	// saying so.
+	recorded  []placement.Order
+	logStalls bool
 	// sent, logs and alarms collect the effects.
 	sent    []placement.Order
 	closed  []placement.CloseOrder
@@ -131,7 +135,9 @@
 		switch e := effect.(type) {
 		case placement.RecordOrder:
 			f.recorded = append(f.recorded, e.Order)
-			f.planner.OrderRecorded(f.now, e.Order.ID)
+			if !f.logStalls {
+				f.planner.OrderRecorded(f.now, e.Order.ID)
+			}
 		case placement.SendOrder:
 			f.sent = append(f.sent, e.Order)
 			f.deliver(e.Order)
@@ -195,6 +201,8 @@
 func (f *fakeFleet) load(step time.Duration) {
 	var loading []*fakeTarget
 	for _, t := range f.targets {
+		t.coldLeft = max(0, t.coldLeft-1)
+		t.Cold = t.coldLeft > 0
 		if t.running != nil && !t.ignoresOrders && !t.missing {
 			loading = append(loading, t)
 		}
@@ -236,6 +244,8 @@
 	t.LoadBytes = o.Bytes
 	t.CachedChats = 0
 	t.Ready = true
+	t.coldLeft = t.coldFor
+	t.Cold = t.coldFor > 0
 }
 
 // restart gives a target a new start with nothing loaded.
--- a/placement/lifecycle.go
+++ b/placement/lifecycle.go
@@ -13,6 +13,17 @@
 	}
 }
 
+// OrderRefused says that the log does not take the order. Its target gets
+// another one after a pause.
+func (p *Planner) OrderRefused(now time.Time, id string) {
+	o := p.order(id)
+	if o == nil || o.state != Recording {
+		return
+	}
+	p.engines[o.Target].retryAt = now.Add(p.times.Retry)
+	p.close(now, o, OutcomeCancelled, "the log does not take it")
+}
+
 // OrderAnswered takes a target's answer. Answers to orders that have ended, or of
 // another target or start, are dropped.
 func (p *Planner) OrderAnswered(now time.Time, reply OrderReply) {
@@ -109,8 +120,8 @@
 	if now.Before(p.sendAfter) {
 		return
 	}
-	if reason := p.pointless(o, e); reason != "" && !o.adopted {
-		p.close(now, o, OutcomeCancelled, reason)
+	if reason := p.pointless(o, e); reason != "" {
+		p.refuseSend(now, o, reason)
 		return
 	}
 	serving := e.Ready && e.Service != ""
@@ -123,6 +134,10 @@
 		p.refuseSend(now, o, wait)
 		return
 	}
+	if wait := p.slotRefusal(now, o); wait != "" {
+		p.waits[o.Target] = wait
+		return
+	}
 	o.before = build{model: e.Model, version: e.Version, adapters: e.Adapters}
 	o.beforeService = e.Service
 	o.beforeMismatched = e.mismatched
@@ -130,8 +145,21 @@
 	p.send(now, o)
 }
 
-// refuseSend cancels an order that would take a service below its minimum. One
-// that an earlier leader may have sent waits instead.
+// slotRefusal returns why an adopted load that has lost its share of the weight
+// store can't be sent again now.
+func (p *Planner) slotRefusal(now time.Time, o *pending) string {
+	if o.Kind != LoadModel || o.holdsSlot(now) {
+		return ""
+	}
+	wait := p.store.refusal(now, p.runningLoads(now), o.Bytes)
+	if wait == "" {
+		p.store.start(now, o.Bytes)
+	}
+	return wait
+}
+
+// refuseSend cancels an order that is not wanted or would take a service below
+// its minimum. One that an earlier leader may have sent waits instead.
 func (p *Planner) refuseSend(now time.Time, o *pending, wait string) {
 	if o.adopted {
 		p.waits[o.Target] = wait
--- a/placement/order.go
+++ b/placement/order.go
@@ -145,6 +145,9 @@
 	pause    time.Duration
 	// adopted is set for an order of an earlier leader, which may have sent it.
 	adopted bool
+	// slotUntil ends the share of the weight store that an adopted load keeps
+	// until it is sent again.
+	slotUntil time.Time
 	// before is what the target served when the order was first sent.
 	before build
 	// beforeService is the service of that time; beforeMismatched says that
@@ -154,7 +157,10 @@
 }
 
 // holdsSlot reports whether the load may still take from the weight store.
-func (o *pending) holdsSlot() bool {
+func (o *pending) holdsSlot(now time.Time) bool {
+	if o.adopted && o.SentAt.IsZero() && !now.Before(o.slotUntil) {
+		return false
+	}
 	return o.Kind == LoadModel && o.state != Stuck
 }
 
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -26,6 +26,8 @@
 	engines    map[string]*engine
 	names      []string
 	observedAt time.Time
+	// firstObserved is when this planner began to learn of targets.
+	firstObserved time.Time
 
 	leading   bool
 	fence     uint64
@@ -85,6 +87,9 @@
 // not named is missing.
 func (p *Planner) Observe(now time.Time, targets []TargetState) {
 	p.observedAt = now
+	if p.firstObserved.IsZero() {
+		p.firstObserved = now
+	}
 	for i := range targets {
 		p.observe(now, targets[i])
 	}
@@ -186,6 +191,8 @@
 func (p *Planner) adopt(now time.Time, order Order) {
 	o := &pending{Order: order, state: Draining, since: now, adopted: true, pause: p.times.Resend}
 	o.Fence = p.fence
+	o.SentAt = time.Time{}
+	o.slotUntil = now.Add(p.adoptedSlot(o.Bytes))
 	p.orders = append(p.orders, o)
 	if o.Kind == LoadModel {
 		p.store.start(now, o.Bytes)
@@ -200,6 +207,14 @@
 	p.attach(e, o)
 }
 
+// adoptedSlot returns how long a load of an earlier leader may still run.
+func (p *Planner) adoptedSlot(size int64) time.Duration {
+	if expected := p.store.expected(size); expected > 0 {
+		return expected
+	}
+	return p.times.OrderTimeout
+}
+
 // attach links an order with its target.
 func (p *Planner) attach(e *engine, o *pending) {
 	switch o.Kind {
@@ -223,7 +238,7 @@
 	p.waits = map[string]string{}
 	p.progressOrders(now)
 	if !now.Before(p.sendAfter) {
-		p.dispatch(now)
+		p.dispatchWhenInformed(now)
 		p.planHandover(now)
 	}
 	p.checkServices()
@@ -233,6 +248,15 @@
 	return effects
 }
 
+// dispatchWhenInformed waits until a planner that has just begun to observe has
+// had the time to hear of all targets; else it would replace those it does not
+// know yet.
+func (p *Planner) dispatchWhenInformed(now time.Time) {
+	if !p.firstObserved.IsZero() && now.Sub(p.firstObserved) >= p.times.LossGrace {
+		p.dispatch(now)
+	}
+}
+
 // logf adds a decision line.
 func (p *Planner) logf(format string, args ...any) {
 	p.effects = append(p.effects, Log{Line: "placement: " + fmt.Sprintf(format, args...)})
--- a/placement/service.go
+++ b/placement/service.go
@@ -107,7 +107,7 @@
 
 // isModel reports whether targets of the service take orders.
 func (s *service) isModel() bool {
-	return target.Kind(s.Kind) == target.KindModel
+	return target.Kind(s.Kind) == target.KindModel && s.Model != ""
 }
 
 // hasRoom reports whether the wish allows one more than count targets.
--- a/placement/store.go
+++ b/placement/store.go
@@ -90,10 +90,10 @@
 }
 
 // runningLoads counts the loads that may take from the weight store.
-func (p *Planner) runningLoads() int {
+func (p *Planner) runningLoads(now time.Time) int {
 	running := 0
 	for _, o := range p.orders {
-		if o.holdsSlot() {
+		if o.holdsSlot(now) {
 			running++
 		}
 	}
