--- a/host/owned.go
+++ b/host/owned.go
@@ -163,11 +163,7 @@
 
 // withdraw takes back a permit that may not be sent.
 func (s *owned) withdraw(requestID string) {
-	s.service.Release(s.owners.clock.Now(), admission.Release{
-		RequestID: requestID,
-		Service:   s.name,
-		Outcome:   admission.OutcomeUnsent,
-	})
+	s.service.Withdraw(s.owners.clock.Now(), requestID)
 	if reply, ok := s.replies[requestID]; ok {
 		delete(s.replies, requestID)
 		reply(notOwner(requestID))
