Name the service in every message of a target

Cause: a host that had not taken a target's announcement itself did not know to whose owner a load report goes, and a target that changed its service was kept alive at the former owner. Reports, cache events and leaves now name the service; an announcement under another service is a leave at the former owner. Permits carry CacheFrom.

--- a/host/targets.go
+++ b/host/targets.go
@@ -11,10 +11,6 @@
 	"comfreytiller.dev/target"
 )
 
-// errUnknownTarget asks a target to announce itself: this host does not know
-// which service it serves.
-var errUnknownTarget = errors.New("target has not announced itself here")
-
 // targets passes what targets send on to the owners of their services. It
 // implements web.Sink.
 type targets struct {
@@ -29,55 +25,58 @@
 	return &targets{host: h, services: map[string]string{}}
 }
 
-// Announce passes an announcement on.
+// Announce passes an announcement on, and a leave to the owner of the service
+// that the target served before.
 func (t *targets) Announce(ctx context.Context, a target.Announcement) error {
+	before := t.note(a)
+	if before != "" && before != a.Service {
+		leave := target.Leave{Name: a.Name, Stamp: a.Stamp, Service: before}
+		if err := t.Leave(ctx, leave); err != nil {
+			t.host.log.Warnf("Target %s changes from %s to %s, but the former owner is not told: %v.", a.Name, before, a.Service, err)
+		}
+	}
 	if a.Service == "" {
 		return nil
 	}
 	_, err := t.pass(ctx, peer.TargetNews{Service: a.Service, Announcement: &a})
-	if err != nil {
-		return err
-	}
+	return err
+}
+
+// note remembers the service of a target and returns the one before.
+func (t *targets) note(a target.Announcement) string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	before := t.services[a.Name]
 	t.services[a.Name] = a.Service
-	return nil
+	return before
 }
 
 // Load passes a load report on.
 func (t *targets) Load(ctx context.Context, report target.LoadReport) (bool, error) {
-	service, ok := t.service(report.Name)
-	if !ok {
-		return false, nil
-	}
-	return t.pass(ctx, peer.TargetNews{Service: service, Load: &report})
+	return t.passKnown(ctx, peer.TargetNews{Service: report.Service, Load: &report})
 }
 
 // Cache passes a cache event on.
 func (t *targets) Cache(ctx context.Context, event target.CacheEvent) (bool, error) {
-	service, ok := t.service(event.Name)
-	if !ok {
-		return false, nil
-	}
-	return t.pass(ctx, peer.TargetNews{Service: service, Cache: &event})
+	return t.passKnown(ctx, peer.TargetNews{Service: event.Service, Cache: &event})
 }
 
-// Leave passes a leave on. The target tries again where its service is not
-// known here.
+// Leave passes a leave on.
 func (t *targets) Leave(ctx context.Context, leave target.Leave) error {
-	service, ok := t.service(leave.Name)
-	if !ok {
-		return errors.Wrapf(errUnknownTarget, "leave of %s", leave.Name)
+	if leave.Service == "" {
+		return nil
 	}
-	_, err := t.pass(ctx, peer.TargetNews{Service: service, Leave: &leave})
+	_, err := t.pass(ctx, peer.TargetNews{Service: leave.Service, Leave: &leave})
 	return err
 }
 
-func (t *targets) service(name string) (string, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	service, ok := t.services[name]
-	return service, ok
+// passKnown passes a message on; that of a target which serves nothing ends
+// here.
+func (t *targets) passKnown(ctx context.Context, news peer.TargetNews) (bool, error) {
+	if news.Service == "" {
+		return true, nil
+	}
+	return t.pass(ctx, news)
 }
 
 func (t *targets) pass(ctx context.Context, news peer.TargetNews) (bool, error) {
--- a/peer/codec_admission.go
+++ b/peer/codec_admission.go
@@ -91,6 +91,7 @@
 		Reason:      p.Reason,
 		ChecksFence: p.ChecksFence,
 		Resumes:     p.Resumes,
+		CacheFrom:   p.CacheFrom,
 	}
 }
 
@@ -111,6 +112,7 @@
 		Reason:      w.Reason,
 		ChecksFence: w.ChecksFence,
 		Resumes:     w.Resumes,
+		CacheFrom:   w.CacheFrom,
 	}
 }
 
--- a/peer/codec_target.go
+++ b/peer/codec_target.go
@@ -63,10 +63,14 @@
 		m.Announcement = announcementFromWire(n.Announcement)
 	case *peerpb.TargetNews_Load:
 		m.Load = loadFromWire(n.Load)
+		m.Load.Service = w.Service
 	case *peerpb.TargetNews_Cache:
 		m.Cache = cacheFromWire(n.Cache)
+		m.Cache.Service = w.Service
 	case *peerpb.TargetNews_Leave:
-		m.Leave = &target.Leave{Name: n.Leave.Name, Stamp: stamp(n.Leave.Incarnation, n.Leave.Sequence)}
+		m.Leave = &target.Leave{
+			Name: n.Leave.Name, Stamp: stamp(n.Leave.Incarnation, n.Leave.Sequence), Service: w.Service,
+		}
 	default:
 		return nil
 	}
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -41,6 +41,7 @@
 			Reason:      text.Draw(t, "Reason"),
 			ChecksFence: rapid.Bool().Draw(t, "ChecksFence"),
 			Resumes:     rapid.Bool().Draw(t, "Resumes"),
+			CacheFrom:   text.Draw(t, "CacheFrom"),
 		}
 	})
 }
@@ -70,12 +71,12 @@
 			Capacity: 2, CachedChats: 3, Cold: true, ChecksFence: true, Resumes: true, MovesCache: true,
 		}},
 		TargetNews{Service: "s", Load: &target.LoadReport{
-			Name: "t", Stamp: mark, InFlight: 1, Queued: 2, CacheUsed: 0.5, Cold: true,
+			Name: "t", Stamp: mark, Service: "s", InFlight: 1, Queued: 2, CacheUsed: 0.5, Cold: true,
 		}},
 		TargetNews{Service: "s", Cache: &target.CacheEvent{
-			Name: "t", Stamp: mark, Change: target.CacheStored, Chats: []string{"c"},
+			Name: "t", Stamp: mark, Service: "s", Change: target.CacheStored, Chats: []string{"c"},
 		}},
-		TargetNews{Service: "s", Leave: &target.Leave{Name: "t", Stamp: mark}},
+		TargetNews{Service: "s", Leave: &target.Leave{Name: "t", Stamp: mark, Service: "s"}},
 		TargetKnown{Known: true},
 		CopyPart{Service: "s", Fence: 3, Data: []byte{1}},
 		Quorum{Messages: []byte{1}},
--- a/standin/announcer.go
+++ b/standin/announcer.go
@@ -104,7 +104,8 @@
 func (a *announcer) leave() {
 	a.enqueue(func() error {
 		name, stamp := a.stamp()
-		body, err := web.EncodeLeave(target.Leave{Name: name, Stamp: stamp})
+		service := a.target.announcement().Service
+		body, err := web.EncodeLeave(target.Leave{Name: name, Stamp: stamp, Service: service})
 		if err != nil {
 			return err
 		}
@@ -136,8 +137,10 @@
 	}
 	a.mu.Unlock()
 	a.enqueue(func() error {
-		name := a.target.announcement().Name
-		body, err := web.EncodeEvent(target.CacheEvent{Name: name, Change: change, Chats: chats, Stamp: stamp})
+		now := a.target.announcement()
+		body, err := web.EncodeEvent(target.CacheEvent{
+			Name: now.Name, Service: now.Service, Change: change, Chats: chats, Stamp: stamp,
+		})
 		if err != nil {
 			return err
 		}
--- a/standin/plain.go
+++ b/standin/plain.go
@@ -170,5 +170,5 @@
 
 // loadReport returns the service's load now.
 func (p *Plain) loadReport() target.LoadReport {
-	return target.LoadReport{Name: p.settings.Name, InFlight: p.InFlight()}
+	return target.LoadReport{Name: p.settings.Name, Service: p.settings.Service, InFlight: p.InFlight()}
 }
--- a/target/target.go
+++ b/target/target.go
@@ -88,6 +88,9 @@
 type LoadReport struct {
 	Name string
 	Stamp
+	// Service is the service that the target serves now, which tells any host
+	// whom to pass the message on to.
+	Service string
 	// InFlight is the number of requests that run on the target.
 	InFlight int
 	// Queued is the number of requests that wait inside the target.
@@ -113,7 +116,9 @@
 type CacheEvent struct {
 	Name string
 	Stamp
-	Change CacheChange
+	// Service is as in a LoadReport.
+	Service string
+	Change  CacheChange
 	// Chats are the chats concerned; empty for CacheCleared.
 	Chats []string
 }
@@ -122,4 +127,6 @@
 type Leave struct {
 	Name string
 	Stamp
+	// Service is as in a LoadReport.
+	Service string
 }
--- a/target/web/message.go
+++ b/target/web/message.go
@@ -36,6 +36,7 @@
 	Name        string
 	Incarnation uint64
 	Sequence    uint64
+	Service     string
 	InFlight    int
 	Queued      int
 	CacheUsed   float64
@@ -47,6 +48,7 @@
 	Name        string
 	Incarnation uint64
 	Sequence    uint64
+	Service     string
 	Change      string
 	Chats       []string
 }
@@ -56,6 +58,7 @@
 	Name        string
 	Incarnation uint64
 	Sequence    uint64
+	Service     string
 }
 
 // EncodeAnnouncement writes an announcement as JSON.
@@ -88,7 +91,7 @@
 // EncodeLoad writes a load report as JSON.
 func EncodeLoad(r target.LoadReport) ([]byte, error) {
 	return json.Marshal(loadBody{
-		Name: r.Name, Incarnation: r.Incarnation, Sequence: r.Sequence,
+		Name: r.Name, Incarnation: r.Incarnation, Sequence: r.Sequence, Service: r.Service,
 		InFlight: r.InFlight, Queued: r.Queued, CacheUsed: r.CacheUsed, Cold: r.Cold,
 	})
 }
@@ -101,7 +104,7 @@
 	}
 	r := target.LoadReport{
 		Name: b.Name, Stamp: target.Stamp{Incarnation: b.Incarnation, Sequence: b.Sequence},
-		InFlight: b.InFlight, Queued: b.Queued, CacheUsed: b.CacheUsed, Cold: b.Cold,
+		Service: b.Service, InFlight: b.InFlight, Queued: b.Queued, CacheUsed: b.CacheUsed, Cold: b.Cold,
 	}
 	return r, checkLoad(r)
 }
@@ -109,7 +112,7 @@
 // EncodeEvent writes a cache event as JSON.
 func EncodeEvent(e target.CacheEvent) ([]byte, error) {
 	return json.Marshal(eventBody{
-		Name: e.Name, Incarnation: e.Incarnation, Sequence: e.Sequence,
+		Name: e.Name, Incarnation: e.Incarnation, Sequence: e.Sequence, Service: e.Service,
 		Change: string(e.Change), Chats: e.Chats,
 	})
 }
@@ -122,14 +125,16 @@
 	}
 	e := target.CacheEvent{
 		Name: b.Name, Stamp: target.Stamp{Incarnation: b.Incarnation, Sequence: b.Sequence},
-		Change: target.CacheChange(b.Change), Chats: b.Chats,
+		Service: b.Service, Change: target.CacheChange(b.Change), Chats: b.Chats,
 	}
 	return e, checkEvent(e)
 }
 
 // EncodeLeave writes a leave as JSON.
 func EncodeLeave(l target.Leave) ([]byte, error) {
-	return json.Marshal(leaveBody{Name: l.Name, Incarnation: l.Incarnation, Sequence: l.Sequence})
+	return json.Marshal(leaveBody{
+		Name: l.Name, Incarnation: l.Incarnation, Sequence: l.Sequence, Service: l.Service,
+	})
 }
 
 // DecodeLeave reads a leave and checks its fields.
@@ -138,6 +143,9 @@
 	if err := json.Unmarshal(data, &b); err != nil {
 		return target.Leave{}, errors.Wrapf(ErrBody, "leave: %v", err)
 	}
-	l := target.Leave{Name: b.Name, Stamp: target.Stamp{Incarnation: b.Incarnation, Sequence: b.Sequence}}
+	l := target.Leave{
+		Name: b.Name, Stamp: target.Stamp{Incarnation: b.Incarnation, Sequence: b.Sequence},
+		Service: b.Service,
+	}
 	return l, checkName(l.Name, l.Stamp)
 }
