--- a/host/handover.go
+++ b/host/handover.go
@@ -50,7 +50,7 @@
 	}
 	o.mu.Unlock()
 	if service != nil && service.owner.Fence > m.Fence {
-		service.do(func(now time.Time) { service.service.Import(now, copied) })
+		service.do(func(now time.Time) { service.imports(now, copied) })
 	}
 }
 
--- a/host/host.go
+++ b/host/host.go
@@ -61,6 +61,8 @@
 	entry    *entry
 	receiver *targets
 	gateway  *gateway.Gateway
+	placer   *placer
+	digester *digester
 	sender   *web.Client
 
 	peers   net.Listener
@@ -155,6 +157,8 @@
 	h.sender = web.NewClient(h.Clock)
 	h.entry = newEntry(h)
 	h.receiver = newTargets(h)
+	h.placer = newPlacer(h)
+	h.digester = newDigester(h)
 	h.gateway = h.newGateway()
 }
 
@@ -194,6 +198,8 @@
 	h.start(background, h.session.Run)
 	h.start(background, h.owners.run)
 	h.start(background, h.entry.run)
+	h.start(background, h.digester.run)
+	h.start(background, h.placer.run)
 	if h.state != nil {
 		h.start(background, h.state.run)
 	}
--- a/host/owned.go
+++ b/host/owned.go
@@ -7,6 +7,7 @@
 	"comfreytiller.dev/admission"
 	"comfreytiller.dev/peer"
 	"comfreytiller.dev/registry"
+	"comfreytiller.dev/target"
 )
 
 // owned is a service that this host decides for.
@@ -22,18 +23,21 @@
 	// adopting are the sessions whose permits are not yet known.
 	adopting map[uint64]bool
 	adopted  bool
+	// announced are the newest announcements, by target.
+	announced map[string]target.Announcement
 	// stopped is set when the service is given up: no more grants.
 	stopped bool
 }
 
 func newOwned(o *owners, name string, owner registry.Owner, config admission.Config, sessions map[uint64]bool) *owned {
 	s := &owned{
-		owners:   o,
-		name:     name,
-		owner:    owner,
-		service:  admission.New(config, owner.Fence, admission.WithScope(o.scope(name))),
-		replies:  map[string]peer.Reply{},
-		adopting: sessions,
+		owners:    o,
+		name:      name,
+		owner:     owner,
+		service:   admission.New(config, owner.Fence, admission.WithScope(o.scope(name))),
+		replies:   map[string]peer.Reply{},
+		adopting:  sessions,
+		announced: map[string]target.Announcement{},
 	}
 	return s
 }
@@ -91,6 +95,38 @@
 	s.owners.log.Infof("Decides for %s with fence %d.", s.name, s.owner.Fence)
 }
 
+// take passes on what a target sent; known is false where the target must
+// announce itself again.
+func (s *owned) take(m peer.TargetNews) (known bool) {
+	known = true
+	s.do(func(now time.Time) {
+		switch {
+		case m.Announcement != nil:
+			if s.service.Announce(now, *m.Announcement) {
+				s.announced[m.Announcement.Name] = *m.Announcement
+			}
+		case m.Load != nil:
+			known = s.service.Load(now, *m.Load)
+		case m.Cache != nil:
+			known = s.service.Cache(now, *m.Cache)
+		case m.Leave != nil:
+			s.service.Leave(now, *m.Leave)
+		}
+	})
+	return known
+}
+
+// imports takes what an earlier owner sent.
+func (s *owned) imports(now time.Time, copied admission.Copy) {
+	s.service.Import(now, copied)
+	for _, t := range copied.Targets {
+		known, ok := s.announced[t.Announcement.Name]
+		if !ok || t.Announcement.After(known.Stamp) {
+			s.announced[t.Announcement.Name] = t.Announcement
+		}
+	}
+}
+
 // sessionClosed drops what a closed session held.
 func (s *owned) sessionClosed(host string, session uint64) {
 	s.do(func(now time.Time) {
--- a/host/owners.go
+++ b/host/owners.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"strconv"
 	"sync"
 	"time"
@@ -163,7 +164,7 @@
 		service := newOwned(o, name, owner, config, liveSessions(view))
 		now := o.clock.Now()
 		for _, copied := range o.copies[name] {
-			service.service.Import(now, copied)
+			service.imports(now, copied)
 		}
 		delete(o.copies, name)
 		o.owned[name] = service
@@ -200,10 +201,21 @@
 		Service:    service,
 		Workspaces: view.Fleet.Workspaces,
 		DomainsOut: view.DomainsOut,
-		TargetsOut: view.TargetsOut,
+		TargetsOut: withheld(view),
 	}, true
 }
 
+// withheld returns the targets that get no new work: those that operators have
+// taken out and those with an order under way.
+func withheld(view *registry.View) map[string]bool {
+	if len(view.Ordered) == 0 {
+		return view.TargetsOut
+	}
+	out := maps.Clone(view.Ordered)
+	maps.Copy(out, view.TargetsOut)
+	return out
+}
+
 // sessionsOf returns the hosts' names by session.
 func sessionsOf(view *registry.View) map[uint64]string {
 	sessions := map[uint64]string{}
@@ -283,20 +295,7 @@
 		reply(peer.Failure{Message: "this host does not decide for the service now"})
 		return
 	}
-	known := true
-	service.do(func(now time.Time) {
-		switch {
-		case m.Announcement != nil:
-			service.service.Announce(now, *m.Announcement)
-		case m.Load != nil:
-			known = service.service.Load(now, *m.Load)
-		case m.Cache != nil:
-			known = service.service.Cache(now, *m.Cache)
-		case m.Leave != nil:
-			service.service.Leave(now, *m.Leave)
-		}
-	})
-	reply(peer.TargetKnown{Known: known})
+	reply(peer.TargetKnown{Known: service.take(m)})
 }
 
 func (o *owners) tellStatus(m peer.StatusAsk, reply peer.Reply) {
--- /dev/null
+++ b/host/placer.go
@@ -0,0 +1,369 @@
+package host
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"comfreytiller.dev/common/logs"
+	"comfreytiller.dev/peer"
+	"comfreytiller.dev/placement"
+	"comfreytiller.dev/registry"
+	"comfreytiller.dev/session"
+	"comfreytiller.dev/target"
+)
+
+const (
+	// placementInterval is the pause between decisions on placement.
+	placementInterval = 500 * time.Millisecond
+	// placementAuthority is how long a decision may be acted on after the lead
+	// was confirmed; a new leader waits for longer than that.
+	placementAuthority = time.Second
+	// digestLife is how long a host's digest counts.
+	digestLife = 3 * digestRefresh
+)
+
+// placer runs placement on the state leader.
+type placer struct {
+	host    *Host
+	log     *logrus.Logger
+	clock   clockwork.Clock
+	planner *placement.Planner
+
+	mu      sync.Mutex
+	digests map[string]hostDigest
+	// answers are the targets' replies on their way to the planner.
+	answers  []placement.OrderReply
+	recorded map[string]bool
+	status   placement.Status
+
+	// term is the term of the lead that the planner has; 0 for none.
+	term     uint64
+	revision uint64
+}
+
+// hostDigest is the newest digest of a host.
+type hostDigest struct {
+	digest peer.Digest
+	taken  time.Time
+}
+
+func newPlacer(h *Host) *placer {
+	return &placer{
+		host:     h,
+		log:      logs.Part(h.Log, "Placement"),
+		clock:    h.Clock,
+		planner:  placement.New(placement.WithAuthorityWait(session.Lease)),
+		digests:  map[string]hostDigest{},
+		recorded: map[string]bool{},
+	}
+}
+
+// take keeps a host's digest while this replica leads.
+func (p *placer) take(m peer.Digest, reply peer.Reply) {
+	if _, leads := p.lead(); !leads {
+		reply(peer.Failure{Message: "this host does not lead the state replicas"})
+		return
+	}
+	p.mu.Lock()
+	p.digests[m.Host] = hostDigest{digest: m, taken: p.clock.Now()}
+	p.mu.Unlock()
+	reply(peer.Taken{})
+}
+
+// lead returns the term in which this replica leads with a confirmed majority
+// and holds all that earlier leaders committed.
+func (p *placer) lead() (uint64, bool) {
+	if p.host.state == nil {
+		return 0, false
+	}
+	return p.host.state.leading()
+}
+
+func (p *placer) run(ctx context.Context) {
+	if p.host.state == nil {
+		return
+	}
+	ticker := p.clock.NewTicker(placementInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			p.step(ctx)
+		}
+	}
+}
+
+func (p *placer) step(ctx context.Context) {
+	term, leads := p.lead()
+	if !leads {
+		if p.term != 0 {
+			p.planner.Resign()
+			p.term = 0
+		}
+		return
+	}
+	now := p.clock.Now()
+	view := p.host.state.machine.View()
+	if p.term != term {
+		p.start(now, term)
+	}
+	if view.Fleet == nil || !p.heardAll(view, now) {
+		return
+	}
+	p.feed(now, view)
+	for _, effect := range p.planner.Step(now, now.Add(placementAuthority)) {
+		p.carryOut(ctx, effect)
+	}
+	status := p.planner.Status(now)
+	p.mu.Lock()
+	p.status = status
+	p.mu.Unlock()
+}
+
+// start begins a lead: the log holds the orders that earlier leaders may have
+// sent. The fence is an index of the log, so that it is above theirs.
+func (p *placer) start(now time.Time, term uint64) {
+	p.term, p.revision = term, 0
+	p.mu.Lock()
+	p.digests = map[string]hostDigest{}
+	p.answers = nil
+	p.mu.Unlock()
+	var outstanding []placement.Order
+	for _, order := range p.host.state.machine.Orders() {
+		if order.State == registry.OrderPending {
+			outstanding = append(outstanding, fromRegistry(order))
+		}
+	}
+	fence := p.host.state.replica.Status().Commit
+	p.planner.Lead(now, fence, outstanding)
+	p.log.Infof("Plans in term %d with fence %d and %d outstanding orders.", term, fence, len(outstanding))
+}
+
+// heardAll reports whether every owner has sent its digest under this lead:
+// before, a target that is not named would count as missing.
+func (p *placer) heardAll(view *registry.View, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, heard := range p.digests {
+		if now.Sub(heard.taken) > digestLife {
+			delete(p.digests, name)
+		}
+	}
+	for _, owner := range view.Owners {
+		heard, ok := p.digests[owner.Host]
+		if !ok || heard.digest.Session != owner.Session {
+			return false
+		}
+	}
+	return true
+}
+
+// feed gives the planner what has changed.
+func (p *placer) feed(now time.Time, view *registry.View) {
+	if view.Revision != p.revision {
+		p.planner.Configure(now, view.Fleet, view.DomainsOut, view.TargetsOut, view.Pins)
+		p.revision = view.Revision
+	}
+	states, services, answers, recorded := p.collect()
+	p.planner.Observe(now, states)
+	for _, service := range services {
+		p.planner.Pressure(now, service.Name, service.Queued, service.InFlight)
+	}
+	for id, taken := range recorded {
+		if taken {
+			p.planner.OrderRecorded(now, id)
+		} else {
+			p.planner.OrderRefused(now, id)
+		}
+	}
+	for _, answer := range answers {
+		p.planner.OrderAnswered(now, answer)
+	}
+}
+
+func (p *placer) collect() ([]placement.TargetState, []peer.DigestService, []placement.OrderReply, map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	newest := map[string]peer.DigestTarget{}
+	var services []peer.DigestService
+	for _, heard := range p.digests {
+		for _, t := range heard.digest.Targets {
+			known, ok := newest[t.Announcement.Name]
+			if !ok || t.Announcement.After(known.Announcement.Stamp) {
+				newest[t.Announcement.Name] = t
+			}
+		}
+		services = append(services, heard.digest.Services...)
+	}
+	states := make([]placement.TargetState, 0, len(newest))
+	for _, t := range newest {
+		states = append(states, stateOf(t))
+	}
+	answers, recorded := p.answers, p.recorded
+	p.answers, p.recorded = nil, map[string]bool{}
+	return states, services, answers, recorded
+}
+
+func stateOf(t peer.DigestTarget) placement.TargetState {
+	a := t.Announcement
+	return placement.TargetState{
+		Name:          a.Name,
+		Incarnation:   a.Incarnation,
+		FailureDomain: a.FailureDomain,
+		Kind:          a.Kind,
+		Service:       a.Service,
+		Model:         a.Model,
+		Version:       a.Version,
+		Adapters:      a.Adapters,
+		Role:          a.Role,
+		Ready:         t.Ready,
+		Cold:          t.Cold,
+		Leaving:       t.Leaving,
+		InFlight:      t.InFlight,
+		CachedChats:   t.Chats,
+		MovesCache:    a.MovesCache,
+	}
+}
+
+// address returns where a target takes orders, if it is still the same start.
+func (p *placer) address(name string, incarnation uint64) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, heard := range p.digests {
+		for _, t := range heard.digest.Targets {
+			if t.Announcement.Name == name && t.Announcement.Incarnation == incarnation {
+				return t.Announcement.Address
+			}
+		}
+	}
+	return ""
+}
+
+func (p *placer) carryOut(ctx context.Context, effect placement.Effect) {
+	switch e := effect.(type) {
+	case placement.RecordOrder:
+		go p.record(ctx, e.Order)
+	case placement.SendOrder:
+		go p.send(ctx, e)
+	case placement.CloseOrder:
+		go p.closeOrder(ctx, e)
+	case placement.Log:
+		p.log.Info(e.Line)
+	case placement.Alarm:
+		p.log.Warnf("Alarm %s: %s.", e.Kind, e.Text)
+		p.host.Scope.SubScope("placement").Tagged(map[string]string{"alarm": string(e.Kind)}).Counter("alarms").Inc(1)
+	}
+}
+
+func (p *placer) record(ctx context.Context, order placement.Order) {
+	result, err := p.host.session.Propose(ctx, toRegistry(order, p.clock.Now()))
+	if err == nil {
+		err = result.Err()
+	}
+	if err != nil {
+		p.log.Warnf("Order %s to %s is not recorded: %v.", order.ID, order.Target, err)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.recorded[order.ID] = err == nil
+}
+
+// send sends an order unless its time has passed or the lead is gone.
+func (p *placer) send(ctx context.Context, e placement.SendOrder) {
+	address := p.address(e.Order.Target, e.Order.Incarnation)
+	if address == "" {
+		return
+	}
+	ctx, cancel := clockwork.WithDeadline(ctx, p.clock, p.clock.Now().Add(ownerTimeout))
+	defer cancel()
+	if _, leads := p.lead(); !leads || !p.clock.Now().Before(e.Until) {
+		return
+	}
+	reply, err := p.host.sender.Order(ctx, address, target.Order{
+		ID:       e.Order.ID,
+		Fence:    e.Order.Fence,
+		Kind:     target.OrderKind(e.Order.Kind),
+		Service:  e.Order.Service,
+		Model:    e.Order.Model,
+		Version:  e.Order.Version,
+		Adapters: e.Order.Adapters,
+		Role:     e.Order.Role,
+	})
+	if err != nil {
+		p.log.Warnf("Order %s to %s has no answer yet: %v.", e.Order.ID, e.Order.Target, err)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.answers = append(p.answers, placement.OrderReply{
+		ID:          e.Order.ID,
+		Target:      e.Order.Target,
+		Incarnation: e.Order.Incarnation,
+		Result:      resultOf(reply.State),
+		Reason:      reply.Message,
+	})
+}
+
+func resultOf(state target.OrderState) placement.OrderResult {
+	switch state {
+	case target.OrderAccepted:
+		return placement.Accepted
+	case target.OrderDone:
+		return placement.Done
+	case target.OrderRefused:
+		return placement.OldFence
+	}
+	return placement.Failed
+}
+
+func (p *placer) closeOrder(ctx context.Context, e placement.CloseOrder) {
+	state := registry.OrderFailed
+	if e.Outcome == placement.OutcomeDone {
+		state = registry.OrderDone
+	}
+	result, err := p.host.session.Propose(ctx, registry.FinishOrder{ID: e.ID, State: state, Time: p.clock.Now()})
+	if err == nil {
+		err = result.Err()
+	}
+	if err != nil && !errors.Is(err, registry.ErrUnknown) {
+		p.log.Warnf("Order %s stays open: %v.", e.ID, err)
+	}
+}
+
+func toRegistry(order placement.Order, now time.Time) registry.RecordOrder {
+	return registry.RecordOrder{
+		ID:          order.ID,
+		Target:      order.Target,
+		Incarnation: order.Incarnation,
+		Kind:        string(order.Kind),
+		Service:     order.Service,
+		Model:       order.Model,
+		Version:     order.Version,
+		Adapters:    order.Adapters,
+		Role:        string(order.Role),
+		Time:        now,
+	}
+}
+
+func fromRegistry(order registry.Order) placement.Order {
+	return placement.Order{
+		ID:          order.ID,
+		Fence:       order.Fence,
+		Target:      order.Target,
+		Incarnation: order.Incarnation,
+		Kind:        placement.OrderKind(order.Kind),
+		Service:     order.Service,
+		Model:       order.Model,
+		Version:     order.Version,
+		Adapters:    order.Adapters,
+		Role:        target.Role(order.Role),
+		RecordedAt:  order.Time,
+	}
+}
--- a/host/receive.go
+++ b/host/receive.go
@@ -43,6 +43,8 @@
 // receiveState takes the messages for a state replica.
 func (h *Host) receiveState(from string, message peer.Message, reply peer.Reply) {
 	switch m := message.(type) {
+	case peer.Digest:
+		h.placer.take(m, reply)
 	case peer.IdentityAsk:
 		reply(h.identity())
 	case peer.Quorum:
--- a/host/state.go
+++ b/host/state.go
@@ -279,6 +279,18 @@
 	return lead.Term, true
 }
 
+// leading returns the term in which this replica leads with a confirmed majority
+// and holds all that earlier leaders committed.
+func (s *stateReplica) leading() (term uint64, leads bool) {
+	lead := s.replica.Leadership()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !lead.Self || !lead.Confirmed || s.term != lead.Term {
+		return 0, false
+	}
+	return lead.Term, true
+}
+
 func (s *stateReplica) lead(term uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/host/targets.go
+++ b/host/targets.go
@@ -19,16 +19,19 @@
 	mu sync.Mutex
 	// services are the services of the targets that announced themselves here.
 	services map[string]string
+	// idle are the engines that serve nothing.
+	idle *idleTargets
 }
 
 func newTargets(h *Host) *targets {
-	return &targets{host: h, services: map[string]string{}}
+	return &targets{host: h, services: map[string]string{}, idle: newIdleTargets()}
 }
 
 // Announce passes an announcement on, and a leave to the owner of the service
 // that the target served before.
 func (t *targets) Announce(ctx context.Context, a target.Announcement) error {
 	before := t.note(a)
+	t.idle.announce(a, t.host.Clock.Now())
 	if before != "" && before != a.Service {
 		leave := target.Leave{Name: a.Name, Stamp: a.Stamp, Service: before}
 		if err := t.Leave(ctx, leave); err != nil {
@@ -53,6 +56,9 @@
 
 // Load passes a load report on.
 func (t *targets) Load(ctx context.Context, report target.LoadReport) (bool, error) {
+	if report.Service == "" {
+		return t.idle.heard(report.Name, report.Stamp, t.host.Clock.Now()), nil
+	}
 	return t.passKnown(ctx, peer.TargetNews{Service: report.Service, Load: &report})
 }
 
--- a/integration/process_integration_test.go
+++ b/integration/process_integration_test.go
@@ -1,6 +1,7 @@
 package integration
 
 import (
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -168,3 +169,25 @@
 	l.finish(s.treasuries...)
 	s.checkCold()
 }
+
+// A new version of the model rolls through the engines, and the service goes on.
+func TestNewVersionRolls(t *testing.T) {
+	s := newSystem(t, 6, 3)
+	l := startLoad(t, s.balanced, 6, 2)
+	l.served(50)
+	s.apply(strings.Replace(fleetVersionText("third"), `"Version": "1"`, `"Version": "2", "Placement": {"Min": 3, "Spread": 3}`, 1))
+	eventually(t, "every engine serves the new version", func() bool {
+		for _, engine := range s.engines {
+			if _, _, version := engine.Serves(); version != "2" {
+				return false
+			}
+		}
+		return true
+	})
+	s.awaitTargets(s.nodes[0], "Dossiers", len(s.engines))
+	l.served(50)
+	l.finish(s.treasuries...)
+	s.checkCold()
+	require.Zero(t, l.broken.Load(), "answers cut by a new version")
+	require.Zero(t, l.refused.Load(), "chats refused during a new version")
+}
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -55,7 +55,7 @@
 		wire.Body = &peerpb.Frame_Taken{Taken: &peerpb.Taken{}}
 	case Acquire, Permit, Refusal, Cancel, Releases, Adopt:
 		setAdmissionBody(wire, message, now)
-	case TargetNews, TargetKnown, CopyPart, StatusAsk, StatusTold:
+	case TargetNews, TargetKnown, CopyPart, StatusAsk, StatusTold, Digest:
 		setTargetBody(wire, message)
 	case Quorum, Propose, Proposed, Renew, Renewed, VersionsAsk, VersionsTold, IdentityAsk, IdentityTold:
 		setStateBody(wire, message)
--- a/peer/codec_target.go
+++ b/peer/codec_target.go
@@ -17,6 +17,8 @@
 		}}
 	case StatusAsk:
 		wire.Body = &peerpb.Frame_StatusAsk{StatusAsk: &peerpb.StatusAsk{Service: m.Service}}
+	case Digest:
+		wire.Body = &peerpb.Frame_Digest{Digest: digestToWire(m)}
 	case StatusTold:
 		wire.Body = &peerpb.Frame_StatusTold{StatusTold: &peerpb.StatusTold{Status: m.Status}}
 	}
@@ -32,6 +34,8 @@
 		return CopyPart{Service: b.CopyPart.Service, Fence: b.CopyPart.Fence, Data: b.CopyPart.Data}
 	case *peerpb.Frame_StatusAsk:
 		return StatusAsk{Service: b.StatusAsk.Service}
+	case *peerpb.Frame_Digest:
+		return digestFromWire(b.Digest)
 	case *peerpb.Frame_StatusTold:
 		return StatusTold{Status: b.StatusTold.Status}
 	}
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -88,6 +88,14 @@
 		StatusTold{Status: []byte{1}},
 		VersionsAsk{},
 		VersionsTold{Revision: 1, FleetVersion: 2, OutageVersion: 3},
+		Digest{
+			Host: "h", Session: 1,
+			Targets: []DigestTarget{{
+				Announcement: target.Announcement{Name: "t", Stamp: mark},
+				Ready:        true, Cold: true, Leaving: true, InFlight: 2, Chats: 3,
+			}},
+			Services: []DigestService{{Name: "s", Queued: 1, InFlight: 2}},
+		},
 		IdentityAsk{},
 		IdentityTold{ID: "i", Host: "h"},
 	}
--- a/peer/message.go
+++ b/peer/message.go
@@ -144,6 +144,34 @@
 	Host string
 }
 
+// Digest tells the state leader of the targets that a host knows.
+type Digest struct {
+	Host     string
+	Session  uint64
+	Targets  []DigestTarget
+	Services []DigestService
+}
+
+// DigestTarget is the state of one target at the owner of its service.
+type DigestTarget struct {
+	Announcement target.Announcement
+	// Ready says that the target takes work, Cold that it is not warmed up, and
+	// Leaving that it takes no new work for good.
+	Ready    bool
+	Cold     bool
+	Leaving  bool
+	InFlight int
+	// Chats is the number of chats that are warm on the target.
+	Chats int
+}
+
+// DigestService is the load of one service at its owner.
+type DigestService struct {
+	Name     string
+	Queued   int
+	InFlight int
+}
+
 func (Ping) message()         {}
 func (Pong) message()         {}
 func (Failure) message()      {}
@@ -168,3 +196,4 @@
 func (VersionsTold) message() {}
 func (IdentityAsk) message()  {}
 func (IdentityTold) message() {}
+func (Digest) message()       {}
--- a/registry/codec_test.go
+++ b/registry/codec_test.go
@@ -18,6 +18,9 @@
 	case time.Time:
 		value.Set(reflect.ValueOf(testStart))
 		return
+	case []string:
+		value.Set(reflect.ValueOf([]string{"é", "b"}))
+		return
 	case []fleet.Fault:
 		value.Set(reflect.ValueOf([]fleet.Fault{{Line: 1, Column: 2, Path: "p", Message: "m"}}))
 		return
--- a/registry/command.go
+++ b/registry/command.go
@@ -157,7 +157,7 @@
 	Service     string
 	Model       string
 	Version     string
-	Adapter     string
+	Adapters    []string
 	Role        string
 	Time        time.Time
 }
--- a/registry/command_codec.go
+++ b/registry/command_codec.go
@@ -86,7 +86,7 @@
 	case RecordOrder:
 		return &registrypb.Command{Kind: &registrypb.Command_RecordOrder{RecordOrder: &registrypb.RecordOrder{
 			Id: c.ID, Target: c.Target, Incarnation: c.Incarnation, Kind: c.Kind, Service: c.Service, Model: c.Model,
-			Version: c.Version, Adapter: c.Adapter, Role: c.Role, Time: timeToWire(c.Time),
+			Version: c.Version, Adapters: c.Adapters, Role: c.Role, Time: timeToWire(c.Time),
 		}}}
 	case FinishOrder:
 		return &registrypb.Command{Kind: &registrypb.Command_FinishOrder{FinishOrder: &registrypb.FinishOrder{
@@ -160,7 +160,7 @@
 		Service:     wire.GetService(),
 		Model:       wire.GetModel(),
 		Version:     wire.GetVersion(),
-		Adapter:     wire.GetAdapter(),
+		Adapters:    wire.GetAdapters(),
 		Role:        wire.GetRole(),
 		Time:        timeFromWire(wire.GetTime()),
 	}
--- a/registry/delta.go
+++ b/registry/delta.go
@@ -41,6 +41,9 @@
 	TargetsIn  []string
 	Pins       map[string]string
 	Unpinned   []string
+	// Ordered have an order that has not ended, Unordered have none any more.
+	Ordered   []string
+	Unordered []string
 }
 
 // DeltaSince returns what a host needs that holds the view of that revision and
@@ -115,6 +118,7 @@
 	delta.DomainsOut, delta.DomainsIn = changedNames(from.DomainsOut, to.DomainsOut)
 	delta.TargetsOut, delta.TargetsIn = changedNames(from.TargetsOut, to.TargetsOut)
 	delta.Pins, delta.Unpinned = changedEntries(from.Pins, to.Pins)
+	delta.Ordered, delta.Unordered = changedNames(from.Ordered, to.Ordered)
 	return delta
 }
 
@@ -189,6 +193,7 @@
 		DomainsOut:    withNames(base.DomainsOut, d.DomainsOut, d.DomainsIn),
 		TargetsOut:    withNames(base.TargetsOut, d.TargetsOut, d.TargetsIn),
 		Pins:          withEntries(base.Pins, d.Pins, d.Unpinned),
+		Ordered:       withNames(base.Ordered, d.Ordered, d.Unordered),
 	}
 	for _, number := range d.Closed {
 		delete(sessions, number)
--- a/registry/delta_codec.go
+++ b/registry/delta_codec.go
@@ -23,6 +23,8 @@
 		TargetsIn:      d.TargetsIn,
 		Pins:           pinsToWire(d.Pins),
 		Unpinned:       d.Unpinned,
+		Ordered:        d.Ordered,
+		Unordered:      d.Unordered,
 	}
 	if d.Text != nil {
 		wire.Text = &registrypb.TextPatch{
@@ -65,6 +67,8 @@
 		TargetsOut:    wire.GetTargetsOut(),
 		TargetsIn:     wire.GetTargetsIn(),
 		Unpinned:      wire.GetUnpinned(),
+		Ordered:       wire.GetOrdered(),
+		Unordered:     wire.GetUnordered(),
 	}
 	for _, session := range wire.GetSessions() {
 		delta.Sessions = append(delta.Sessions, sessionFromWire(session))
--- a/registry/delta_test.go
+++ b/registry/delta_test.go
@@ -161,3 +161,30 @@
 	require.Equal(t, texts, r.history.textBytes)
 	require.Greater(t, len(r.history.views), 10)
 }
+
+func TestTargetsWithAnOrderAreInTheView(t *testing.T) {
+	m := NewMachine()
+	before := m.View()
+	m.Apply(1, 1, EncodeCommand(RecordOrder{ID: "o1", Target: "engine-1", Incarnation: 1, Kind: "LoadModel", Time: testStart}))
+	pending := m.View()
+	require.True(t, pending.Ordered["engine-1"])
+	delta, err := DecodeDelta(m.EncodedDeltaSince(before.Revision, before.FleetVersion))
+	require.NoError(t, err)
+	followed, err := delta.Apply(nil)
+	require.NoError(t, err)
+	require.True(t, followed.Ordered["engine-1"])
+
+	m.Apply(2, 1, EncodeCommand(FinishOrder{ID: "o1", State: OrderDone, Time: testStart}))
+	require.Empty(t, m.View().Ordered)
+	delta, err = DecodeDelta(m.EncodedDeltaSince(followed.Revision, followed.FleetVersion))
+	require.NoError(t, err)
+	followed, err = delta.Apply(followed)
+	require.NoError(t, err)
+	require.Empty(t, followed.Ordered)
+
+	snapshot, err := m.Snapshot()
+	require.NoError(t, err)
+	restored := NewMachine()
+	require.NoError(t, restored.Restore(snapshot))
+	require.Empty(t, restored.View().Ordered)
+}
--- a/registry/order.go
+++ b/registry/order.go
@@ -22,7 +22,7 @@
 	Service     string
 	Model       string
 	Version     string
-	Adapter     string
+	Adapters    []string
 	Role        string
 	// Fence is the number of the log entry at which the order was recorded.
 	Fence uint64
@@ -53,13 +53,14 @@
 		Service:     command.Service,
 		Model:       command.Model,
 		Version:     command.Version,
-		Adapter:     command.Adapter,
+		Adapters:    command.Adapters,
 		Role:        command.Role,
 		Fence:       number,
 		State:       OrderPending,
 		Time:        s.tick(command.Time),
 	}
 	s.orders[order.Target] = order
+	s.changed.orders = true
 	return Result{Code: CodeOK, Order: order}
 }
 
@@ -87,6 +88,7 @@
 			order.State = command.State
 			order.Time = s.tick(command.Time)
 			s.orders[target] = order
+			s.changed.orders = true
 		}
 		return Result{Code: CodeOK, Order: order}
 	}
--- a/registry/snapshot.go
+++ b/registry/snapshot.go
@@ -43,7 +43,7 @@
 	defer m.mutex.Unlock()
 	m.state = restored
 	m.history = history{}
-	m.state.changed = changes{fleet: true, hosts: true, owners: true, outages: true}
+	m.state.changed = changes{fleet: true, hosts: true, owners: true, outages: true, orders: true}
 	m.publish(m.state.next(emptyView()))
 	return nil
 }
--- a/registry/state.go
+++ b/registry/state.go
@@ -46,6 +46,7 @@
 	hosts   bool
 	owners  bool
 	outages bool
+	orders  bool
 }
 
 func (c changes) any() bool {
--- a/registry/view.go
+++ b/registry/view.go
@@ -30,6 +30,9 @@
 	TargetsOut map[string]bool
 	// Pins bind targets to services, by target name.
 	Pins map[string]string
+	// Ordered are the targets with an order that has not ended: they get no new
+	// work, since the order may take them out of service.
+	Ordered map[string]bool
 }
 
 // Host is one session.
@@ -70,6 +73,7 @@
 		DomainsOut: map[string]bool{},
 		TargetsOut: map[string]bool{},
 		Pins:       map[string]string{},
+		Ordered:    map[string]bool{},
 	}
 }
 
@@ -122,9 +126,22 @@
 		view.TargetsOut = maps.Clone(s.targetsOut)
 		view.Pins = maps.Clone(s.pins)
 	}
+	if s.changed.orders {
+		view.Ordered = pendingTargets(s.orders)
+	}
 	return &view
 }
 
+func pendingTargets(orders map[string]Order) map[string]bool {
+	pending := map[string]bool{}
+	for target, order := range orders {
+		if order.State == OrderPending {
+			pending[target] = true
+		}
+	}
+	return pending
+}
+
 func splitSessions(sessions map[uint64]Host) (open map[string]Host, closing map[uint64]Host) {
 	open, closing = map[string]Host{}, map[uint64]Host{}
 	for number, session := range sessions {
--- a/session/client.go
+++ b/session/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -270,7 +269,10 @@
 	}
 }
 
-// Replicas returns the addresses that the client knows.
-func (c *Client) Replicas() []string {
-	return slices.Clone(c.config.Replicas)
+// Leader returns the address of the state replica that the client now takes for
+// the leader.
+func (c *Client) Leader() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.address()
 }
--- a/session/session.go
+++ b/session/session.go
@@ -83,6 +83,8 @@
 		Owners:     map[string]registry.Owner{},
 		DomainsOut: map[string]bool{},
 		TargetsOut: map[string]bool{},
+		Closing:    map[uint64]registry.Host{},
 		Pins:       map[string]string{},
+		Ordered:    map[string]bool{},
 	}
 }
--- a/standin/engine_order.go
+++ b/standin/engine_order.go
@@ -96,7 +96,10 @@
 		e.completed = 0
 		e.announcer.event(e.incarnation, target.CacheCleared, nil)
 	case target.OrderChangeRole:
+		e.settings.Service = order.Service
 		e.settings.Role = order.Role
+	case target.OrderUnload:
+		e.settings.Service = ""
 	}
 	e.announcer.announce()
 }
--- a/target/order.go
+++ b/target/order.go
@@ -9,6 +9,8 @@
 	OrderLoadModel OrderKind = "LoadModel"
 	// OrderChangeRole: play another role.
 	OrderChangeRole OrderKind = "ChangeRole"
+	// OrderUnload: serve nothing.
+	OrderUnload OrderKind = "Unload"
 )
 
 // Order tells a target to change what it serves.
--- a/target/web/order.go
+++ b/target/web/order.go
@@ -59,10 +59,11 @@
 	if o.ID == "" {
 		return o, errors.Wrap(ErrBody, "order without ID")
 	}
-	if o.Kind != target.OrderLoadModel && o.Kind != target.OrderChangeRole {
-		return o, errors.Wrapf(ErrBody, "Kind %q is neither LoadModel nor ChangeRole", o.Kind)
+	switch o.Kind {
+	case target.OrderLoadModel, target.OrderChangeRole, target.OrderUnload:
+		return o, nil
 	}
-	return o, nil
+	return o, errors.Wrapf(ErrBody, "Kind %q is none of LoadModel, ChangeRole, Unload", o.Kind)
 }
 
 // EncodeOrderReply writes the reply to an order as JSON.
