--- /dev/null
+++ b/spec/consensus.pml
@@ -0,0 +1,361 @@
+/*
+ * The replicated log: election with durable votes, replication, the commit rule
+ * and membership changes of one replica at a time.
+ *
+ * Parameters: N replicas, terms 1..T, logs of up to M entries. With -DMEMBERS
+ * leaders propose membership changes.
+ *
+ * Mutations: -DVOTE_NOT_DURABLE, -DCOMMIT_OLD_TERM, -DMEMBERS_EARLY,
+ * -DMEMBERS_PENDING, -DVOTE_SHORT_LOG.
+ *
+ * The network is not a channel. Whatever the leader of a term ever had in its
+ * log may reach any replica at any later time, any number of times, in any order
+ * or never; the same holds for what a replica ever acknowledged or granted in a
+ * term.
+ */
+
+#ifndef N
+#define N 3
+#endif
+#ifndef T
+#define T 4
+#endif
+#ifndef M
+#define M 3
+#endif
+
+#define FOLLOWER  0
+#define CANDIDATE 1
+#define LEADER    2
+
+#define EVERYONE ((1 << N) - 1)
+
+/* An entry is its term, and the members that it sets or 0. */
+#define ENTRY(leadTerm, members) ((leadTerm) + 8 * (members))
+#define TERM_OF(e)        ((e) % 8)
+#define MEMBERS_OF(e)     ((e) / 8)
+
+#define LOG(i, slot)  log[(i) * M + (slot)]
+#define SENT(leadTerm, slot) sent[(leadTerm) * M + (slot)]
+#define ACK(leadTerm, i)  ack[(leadTerm) * N + (i)]
+#define BIT(set, i) (((set) >> (i)) & 1)
+
+#ifdef VOTE_SHORT_LOG
+#define ANY_LOG 1
+#else
+#define ANY_LOG 0
+#endif
+#ifdef COMMIT_OLD_TERM
+#define ANY_TERM 1
+#else
+#define ANY_TERM 0
+#endif
+#ifdef MEMBERS_PENDING
+#define ANY_PENDING 1
+#else
+#define ANY_PENDING 0
+#endif
+#ifdef MEMBERS_EARLY
+#define ANY_TIME 1
+#else
+#define ANY_TIME 0
+#endif
+#ifdef VOTE_NOT_DURABLE
+#define FORGET_VOTE(i) vote[i] = 0
+#else
+#define FORGET_VOTE(i) skip
+#endif
+
+/* With MEMBERS the first entry of a term is left to the leader, which is more
+ * than the code allows and keeps the logs short. */
+#ifdef MEMBERS
+#define FIRST_ENTRY(i) skip
+#else
+#define FIRST_ENTRY(i) appendOwn(i, ENTRY(term[i], 0))
+#endif
+
+/* Each replica's state; all but role and votes is durable. */
+byte term[N];
+byte vote[N];
+byte role[N];
+byte votes[N];
+byte length[N];
+byte log[N * M];
+
+/* What each term's leader ever had, committed and was told. */
+byte leaderOf[T + 1];
+byte sentLength[T + 1];
+byte sent[(T + 1) * M];
+byte commit[T + 1];
+byte ack[(T + 1) * N];
+
+/* What was ever committed, and the first term whose leader did. */
+byte committed[M];
+byte committedIn[M];
+
+byte slot, leadTerm, position, other, members, last, count, needed, ok;
+
+/* members = the last ones in the log of i, last = the length of the log there. */
+inline membersOf(i) {
+	members = EVERYONE;
+	last = 0;
+	slot = 0;
+	do
+	:: slot < length[i] ->
+		if
+		:: MEMBERS_OF(LOG(i, slot)) != 0 -> members = MEMBERS_OF(LOG(i, slot)); last = slot + 1
+		:: else
+		fi;
+		slot++
+	:: else -> break
+	od
+}
+
+/* needed = a majority of members. */
+inline majorityOf() {
+	needed = 0;
+	slot = 0;
+	do
+	:: slot < N -> needed = needed + BIT(members, slot); slot++
+	:: else -> break
+	od;
+	needed = needed / 2 + 1
+}
+
+/* ok = the log of a holds everything that the one of b does, for a vote. */
+inline isCurrent(a, b) {
+	ok = 0;
+	if
+	:: length[b] == 0 -> ok = 1
+	:: length[b] > 0 && length[a] > 0 ->
+		if
+		:: TERM_OF(LOG(a, length[a] - 1)) > TERM_OF(LOG(b, length[b] - 1)) -> ok = 1
+		:: TERM_OF(LOG(a, length[a] - 1)) == TERM_OF(LOG(b, length[b] - 1)) && length[a] >= length[b] -> ok = 1
+		:: else
+		fi
+	:: else
+	fi;
+	ok = ok || ANY_LOG
+}
+
+inline enterTerm(i, newer) {
+	if
+	:: newer > term[i] -> term[i] = newer; vote[i] = 0; role[i] = FOLLOWER; votes[i] = 0
+	:: else
+	fi
+}
+
+inline campaign(i) {
+	term[i]++;
+	vote[i] = i + 1;
+	role[i] = CANDIDATE;
+	votes[i] = 1 << i
+}
+
+/* Replica i answers the vote request of the other one. */
+inline answerVote(i) {
+	if
+	:: role[other] == CANDIDATE && other != i && term[other] >= term[i] ->
+		enterTerm(i, term[other]);
+		isCurrent(other, i);
+		if
+		:: ok && (vote[i] == 0 || vote[i] == other + 1) -> vote[i] = other + 1; votes[other] = votes[other] | (1 << i)
+		:: else
+		fi
+	:: else
+	fi
+}
+
+inline appendOwn(i, e) {
+	LOG(i, length[i]) = e;
+	SENT(term[i], length[i]) = e;
+	length[i]++;
+	sentLength[term[i]] = length[i]
+}
+
+/* Candidate i leads if a majority of the members it knows granted. */
+inline tryLead(i) {
+	membersOf(i);
+	majorityOf();
+	count = 0;
+	slot = 0;
+	do
+	:: slot < N -> count = count + (BIT(members, slot) && BIT(votes[i], slot)); slot++
+	:: else -> break
+	od;
+	if
+	:: count >= needed ->
+		assert(leaderOf[term[i]] == 0);
+		slot = 0;
+		do
+		:: slot < M ->
+			assert(committed[slot] == 0 || committedIn[slot] >= term[i] || (slot < length[i] && LOG(i, slot) == committed[slot]));
+			if
+			:: slot < length[i] -> SENT(term[i], slot) = LOG(i, slot)
+			:: else
+			fi;
+			slot++
+		:: else -> break
+		od;
+		leaderOf[term[i]] = i + 1;
+		role[i] = LEADER;
+		votes[i] = 0;
+		sentLength[term[i]] = length[i];
+		FIRST_ENTRY(i)
+	:: else
+	fi
+}
+
+/* Replica i takes the entry after the position, if there is one, from the leader of
+ * leadTerm. */
+inline takeEntry(i) {
+	if
+	:: leaderOf[leadTerm] != 0 && leaderOf[leadTerm] != i + 1 && leadTerm >= term[i] && position <= sentLength[leadTerm] ->
+		enterTerm(i, leadTerm);
+		role[i] = FOLLOWER;
+		votes[i] = 0;
+		ok = 0;
+		if
+		:: position == 0 -> ok = 1
+		:: position > 0 && position <= length[i] -> ok = (LOG(i, position - 1) == SENT(leadTerm, position - 1))
+		:: else
+		fi;
+		if
+		:: ok && position < sentLength[leadTerm] ->
+			if
+			:: position < length[i] && LOG(i, position) != SENT(leadTerm, position) ->
+				slot = position;
+				do
+				:: slot < length[i] ->
+					assert(committed[slot] == 0 || committed[slot] != LOG(i, slot));
+					LOG(i, slot) = 0;
+					slot++
+				:: else -> break
+				od;
+				length[i] = position
+			:: else
+			fi;
+			if
+			:: position == length[i] -> LOG(i, position) = SENT(leadTerm, position); length[i]++
+			:: else
+			fi;
+			if
+			:: ACK(leadTerm, i) < position + 1 -> ACK(leadTerm, i) = position + 1
+			:: else
+			fi
+		:: else
+		fi
+	:: else
+	fi
+}
+
+/* Leader i commits everything up to the position. */
+inline tryCommit(i) {
+	leadTerm = term[i];
+	membersOf(i);
+	majorityOf();
+	count = 0;
+	slot = 0;
+	do
+	:: slot < N ->
+		if
+		:: BIT(members, slot) && (slot == i || ACK(leadTerm, slot) >= position) -> count++
+		:: else
+		fi;
+		slot++
+	:: else -> break
+	od;
+	if
+	:: position > commit[leadTerm] && position <= length[i] && count >= needed && (ANY_TERM || TERM_OF(LOG(i, position - 1)) == leadTerm) ->
+		slot = 0;
+		do
+		:: slot < position ->
+			assert(committed[slot] == 0 || committed[slot] == LOG(i, slot));
+			committed[slot] = LOG(i, slot);
+			if
+			:: committedIn[slot] == 0 || committedIn[slot] > leadTerm -> committedIn[slot] = leadTerm
+			:: else
+			fi;
+			slot++
+		:: else -> break
+		od;
+		commit[leadTerm] = position;
+		if
+		:: last <= position && !BIT(members, i) -> role[i] = FOLLOWER
+		:: else
+		fi
+	:: else
+	fi
+}
+
+/* Leader i adds or removes the other replica. */
+inline changeMembers(i) {
+	leadTerm = term[i];
+	membersOf(i);
+	if
+	:: (members ^ (1 << other)) != 0 && (ANY_PENDING || last <= commit[leadTerm]) && (ANY_TIME || commit[leadTerm] > 0) ->
+		appendOwn(i, ENTRY(leadTerm, members ^ (1 << other)))
+	:: else
+	fi
+}
+
+inline pick(v, low, high) {
+	v = low;
+	do
+	:: v < high -> v++
+	:: break
+	od
+}
+
+inline crash(i) {
+	role[i] = FOLLOWER;
+	votes[i] = 0;
+	FORGET_VOTE(i)
+}
+
+inline forget() {
+	slot = 0; leadTerm = 0; position = 0; other = 0; members = 0; last = 0; count = 0; needed = 0; ok = 0
+}
+
+proctype replica(byte i) {
+end:
+	do
+	:: atomic { role[i] != LEADER && term[i] < T && length[i] < M -> campaign(i); forget() }
+	:: atomic { role[i] == CANDIDATE -> tryLead(i); forget() }
+	:: atomic { pick(other, 0, N - 1); answerVote(i); forget() }
+	:: atomic { pick(leadTerm, 1, T); pick(position, 0, M - 1); takeEntry(i); forget() }
+	:: atomic { role[i] == LEADER -> pick(position, 1, M); tryCommit(i); forget() }
+#ifdef MEMBERS
+	:: atomic { role[i] == LEADER && length[i] < M -> pick(other, 0, N - 1); changeMembers(i); forget() }
+#endif
+	:: atomic { role[i] == LEADER && length[i] < M -> appendOwn(i, ENTRY(term[i], 0)); forget() }
+#ifndef NO_CRASH
+	:: atomic { role[i] != FOLLOWER || vote[i] != 0 -> crash(i); forget() }
+#endif
+	od
+}
+
+/* With MEMBERS the run starts when replica 0 was elected by a majority. */
+inline startWithLeader() {
+	leaderOf[1] = 1;
+	role[0] = LEADER;
+	slot = 0;
+	do
+	:: slot < N / 2 + 1 -> term[slot] = 1; vote[slot] = 1; slot++
+	:: else -> break
+	od
+}
+
+init {
+	atomic {
+		byte i = 0;
+#ifdef MEMBERS
+		startWithLeader();
+		forget();
+#endif
+		do
+		:: i < N -> run replica(i); i++
+		:: else -> break
+		od
+	}
+}
