registry: a MoveOwner that is sent again gets the same answer

A host sends a command again after a lost answer. The second MoveOwner was refused as NotOwner though the first had moved the service; a sender that took the refusal for a service that stayed would have granted beside the new owner. The last move of each service is remembered now.

--- a/registry/backup.go
+++ b/registry/backup.go
@@ -32,7 +32,7 @@
 	wire := s.toWire()
 	wire.NumberBase = s.base + s.applied + numberGap
 	wire.Applied, wire.Revision = 0, 0
-	wire.Sessions, wire.Owners, wire.Orders, wire.Operations = nil, nil, nil, nil
+	wire.Sessions, wire.Owners, wire.Moves, wire.Orders, wire.Operations = nil, nil, nil, nil, nil
 	for _, claim := range wire.GetClaims() {
 		if ClaimState(claim.GetState()) == ClaimOpen {
 			claim.State = string(ClaimInDoubt)
--- a/registry/command.go
+++ b/registry/command.go
@@ -19,7 +19,8 @@
 	Time time.Time
 }
 
-// OpenSession opens a session for the process of a host.
+// OpenSession opens a session for the process of a host. A process that lost its
+// session, or the answer, uses the same Start again.
 type OpenSession struct {
 	Host          string
 	FailureDomain string
@@ -56,7 +57,12 @@
 }
 
 // MoveOwner gives a service to another host. Only the owner's own session
-// proposes it, after it has stopped granting.
+// proposes it, after it has stopped granting. Sent again, it gets the same
+// answer until the service moves on.
+//
+// The sender may grant again only after CodeNoCandidate. After CodeNotOwner its
+// grant is over, and after an unknown outcome it may be: it sends the command
+// again until it gets an answer.
 type MoveOwner struct {
 	Service string
 	Session uint64
--- a/registry/leases.go
+++ b/registry/leases.go
@@ -75,8 +75,10 @@
 	return leases
 }
 
-// Elected starts a leadership. Call it once the local state holds everything
-// committed in earlier terms, and then Follow.
+// Elected starts a leadership. Call it once in each term, when the local state
+// holds everything committed in earlier terms, and then Follow. A leader that
+// was unsure of its majority for a while keeps its table: an expiry of the same
+// term may still be on its way, and its session must not be renewed.
 //
 // The former leader may have renewed a lease until it noticed the loss of its
 // majority, at most an election timeout after now.
--- a/registry/ownership.go
+++ b/registry/ownership.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 
 	"comfreytiller.dev/common/rendezvous"
@@ -21,6 +22,10 @@
 			s.changed.owners = true
 		}
 	}
+	maps.DeleteFunc(s.moves, func(service string, _ move) bool {
+		_, known := s.fleet.Service(service)
+		return !known
+	})
 	for _, service := range serviceNames(s.fleet) {
 		owner, owned := s.owners[service]
 		if _, live := s.sessions[owner.Session]; owned && live {
@@ -57,8 +62,19 @@
 	return true
 }
 
+// move is the last time that an owner gave up a service.
+type move struct {
+	session   uint64
+	fence     uint64
+	nextFence uint64
+}
+
 // moveOwner passes a service on when its owner has given it up.
 func (s *state) moveOwner(number uint64, command MoveOwner) Result {
+	last := s.moves[command.Service]
+	if last.nextFence != 0 && last.session == command.Session && last.fence == command.Fence {
+		return Result{Code: CodeOK, Version: last.nextFence}
+	}
 	owner, owned := s.owners[command.Service]
 	if !owned || owner.Session != command.Session || owner.Fence != command.Fence {
 		return refuse(CodeNotOwner, fmt.Sprintf("service %s, session %d, fence %d", command.Service, command.Session, command.Fence))
@@ -66,6 +82,7 @@
 	if !s.grant(command.Service, number, command.Session) {
 		return refuse(CodeNoCandidate, "service "+command.Service)
 	}
+	s.moves[command.Service] = move{session: command.Session, fence: command.Fence, nextFence: number}
 	for _, service := range serviceNames(s.fleet) {
 		s.assignBackup(service)
 	}
--- a/registry/ownership_test.go
+++ b/registry/ownership_test.go
@@ -77,6 +77,11 @@
 	require.NoError(t, moved.Err())
 	require.Equal(t, Owner{Host: "host-2", Session: other, Backup: "host-1", BackupSession: session, Fence: moved.Version}, r.View().Owners["s0"])
 
+	again := MoveOwner{Service: "s0", Session: session, Fence: owner.Fence}
+	r.restart(t)
+	require.Equal(t, moved, r.do(t, again), "a resend after a lost answer is told the same")
+	require.Equal(t, moved.Version, r.View().Owners["s0"].Fence)
+
 	r.do(t, MoveOwner{Service: "s0", Session: other, Fence: moved.Version})
 	repeated := r.do(t, MoveOwner{Service: "s0", Session: session, Fence: owner.Fence})
 	require.ErrorIs(t, repeated.Err(), ErrNotOwner, "a late copy of the first move must not take the service from its owner")
--- a/registry/result.go
+++ b/registry/result.go
@@ -30,7 +30,8 @@
 	CodeNoSession Code = "NoSession"
 	// CodeSuperseded: another process of the same host has opened a session.
 	CodeSuperseded Code = "Superseded"
-	// CodeNotOwner: the session does not hold the grant that it gives up.
+	// CodeNotOwner: the session does not hold the grant that it gives up; if it
+	// ever did, the grant is over.
 	CodeNotOwner Code = "NotOwner"
 	// CodeNoCandidate: no other host can own the service; the owner keeps it.
 	CodeNoCandidate Code = "NoCandidate"
--- a/registry/snapshot.go
+++ b/registry/snapshot.go
@@ -94,6 +94,12 @@
 	for _, service := range sortedKeys(s.owners) {
 		wire.Owners = append(wire.Owners, ownerToWire(service, s.owners[service]))
 	}
+	for _, service := range sortedKeys(s.moves) {
+		last := s.moves[service]
+		wire.Moves = append(wire.Moves, &registrypb.Move{
+			Service: service, Session: last.session, Fence: last.fence, NextFence: last.nextFence,
+		})
+	}
 	for _, id := range s.operations.order {
 		wire.Operations = append(wire.Operations, doneToWire(s.operations.byID[id]))
 	}
@@ -128,6 +134,9 @@
 	for _, owner := range wire.GetOwners() {
 		s.owners[owner.GetService()] = ownerFromWire(owner)
 	}
+	for _, last := range wire.GetMoves() {
+		s.moves[last.GetService()] = move{session: last.GetSession(), fence: last.GetFence(), nextFence: last.GetNextFence()}
+	}
 	setAll(s.domainsOut, wire.GetDomainsOut())
 	setAll(s.targetsOut, wire.GetTargetsOut())
 	for _, pin := range wire.GetPins() {
--- a/registry/state.go
+++ b/registry/state.go
@@ -32,6 +32,9 @@
 
 	sessions map[uint64]Host
 	owners   map[string]Owner
+	// moves holds the last move of each service, so that a MoveOwner that is
+	// sent again gets the same answer.
+	moves map[string]move
 
 	operations operations
 	claims     claims
@@ -59,6 +62,7 @@
 		pins:       map[string]string{},
 		sessions:   map[uint64]Host{},
 		owners:     map[string]Owner{},
+		moves:      map[string]move{},
 		operations: newOperations(),
 		claims:     newClaims(),
 		orders:     map[string]Order{},
