--- a/registry/claim_commands.go
+++ b/registry/claim_commands.go
@@ -13,7 +13,7 @@
 		if result, final := s.existingClaim(existing, command); final {
 			return result
 		}
-	} else if len(s.claims.byKey) >= MaxClaims {
+	} else if s.claims.full() {
 		return refuse(CodeFull, "too many claims")
 	}
 	if !s.isOpen(command.Session) {
@@ -97,7 +97,7 @@
 		Opened:      now,
 		Changed:     now,
 	}
-	if s.isOpen(command.Session) && len(s.claims.byKey) < MaxClaims {
+	if s.isOpen(command.Session) && !s.claims.full() {
 		s.claims.put(claim)
 	}
 	return Result{Code: CodeOK, Claim: *claim}
--- a/registry/claim_test.go
+++ b/registry/claim_test.go
@@ -163,6 +163,33 @@
 	require.Len(t, next.Answer.Body, MaxAnswerBytes)
 }
 
+func TestClaimsAreBounded(t *testing.T) {
+	r := newReplica()
+	r.state.claims.limit = 2
+	session := r.open(t, "host-1", "north", 1)
+	for i := range 2 {
+		r.do(t, OpenClaim{Key: ClaimKey{Service: "treasury", Key: fmt.Sprint(i)}, Session: session, Attempt: 1})
+	}
+	require.ErrorIs(t, r.do(t, openTestClaim(session, 2)).Err(), ErrFull)
+	require.NoError(t, r.do(t, CancelClaim{Key: testKey, Session: session, Attempt: 2}).Err(), "it cannot have run")
+	require.Len(t, r.Claims(ClaimFilter{}), 2)
+}
+
+// TestOnlyTheSameRequestSeesTheAnswer: a refusal and a conflict leave it out.
+func TestOnlyTheSameRequestSeesTheAnswer(t *testing.T) {
+	r := newReplica()
+	session := r.open(t, "host-1", "north", 1)
+	r.do(t, openTestClaim(session, 1))
+	r.do(t, FinishClaim{Key: testKey, Session: session, Attempt: 1, Answer: testAnswer})
+	other := openTestClaim(session, 2)
+	other.Fingerprint++
+	require.Empty(t, r.do(t, other).Claim.Answer)
+	settle := r.do(t, SettleClaim{Operation: Operation{ID: "s"}, Key: testKey})
+	require.ErrorIs(t, settle.Err(), ErrRefused)
+	require.Empty(t, settle.Claim.Answer, "what operators' answers hold is kept for long")
+	require.Equal(t, testAnswer, r.do(t, openTestClaim(session, 3)).Claim.Answer)
+}
+
 func TestRetention(t *testing.T) {
 	r := newReplica()
 	session := r.open(t, "host-1", "north", 1)
--- a/registry/claims.go
+++ b/registry/claims.go
@@ -8,6 +8,8 @@
 // claims holds the claims and bounds the answers stored with them.
 type claims struct {
 	byKey map[ClaimKey]*Claim
+	// limit is the largest number of claims.
+	limit int
 	// open holds the keys of each dispatcher's open claims.
 	open map[uint64]map[ClaimKey]bool
 	// stored holds the keys of the answers with a body, oldest first.
@@ -18,10 +20,15 @@
 func newClaims() claims {
 	return claims{
 		byKey: map[ClaimKey]*Claim{},
+		limit: MaxClaims,
 		open:  map[uint64]map[ClaimKey]bool{},
 	}
 }
 
+func (c *claims) full() bool {
+	return len(c.byKey) >= c.limit
+}
+
 // put stores a claim that is not there, or replaces one that is not open.
 func (c *claims) put(claim *Claim) {
 	c.byKey[claim.ClaimKey] = claim
--- a/registry/operations_test.go
+++ b/registry/operations_test.go
@@ -100,6 +100,9 @@
 	require.Equal(t, map[string]bool{"north": true}, view.DomainsOut)
 	require.Equal(t, map[string]bool{"t-1": true}, view.TargetsOut)
 	require.Equal(t, map[string]string{"t-2": "engines"}, view.Pins)
+	require.True(t, view.IsOut("t-1", "south"))
+	require.True(t, view.IsOut("t-2", "north"))
+	require.False(t, view.IsOut("t-2", "south"))
 	require.Equal(t, uint64(3), view.OutageVersion)
 
 	refused := r.do(t, ApplyFleet{Operation: Operation{ID: "cut"}, Base: 1, Text: []byte(textOf(1))})
@@ -120,6 +123,9 @@
 	invalid := r.applyText(t, "typo", 1, strings.Replace(testText, "Kind", "Kimd", 1))
 	require.ErrorIs(t, invalid.Err(), ErrInvalid)
 	require.ErrorContains(t, invalid.Err(), "line 6, column 23: Services[0].Kimd: unknown key")
+	many := r.applyText(t, "typos", 1, "{"+strings.Repeat(`"x": 1,`, 40)+"}")
+	require.Len(t, many.Faults, MaxResultFaults)
+	require.Equal(t, 43-MaxResultFaults, many.MoreFaults, "forty unknown keys and three that are missing")
 	require.NoError(t, r.applyText(t, "unused", 1, textOf(1)).Err(), "no host owns a service yet")
 
 	r.open(t, "host-1", "north", 1)
