--- a/integration/cluster_test.go
+++ b/integration/cluster_test.go
@@ -255,17 +255,24 @@
 	}
 }
 
-// printLog prints the end of a failed test's log.
+// printLog prints what a failed test's daemon logged, but for the lines on
+// single requests, and the last of those.
 func (c *cluster) printLog(n *node) {
 	text, err := os.ReadFile(n.log)
 	if err != nil {
 		return
 	}
-	const tail = 6000
-	if len(text) > tail {
-		text = text[len(text)-tail:]
+	const lastRequests = 10
+	var lines, requests []string
+	for _, line := range strings.Split(string(text), "\n") {
+		if strings.Contains(line, "Route: ") || strings.Contains(line, "Owner: request") {
+			requests = append(requests, line)
+		} else {
+			lines = append(lines, line)
+		}
 	}
-	c.t.Logf("log of %s:\n%s", n.name, text)
+	lines = append(lines, requests[max(0, len(requests)-lastRequests):]...)
+	c.t.Logf("log of %s:\n%s", n.name, strings.Join(lines, "\n"))
 }
 
 // operate runs the operators' tool against a host.
