--- a/admission/pump.go
+++ b/admission/pump.go
@@ -71,7 +71,8 @@
 }
 
 // waitsForWarm reports whether a request whose turn it is should wait a little
-// for the target where its chat is warm, which has no room now.
+// for the target where its chat is warm, which has no room now. It need not if
+// the context can be moved.
 func (s *Service) waitsForWarm(item *waiting) bool {
 	if s.options.warmWait <= 0 || !item.heldUntil.IsZero() {
 		return false
@@ -83,7 +84,11 @@
 	if second := query.Known[1]; second != route.None && !contains(query.Excluded, second) && s.hasRoom(second) {
 		return false
 	}
-	return s.candidates[query.Known[0]].Admits() && !s.hasRoom(query.Known[0])
+	warm := query.Known[0]
+	if s.targets[warm].announcement.MovesCache {
+		return false
+	}
+	return s.candidates[warm].Admits() && !s.hasRoom(warm)
 }
 
 // place grants or refuses a waiting request, or reports that it must wait on.
--- /dev/null
+++ b/admission/queue_test.go
@@ -0,0 +1,127 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"comfreytiller.dev/target"
+)
+
+// While requests of all workspaces wait, each gets its share.
+func TestWaitingWorkspacesGetTheirShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		config := reviews()
+		config.Service.Limits.Queue = 1000
+		shares := []int{rapid.IntRange(1, 5).Draw(t, "Rabat"), rapid.IntRange(1, 5).Draw(t, "Fes")}
+		config.Workspaces[0].Share, config.Workspaces[1].Share = shares[0], shares[1]
+		s := warmService(2)
+		s.Configure(start, config)
+		// A surge of the first workspace comes before the second asks at all.
+		running := fill(s, start, "surge", 200)
+		for i := range 100 {
+			r := request(fmt.Sprintf("f%d", i), fmt.Sprintf("c%d", rapid.IntRange(0, 9).Draw(t, "chat")))
+			r.Workspace = "Fes"
+			s.Acquire(start, r)
+		}
+		granted := [2]float64{}
+		for range 60 {
+			at := rapid.IntRange(0, len(running)-1).Draw(t, "ends")
+			s.Release(start, done(running[at]))
+			running = append(running[:at], running[at+1:]...)
+			for _, p := range permitsOf(s.Effects()) {
+				running = append(running, p)
+				granted[map[string]int{"Rabat": 0, "Fes": 1}[p.Workspace]]++
+			}
+			ahead := granted[0]/float64(shares[0]) - granted[1]/float64(shares[1])
+			require.LessOrEqual(t, max(ahead, -ahead), aheadMost+2.0)
+		}
+	})
+}
+
+// A chat whose target is at its bound waits a short time for it, then goes
+// elsewhere.
+func TestChatWaitsShortlyForItsFullTarget(t *testing.T) {
+	for name, freed := range map[string]bool{"freed": true, "not freed": false} {
+		t.Run(name, func(t *testing.T) {
+			s := warmService(2)
+			s.Acquire(start, request("a", "chat"))
+			first := onlyPermit(t, s)
+			s.Acquire(start, request("b", "chat"))
+			require.Equal(t, first.Target, onlyPermit(t, s).Target)
+			s.Acquire(start, request("c", "chat"))
+			s.Tick(after(DefaultWarmWait - time.Millisecond))
+			require.Empty(t, s.Effects())
+			if freed {
+				s.Release(after(DefaultWarmWait-time.Millisecond), done(first))
+				require.Equal(t, first.Target, onlyPermit(t, s).Target)
+				return
+			}
+			s.Tick(after(DefaultWarmWait))
+			effects := s.Effects()
+			require.NotEqual(t, first.Target, effects[0].Permit.Target)
+			require.Equal(t, []Refused{{first.Target, "AtBound"}}, effects[0].Decision.Refused)
+			require.Contains(t, effects[0].Decision.String(), "not "+first.Target+": AtBound")
+		})
+	}
+}
+
+func TestPriorityThenArrivalWithinAWorkspace(t *testing.T) {
+	s := warmService(1)
+	running := fill(s, start, "r", 8)
+	for i, priority := range []int{0, 5, 5, 9} {
+		r := request(fmt.Sprintf("q%d", i), "")
+		r.Priority = priority
+		s.Acquire(start, r)
+	}
+	for i, want := range []string{"q3", "q1", "q2", "q0"} {
+		s.Release(start, done(running[i]))
+		require.Equal(t, want, onlyPermit(t, s).RequestID)
+	}
+}
+
+func TestFullQueueRefusesAtOnceWithTheTimeToDrain(t *testing.T) {
+	s := warmService(1)
+	running := fill(s, start, "r", 8+16)
+	s.Acquire(start, request("x", ""))
+	effects := s.Effects()
+	require.Equal(t, RefusedQueueFull, effects[0].Refusal.Code)
+	require.Equal(t, 17*5*time.Second/8, effects[0].Refusal.RetryAfter, "17 requests at 8 in 5 s")
+	for i := range 4 {
+		s.Release(after(time.Duration(i+1)*500*time.Millisecond), done(running[i]))
+	}
+	urgent := request("urgent", "")
+	urgent.Priority = 1
+	fill(s, after(2*time.Second), "y", 4)
+	s.Acquire(after(2*time.Second), urgent)
+	require.Equal(t, map[string]RefusalCode{"y3": RefusedQueueFull}, refusalsOf(s.Effects()), "the last of a lower priority")
+	s.Effects()
+	s.Acquire(after(2*time.Second), request("z", ""))
+	retry := s.Effects()[0].Refusal.RetryAfter
+	require.InDelta(t, 17*7.0/12, retry.Seconds(), 0.01, "17 requests at 12 in 7 s")
+}
+
+func TestRequestsAreAnsweredWhenTheyAreGivenUp(t *testing.T) {
+	s := warmService(1, WithHeartbeat(time.Hour, time.Hour))
+	fill(s, start, "r", 8)
+	short := request("short", "")
+	short.Deadline = after(time.Second)
+	s.Acquire(start, short)
+	s.Acquire(start, request("long", ""))
+	s.Acquire(start, request("cancelled", ""))
+	s.Cancel(start, "cancelled")
+	require.Equal(t, map[string]RefusalCode{"cancelled": RefusedCancelled}, refusalsOf(s.Effects()))
+	s.Tick(after(time.Second))
+	require.Equal(t, map[string]RefusalCode{"short": RefusedDeadline}, refusalsOf(s.Effects()))
+	s.Tick(after(10 * time.Second))
+	require.Equal(t, map[string]RefusalCode{"long": RefusedDeadline}, refusalsOf(s.Effects()))
+	s.Leave(after(10*time.Second), target.Leave{Name: "e0", Stamp: target.Stamp{Incarnation: 1, Sequence: 2}})
+	s.Acquire(after(11*time.Second), request("none", ""))
+	s.Tick(after(12900 * time.Millisecond))
+	require.Empty(t, s.Effects())
+	s.Tick(after(13 * time.Second))
+	require.Equal(t, map[string]RefusalCode{"none": RefusedNoTarget}, refusalsOf(s.Effects()))
+}
--- a/chat/memory_test.go
+++ b/chat/memory_test.go
@@ -186,6 +186,13 @@
 	m.Open("a", 2, 0)
 	require.Equal(t, NoPlace, m.Find(KeyOf("x")).Last)
 	require.Equal(t, NoPlace, m.Open("a", 1, 0))
+
+	full := NewMemory(2, time.Hour)
+	full.Use(at(0), KeyOf("old"), full.Open("b", 1, 0), false)
+	full.Use(at(1), KeyOf("lost"), full.Open("a", 1, 0), false)
+	full.Close("a")
+	full.Use(at(2), KeyOf("new"), full.Open("b", 1, 0), false)
+	require.NotEqual(t, NoPlace, full.Find(KeyOf("old")).Last, "what is lost goes before what is old")
 }
 
 func TestDisplacedChatKnowsItsHome(t *testing.T) {
