--- a/admission/release.go
+++ b/admission/release.go
@@ -8,11 +8,7 @@
 	s.advance(now)
 	defer s.pump(now)
 	granted, known := s.permits[release.RequestID]
-<<<<<<< HEAD
-	if !known || (release.Target != "" && granted.permit.Target != release.Target) {
-=======
 	if !known || release.Target != "" && granted.permit.Target != release.Target {
->>>>>>> lane-admission
 		return
 	}
 	s.giveBack(now, granted, &release)
