Copy to the backup only the targets that changed

Each second's copy repeated every target: about 150 bytes each, 2.7 KB/s for 18. Now a target goes out when its announcement, leave or warm-up changed, and every 30 s in case a copy was lost. Status lists only workspaces that wait or run; removed workspaces go. Tests for two mutants that no test had caught: progress shown by adopted permits, a grant after the deadline.

--- a/admission/copy.go
+++ b/admission/copy.go
@@ -32,22 +32,16 @@
 	ReportedCold bool
 }
 
-// Export returns the targets and up to limit chats that changed since the last
-// export; with limit 0 all chats.
+// Export returns the targets and up to limit chats that changed since they were
+// last exported; with limit 0 all targets and chats.
 func (s *Service) Export(now time.Time, limit int) Copy {
 	out := Copy{Current: (s.adopted || s.suspended) && limit <= 0}
 	for _, t := range s.targets {
-		if !t.known {
-			continue
+		due := limit <= 0 || t.exported != t.exportable(s) || now.Sub(t.exportedAt) >= exportAgain
+		if t.known && due {
+			t.exported, t.exportedAt = t.exportable(s), now
+			out.Targets = append(out.Targets, t.copied(now))
 		}
-		out.Targets = append(out.Targets, TargetCopy{
-			Announcement: t.announcement,
-			Announced:    t.announced,
-			Left:         t.left,
-			Silent:       now.Sub(t.lastSeen),
-			Completed:    t.warmUp.done,
-			ReportedCold: t.warmUp.reported,
-		})
 	}
 	if limit > 0 {
 		out.Chats = s.memory.Changes(now, limit)
@@ -57,6 +51,34 @@
 	return out
 }
 
+// exportAgain is the time after which a target is exported again though it did
+// not change, since copies may be lost on their way.
+const exportAgain = 30 * time.Second
+
+// exportable is what of a target is worth another export when it changes.
+type exportable struct {
+	announced target.Stamp
+	left      bool
+	cold      bool
+	completed int
+}
+
+func (t *targetState) exportable(s *Service) exportable {
+	done := min(t.warmUp.done, s.config.Service.WarmUp.RampRequests)
+	return exportable{t.announced, t.left, t.warmUp.reported, done}
+}
+
+func (t *targetState) copied(now time.Time) TargetCopy {
+	return TargetCopy{
+		Announcement: t.announcement,
+		Announced:    t.announced,
+		Left:         t.left,
+		Silent:       now.Sub(t.lastSeen),
+		Completed:    t.warmUp.done,
+		ReportedCold: t.warmUp.reported,
+	}
+}
+
 // Import takes what another owner exported; copies are given in the order in
 // which they were made. What the targets themselves told this owner stays. A
 // backup may keep the copies in a Service of its own that is never adopted, and
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -57,6 +57,11 @@
 	return w
 }
 
+// idle reports whether no request of the workspace waits or is in flight.
+func (w *workspace) idle() bool {
+	return w.waiting == 0 && w.inFlight == 0
+}
+
 // queue orders waiting requests: between workspaces by start-time fair queueing
 // weighted by their shares, within one by priority, then by arrival.
 type queue struct {
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -104,6 +104,16 @@
 	require.InDelta(t, 17*7.0/12, retry.Seconds(), 0.01, "17 requests at 12 in 7 s")
 }
 
+func TestNoGrantAfterTheDeadline(t *testing.T) {
+	s := warmService(1)
+	running := fill(s, start, "r", 8)
+	late := request("late", "")
+	late.Deadline = after(time.Second)
+	s.Acquire(start, late)
+	s.Release(after(time.Second), done(running[0]))
+	require.Equal(t, map[string]RefusalCode{"late": RefusedDeadline}, refusalsOf(s.Effects()))
+}
+
 func TestRequestsAreAnsweredWhenTheyAreGivenUp(t *testing.T) {
 	s := warmService(1, WithHeartbeat(time.Hour, time.Hour))
 	fill(s, start, "r", 8)
--- a/admission/rules_test.go
+++ b/admission/rules_test.go
@@ -310,6 +310,7 @@
 		s.Release(start, done(p))
 		copied := s.Export(start, 7)
 		require.LessOrEqual(t, len(copied.Chats.Entries), 7)
+		require.Len(t, copied.Targets, map[bool]int{true: 3, false: 0}[i == 0], "only what changed")
 		backup.Import(start, copied)
 	}
 	next := New(reviews(), 4)
@@ -329,6 +330,18 @@
 	require.Equal(t, 8, stateOf(next, "e0").Limit)
 }
 
+// What an earlier owner had in flight on a target shows what it can bear.
+func TestAdoptedWorkShowsHowWarmATargetIs(t *testing.T) {
+	earlier, s := warmService(1), New(reviews(), 9)
+	for _, p := range fill(earlier, start, "r", 5) {
+		s.Adopt(start, p)
+	}
+	s.Adopted(start)
+	require.Equal(t, "Unannounced", stateOf(s, "e0").State)
+	s.Announce(start, announcement("e0", 1, 2))
+	require.Equal(t, TargetStatus{InFlight: 5, Limit: 5}, TargetStatus{InFlight: stateOf(s, "e0").InFlight, Limit: stateOf(s, "e0").Limit})
+}
+
 func TestMetricsCountDecisions(t *testing.T) {
 	scope := tally.NewTestScope("", nil)
 	s := warmService(1, WithScope(scope))
--- a/admission/service.go
+++ b/admission/service.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"maps"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -111,6 +112,7 @@
 	}
 	s.configure(config)
 	s.refuseDisallowed(now)
+	maps.DeleteFunc(s.workspaces, func(_ string, w *workspace) bool { return !w.allowed && w.idle() })
 	s.check(now)
 }
 
--- a/admission/status.go
+++ b/admission/status.go
@@ -16,9 +16,10 @@
 	Adopted  bool
 	InFlight int
 	// Mean is the mean number in flight over the admitting targets.
-	Mean       float64
-	Chats      int
-	Targets    []TargetStatus
+	Mean    float64
+	Chats   int
+	Targets []TargetStatus
+	// Workspaces lists those with requests that wait or are in flight.
 	Workspaces []WorkspaceStatus
 }
 
@@ -62,6 +63,9 @@
 		status.Targets = append(status.Targets, s.targetStatus(at))
 	}
 	for _, w := range s.workspaces {
+		if w.idle() {
+			continue
+		}
 		status.Workspaces = append(status.Workspaces, WorkspaceStatus{w.name, w.waiting, w.inFlight})
 	}
 	slices.SortFunc(status.Targets, func(a, b TargetStatus) int { return cmp.Compare(a.Name, b.Name) })
--- a/admission/target.go
+++ b/admission/target.go
@@ -25,10 +25,13 @@
 	replaced bool
 	lastSeen time.Time
 	// heard is set once the target itself told this owner something.
-	heard   bool
-	place   chat.Place
-	warmUp  warmUp
-	circuit circuit
+	heard bool
+	// exported is what the last export told, at exportedAt.
+	exported   exportable
+	exportedAt time.Time
+	place      chat.Place
+	warmUp     warmUp
+	circuit    circuit
 	// outside is the work that the target reports beyond what was granted.
 	outside int
 	// peak is the highest number in flight that a late report may show.
