--- a/chat/event.go
+++ b/chat/event.go
@@ -44,13 +44,22 @@
 		}
 		r := m.records.at(index)
 		if r.last == at {
-			r.set(flagDoubtful, false)
+			m.confirm(r)
 		} else if m.usable(r.second) == NoPlace {
 			m.setSecond(r, at)
 		}
 	}
 }
 
+// confirm makes a record certain that a gap or a late event made uncertain.
+func (m *Memory) confirm(r *record) {
+	r.set(flagDoubtful, false)
+	p := &m.places[r.last]
+	if p.doubtful && r.used() <= p.doubtUntil {
+		r.setUsed(p.doubtUntil + 1)
+	}
+}
+
 func (m *Memory) evicted(now time.Time, chats []string, at Place) {
 	for _, name := range chats {
 		index, found := m.index.get(KeyOf(name))
