Take a repeated announcement as a sign of life

A target that reports no load, like a plain service, may have no other heartbeat than its announcement; with an unchanged stamp it was suspect after 3 s. Tests also for merging an older batch.

--- a/admission/fleet.go
+++ b/admission/fleet.go
@@ -24,6 +24,7 @@
 		return false
 	}
 	if t.known && t.announced == announcement.Stamp {
+		s.repeated(now, at)
 		return !t.left
 	}
 	s.enter(now, at, announcement.Incarnation)
@@ -39,6 +40,15 @@
 	return true
 }
 
+// repeated takes the newest announcement once more, which is how a target that
+// reports no load shows that it is there.
+func (s *Service) repeated(now time.Time, at int) {
+	if t := s.targets[at]; !t.left && !t.replaced {
+		t.hear(now)
+		s.sync(now, at)
+	}
+}
+
 // enter makes the target's state that of the incarnation. The work of an earlier
 // one ended with it.
 func (s *Service) enter(now time.Time, at int, incarnation uint64) {
--- a/admission/property_test.go
+++ b/admission/property_test.go
@@ -132,10 +132,15 @@
 	if len(e.old) < 2 || !e.known {
 		return
 	}
-	old := e.old[rapid.IntRange(0, len(e.old)-2).Draw(w.t, "old")]
-	if w.owner.targets[w.owner.byName[e.name]].announced.After(old.Stamp) {
+	old := e.old[rapid.IntRange(max(0, len(e.old)-3), len(e.old)-1).Draw(w.t, "old")]
+	newest := w.owner.targets[w.owner.byName[e.name]].announced
+	if newest.After(old.Stamp) {
 		require.False(w.t, w.owner.Announce(w.now, old))
 	}
+	if newest == old.Stamp && !e.left && !e.replaced {
+		require.True(w.t, w.owner.Announce(w.now, old))
+		e.heard = w.now
+	}
 }
 
 func (w *world) cache(e *engine) {
--- a/chat/memory_test.go
+++ b/chat/memory_test.go
@@ -261,6 +261,18 @@
 	})
 }
 
+func TestOlderBatchDoesNotReplaceNewerKnowledge(t *testing.T) {
+	m := NewMemory(10, time.Hour)
+	a, b := m.Open("a", 1, 0), m.Open("b", 1, 0)
+	m.Use(at(0), 1, b, false)
+	m.Use(at(0), 2, b, false)
+	batch := m.All(at(9))
+	m.Use(at(5), 1, a, false)
+	m.Merge(at(9), batch)
+	require.Equal(t, a, m.Find(1).Last)
+	require.Equal(t, b, m.Find(2).Last)
+}
+
 func (m *Memory) named(chat Key) [3]any {
 	known := m.Find(chat)
 	return [3]any{m.places[known.Last].target, m.places[known.Second].target, known.Displaced}
