--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -48,15 +48,16 @@
 // attempt is one sending of a request to one target.
 type attempt struct {
 	// number grows with each attempt of the request.
-	number  int
-	permit  admission.Permit
-	answer  target.Answer
-	sentAt  time.Time
-	first   time.Duration
-	body    []byte
-	event   target.Event
-	ended   bool
-	release bool
+	number int
+	permit admission.Permit
+	answer target.Answer
+	sentAt time.Time
+	first  time.Duration
+	body   []byte
+	event  target.Event
+	ended  bool
+	// over is set once the attempt's permit is given back or about to be.
+	over bool
 }
 
 func (g *Gateway) newExchange(gone context.Context, r *request) *exchange {
@@ -174,10 +175,11 @@
 
 // finish gives an attempt's connection and permit back.
 func (x *exchange) finish(a *attempt, outcome admission.Outcome) {
-	if a.release {
-		return
-	}
-	a.release = true
+	a.over = true
+	x.giveBack(a, outcome)
+}
+
+func (x *exchange) giveBack(a *attempt, outcome admission.Outcome) {
 	if a.answer != nil {
 		a.answer.Close()
 	}
@@ -190,10 +192,14 @@
 // abandon gives up a failed attempt. A request that may still run on the target
 // is stopped there before its permit is given back.
 func (x *exchange) abandon(a *attempt, err error) {
+	if a.over {
+		return
+	}
+	a.over = true
 	x.gateway.logAttempt(x, a, err)
 	outcome := x.outcome(a, err)
 	if !x.stoppable(a, err) {
-		x.finish(a, outcome)
+		x.giveBack(a, outcome)
 		return
 	}
 	if a.answer != nil {
@@ -203,7 +209,7 @@
 		ctx, cancel := clockwork.WithTimeout(context.Background(), x.gateway.Clock, x.gateway.settings.cancelTimeout)
 		defer cancel()
 		_ = x.gateway.Sender.Cancel(ctx, a.permit.Address, x.id, a.number)
-		x.finish(a, outcome)
+		x.giveBack(a, outcome)
 	})
 }
 
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -20,6 +20,14 @@
 		Warnf("Request %s of chat %q failed on %s.", x.id, x.chat, a.permit.Target)
 }
 
+// logGivenUp writes the line of a request that got no answer.
+func (g *Gateway) logGivenUp(x *exchange, f *Failure) {
+	g.log.WithFields(logrus.Fields{
+		"Workspace": x.workspace, "Service": x.service.Name, "Call": x.call.Name, "Code": f.Code,
+		"Ran": f.Ran, "RetryAfter": f.RetryAfter, "Attempts": x.attempts, "Time": g.Clock.Since(x.started),
+	}).Warnf("Request %s of chat %q is given up: %s", x.id, x.chat, f.Message)
+}
+
 func (g *Gateway) decision(x *exchange, a *attempt) *logrus.Entry {
 	return g.log.WithFields(logrus.Fields{
 		"Workspace": x.workspace, "Service": x.service.Name, "Call": x.call.Name,
--- a/gateway/log_test.go
+++ b/gateway/log_test.go
@@ -50,6 +50,18 @@
 	}
 }
 
+func TestARequestThatIsGivenUpHasALine(t *testing.T) {
+	b := newBench(t)
+	var out lockedBuffer
+	logger, err := logs.New(&out, "info", "text")
+	require.NoError(t, err)
+	b.gateway.log = logs.Part(logger, "Route")
+	b.get("Reviews/Draft", dossier, HeaderChat, "c-17")
+	require.Len(t, out.lines(), 1)
+	require.Contains(t, out.lines()[0], "is given up")
+	require.Contains(t, out.lines()[0], "Code=NoTarget")
+}
+
 func TestTheMetricsTellOutcomesAndReuse(t *testing.T) {
 	b := newBench(t)
 	b.engine(standin.EngineSettings{Name: "engine-1"})
--- a/gateway/once.go
+++ b/gateway/once.go
@@ -25,6 +25,7 @@
 	}
 	a, f := v.dispatch()
 	if f != nil {
+		v.gateway.logGivenUp(v.exchange, f)
 		v.settle(f)
 		v.gateway.fail(ctx, f)
 		v.close()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -68,6 +68,7 @@
 func (v *visit) idempotent(ctx *fasthttp.RequestCtx) {
 	a, f := v.run()
 	if f != nil {
+		v.gateway.logGivenUp(v.exchange, f)
 		v.gateway.fail(ctx, f)
 		v.close()
 		return
--- a/gateway/whole_test.go
+++ b/gateway/whole_test.go
@@ -147,6 +147,20 @@
 	}
 }
 
+func TestAPermitIsReleasedOnceWhenAResumeFails(t *testing.T) {
+	b := newBench(t)
+	first := b.engine(standin.EngineSettings{Name: "engine-1"})
+	second := b.engine(standin.EngineSettings{Name: "engine-2"})
+	first.Inject(standin.Fault{Kind: standin.FaultCrossed, After: 4})
+	second.Inject(standin.Fault{Kind: standin.FaultError})
+	text, err := read(b.post("Reviews/Draft", dossier))
+	require.Error(t, err)
+	require.Equal(t, wantTokens(dossier, 4), parseStream(t, text).tokens)
+	eventually(t, func() bool { return len(b.admitter.outcomes()) == 2 && b.gateway.InFlight() == 0 }, "both permits are released")
+	require.NoError(t, b.gateway.Drain(t.Context()))
+	require.Len(t, b.admitter.outcomes(), b.admitter.grants())
+}
+
 // Whatever the targets do, a caller gets its whole answer or sees that it did
 // not.
 func TestAnAnswerIsWholeOrFailsVisibly(t *testing.T) {
