--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -132,17 +132,18 @@
 	if answer.Header().Status >= fasthttp.StatusInternalServerError && x.call.Idempotent {
 		return errors.Wrapf(errStatus, "status %d", answer.Header().Status)
 	}
-	if answer.Header().Stream {
-		a.event, err = answer.Next()
-		a.ended = errors.Is(err, errEOF)
-		if a.ended {
-			err = nil
-		}
-	} else {
+	if !answer.Header().Stream {
+		a.first = x.gateway.Clock.Since(a.sentAt)
 		a.body, err = answer.Body(x.gateway.settings.answerBytes)
+		return err
+	}
+	a.event, err = answer.Next()
+	a.ended = errors.Is(err, errEOF)
+	if err != nil && !a.ended {
+		return err
 	}
 	a.first = x.gateway.Clock.Since(a.sentAt)
-	return err
+	return nil
 }
 
 // mayStillSend is checked after the last step that may block: the permit and
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -32,9 +32,6 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "accept a caller")
 		}
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetKeepAlive(true)
-		}
 		if l.open.Add(1) > int64(l.gateway.settings.maxConnections) {
 			l.open.Add(-1)
 			go l.gateway.refuse(c)
--- a/gateway/whole_test.go
+++ b/gateway/whole_test.go
@@ -147,6 +147,27 @@
 	}
 }
 
+func TestAReleaseTellsTheFirstByteTime(t *testing.T) {
+	b := newBench(t)
+	first := b.engine(standin.EngineSettings{Name: "engine-1"})
+	b.engine(standin.EngineSettings{Name: "engine-2", FirstByte: 20 * time.Millisecond})
+	b.retries("Reviews", 1)
+	first.Inject(standin.Fault{Kind: standin.FaultSilent, Times: 1})
+	b.get("Reviews/Draft", dossier)
+	eventually(t, func() bool { return len(b.admitter.outcomes()) == 2 }, "both permits are released")
+	b.admitter.mu.Lock()
+	defer b.admitter.mu.Unlock()
+	for _, release := range b.admitter.released {
+		if release.Target == "engine-1" {
+			require.Equal(t, admission.OutcomeFailed, release.Outcome)
+			require.Zero(t, release.FirstByte)
+			continue
+		}
+		require.Equal(t, admission.OutcomeDone, release.Outcome)
+		require.GreaterOrEqual(t, release.FirstByte, 20*time.Millisecond)
+	}
+}
+
 func TestAPermitIsReleasedOnceWhenAResumeFails(t *testing.T) {
 	b := newBench(t)
 	first := b.engine(standin.EngineSettings{Name: "engine-1"})
--- a/target/web/client_test.go
+++ b/target/web/client_test.go
@@ -147,6 +147,33 @@
 	}
 }
 
+func TestOneDeadConnectionEndsTheOthersKeptToItsTarget(t *testing.T) {
+	s := newScript(t, okAnswer, okAnswer, "", okAnswer)
+	client := NewClient(clockwork.NewRealClock(), WithMaxIdle(time.Hour))
+	defer client.Close()
+	var answers []target.Answer
+	for range 2 {
+		answer, err := client.Send(context.Background(), s.call())
+		require.NoError(t, err)
+		answers = append(answers, answer)
+	}
+	for _, answer := range answers {
+		_, err := answer.Body(10)
+		require.NoError(t, err)
+		answer.Close()
+	}
+	call := s.call()
+	call.FirstByte = 20 * time.Millisecond
+	_, err := client.Send(context.Background(), call)
+	var sendError *target.SendError
+	require.ErrorAs(t, err, &sendError)
+	require.True(t, sendError.Reused)
+	answer, err := client.Send(context.Background(), s.call())
+	require.NoError(t, err)
+	answer.Close()
+	require.Len(t, s.conns, 3, "the other kept connection is not used")
+}
+
 func TestAFreshCallNeverUsesAnOldConnection(t *testing.T) {
 	s := newScript(t, okAnswer, okAnswer)
 	client := NewClient(clockwork.NewRealClock())
