--- a/admission/request.go
+++ b/admission/request.go
@@ -49,6 +49,9 @@
 	// ChecksFence and Resumes repeat what the target announced.
 	ChecksFence bool
 	Resumes     bool
+	// CacheFrom is the IP:port of the target that holds the chat's newest
+	// context, when that is another one and both move KV cache; else empty.
+	CacheFrom string
 }
 
 // RefusalCode says why a request got no permit.
@@ -108,8 +111,10 @@
 type Release struct {
 	RequestID string
 	Service   string
-	Target    string
-	Outcome   Outcome
+	// Target is the permit's target; empty where the permit was granted but its
+	// answer never arrived.
+	Target  string
+	Outcome Outcome
 	// FirstByte is the time from sending to the answer's first byte; 0 if none
 	// came.
 	FirstByte time.Duration
