--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -56,6 +56,7 @@
 		{"too many header fields", post(pay, strings.Repeat("X-Many: 1\r\n", 80), ""), 431, CodeHeaderLimit},
 		{"a path too long", post(pay+strings.Repeat("x", 3<<10), "", ""), 414, CodeURILimit},
 		{"another method", "GET " + pay + " HTTP/1.1\r\n" + end + "\r\n", 405, CodeMethod},
+		{"HTTP/1.0", strings.Replace(post(pay, "", payment), "HTTP/1.1", "HTTP/1.0", 1), 505, CodeBadRequest},
 		{"an unknown path", post("/v2/else", "", ""), 404, CodeNotFound},
 		{"an unknown service", post(PathServices+"Else/Pay", "", ""), 404, CodeNotFound},
 		{"an unknown call", post(PathServices+"Treasury/Else", "", ""), 404, CodeNotFound},
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -107,7 +107,9 @@
 	return r.attempt.event, nil
 }
 
-// resume continues a cut stream at its offset through another connection.
+// resume continues a cut stream at its offset through another connection. A
+// target that can't be reached costs no retry: when one dies, every stream on it
+// has to move, and they are only as many as it had.
 func (r *relay) resume(cause error) bool {
 	if !r.call.Idempotent || !r.attempt.permit.Resumes || r.ctx.Err() != nil {
 		return false
@@ -121,13 +123,17 @@
 			r.gateway.meters.resumed.Inc(1)
 			return true
 		}
-		if r.ctx.Err() != nil || !r.retryable(err) || !r.gateway.budgets.of(r.service.Name).take() || !r.backOff() {
+		if r.ctx.Err() != nil || !r.retryable(err) || !r.payResume(err) || !r.backOff() {
 			return false
 		}
 	}
 	return false
 }
 
+func (r *relay) payResume(err error) bool {
+	return errors.Is(err, target.ErrUnreachable) || r.gateway.budgets.of(r.service.Name).take()
+}
+
 // giveUp abandons the attempt that failed. A target whose connection was cut may
 // be asked again; one that misbehaved is avoided.
 func (r *relay) giveUp(cause error) {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -66,6 +66,8 @@
 // checkLimits checks the method and the sizes that the HTTP server does not.
 func (g *Gateway) checkLimits(ctx *fasthttp.RequestCtx) *Failure {
 	switch {
+	case !ctx.Request.Header.IsHTTP11():
+		return failure(fasthttp.StatusHTTPVersionNotSupported, CodeBadRequest, "calls need HTTP/1.1, which tells a cut answer from a whole one")
 	case !ctx.IsPost():
 		return failure(fasthttp.StatusMethodNotAllowed, CodeMethod, "calls are made by POST")
 	case len(ctx.Request.Header.RequestURI()) > g.settings.uriBytes:
--- a/gateway/silent_test.go
+++ b/gateway/silent_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"bufio"
+	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -69,6 +72,29 @@
 	require.Equal(t, int64(1), b.counter("resumed_streams"))
 }
 
+func TestStreamsMoveFromAnEngineThatDies(t *testing.T) {
+	const streams = 30
+	b := newBench(t)
+	b.catalog.fleet.Services[0].Timeouts.Gap = patience
+	dying := b.engine(standin.EngineSettings{Name: "engine-1", Gap: 10 * time.Millisecond})
+	b.engine(standin.EngineSettings{Name: "engine-2"})
+	var group sync.WaitGroup
+	var whole atomic.Int64
+	for range streams {
+		group.Go(func() {
+			text, err := read(b.post("Reviews/Draft", dossier))
+			stream := parseStream(t, text)
+			if err == nil && stream.end != "" && slices.Equal(wantTokens(dossier, 12), stream.tokens) {
+				whole.Add(1)
+			}
+		})
+	}
+	eventually(t, func() bool { return dying.InFlight() == streams }, "the engine is at work")
+	dying.Close()
+	group.Wait()
+	require.Equal(t, int64(streams), whole.Load())
+}
+
 func TestATargetThatIsSilentAltogetherIsGivenUp(t *testing.T) {
 	b := newBench(t)
 	plain := b.plain("treasury-1")
