--- a/gateway/caller_test.go
+++ b/gateway/caller_test.go
@@ -31,7 +31,7 @@
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
-			b := newBench(t)
+			b := newFixture(t)
 			timeouts := &b.catalog.fleet.Services[0].Timeouts
 			timeouts.FirstByte, timeouts.Gap = long, long
 			test.settings.Name = "engine-1"
@@ -56,7 +56,7 @@
 }
 
 func TestACallerThatGoesAwayLeavesTheQueue(t *testing.T) {
-	b := newBench(t)
+	b := newFixture(t)
 	b.admitter.wait = true
 	ctx, leave := context.WithCancel(context.Background())
 	go func() { _, _ = b.tryPost(ctx, "Reviews/Draft", "prompt") }()
@@ -67,7 +67,7 @@
 
 // The watch may read the first byte of the next request; it must not be lost.
 func TestARequestSentAheadIsServedToo(t *testing.T) {
-	b := newBench(t)
+	b := newFixture(t)
 	b.catalog.fleet.Services[0].Timeouts.FirstByte = patience
 	engine := b.engine(standin.EngineSettings{Name: "engine-1", FirstByte: 50 * time.Millisecond})
 	connection, err := net.Dial("tcp", b.address)
--- a/gateway/seams.go
+++ b/gateway/claim.go
@@ -3,37 +3,8 @@
 import (
 	"context"
 	"time"
-
-	"comfreytiller.dev/admission"
-	"comfreytiller.dev/fleet"
 )
 
-// Admitter gives permits. The host's implementation asks the owner of the
-// service.
-type Admitter interface {
-	// Acquire waits for a permit until the request's deadline. Its error is an
-	// *admission.Refusal when no part of the request ran.
-	Acquire(ctx context.Context, request admission.Request) (admission.Permit, error)
-	// Release gives a permit back. It does not block.
-	Release(release admission.Release)
-}
-
-// Catalog gives the fleet in force.
-type Catalog interface {
-	// Fleet returns the fleet in force on this host; nil before the first.
-	Fleet() *fleet.Fleet
-	// Available reports whether a service and all it depends on can serve.
-	Available(service string) bool
-}
-
-// Authority tells whether this host may give work to targets.
-type Authority interface {
-	// Check returns nil only while the host's session lease is live by its own
-	// monotonic clock less a margin. It is called after the last step that may
-	// block before bytes are sent to a target.
-	Check() error
-}
-
 // ClaimState is the state of a claim for a request that runs at most once.
 type ClaimState string
 
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -21,7 +21,7 @@
 }
 
 // caller makes calls one after the other until it is refused.
-func (l *drainLoad) caller(b *bench) {
+func (l *drainLoad) caller(b *fixture) {
 	client := &http.Client{Transport: &http.Transport{}}
 	defer client.CloseIdleConnections()
 	for {
@@ -52,7 +52,7 @@
 
 func TestADrainUnderLoadCutsNoRequest(t *testing.T) {
 	const callers = 40
-	b := newBench(t, WithLinger(300*time.Millisecond))
+	b := newFixture(t, WithLinger(300*time.Millisecond))
 	b.engine(standin.EngineSettings{Name: "engine-1", Gap: 2 * time.Millisecond})
 	var load drainLoad
 	var group sync.WaitGroup
@@ -69,7 +69,7 @@
 }
 
 func TestADrainFailsReadinessAndFinishesStreams(t *testing.T) {
-	b := newBench(t, WithLinger(0))
+	b := newFixture(t, WithLinger(0))
 	b.catalog.fleet.Services[0].Timeouts.Gap = patience
 	b.engine(standin.EngineSettings{Name: "engine-1", Gap: 30 * time.Millisecond})
 	response := b.post("Reviews/Draft", dossier)
@@ -98,7 +98,7 @@
 }
 
 func TestACallerThatNeverReadsDoesNotBlockTheDrain(t *testing.T) {
-	b := newBench(t, WithWriteStall(100*time.Millisecond))
+	b := newFixture(t, WithWriteStall(100*time.Millisecond))
 	engine := b.engine(standin.EngineSettings{Name: "engine-1"})
 	connection := b.neverRead()
 	defer connection.Close()
@@ -107,7 +107,7 @@
 }
 
 func TestTheDrainLimitEndsAStreamThatDoesNot(t *testing.T) {
-	b := newBench(t, WithDrainLimit(50*time.Millisecond))
+	b := newFixture(t, WithDrainLimit(50*time.Millisecond))
 	timeouts := &b.catalog.fleet.Services[0].Timeouts
 	timeouts.Gap = long
 	engine := b.engine(standin.EngineSettings{Name: "engine-1", Gap: long})
@@ -119,7 +119,7 @@
 }
 
 func TestReadinessFollowsTheLease(t *testing.T) {
-	b := newBench(t)
+	b := newFixture(t)
 	get := func(path string) int {
 		response, err := http.Get("http://" + b.address + path)
 		require.NoError(t, err)
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -24,8 +24,8 @@
 // passes.
 const patience = 10 * time.Second
 
-// bench is a gateway between a caller and stand-in targets.
-type bench struct {
+// fixture is a gateway between a caller and stand-in targets.
+type fixture struct {
 	t         testing.TB
 	gateway   *Gateway
 	address   string
@@ -61,8 +61,8 @@
 	}
 }
 
-func newBench(t testing.TB, options ...Option) *bench {
-	b := &bench{
+func newFixture(t testing.TB, options ...Option) *fixture {
+	b := &fixture{
 		t: t, admitter: &fakeAdmitter{}, catalog: &fakeCatalog{fleet: exampleFleet()},
 		authority: &fakeAuthority{}, claims: &fakeClaims{claims: map[ClaimKey]Claim{}},
 		scope: tally.NewTestScope("", nil), served: make(chan error, 1),
@@ -91,7 +91,7 @@
 }
 
 // engine adds a stand-in engine that may get permits.
-func (b *bench) engine(settings standin.EngineSettings) *standin.Engine {
+func (b *fixture) engine(settings standin.EngineSettings) *standin.Engine {
 	engine, err := standin.NewEngine(clockwork.NewRealClock(), settings)
 	require.NoError(b.t, err)
 	b.t.Cleanup(engine.Close)
@@ -100,7 +100,7 @@
 }
 
 // plain adds a stand-in plain service that may get permits.
-func (b *bench) plain(name string) *standin.Plain {
+func (b *fixture) plain(name string) *standin.Plain {
 	plain, err := standin.NewPlain(clockwork.NewRealClock(), standin.PlainSettings{Name: name, Service: "Treasury"})
 	require.NoError(b.t, err)
 	b.t.Cleanup(plain.Close)
@@ -108,7 +108,7 @@
 	return plain
 }
 
-func (b *bench) permit(name, address string) {
+func (b *fixture) permit(name, address string) {
 	b.admitter.mu.Lock()
 	defer b.admitter.mu.Unlock()
 	b.admitter.targets = append(b.admitter.targets, admission.Permit{
@@ -117,13 +117,13 @@
 }
 
 // post makes a call and returns the response with its body not yet read.
-func (b *bench) post(path, body string, header ...string) *http.Response {
+func (b *fixture) post(path, body string, header ...string) *http.Response {
 	response, err := b.tryPost(context.Background(), path, body, header...)
 	require.NoError(b.t, err)
 	return response
 }
 
-func (b *bench) tryPost(ctx context.Context, path, body string, header ...string) (*http.Response, error) {
+func (b *fixture) tryPost(ctx context.Context, path, body string, header ...string) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+b.address+PathServices+path, strings.NewReader(body))
 	if err != nil {
 		return nil, err
@@ -143,7 +143,7 @@
 }
 
 // get makes a call and returns status and body, which must be whole for HTTP.
-func (b *bench) get(path, body string, header ...string) (int, string) {
+func (b *fixture) get(path, body string, header ...string) (int, string) {
 	response := b.post(path, body, header...)
 	text, err := read(response)
 	require.NoError(b.t, err)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,7 +33,6 @@
 	"sync/atomic"
 
 	"comfreytiller.dev/common/logs"
-	"comfreytiller.dev/target"
 	"github.com/go-faster/errors"
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
@@ -41,24 +40,6 @@
 	"github.com/valyala/fasthttp"
 )
 
-// Dependencies are what a gateway works with. Admitter, Catalog, Authority,
-// Claims and Sender are needed; the rest has defaults.
-type Dependencies struct {
-	Admitter  Admitter
-	Catalog   Catalog
-	Authority Authority
-	Claims    Claims
-	Sender    target.Sender
-	Clock     clockwork.Clock
-	// Logger gets one line for each routing decision, with the prefix "Route".
-	Logger *logrus.Logger
-	Scope  tally.Scope
-	// Host is this host's name.
-	Host string
-	// Ready adds a condition to readiness; nil for none.
-	Ready func() error
-}
-
 // Gateway serves callers.
 type Gateway struct {
 	Dependencies
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -16,7 +16,7 @@
 )
 
 // rawRequest sends bytes and returns the answer.
-func (b *bench) rawRequest(raw string) (int, FailureBody) {
+func (b *fixture) rawRequest(raw string) (int, FailureBody) {
 	connection, err := net.Dial("tcp", b.address)
 	require.NoError(b.t, err)
 	defer connection.Close()
@@ -69,7 +69,7 @@
 		{"no workspace", "POST " + pay + " HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n", 403, CodeForbidden},
 		{"a service the workspace may not use", strings.Replace(post(PathServices+"Reviews/Draft", "", ""), "Students", "Desk", 1), 403, CodeForbidden},
 	}
-	b := newBench(t)
+	b := newFixture(t)
 	plain := b.plain("treasury-1")
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
@@ -86,7 +86,7 @@
 }
 
 func TestASlowSenderIsTimedOut(t *testing.T) {
-	b := newBench(t, WithReadTimeout(50*time.Millisecond))
+	b := newFixture(t, WithReadTimeout(50*time.Millisecond))
 	for name, raw := range map[string]string{
 		"header": "POST /v1/services/Treasury/Pay HTTP/1.1\r\nHost:",
 		"body":   "POST /v1/services/Treasury/Pay HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\nhalf",
@@ -101,7 +101,7 @@
 }
 
 func TestConnectionsBeyondTheLimitAreRefused(t *testing.T) {
-	b := newBench(t, WithMaxConnections(1))
+	b := newFixture(t, WithMaxConnections(1))
 	b.plain("treasury-1")
 	status, _ := b.get("Treasury/Balance", `{}`)
 	require.Equal(t, 200, status)
@@ -120,7 +120,7 @@
 }
 
 // neverRead asks for a long stream and reads nothing of it.
-func (b *bench) neverRead() net.Conn {
+func (b *fixture) neverRead() net.Conn {
 	connection, err := net.Dial("tcp", b.address)
 	require.NoError(b.t, err)
 	tcp, ok := connection.(*net.TCPConn)
@@ -134,7 +134,7 @@
 }
 
 func TestACallerThatNeverReadsIsCut(t *testing.T) {
-	b := newBench(t, WithWriteStall(100*time.Millisecond))
+	b := newFixture(t, WithWriteStall(100*time.Millisecond))
 	engine := b.engine(standin.EngineSettings{Name: "engine-1"})
 	connection := b.neverRead()
 	defer connection.Close()
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -5,33 +5,33 @@
 )
 
 // logDone writes the line of a routing decision whose answer was whole.
-func (g *Gateway) logDone(x *exchange, a *attempt, warm bool) {
+func (g *Gateway) logDone(d *dispatcher, a *attempt, warm bool) {
 	g.meters.firstByte.RecordDuration(a.first)
-	if x.chat != "" {
+	if d.chat != "" {
 		g.meters.reuse(warm)
 	}
-	g.decision(x, a).WithField("Warm", warm).
-		Infof("Request %s of chat %q ran on %s.", x.id, x.chat, a.permit.Target)
+	g.decision(d, a).WithField("Warm", warm).
+		Infof("Request %s of chat %q ran on %s.", d.id, d.chat, a.permit.Target)
 }
 
 // logAttempt writes the line of a routing decision whose attempt failed.
-func (g *Gateway) logAttempt(x *exchange, a *attempt, err error) {
-	g.decision(x, a).WithError(err).
-		Warnf("Request %s of chat %q failed on %s.", x.id, x.chat, a.permit.Target)
+func (g *Gateway) logAttempt(d *dispatcher, a *attempt, err error) {
+	g.decision(d, a).WithError(err).
+		Warnf("Request %s of chat %q failed on %s.", d.id, d.chat, a.permit.Target)
 }
 
 // logGivenUp writes the line of a request that got no answer.
-func (g *Gateway) logGivenUp(x *exchange, f *Failure) {
+func (g *Gateway) logGivenUp(d *dispatcher, f *Failure) {
 	g.log.WithFields(logrus.Fields{
-		"Workspace": x.workspace, "Service": x.service.Name, "Call": x.call.Name, "Code": f.Code,
-		"Ran": f.Ran, "RetryAfter": f.RetryAfter, "Attempts": x.attempts, "Time": g.Clock.Since(x.started),
-	}).Warnf("Request %s of chat %q is given up: %s", x.id, x.chat, f.Message)
+		"Workspace": d.workspace, "Service": d.service.Name, "Call": d.call.Name, "Code": f.Code,
+		"Ran": f.Ran, "RetryAfter": f.RetryAfter, "Attempts": d.attempts, "Time": g.Clock.Since(d.started),
+	}).Warnf("Request %s of chat %q is given up: %s", d.id, d.chat, f.Message)
 }
 
-func (g *Gateway) decision(x *exchange, a *attempt) *logrus.Entry {
+func (g *Gateway) decision(d *dispatcher, a *attempt) *logrus.Entry {
 	return g.log.WithFields(logrus.Fields{
-		"Workspace": x.workspace, "Service": x.service.Name, "Call": x.call.Name,
-		"Believed": a.permit.Warm, "Reason": a.permit.Reason, "Attempt": x.attempts,
-		"FirstByte": a.first, "Waited": a.permit.Waited, "Time": g.Clock.Since(x.started),
+		"Workspace": d.workspace, "Service": d.service.Name, "Call": d.call.Name,
+		"Believed": a.permit.Warm, "Reason": a.permit.Reason, "Attempt": d.attempts,
+		"FirstByte": a.first, "Waited": a.permit.Waited, "Time": g.Clock.Since(d.started),
 	})
 }
--- a/gateway/log_test.go
+++ b/gateway/log_test.go
@@ -30,7 +30,7 @@
 }
 
 func TestEachRoutingDecisionHasOneLine(t *testing.T) {
-	b := newBench(t)
+	b := newFixture(t)
 	var out lockedBuffer
 	logger, err := logs.New(&out, "info", "text")
 	require.NoError(t, err)
@@ -51,7 +51,7 @@
 }
 
 func TestARequestThatIsGivenUpHasALine(t *testing.T) {
-	b := newBench(t)
+	b := newFixture(t)
 	var out lockedBuffer
 	logger, err := logs.New(&out, "info", "text")
 	require.NoError(t, err)
@@ -63,7 +63,7 @@
 }
 
 func TestTheMetricsTellOutcomesAndReuse(t *testing.T) {
-	b := newBench(t)
+	b := newFixture(t)
 	b.engine(standin.EngineSettings{Name: "engine-1"})
 	for range 3 {
 		b.get("Reviews/Draft", dossier, HeaderChat, "c-17")
--- a/gateway/once.go
+++ b/gateway/once.go
@@ -11,56 +11,56 @@
 
 // once serves a call that runs at most once. From the moment it is sent it is
 // not stopped, also when its caller goes away: the outcome is worth more.
-func (v *visit) once(ctx *fasthttp.RequestCtx) {
-	claim, f := v.claim()
+func (x *exchange) once(ctx *fasthttp.RequestCtx) {
+	claim, f := x.claim()
 	if f != nil {
-		v.gateway.fail(ctx, f)
-		v.close()
+		x.gateway.fail(ctx, f)
+		x.close()
 		return
 	}
 	if claim.State == ClaimDone {
-		v.replay(ctx, claim)
-		v.close()
+		x.replay(ctx, claim)
+		x.close()
 		return
 	}
-	a, f := v.dispatch()
+	a, f := x.dispatch()
 	if f != nil {
-		v.gateway.logGivenUp(v.exchange, f)
-		v.settle(f)
-		v.gateway.fail(ctx, f)
-		v.close()
+		x.gateway.logGivenUp(x.dispatcher, f)
+		x.settle(f)
+		x.gateway.fail(ctx, f)
+		x.close()
 		return
 	}
 	header := a.answer.Header()
 	if header.Stream {
-		v.stream(ctx, a, v.newRecord(header.Status))
+		x.stream(ctx, a, x.newRecord(header.Status))
 		return
 	}
-	v.store(Answer{Status: header.Status, ContentType: header.ContentType, Body: a.body})
-	v.whole(ctx, a)
-	v.close()
+	x.store(Answer{Status: header.Status, ContentType: header.ContentType, Body: a.body})
+	x.whole(ctx, a)
+	x.close()
 }
 
 // claim opens the claim of a request with a key. Without a failure the claim is
 // open, or done. A claim whose opening failed is left alone, never cancelled: it
 // may be that of an earlier request which was sent.
-func (v *visit) claim() (Claim, *Failure) {
-	if v.key == "" {
+func (x *exchange) claim() (Claim, *Failure) {
+	if x.key == "" {
 		return Claim{State: ClaimOpen}, nil
 	}
-	retryAfter := v.gateway.settings.retryAfter
-	if !v.gateway.keys.hold(v.claimKey()) {
-		return Claim{}, v.running()
+	retryAfter := x.gateway.settings.retryAfter
+	if !x.gateway.keys.hold(x.claimKey()) {
+		return Claim{}, x.running()
 	}
-	ctx, cancel := clockwork.WithTimeout(v.ctx, v.gateway.Clock, v.gateway.settings.claimTimeout)
+	ctx, cancel := clockwork.WithTimeout(x.ctx, x.gateway.Clock, x.gateway.settings.claimTimeout)
 	defer cancel()
-	claim, err := v.gateway.Claims.Open(ctx, v.claimKey(), v.fingerprint(), v.gateway.Clock.Now())
+	claim, err := x.gateway.Claims.Open(ctx, x.claimKey(), x.fingerprint(), x.gateway.Clock.Now())
 	if err != nil {
-		v.gateway.keys.release(v.claimKey())
+		x.gateway.keys.release(x.claimKey())
 		return claim, failure(fasthttp.StatusServiceUnavailable, CodeClaims, err.Error()).after(retryAfter)
 	}
 	if claim.State != ClaimOpen {
-		v.gateway.keys.release(v.claimKey())
+		x.gateway.keys.release(x.claimKey())
 	}
 	switch claim.State {
 	case ClaimOpen, ClaimDone:
@@ -70,7 +70,7 @@
 	case ClaimCancelled:
 		return claim, failure(fasthttp.StatusConflict, CodeCancelled, "the request of this key was cancelled before it ran; use a new key")
 	case ClaimRunning:
-		return claim, v.running()
+		return claim, x.running()
 	}
 	f := failure(fasthttp.StatusBadGateway, CodeInDoubt, "the request of this key may have run; an operator settles it")
 	f.Ran = RanUnknown
@@ -78,106 +78,97 @@
 }
 
 // running tells that another request holds the key.
-func (v *visit) running() *Failure {
+func (x *exchange) running() *Failure {
 	f := failure(fasthttp.StatusConflict, CodeRunning, "a request with this key is running")
 	f.Ran = RanUnknown
-	return f.after(v.gateway.settings.retryAfter)
+	return f.after(x.gateway.settings.retryAfter)
 }
 
 // dispatch sends the request. Another target is tried only while no byte has
 // left; after that neither the caller's going nor its own timeout ends it, only
 // the service's.
-func (v *visit) dispatch() (*attempt, *Failure) {
-	ctx, cancel := clockwork.WithDeadline(context.Background(), v.gateway.Clock, v.started.Add(v.service.Timeouts.Total))
-	v.endDispatch = cancel
-	v.gateway.budgets.of(v.service.Name).request()
-	for {
-		a, err := v.try(ctx, 0, true)
-		if err == nil {
-			return a, nil
-		}
-		if !v.again(err) {
-			return nil, v.failure(err)
-		}
-	}
+func (x *exchange) dispatch() (*attempt, *Failure) {
+	ctx, cancel := clockwork.WithDeadline(context.Background(), x.gateway.Clock, x.started.Add(x.service.Timeouts.Total))
+	x.endDispatch = cancel
+	return x.run(ctx, true)
 }
 
 // settle closes the claim of a request that got no answer.
-func (v *visit) settle(f *Failure) {
-	if v.key == "" {
+func (x *exchange) settle(f *Failure) {
+	if x.key == "" {
 		return
 	}
 	if f.Ran == RanNo {
-		v.cancelClaim()
+		x.cancelClaim()
 		return
 	}
-	v.doubtClaim()
+	x.doubtClaim()
 }
 
 // store commits the outcome with its answer. If that fails the answer is given
 // all the same, since it is true; the claim is in doubt once this host's
 // session ends.
-func (v *visit) store(answer Answer) {
-	if v.key == "" {
+func (x *exchange) store(answer Answer) {
+	if x.key == "" {
 		return
 	}
-	if len(answer.Body) > v.gateway.settings.storedBytes {
+	if len(answer.Body) > x.gateway.settings.storedBytes {
 		answer.Body = nil
 		answer.Truncated = true
 	}
-	v.commit("finish", func(ctx context.Context) error {
-		return v.gateway.Claims.Finish(ctx, v.claimKey(), answer)
+	x.commit("finish", func(ctx context.Context) error {
+		return x.gateway.Claims.Finish(ctx, x.claimKey(), answer)
 	})
 }
 
 // replay answers with the stored outcome.
-func (v *visit) replay(ctx *fasthttp.RequestCtx, claim Claim) {
+func (x *exchange) replay(ctx *fasthttp.RequestCtx, claim Claim) {
 	if claim.Answer.Truncated {
 		f := failure(fasthttp.StatusConflict, CodeNotStored, "the request has run; its answer was too long to be stored")
 		f.Ran = RanYes
-		v.gateway.fail(ctx, f)
+		x.gateway.fail(ctx, f)
 		return
 	}
 	ctx.SetStatusCode(claim.Answer.Status)
 	ctx.SetContentType(claim.Answer.ContentType)
 	ctx.Response.Header.Set(HeaderReplayed, strconv.FormatBool(true))
 	ctx.Response.SetBodyRaw(claim.Answer.Body)
-	v.gateway.meters.answered.Inc(1)
+	x.gateway.meters.answered.Inc(1)
 }
 
-func (v *visit) claimKey() ClaimKey {
-	return ClaimKey{Workspace: v.workspace, Service: v.service.Name, Key: v.key}
+func (x *exchange) claimKey() ClaimKey {
+	return ClaimKey{Workspace: x.workspace, Service: x.service.Name, Key: x.key}
 }
 
-func (v *visit) cancelClaim() {
-	v.commit("cancel", func(ctx context.Context) error {
-		return v.gateway.Claims.Cancel(ctx, v.claimKey())
+func (x *exchange) cancelClaim() {
+	x.commit("cancel", func(ctx context.Context) error {
+		return x.gateway.Claims.Cancel(ctx, x.claimKey())
 	})
 }
 
-func (v *visit) doubtClaim() {
-	v.commit("doubt", func(ctx context.Context) error {
-		return v.gateway.Claims.Doubt(ctx, v.claimKey())
+func (x *exchange) doubtClaim() {
+	x.commit("doubt", func(ctx context.Context) error {
+		return x.gateway.Claims.Doubt(ctx, x.claimKey())
 	})
 }
 
 // commit tries a change of the claim within the claim timeout, whatever has
 // become of the caller. The caller's answer waits for it only shortly: it is
 // true whether the change is committed or not.
-func (v *visit) commit(what string, change func(ctx context.Context) error) {
+func (x *exchange) commit(what string, change func(ctx context.Context) error) {
 	done := make(chan struct{})
-	v.gateway.work.run(func() {
+	x.gateway.work.run(func() {
 		defer close(done)
-		ctx, cancel := clockwork.WithTimeout(context.Background(), v.gateway.Clock, v.gateway.settings.claimTimeout)
+		ctx, cancel := clockwork.WithTimeout(context.Background(), x.gateway.Clock, x.gateway.settings.claimTimeout)
 		defer cancel()
 		if err := change(ctx); err != nil {
-			v.gateway.log.WithError(errors.Wrapf(err, "%s claim", what)).
-				Warnf("The claim of request %s is left to the end of this host's session.", v.id)
+			x.gateway.log.WithError(errors.Wrapf(err, "%s claim", what)).
+				Warnf("The claim of request %s is left to the end of this host's session.", x.id)
 			return
 		}
-		v.gateway.keys.release(v.claimKey())
+		x.gateway.keys.release(x.claimKey())
 	})
-	timer := v.gateway.Clock.NewTimer(v.gateway.settings.claimWait)
+	timer := x.gateway.Clock.NewTimer(x.gateway.settings.claimWait)
 	defer timer.Stop()
 	select {
 	case <-done:
--- a/gateway/once_test.go
+++ b/gateway/once_test.go
@@ -25,7 +25,7 @@
 func TestAPaymentThatMayHaveRunIsNeverRunAgain(t *testing.T) {
 	for _, kind := range sentFaults {
 		t.Run(string(kind), func(t *testing.T) {
-			b := newBench(t, WithAnswerBytes(1<<20))
+			b := newFixture(t, WithAnswerBytes(1<<20))
 			plain := b.plain("treasury-1")
 			other := b.plain("treasury-2")
 			b.retries("Treasury", 5)
@@ -47,7 +47,7 @@
 
 func TestAPaymentWithoutAKeyIsSentOnce(t *testing.T) {
 	for _, kind := range sentFaults {
-		b := newBench(t, WithAnswerBytes(1<<20))
+		b := newFixture(t, WithAnswerBytes(1<<20))
 		plain := b.plain("treasury-1")
 		other := b.plain("treasury-2")
 		b.retries("Treasury", 5)
@@ -63,27 +63,27 @@
 func TestNotRunIsTrue(t *testing.T) {
 	cases := []struct {
 		name    string
-		prepare func(*bench)
+		prepare func(*fixture)
 		status  int
 		code    string
 		claim   []string
 	}{
-		{"refused", func(b *bench) {
+		{"refused", func(b *fixture) {
 			b.admitter.refusal = &admission.Refusal{Code: admission.RefusedQueueFull, RetryAfter: 3 * time.Second}
 		}, 429, "QueueFull", []string{"Open", "Cancel"}},
-		{"no target", func(b *bench) { b.admitter.targets = nil }, 503, "NoTarget", []string{"Open", "Cancel"}},
-		{"lease over after the permit", func(b *bench) {
+		{"no target", func(b *fixture) { b.admitter.targets = nil }, 503, "NoTarget", []string{"Open", "Cancel"}},
+		{"lease over after the permit", func(b *fixture) {
 			b.admitter.onGrant = func() { b.authority.over.Store(true) }
 		}, 503, "NotReady", []string{"Open", "Cancel"}},
-		{"permit expired", func(b *bench) { b.admitter.targets[0].ValidFor = 1 }, 503, "NotReady", []string{"Open", "Cancel"}},
-		{"unreachable", func(b *bench) { b.admitter.targets[0].Address = closedPort(b.t) }, 503, "TargetFailed", []string{"Open", "Cancel"}},
-		{"no quorum", func(b *bench) { b.claims.failOpen = true }, 503, "ClaimsUnavailable", []string{"Open"}},
-		{"a dependency is down", func(b *bench) { b.catalog.unavailable.Store(true) }, 503, "Dependency", nil},
-		{"no fleet", func(b *bench) { b.catalog.fleet = nil }, 503, "NotReady", nil},
+		{"permit expired", func(b *fixture) { b.admitter.targets[0].ValidFor = 1 }, 503, "NotReady", []string{"Open", "Cancel"}},
+		{"unreachable", func(b *fixture) { b.admitter.targets[0].Address = closedPort(b.t) }, 503, "TargetFailed", []string{"Open", "Cancel"}},
+		{"no quorum", func(b *fixture) { b.claims.failOpen = true }, 503, "ClaimsUnavailable", []string{"Open"}},
+		{"a dependency is down", func(b *fixture) { b.catalog.unavailable.Store(true) }, 503, "Dependency", nil},
+		{"no fleet", func(b *fixture) { b.catalog.fleet = nil }, 503, "NotReady", nil},
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
-			b := newBench(t)
+			b := newFixture(t)
 			plain := b.plain("treasury-1")
 			test.prepare(b)
 			response := b.post("Treasury/Pay", payment, HeaderKey, "pay-1")
@@ -111,7 +111,7 @@
 }
 
 func TestAPaymentGoesToAnotherTargetWhileNoByteHasLeft(t *testing.T) {
-	b := newBench(t)
+	b := newFixture(t)
 	b.permit("treasury-0", closedPort(t))
 	plain := b.plain("treasury-1")
 	b.retries("Treasury", 1)
@@ -122,7 +122,7 @@
 }
 
 func TestAKeyStandsForOneRequest(t *testing.T) {
-	b := newBench(t)
+	b := newFixture(t)
 	plain := b.plain("treasury-1")
 	status, _ := b.get("Treasury/Pay", payment, HeaderKey, "pay-1")
 	require.Equal(t, 200, status)
@@ -134,7 +134,7 @@
 }
 
 func TestATrueAnswerIsGivenThoughItsClaimCannotBeFinished(t *testing.T) {
-	b := newBench(t)
+	b := newFixture(t)
 	plain := b.plain("treasury-1")
 	b.claims.failFinish = true
 	status, text := b.get("Treasury/Pay", payment, HeaderKey, "pay-1")
@@ -149,7 +149,7 @@
 // A claim whose opening fails may be that of an earlier request: cancelling it
 // would make "not run" false.
 func TestAFailedOpeningDoesNotCancelTheClaimOfAnEarlierRequest(t *testing.T) {
-	b := newBench(t)
+	b := newFixture(t)
 	plain := b.plain("treasury-1")
 	plain.Inject(standin.Fault{Kind: standin.FaultCut, Times: 1})
 	status, _ := b.get("Treasury/Pay", payment, HeaderKey, "pay-1")
@@ -166,7 +166,7 @@
 }
 
 func TestAKeyIsDispatchedOnceThoughTheQuorumOpensItTwice(t *testing.T) {
-	b := newBench(t)
+	b := newFixture(t)
 	plain := b.plain("treasury-1")
 	b.claims.failFinish = true
 	status, _ := b.get("Treasury/Pay", payment, HeaderKey, "pay-1")
@@ -181,7 +181,7 @@
 }
 
 func TestAnAnswerTooLongToStoreIsToldAsRun(t *testing.T) {
-	b := newBench(t, WithStoredBytes(8))
+	b := newFixture(t, WithStoredBytes(8))
 	b.plain("treasury-1")
 	status, _ := b.get("Treasury/Pay", payment, HeaderKey, "pay-1")
 	require.Equal(t, 200, status)
@@ -191,7 +191,7 @@
 }
 
 func TestAFilingStreamIsStoredAndReplayed(t *testing.T) {
-	b := newBench(t)
+	b := newFixture(t)
 	engine := b.engine(standin.EngineSettings{Name: "engine-1"})
 	status, text := b.get("Reviews/File", dossier, HeaderKey, "file-1")
 	require.Equal(t, 200, status)
@@ -203,7 +203,7 @@
 }
 
 func TestACutFilingIsNotResumed(t *testing.T) {
-	b := newBench(t)
+	b := newFixture(t)
 	engine := b.engine(standin.EngineSettings{Name: "engine-1"})
 	b.engine(standin.EngineSettings{Name: "engine-2"})
 	b.retries("Reviews", 5)
@@ -216,7 +216,7 @@
 }
 
 func TestAPaymentRunsToItsEndWhenItsCallersTimeoutIsShort(t *testing.T) {
-	b := newBench(t)
+	b := newFixture(t)
 	plain, err := standin.NewPlain(clockwork.NewRealClock(), standin.PlainSettings{Name: "treasury-1", Latency: 100 * time.Millisecond})
 	require.NoError(t, err)
 	t.Cleanup(plain.Close)
@@ -229,7 +229,7 @@
 
 func TestAPaymentRunsToItsEndWhenItsCallerGoesAway(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	b := newBench(t)
+	b := newFixture(t)
 	b.catalog.fleet.Services[1].Timeouts.FirstByte = patience
 	plain, err := standin.NewPlain(clock, standin.PlainSettings{Name: "treasury-1", Latency: time.Minute})
 	require.NoError(t, err)
@@ -257,7 +257,7 @@
 // However often a payment is sent, and whatever its targets do, it runs at most
 // once, and an answer "not run" to its first sending is true.
 func TestAPaymentRunsAtMostOnce(t *testing.T) {
-	b := newBench(t, WithAnswerBytes(1<<20))
+	b := newFixture(t, WithAnswerBytes(1<<20))
 	b.catalog.fleet.Services[1].Timeouts.FirstByte = 30 * time.Millisecond
 	b.permit("treasury-0", closedPort(t))
 	plains := []*standin.Plain{b.plain("treasury-1"), b.plain("treasury-2")}
@@ -286,7 +286,7 @@
 }
 
 // sendTogether sends a payment several times at once and counts the answers.
-func (b *bench) sendTogether(key string, senders int) map[string]int {
+func (b *fixture) sendTogether(key string, senders int) map[string]int {
 	var mu sync.Mutex
 	var group sync.WaitGroup
 	answers := map[string]int{}
--- a/gateway/path_test.go
+++ b/gateway/path_test.go
@@ -9,7 +9,7 @@
 )
 
 func TestAStreamArrivesWhole(t *testing.T) {
-	b := newBench(t)
+	b := newFixture(t)
 	engine := b.engine(standin.EngineSettings{Name: "engine-1", Tokens: 20})
 	const body = `{"Tokens":20,"Prompt":"dossier 17"}`
 
@@ -31,7 +31,7 @@
 }
 
 func TestAPlainAnswerArrivesWhole(t *testing.T) {
-	b := newBench(t)
+	b := newFixture(t)
 	plain := b.plain("treasury-1")
 
 	status, text := b.get("Treasury/Pay", `{"Amount":3}`, HeaderKey, "pay-1")
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -2,16 +2,16 @@
 
 // record keeps a streamed answer for its claim. A nil record keeps nothing.
 type record struct {
-	visit  *visit
-	answer Answer
+	exchange *exchange
+	answer   Answer
 }
 
 // newRecord returns a record for a request with a key, nil for one without.
-func (v *visit) newRecord(status int) *record {
-	if v.key == "" {
+func (x *exchange) newRecord(status int) *record {
+	if x.key == "" {
 		return nil
 	}
-	return &record{visit: v, answer: Answer{Status: status, ContentType: contentStream}}
+	return &record{exchange: x, answer: Answer{Status: status, ContentType: contentStream}}
 }
 
 // add keeps a part of the answer, until it is too long.
@@ -19,7 +19,7 @@
 	if r == nil || r.answer.Truncated {
 		return
 	}
-	if len(r.answer.Body)+len(part) > r.visit.gateway.settings.storedBytes {
+	if len(r.answer.Body)+len(part) > r.exchange.gateway.settings.storedBytes {
 		r.answer.Body = nil
 		r.answer.Truncated = true
 		return
@@ -30,13 +30,13 @@
 // done commits the whole answer.
 func (r *record) done() {
 	if r != nil {
-		r.visit.store(r.answer)
+		r.exchange.store(r.answer)
 	}
 }
 
 // failed commits that the request may have run.
 func (r *record) failed() {
 	if r != nil {
-		r.visit.doubtClaim()
+		r.exchange.doubtClaim()
 	}
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -22,7 +22,7 @@
 // relay is the body of a streamed answer. Each Read waits for one event and adds
 // those that have arrived with it; the HTTP server sends them as one chunk.
 type relay struct {
-	*visit
+	*exchange
 	attempt *attempt
 	record  *record
 
@@ -147,7 +147,7 @@
 func (r *relay) end() {
 	end := r.attempt.answer.End()
 	r.finish(r.attempt, admission.OutcomeDone)
-	r.gateway.logDone(r.exchange, r.attempt, end.Warm)
+	r.gateway.logDone(r.dispatcher, r.attempt, end.Warm)
 	r.gateway.meters.answered.Inc(1)
 	r.gateway.meters.repeated.Inc(int64(end.Repeated))
 	data, _ := json.Marshal(endBody{
@@ -170,7 +170,7 @@
 	r.err = errBroken
 }
 
-// Close ends the visit. A stream whose caller has gone is stopped on the
+// Close ends the exchange. A stream whose caller has gone is stopped on the
 // target, but a call that runs at most once is read to its end.
 func (r *relay) Close() error {
 	if r.closed {
--- a/gateway/relay_bench_test.go
+++ b/gateway/relay_bench_test.go
@@ -23,7 +23,7 @@
 // read from the engine directly, in turns. It reports the share of the direct
 // throughput, and the time that a hop adds to a request and to a chunk.
 func BenchmarkRelay(b *testing.B) {
-	bench := newBench(b)
+	bench := newFixture(b)
 	engine := bench.engine(standin.EngineSettings{Name: "engine-1"})
 	direct := func(body string) { readStream(b, bench.client, engine.Address(), body) }
 	through := func(body string) { readStream(b, bench.client, bench.address, body) }
@@ -44,7 +44,7 @@
 
 // BenchmarkRelayParallel compares the throughput of many streams at once.
 func BenchmarkRelayParallel(b *testing.B) {
-	bench := newBench(b)
+	bench := newFixture(b)
 	engine := bench.engine(standin.EngineSettings{Name: "engine-1"})
 	var elapsed [2]time.Duration
 	for i, run := range []func(){
--- a/gateway/retry_test.go
+++ b/gateway/retry_test.go
@@ -13,7 +13,7 @@
 // sendings a request.
 func TestRetriesStayAShareOfTheTrafficWhenEverythingIsDown(t *testing.T) {
 	const requests = 300
-	b := newBench(t)
+	b := newFixture(t)
 	var plains []*standin.Plain
 	for _, name := range []string{"treasury-1", "treasury-2", "treasury-3"} {
 		plain := b.plain(name)
@@ -61,7 +61,7 @@
 }
 
 func TestARetryEndsWithTheCallersDeadline(t *testing.T) {
-	b := newBench(t, WithBackoff(time.Hour))
+	b := newFixture(t, WithBackoff(time.Hour))
 	b.plain("treasury-1").Inject(standin.Fault{Kind: standin.FaultCut})
 	b.retries("Treasury", 5)
 	status, text := b.get("Treasury/Balance", `{}`, HeaderTimeout, "5s")
@@ -71,7 +71,7 @@
 }
 
 func TestTheOnlyTargetIsTriedAgain(t *testing.T) {
-	b := newBench(t)
+	b := newFixture(t)
 	plain := b.plain("treasury-1")
 	plain.Inject(standin.Fault{Kind: standin.FaultCut, Times: 1})
 	b.retries("Treasury", 1)
--- a/gateway/silent_test.go
+++ b/gateway/silent_test.go
@@ -14,7 +14,7 @@
 )
 
 // lossy puts a relay that can lose connections before a target.
-func (b *bench) lossy(address string) *standin.Blackhole {
+func (b *fixture) lossy(address string) *standin.Blackhole {
 	hole, err := standin.NewBlackhole(address)
 	require.NoError(b.t, err)
 	b.t.Cleanup(hole.Close)
@@ -25,7 +25,7 @@
 }
 
 func TestIdempotentWorkMovesFromASilentConnectionToANewOne(t *testing.T) {
-	b := newBench(t)
+	b := newFixture(t)
 	plain := b.plain("treasury-1")
 	hole := b.lossy(plain.Address())
 	b.get("Treasury/Balance", `{}`)
@@ -41,7 +41,7 @@
 }
 
 func TestAPaymentNeverGoesOnAnOldConnection(t *testing.T) {
-	b := newBench(t)
+	b := newFixture(t)
 	plain := b.plain("treasury-1")
 	hole := b.lossy(plain.Address())
 	b.get("Treasury/Balance", `{}`)
@@ -53,7 +53,7 @@
 }
 
 func TestAStreamOnAConnectionThatGoesSilentIsResumed(t *testing.T) {
-	b := newBench(t)
+	b := newFixture(t)
 	engine := b.engine(standin.EngineSettings{Name: "engine-1", Gap: 20 * time.Millisecond})
 	hole := b.lossy(engine.Address())
 	response := b.post("Reviews/Draft", dossier)
@@ -74,7 +74,7 @@
 
 func TestStreamsMoveFromAnEngineThatDies(t *testing.T) {
 	const streams = 30
-	b := newBench(t)
+	b := newFixture(t)
 	b.catalog.fleet.Services[0].Timeouts.Gap = patience
 	dying := b.engine(standin.EngineSettings{Name: "engine-1", Gap: 10 * time.Millisecond})
 	b.engine(standin.EngineSettings{Name: "engine-2"})
@@ -96,7 +96,7 @@
 }
 
 func TestATargetThatIsSilentAltogetherIsGivenUp(t *testing.T) {
-	b := newBench(t)
+	b := newFixture(t)
 	plain := b.plain("treasury-1")
 	hole := b.lossy(plain.Address())
 	hole.LoseAll(true)
--- a/gateway/whole_test.go
+++ b/gateway/whole_test.go
@@ -13,7 +13,7 @@
 const dossier = `{"Tokens":12,"Prompt":"dossier 17"}`
 
 // retries lets the next requests of a service be retried.
-func (b *bench) retries(service string, n int) {
+func (b *fixture) retries(service string, n int) {
 	found := b.gateway.budgets.of(service)
 	found.mu.Lock()
 	defer found.mu.Unlock()
@@ -21,7 +21,7 @@
 }
 
 // counter returns the value of a metric without tags.
-func (b *bench) counter(name string) int64 {
+func (b *fixture) counter(name string) int64 {
 	for _, counter := range b.scope.Snapshot().Counters() {
 		if counter.Name() == name && len(counter.Tags()) == 0 {
 			return counter.Value()
@@ -51,7 +51,7 @@
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
-			b := newBench(t)
+			b := newFixture(t)
 			first := b.engine(standin.EngineSettings{Name: "engine-1"})
 			b.engine(standin.EngineSettings{Name: "engine-2"})
 			b.retries("Reviews", 1)
@@ -80,7 +80,7 @@
 	}
 	for name, fault := range faults {
 		t.Run(name, func(t *testing.T) {
-			b := newBench(t)
+			b := newFixture(t)
 			engine := b.engine(standin.EngineSettings{Name: "engine-1", Gap: time.Millisecond})
 			b.admitter.targets[0].Resumes = false
 			engine.Inject(fault)
@@ -106,7 +106,7 @@
 		standin.FaultNeverEnding, standin.FaultError,
 	} {
 		t.Run(string(kind), func(t *testing.T) {
-			b := newBench(t, WithAnswerBytes(1<<20))
+			b := newFixture(t, WithAnswerBytes(1<<20))
 			first := b.plain("treasury-1")
 			second := b.plain("treasury-2")
 			b.retries("Treasury", 1)
@@ -121,7 +121,7 @@
 }
 
 func TestADuplicatedPlainAnswerDoesNotReachAnotherRequest(t *testing.T) {
-	b := newBench(t)
+	b := newFixture(t)
 	plain := b.plain("treasury-1")
 	plain.Inject(standin.Fault{Kind: standin.FaultDuplicated})
 	for _, key := range []string{"a", "b", "c", "d"} {
@@ -132,7 +132,7 @@
 }
 
 func TestALateAnswerDoesNotReachAnotherRequest(t *testing.T) {
-	b := newBench(t)
+	b := newFixture(t)
 	plain := b.plain("treasury-1")
 	plain.Inject(standin.Fault{Kind: standin.FaultLate, Times: 1, Delay: 600 * time.Millisecond})
 
@@ -148,7 +148,7 @@
 }
 
 func TestAReleaseTellsTheFirstByteTime(t *testing.T) {
-	b := newBench(t)
+	b := newFixture(t)
 	first := b.engine(standin.EngineSettings{Name: "engine-1"})
 	b.engine(standin.EngineSettings{Name: "engine-2", FirstByte: 20 * time.Millisecond})
 	b.retries("Reviews", 1)
@@ -169,7 +169,7 @@
 }
 
 func TestAPermitIsReleasedOnceWhenAResumeFails(t *testing.T) {
-	b := newBench(t)
+	b := newFixture(t)
 	first := b.engine(standin.EngineSettings{Name: "engine-1"})
 	second := b.engine(standin.EngineSettings{Name: "engine-2"})
 	first.Inject(standin.Fault{Kind: standin.FaultCrossed, After: 4})
@@ -185,7 +185,7 @@
 // Whatever the targets do, a caller gets its whole answer or sees that it did
 // not.
 func TestAnAnswerIsWholeOrFailsVisibly(t *testing.T) {
-	b := newBench(t)
+	b := newFixture(t)
 	b.catalog.fleet.Services[0].Timeouts.Gap = 30 * time.Millisecond
 	b.catalog.fleet.Services[0].Timeouts.FirstByte = 30 * time.Millisecond
 	engines := []*standin.Engine{
