--- a/gateway/failure.go
+++ b/gateway/failure.go
@@ -108,9 +108,20 @@
 	return failure(status, Code(refusal.Code), refusal.Message).after(refusal.RetryAfter)
 }
 
+// echoRequest names the request in an answer that does not name it yet.
+func echoRequest(ctx *fasthttp.RequestCtx) {
+	if len(ctx.Response.Header.Peek(HeaderRequest)) > 0 {
+		return
+	}
+	if id := string(ctx.Request.Header.Peek(HeaderRequest)); id != "" && len(id) <= maxNameBytes && printable(id) {
+		ctx.Response.Header.Set(HeaderRequest, id)
+	}
+}
+
 // fail answers a request with a failure.
 func (g *Gateway) fail(ctx *fasthttp.RequestCtx, f *Failure) {
 	ctx.Response.ResetBody()
+	echoRequest(ctx)
 	ctx.SetStatusCode(f.Status)
 	ctx.SetContentType(contentJSON)
 	if f.RetryAfter > 0 {
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -83,9 +83,7 @@
 	b.client = &http.Client{Transport: transport}
 	t.Cleanup(func() {
 		transport.CloseIdleConnections()
-		ctx, cancel := context.WithTimeout(context.Background(), patience)
-		defer cancel()
-		_ = b.gateway.Drain(ctx)
+		_ = listener.Close()
 	})
 	return b
 }
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -85,6 +85,21 @@
 	require.Equal(t, 200, status, "the gateway still serves")
 }
 
+func TestARefusalNamesTheRequestToo(t *testing.T) {
+	b := newFixture(t)
+	for path, body := range map[string]string{
+		"Treasury/Pay":  strings.Repeat("x", 1<<10+1),
+		"Else/Pay":      "",
+		"Treasury/Else": "",
+	} {
+		response := b.post(path, body, HeaderRequest, "mine-1")
+		_, err := read(response)
+		require.NoError(t, err)
+		require.GreaterOrEqual(t, response.StatusCode, 400)
+		require.Equal(t, "mine-1", response.Header.Get(HeaderRequest), path)
+	}
+}
+
 func TestASlowSenderIsTimedOut(t *testing.T) {
 	b := newFixture(t, WithReadTimeout(50*time.Millisecond))
 	for name, raw := range map[string]string{
--- a/gateway/retry_test.go
+++ b/gateway/retry_test.go
@@ -13,28 +13,38 @@
 // sendings a request.
 func TestRetriesStayAShareOfTheTrafficWhenEverythingIsDown(t *testing.T) {
 	const requests = 300
-	b := newFixture(t)
-	var plains []*standin.Plain
-	for _, name := range []string{"treasury-1", "treasury-2", "treasury-3"} {
-		plain := b.plain(name)
-		plain.Inject(standin.Fault{Kind: standin.FaultCut})
-		plains = append(plains, plain)
-	}
-	for range requests {
-		response := b.post("Treasury/Balance", `{}`)
-		text, err := read(response)
-		require.NoError(t, err)
-		require.Equal(t, 502, response.StatusCode)
-		require.Contains(t, text, `"RetryAfter":1`)
-		require.Equal(t, "1", response.Header.Get("Retry-After"))
+	cases := []struct {
+		name   string
+		status int
+		down   func(b *fixture, name string)
+	}{
+		{"answers cut", 502, func(b *fixture, name string) {
+			b.plain(name).Inject(standin.Fault{Kind: standin.FaultCut})
+		}},
+		{"answers with an error", 502, func(b *fixture, name string) {
+			b.plain(name).Inject(standin.Fault{Kind: standin.FaultError})
+		}},
+		{"unreachable", 503, func(b *fixture, name string) { b.permit(name, closedPort(b.t)) }},
 	}
-	sent := 0
-	for _, plain := range plains {
-		sent += plain.Total()
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			b := newFixture(t)
+			for _, name := range []string{"treasury-1", "treasury-2", "treasury-3"} {
+				test.down(b, name)
+			}
+			for range requests {
+				response := b.post("Treasury/Balance", `{}`)
+				text, err := read(response)
+				require.NoError(t, err)
+				require.Equal(t, test.status, response.StatusCode)
+				require.Contains(t, text, `"RetryAfter":1`)
+				require.Equal(t, "1", response.Header.Get("Retry-After"))
+			}
+			sent := b.counter("attempts")
+			require.Greater(t, sent, int64(requests), "some are retried")
+			require.LessOrEqual(t, float64(sent), 1.1*requests)
+		})
 	}
-	require.GreaterOrEqual(t, sent, requests)
-	require.LessOrEqual(t, float64(sent), 1.1*requests)
-	require.Positive(t, b.counter("retries"))
 }
 
 func TestTheBudgetNeverAllowsMoreThanItsShare(t *testing.T) {
