--- a/target/web/client_test.go
+++ b/target/web/client_test.go
@@ -95,7 +95,8 @@
 }
 
 func TestConnectionsAreKeptOnlyForAWholeAnswerAndAShortTime(t *testing.T) {
-	s := newScript(t, okAnswer, okAnswer, okAnswer, okAnswer)
+	const cutAnswer = "HTTP/1.1 200 OK\r\nComfreytiller-Request: r\r\nContent-Length: 5\r\n\r\n"
+	s := newScript(t, okAnswer, okAnswer, cutAnswer, okAnswer)
 	clock := clockwork.NewFakeClock()
 	client := NewClient(clock, WithDialTimeout(0), WithMaxIdle(time.Second))
 	defer client.Close()
@@ -146,6 +147,33 @@
 	}
 }
 
+func TestOneDeadConnectionEndsTheOthersKeptToItsTarget(t *testing.T) {
+	s := newScript(t, okAnswer, okAnswer, "", okAnswer)
+	client := NewClient(clockwork.NewRealClock(), WithMaxIdle(time.Hour))
+	defer client.Close()
+	var answers []target.Answer
+	for range 2 {
+		answer, err := client.Send(context.Background(), s.call())
+		require.NoError(t, err)
+		answers = append(answers, answer)
+	}
+	for _, answer := range answers {
+		_, err := answer.Body(10)
+		require.NoError(t, err)
+		answer.Close()
+	}
+	call := s.call()
+	call.FirstByte = 20 * time.Millisecond
+	_, err := client.Send(context.Background(), call)
+	var sendError *target.SendError
+	require.ErrorAs(t, err, &sendError)
+	require.True(t, sendError.Reused)
+	answer, err := client.Send(context.Background(), s.call())
+	require.NoError(t, err)
+	answer.Close()
+	require.Len(t, s.conns, 3, "the other kept connection is not used")
+}
+
 func TestAFreshCallNeverUsesAnOldConnection(t *testing.T) {
 	s := newScript(t, okAnswer, okAnswer)
 	client := NewClient(clockwork.NewRealClock())
