--- a/placement/fakes_test.go
+++ b/placement/fakes_test.go
@@ -68,6 +68,8 @@
 	// bytes.
 	mostLoads int
 	loaded    int64
+	// storeRate is what the weight store gives; 0 for what the text says.
+	storeRate int64
 }
 
 func newFakeFleet(text *fleet.Fleet, targets []*fakeTarget, options ...placement.Option) *fakeFleet {
@@ -227,6 +229,9 @@
 }
 
 func (f *fakeFleet) rate() int64 {
+	if f.storeRate > 0 {
+		return f.storeRate
+	}
 	if f.text.Store.BytesPerSecond > 0 {
 		return f.text.Store.BytesPerSecond
 	}
--- a/placement/handover_test.go
+++ b/placement/handover_test.go
@@ -60,12 +60,14 @@
 }
 
 func TestHandoverBudgetAndRate(t *testing.T) {
-	f, chats := drained(8, func(l *placement.HandoverLimits) { l.BytesPerTarget = 5 * gibibyte })
+	f, chats := drained(30, func(l *placement.HandoverLimits) {
+		l.BytesPerTarget, l.BytesPerSecond, l.PrefillBytesPerSecond = 15*gibibyte, gibibyte/4, 1
+	})
 	f.planner.Chats(f.now, "engine-000", chats)
-	f.run(2)
-	require.LessOrEqual(t, len(f.movedChats()), 4, "one gibibyte a second and one batch ahead")
-	f.run(60)
-	require.Len(t, f.movedChats(), 5)
+	f.run(20)
+	require.LessOrEqual(t, len(f.movedChats()), 20/4+4, "the rate and two batches ahead of it")
+	f.run(100)
+	require.Len(t, f.movedChats(), 15)
 }
 
 func TestHandoverEnds(t *testing.T) {
--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -271,6 +271,15 @@
 	f.run(1)
 	require.Len(t, f.sent, 1)
 
+	f = settled(text, 2, 2)
+	f.pins["engine-001"] = "Answers"
+	f.configure()
+	f.run(5)
+	require.Len(t, f.recorded, 1)
+	require.Empty(t, f.sent, "not all hosts know of the order yet")
+	f.run(2)
+	require.Len(t, f.sent, 1)
+
 	f = settled(text, 2, 2)
 	f.pins["engine-001"] = "Answers"
 	f.target("engine-001").InFlight = 1
@@ -314,6 +323,9 @@
 	require.Greater(t, len(f.sent), 1)
 	require.Equal(t, f.sent[0].ID, f.sent[1].ID)
 	require.Len(t, e.ran, 1)
+	f.planner.OrderRecorded(f.now, f.sent[0].ID)
+	f.run(1)
+	require.Len(t, f.sent, 2, "a log that answers twice changes nothing")
 	e.restart()
 	f.run(30)
 	require.Equal(t, 1, f.ready("Reviews"))
@@ -340,12 +352,20 @@
 // TestOldLeader has a paused leader wake after its successor has begun, with
 // targets that check fencing numbers and targets that don't.
 func TestOldLeader(t *testing.T) {
-	f := newFakeFleet(textOf(service("Reviews", "large", "1", 6, 1)), engines(6, "a", "b"))
+	for _, rate := range []int64{0, gibibyte} {
+		testOldLeader(t, rate)
+	}
+}
+
+func testOldLeader(t *testing.T, rate int64) {
+	text := textOf(service("Reviews", "large", "1", 6, 1))
+	text.Store.BytesPerSecond = rate
+	f := newFakeFleet(text, engines(6, "a", "b"), placement.WithModelBytes(modelSize))
 	f.run(18)
 	old, authority := f.planner, f.now.Add(2*time.Second)
 	inFlight := len(f.recorded)
 	require.Equal(t, 2, inFlight)
-	f.elect()
+	f.elect(placement.WithModelBytes(modelSize))
 	sent := len(f.sent)
 	f.run(4)
 	require.Len(t, f.sent, sent, "the last leader's authority is waited out")
@@ -360,6 +380,34 @@
 	}
 }
 
+// TestAdoptedOrdersFreeTheStore takes the domain out whose loads a new leader
+// has taken over.
+func TestAdoptedOrdersFreeTheStore(t *testing.T) {
+	f := newFakeFleet(textOf(service("Reviews", "large", "1", 2, 1)), engines(4, "a", "b"))
+	f.run(18)
+	for _, o := range f.recorded {
+		f.target(o.Target).FailureDomain = "c"
+	}
+	f.domains = map[string]bool{"c": true}
+	for _, e := range f.targets {
+		e.ignoresOrders = e.FailureDomain == "c"
+	}
+	f.elect()
+	f.run(150)
+	require.Equal(t, 2, f.ready("Reviews"))
+}
+
+func TestStoreRate(t *testing.T) {
+	f := newFakeFleet(textOf(service("Reviews", "large", "1", 6, 1)), engines(6, "a"), placement.WithModelBytes(modelSize))
+	f.storeRate = 100 * gibibyte
+	f.run(15)
+	for second := range 60 {
+		f.run(1)
+		require.LessOrEqual(t, f.loaded, int64(second+1)*gibibyte+2*modelSize)
+	}
+	require.Equal(t, 6, f.ready("Reviews"))
+}
+
 func TestOldFenceIsRefused(t *testing.T) {
 	text := textOf(service("Reviews", "large", "1", 1, 1))
 	text.Services[0].Placement.Max = 1
