--- a/placement/engine.go
+++ b/placement/engine.go
@@ -82,6 +82,15 @@
 	}
 }
 
+// detach removes the link to an order that has ended.
+func (e *engine) detach(o *pending) {
+	for _, link := range []**pending{&e.order, &e.exporting, &e.importing} {
+		if *link == o {
+			*link = nil
+		}
+	}
+}
+
 // lost reports whether the target has been missing or unready for longer than
 // the grace.
 func (e *engine) lost(now time.Time, grace time.Duration) bool {
--- a/placement/handover.go
+++ b/placement/handover.go
@@ -157,6 +157,8 @@
 		return "the target is gone"
 	case e.Incarnation != t.incarnation:
 		return "the target restarted"
+	case e.Service == "":
+		return "the target serves nothing"
 	case p.inService(e):
 		return "the target is back"
 	case now.Sub(t.since) >= p.handover.limits.Window:
--- a/placement/lifecycle.go
+++ b/placement/lifecycle.go
@@ -277,14 +277,7 @@
 func (p *Planner) close(now time.Time, o *pending, outcome Outcome, reason string) {
 	p.orders = slices.DeleteFunc(p.orders, func(other *pending) bool { return other == o })
 	e := p.engines[o.Target]
-	switch o.Kind {
-	case ExportCache:
-		e.exporting = nil
-	case ImportCache:
-		e.importing = nil
-	default:
-		e.order = nil
-	}
+	e.detach(o)
 	if o.Kind == LoadModel && !o.wasSent() {
 		p.store.cancel(now, o.Bytes)
 	}
--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -81,6 +81,24 @@
 	require.Equal(t, 2, f.ready("Reviews"))
 }
 
+func TestSmallEditMovesLittle(t *testing.T) {
+	text := textOf(service("Reviews", "large", "1", 2, 2), service("Answers", "small", "1", 2, 2), service("Filing", "tiny", "1", 2, 2))
+	f := settled(text, 9, 3, 3, 3)
+	text.Services[0].Limits.Queue = 7
+	text.Services[1].Placement.Min = 1
+	f.configure()
+	f.run(100)
+	require.Empty(t, f.closed)
+	text.Services[0].Placement.Min = 4
+	f.configure()
+	f.run(100)
+	require.Len(t, f.closed, 1)
+	text.Services = text.Services[:2]
+	f.configure()
+	f.run(100)
+	require.Len(t, f.closed, 3, "only the two targets that are left of the removed service change")
+}
+
 func TestWishImpossible(t *testing.T) {
 	f := settled(textOf(service("Reviews", "large", "1", 3, 1), service("Answers", "small", "1", 2, 1)), 4, 3)
 	f.run(200)
@@ -209,6 +227,11 @@
 	}
 	require.Equal(t, 1, fresh, "nothing outside the first domain has changed, and nothing goes back")
 
+	joined := engines(7, "a")[6]
+	f.targets = append(f.targets, joined)
+	f.run(60)
+	require.Equal(t, "1", joined.Version, "a stopped roll falls back to the build that works")
+
 	f.target("engine-003").failLoads = false
 	f.text.Services[0].Version = "3"
 	f.configure()
--- a/placement/roll.go
+++ b/placement/roll.go
@@ -17,13 +17,12 @@
 
 // updateRoll notes the build that works: the wish once all targets have it, else
 // the most common one of those that an older text must have asked for.
-func (p *Planner) updateRoll(s *service) {
+func (s *service) updateRoll(members []*engine) {
 	wish := buildOf(&s.Service)
 	var others []build
 	matching := 0
-	for _, name := range p.names {
-		e := p.engines[name]
-		if e.Service != s.Name || !e.Ready || e.mismatched {
+	for _, e := range members {
+		if !e.Ready || e.mismatched {
 			continue
 		}
 		if wish.loadedOn(&e.TargetState) {
