Fit the orders to the log and to what targets take

The log gives each order its own fencing number; the planner keeps the higher one of that and the leader's, also for adopted orders. Targets take no order to unload, so Unload is an option, off by default: a target above the maximum stays and the status says why. Refused has the protocol's name.

--- a/placement/dispatch.go
+++ b/placement/dispatch.go
@@ -81,7 +81,10 @@
 		case a.goal[i] == a.from[i] && a.goal[i] != none:
 		case a.goal[i] != none:
 			moves = append(moves, move{engine: e, service: a.services[a.goal[i]], reason: a.reason[i]})
-		case e.Service != "" && !a.fixed[i]:
+		case e.Service == "" || a.fixed[i]:
+		case !p.unloads:
+			p.waits[e.Name] = "no service needs it, and targets take no order to unload"
+		default:
 			moves = append(moves, move{engine: e, reason: ReasonSurplus})
 		}
 	}
--- a/placement/goal.go
+++ b/placement/goal.go
@@ -107,7 +107,7 @@
 func (p *Planner) repairSpread(a *assignment) {
 	for service, s := range a.services {
 		for len(a.spread[service]) < a.spreadGoal(service) {
-			if !a.spreadBySpare(service) && !a.spreadByExchange(service) {
+			if !a.spreadBySpare(service, p.unloads) && !a.spreadByExchange(service) {
 				text := fmt.Sprintf("%s is in %d of %d failure domains", s.Name, len(a.spread[service]), s.Placement.Spread)
 				p.alarms.raise(Alarm{Kind: AlarmSpreadUnmet, Service: s.Name, Text: text})
 				break
@@ -117,15 +117,20 @@
 }
 
 // spreadBySpare takes an engine in a new domain. A service at its maximum gives
-// one in its most crowded domain back in its place.
-func (a *assignment) spreadBySpare(service int) bool {
+// one in its most crowded domain back in its place, which for an idle engine
+// needs targets that unload.
+func (a *assignment) spreadBySpare(service int, unloads bool) bool {
 	i, ok := a.best(service, donorSurplus)
 	if !ok || a.spread[service][a.engines[i].FailureDomain] > 0 {
 		return false
 	}
 	giver := a.goal[i]
+	room := a.services[service].hasRoom(a.count[service])
+	if !room && giver == none && !unloads {
+		return false
+	}
 	a.move(i, service, ReasonSpread)
-	if a.services[service].hasRoom(a.count[service] - 1) {
+	if room {
 		return true
 	}
 	if back, found := a.release(service); found && back != i {
--- a/placement/handover.go
+++ b/placement/handover.go
@@ -18,6 +18,8 @@
 	BytesPerTarget int64
 	// BatchBytes is the most that one order moves.
 	BatchBytes int64
+	// ChatBytes is taken for a chat whose size is not known.
+	ChatBytes int64
 	// PrefillBytesPerSecond is the rate at which an engine makes the same cache
 	// anew. A chat is moved only while its chance to return outweighs the
 	// transfer: chance × bytes / prefill rate > bytes / transfer rate.
@@ -34,6 +36,7 @@
 		BytesPerSecond:        1 << 30,
 		BytesPerTarget:        64 << 30,
 		BatchBytes:            2 << 30,
+		ChatBytes:             64 << 20,
 		PrefillBytesPerSecond: 200 << 20,
 		HalfLife:              20 * time.Minute,
 		Window:                2 * time.Minute,
@@ -42,9 +45,11 @@
 
 // ChatState is a chat whose cache is warm on a target.
 type ChatState struct {
-	Chat  string
+	Chat string
+	// Bytes is the size of the cache; 0 for unknown.
 	Bytes int64
-	// LastUsed is when the chat's last request ran, Turns how many it has had.
+	// LastUsed is when the chat's last request ran, Turns how many it has had;
+	// 0 counts as one.
 	LastUsed time.Time
 	Turns    int
 }
@@ -96,6 +101,11 @@
 		slices.SortFunc(p.handover.transfers, func(a, b *transfer) int { return strings.Compare(a.source, b.source) })
 	}
 	t.chats = slices.Clone(chats)
+	for i := range t.chats {
+		if t.chats[i].Bytes <= 0 {
+			t.chats[i].Bytes = p.handover.limits.ChatBytes
+		}
+	}
 	if t.batch != nil {
 		t.chats = slices.DeleteFunc(t.chats, func(c ChatState) bool { return t.batch.holds(c.Chat) })
 	}
@@ -122,7 +132,7 @@
 // chat has had and halves with each half-life of silence.
 func (h *handover) chance(now time.Time, c ChatState) float64 {
 	idle := max(0, now.Sub(c.LastUsed))
-	habit := 1 - math.Exp2(-float64(c.Turns))
+	habit := 1 - math.Exp2(-float64(max(1, c.Turns)))
 	return habit * math.Exp2(-idle.Seconds()/h.limits.HalfLife.Seconds())
 }
 
--- a/placement/lifecycle.go
+++ b/placement/lifecycle.go
@@ -6,9 +6,11 @@
 	"time"
 )
 
-// OrderRecorded says that the log holds the order.
-func (p *Planner) OrderRecorded(now time.Time, id string) {
+// OrderRecorded says that the log holds the order, under a fencing number that
+// grows with each record; 0 keeps the leader's.
+func (p *Planner) OrderRecorded(now time.Time, id string, fence uint64) {
 	if o := p.order(id); o != nil && o.state == Recording {
+		o.Fence = max(o.Fence, fence)
 		o.enter(now, Draining)
 	}
 }
@@ -42,7 +44,7 @@
 		}
 	case Failed:
 		p.fail(now, o, OutcomeFailed, Alarm{Kind: AlarmOrderFailed, Text: reply.Reason})
-	case OldFence:
+	case Refused:
 		text := fmt.Sprintf("it has seen a higher fencing number than %d", o.Fence)
 		p.fail(now, o, OutcomeFailed, Alarm{Kind: AlarmOldFence, Text: text})
 	}
--- a/placement/order.go
+++ b/placement/order.go
@@ -29,7 +29,8 @@
 type Order struct {
 	// ID stays the same when the order is sent again.
 	ID string
-	// Fence is the fencing number of the leader that sends the order.
+	// Fence is the fencing number: that of the order's place in the log, or the
+	// leader's if that is higher.
 	Fence  uint64
 	Target string
 	// Incarnation is the start of the target that the order is meant for; any
@@ -99,8 +100,9 @@
 	Done OrderResult = "Done"
 	// Failed says that the target gave up and is as before, or serves nothing.
 	Failed OrderResult = "Failed"
-	// OldFence says that the target has seen a higher fencing number.
-	OldFence OrderResult = "OldFence"
+	// Refused says that the target has seen a higher fencing number and has not
+	// run the order.
+	Refused OrderResult = "Refused"
 )
 
 // OrderReply answers an order.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -7,7 +7,7 @@
 //  1. RecordOrder: the host commits the order to the log. From then on the owner
 //     of the target's service gives the target no new work (for orders that take
 //     it out of service), whoever leads.
-//  2. The host calls OrderRecorded. The planner waits until the target runs
+//  2. The host calls OrderRecorded, or OrderRefused. The planner waits until the target runs
 //     nothing any more and checks the minimum of its service again.
 //  3. SendOrder: the host sends the order to the target, again and again under
 //     the same ID until its end is known.
@@ -20,12 +20,16 @@
 // takes over the recorded orders and waits out the authority of the last one, and
 // Step gives nothing to send once the leader's own authority has ended.
 //
+// The orders that move KV cache are not recorded: one that is lost or run twice
+// costs only time. A host that copies caches itself may answer ExportCache with
+// Done at once and copy chat by chat from Peer when it is to send ImportCache.
+//
 // # Usage
 //
 //	planner := placement.New(placement.WithAuthorityWait(5 * time.Second))
 //	planner.Configure(now, text, domainsOut, targetsOut, pins)
-//	planner.Lead(now, fence, recorded)
 //	planner.Observe(now, targets)
+//	planner.Lead(now, fence, recorded)
 //	for _, effect := range planner.Step(now, authorityUntil) {
 //		switch e := effect.(type) {
 //		case placement.RecordOrder: // commit e.Order, then OrderRecorded
@@ -111,6 +115,12 @@
 	return func(p *Planner) { p.modelBytes = size }
 }
 
+// WithUnload allows Unload orders, for targets that take them. Without it a
+// target above its service's maximum that no other service needs stays as it is.
+func WithUnload() Option {
+	return func(p *Planner) { p.unloads = true }
+}
+
 // WithHandover sets the limits for moving chats off leaving targets.
 func WithHandover(limits HandoverLimits) Option {
 	return func(p *Planner) { p.handover.limits = limits }
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -15,6 +15,7 @@
 type Planner struct {
 	times      Times
 	modelBytes int64
+	unloads    bool
 
 	text       *fleet.Fleet
 	services   []*service
@@ -161,9 +162,10 @@
 	}
 }
 
-// Lead makes this planner the leader's. The orders are those that the log holds;
-// an earlier leader may have sent any of them. Nothing is sent until that
-// leader's authority must have ended.
+// Lead makes this planner the leader's, after Configure and a first Observe. The
+// orders are those that the log holds and that have not ended; an earlier leader
+// may have sent any of them. Nothing is sent until that leader's authority must
+// have ended.
 func (p *Planner) Lead(now time.Time, fence uint64, outstanding []Order) {
 	p.leading = true
 	p.fence = fence
@@ -190,7 +192,10 @@
 // adopt takes over an order of an earlier leader.
 func (p *Planner) adopt(now time.Time, order Order) {
 	o := &pending{Order: order, state: Draining, since: now, adopted: true, pause: p.times.Resend}
-	o.Fence = p.fence
+	o.Fence = max(order.Fence, p.fence)
+	if o.Kind == LoadModel && o.Bytes == 0 {
+		o.Bytes = p.sizeOf(build{model: o.Model, version: o.Version})
+	}
 	o.SentAt = time.Time{}
 	o.slotUntil = now.Add(p.adoptedSlot(o.Bytes))
 	p.orders = append(p.orders, o)
