Move chats before an order, cancel needless orders, remember failures

A target that drains for another service hands its chats over first. An outage that ends while a target drains for it cancels the order: it moved one target for nothing before. A failed order that the log kept stops the roll under the next leader too.

Found by the tests on the way: the build that works was learned from a target whose order was still open; such targets are left out now.

--- a/placement/effect.go
+++ b/placement/effect.go
@@ -69,6 +69,12 @@
 	OutcomeGone      Outcome = "Gone"
 )
 
+// Failed reports whether the target did not do what the order asked for. The log
+// should keep such an order, for RememberFailure of the next leader.
+func (o Outcome) Failed() bool {
+	return o == OutcomeFailed || o == OutcomeMismatch
+}
+
 // AlarmKind names a condition; it serves as the metric's tag.
 type AlarmKind string
 
--- a/placement/guard.go
+++ b/placement/guard.go
@@ -49,10 +49,8 @@
 // checkServices raises the alarms of services below their minimum.
 func (p *Planner) checkServices() {
 	ready := map[string]int{}
-	members := map[string][]*engine{}
 	for _, name := range p.names {
 		e := p.engines[name]
-		members[e.Service] = append(members[e.Service], e)
 		if p.serves(e) {
 			ready[e.Service]++
 		}
@@ -62,7 +60,6 @@
 			text := fmt.Sprintf("%s has %d of %d targets", s.Name, ready[s.Name], s.Placement.Min)
 			p.alarms.raise(Alarm{Kind: AlarmBelowMinimum, Service: s.Name, Text: text})
 		}
-		s.updateRoll(members[s.Name])
 		if s.roll.stopped {
 			p.alarms.raise(Alarm{Kind: AlarmRollStopped, Service: s.Name, Text: s.roll.reason})
 		}
--- a/placement/handover.go
+++ b/placement/handover.go
@@ -86,13 +86,25 @@
 	return handover{limits: DefaultHandoverLimits()}
 }
 
-// Chats takes the chats that are warm on a target. It is needed for targets that
-// leave or are taken out; a chat that is no longer named is not moved any more.
-func (p *Planner) Chats(now time.Time, target string, chats []ChatState) {
+// HandsOver reports whether the target's chats are to be moved: it leaves, is
+// taken out, or drains for an order to serve another service.
+func (p *Planner) HandsOver(target string) bool {
 	e := p.engines[target]
-	if e == nil || p.inService(e) || !e.MovesCache {
+	return e != nil && e.MovesCache && e.Service != "" && (!p.inService(e) || e.changesService())
+}
+
+// changesService reports whether the target drains for another service.
+func (e *engine) changesService() bool {
+	return e.order != nil && e.order.state == Draining && e.order.Service != e.Service
+}
+
+// Chats takes the chats that are warm on a target for which HandsOver is true. A
+// chat that is no longer named is not moved any more.
+func (p *Planner) Chats(now time.Time, target string, chats []ChatState) {
+	if !p.HandsOver(target) {
 		return
 	}
+	e := p.engines[target]
 	t := p.handover.find(target)
 	if t == nil || t.incarnation != e.Incarnation {
 		p.handover.drop(target)
@@ -169,7 +181,7 @@
 		return "the target restarted"
 	case e.Service == "":
 		return "the target serves nothing"
-	case p.inService(e):
+	case p.inService(e) && !e.changesService():
 		return "the target is back"
 	case now.Sub(t.since) >= p.handover.limits.Window:
 		return "its time is over"
--- a/placement/handover_test.go
+++ b/placement/handover_test.go
@@ -96,6 +96,22 @@
 	}
 }
 
+func TestHandoverBeforeAnOrder(t *testing.T) {
+	text := textOf(service("Reviews", "large", "1", 1, 1), service("Answers", "small", "1", 0, 1))
+	f := settled(text, 3, 3)
+	require.False(t, f.planner.HandsOver("engine-001"))
+	f.pins["engine-001"] = "Answers"
+	f.configure()
+	f.run(2)
+	require.True(t, f.planner.HandsOver("engine-001"))
+	f.planner.Chats(f.now, "engine-001", []placement.ChatState{{Chat: "chat", Turns: 9, LastUsed: f.now}})
+	f.run(30)
+	require.Equal(t, []string{"chat"}, f.movedChats())
+	require.Equal(t, placement.ExportCache, f.sent[0].Kind)
+	require.Equal(t, placement.LoadModel, f.sent[len(f.sent)-1].Kind)
+	require.Equal(t, "Answers", f.target("engine-001").Service)
+}
+
 func TestHandoverGoesToAnotherTarget(t *testing.T) {
 	f, chats := drained(2, func(*placement.HandoverLimits) {})
 	f.target("engine-001").CachedChats = 0
--- a/placement/lifecycle.go
+++ b/placement/lifecycle.go
@@ -122,7 +122,7 @@
 	if now.Before(p.sendAfter) {
 		return
 	}
-	if reason := p.pointless(o, e); reason != "" {
+	if reason := p.pointless(now, o, e); reason != "" {
 		p.refuseSend(now, o, reason)
 		return
 	}
@@ -132,6 +132,10 @@
 		p.checkDrain(now, o, e)
 		return
 	}
+	if p.handover.find(e.Name) != nil {
+		p.waits[e.Name] = "its chats are being moved"
+		return
+	}
 	if wait := p.guard(now, e, p.serving(now)); wait != "" {
 		p.refuseSend(now, o, wait)
 		return
@@ -171,7 +175,7 @@
 }
 
 // pointless returns why an order that was not sent is not wanted any more.
-func (p *Planner) pointless(o *pending, e *engine) string {
+func (p *Planner) pointless(now time.Time, o *pending, e *engine) string {
 	if !p.inService(e) {
 		return "the target is taken out"
 	}
@@ -185,9 +189,28 @@
 	if b := s.build(); b.model != o.Model || b.version != o.Version {
 		return "the wish has changed"
 	}
+	busy := e.Ready && e.Service != "" && e.Service != o.Service
+	if o.Reason == ReasonMinimum && busy && !p.lacksWithout(now, o, e) {
+		return "the service is at its minimum again"
+	}
 	return ""
 }
 
+// lacksWithout reports whether the order's service would lack targets if the
+// order were not there.
+func (p *Planner) lacksWithout(now time.Time, o *pending, e *engine) bool {
+	e.order = nil
+	a := p.newAssignment(now)
+	e.order = o
+	p.applyPins(a)
+	for service, s := range a.services {
+		if s.Name == o.Service {
+			return a.shortage(service) > 0
+		}
+	}
+	return false
+}
+
 // checkDrain ends an order whose target does not run empty.
 func (p *Planner) checkDrain(now time.Time, o *pending, e *engine) {
 	if now.Sub(o.since) < p.times.DrainTimeout {
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -241,6 +241,7 @@
 	}
 	p.until = authorityUntil
 	p.waits = map[string]string{}
+	p.updateRolls()
 	p.progressOrders(now)
 	if !now.Before(p.sendAfter) {
 		p.dispatchWhenInformed(now)
--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -445,6 +445,35 @@
 	require.Equal(t, 1, f.ready("Reviews"), "the other target serves")
 }
 
+func TestShortOutageMovesNothing(t *testing.T) {
+	text := textOf(service("Reviews", "large", "1", 3, 1), service("Answers", "small", "1", 1, 1))
+	f := settled(text, 6, 3, 3)
+	f.domains["a"] = true
+	f.configure()
+	f.run(2)
+	require.NotEmpty(t, f.recorded)
+	f.domains["a"] = false
+	f.configure()
+	f.run(100)
+	require.Empty(t, f.sent, "the order is cancelled while its target drains")
+	require.Empty(t, f.recorded)
+}
+
+func TestRememberedFailureStopsTheRoll(t *testing.T) {
+	f := settled(textOf(service("Reviews", "large", "1", 2, 3)), 6, 6)
+	f.text.Services[0].Version = "2"
+	f.configure()
+	f.planner.RememberFailure(placement.Order{Kind: placement.LoadModel, Service: "Reviews", Model: "large", Version: "2"})
+	f.run(100)
+	require.Empty(t, f.sent)
+	require.True(t, f.alarmed(placement.AlarmRollStopped))
+	f.planner.ResumeRoll("Reviews")
+	f.run(600)
+	for _, e := range f.targets {
+		require.Equal(t, "2", e.Version)
+	}
+}
+
 func TestDomainOutAndBack(t *testing.T) {
 	text := textOf(service("Reviews", "large", "1", 3, 2))
 	f := settled(text, 9, 9)
--- a/placement/roll.go
+++ b/placement/roll.go
@@ -13,6 +13,20 @@
 	// stopped is set by a failure and cleared by a new build in the text.
 	stopped bool
 	reason  string
+	// remembered is a build that failed under an earlier leader.
+	remembered build
+}
+
+// updateRolls notes for each service which build works.
+func (p *Planner) updateRolls() {
+	members := map[string][]*engine{}
+	for _, name := range p.names {
+		e := p.engines[name]
+		members[e.Service] = append(members[e.Service], e)
+	}
+	for _, s := range p.services {
+		s.updateRoll(members[s.Name])
+	}
 }
 
 // updateRoll notes the build that works: the wish once all targets have it, else
@@ -22,7 +36,7 @@
 	var others []build
 	matching := 0
 	for _, e := range members {
-		if !e.Ready || e.mismatched {
+		if !e.Ready || e.mismatched || e.order != nil {
 			continue
 		}
 		if wish.loadedOn(&e.TargetState) {
@@ -37,6 +51,27 @@
 	case s.roll.lastGood.model == "" && len(others) > 0:
 		s.roll.lastGood = mostCommon(others)
 	}
+	s.stopIfRemembered()
+}
+
+// RememberFailure takes an order that failed under an earlier leader. If its
+// build is the one that a service's targets are changing to, the roll stops.
+func (p *Planner) RememberFailure(order Order) {
+	if s := p.byName[order.Service]; s != nil && order.Kind == LoadModel {
+		s.roll.remembered = build{model: order.Model, version: order.Version, adapters: order.Adapters}
+	}
+}
+
+// stopIfRemembered stops a roll whose build has failed before.
+func (s *service) stopIfRemembered() {
+	if s.roll.remembered.model == "" || s.roll.lastGood.model == "" {
+		return
+	}
+	if s.changing() && s.roll.remembered.equal(buildOf(&s.Service)) {
+		s.roll.stopped = true
+		s.roll.reason = fmt.Sprintf("%s %s failed under an earlier leader", s.Model, s.Version)
+	}
+	s.roll.remembered = build{}
 }
 
 func mostCommon(builds []build) build {
