Keep the leases through a moment without a confirmed lead; follow the planner's fences

On a busy disk the lead is unconfirmed for moments; the table of leases and the planner started anew each time, 14 times in 20 s, so that no order was given. Now the term decides; a gap over 500 ms gives every session a whole lease.

--- a/host/placer.go
+++ b/host/placer.go
@@ -37,13 +37,16 @@
 	mu      sync.Mutex
 	digests map[string]hostDigest
 	// answers are the targets' replies on their way to the planner.
-	answers  []placement.OrderReply
-	recorded map[string]bool
+	answers []placement.OrderReply
+	// recorded are the fences of orders that the log has taken; 0 for refused.
+	recorded map[string]uint64
 	status   placement.Status
 
 	// term is the term of the lead that the planner has; 0 for none.
-	term     uint64
-	revision uint64
+	term uint64
+	// listening is the term whose digests are kept.
+	listening uint64
+	revision  uint64
 }
 
 // hostDigest is the newest digest of a host.
@@ -59,7 +62,7 @@
 		clock:    h.Clock,
 		planner:  placement.New(placement.WithAuthorityWait(session.Lease)),
 		digests:  map[string]hostDigest{},
-		recorded: map[string]bool{},
+		recorded: map[string]uint64{},
 	}
 }
 
@@ -102,22 +105,23 @@
 
 func (p *placer) step(ctx context.Context) {
 	term, leads := p.lead()
+	if p.term != 0 && p.term != p.host.state.replica.Leadership().Term {
+		p.planner.Resign()
+		p.term = 0
+	}
 	if !leads {
-		if p.term != 0 {
-			p.planner.Resign()
-			p.term = 0
-		}
 		return
 	}
 	now := p.clock.Now()
 	view := p.host.state.machine.View()
-	if p.term != term {
-		p.start(now, term)
-	}
+	p.listen(term)
 	if view.Fleet == nil || !p.heardAll(view, now) {
 		return
 	}
 	p.feed(now, view)
+	if p.term != term {
+		p.start(now, term)
+	}
 	for _, effect := range p.planner.Step(now, now.Add(placementAuthority)) {
 		p.carryOut(ctx, effect)
 	}
@@ -127,14 +131,23 @@
 	p.mu.Unlock()
 }
 
-// start begins a lead: the log holds the orders that earlier leaders may have
-// sent. The fence is an index of the log, so that it is above theirs.
-func (p *placer) start(now time.Time, term uint64) {
-	p.term, p.revision = term, 0
+// listen forgets the digests of an earlier lead.
+func (p *placer) listen(term uint64) {
+	if p.listening == term {
+		return
+	}
+	p.listening, p.revision = term, 0
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.digests = map[string]hostDigest{}
 	p.answers = nil
-	p.mu.Unlock()
+	p.recorded = map[string]uint64{}
+}
+
+// start begins a lead: the log holds the orders that earlier leaders may have
+// sent. The fence is an index of the log, so that it is above theirs.
+func (p *placer) start(now time.Time, term uint64) {
+	p.term = term
 	var outstanding []placement.Order
 	for _, order := range p.host.state.machine.Orders() {
 		if order.State == registry.OrderPending {
@@ -176,9 +189,9 @@
 	for _, service := range services {
 		p.planner.Pressure(now, service.Name, service.Queued, service.InFlight)
 	}
-	for id, taken := range recorded {
-		if taken {
-			p.planner.OrderRecorded(now, id)
+	for id, fence := range recorded {
+		if fence > 0 {
+			p.planner.OrderRecorded(now, id, fence)
 		} else {
 			p.planner.OrderRefused(now, id)
 		}
@@ -188,7 +201,7 @@
 	}
 }
 
-func (p *placer) collect() ([]placement.TargetState, []peer.DigestService, []placement.OrderReply, map[string]bool) {
+func (p *placer) collect() ([]placement.TargetState, []peer.DigestService, []placement.OrderReply, map[string]uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	newest := map[string]peer.DigestTarget{}
@@ -207,7 +220,7 @@
 		states = append(states, stateOf(t))
 	}
 	answers, recorded := p.answers, p.recorded
-	p.answers, p.recorded = nil, map[string]bool{}
+	p.answers, p.recorded = nil, map[string]uint64{}
 	return states, services, answers, recorded
 }
 
@@ -272,7 +285,10 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.recorded[order.ID] = err == nil
+	p.recorded[order.ID] = result.Order.Fence
+	if err != nil {
+		p.recorded[order.ID] = 0
+	}
 }
 
 // send sends an order unless its time has passed or the lead is gone.
@@ -318,7 +334,7 @@
 	case target.OrderDone:
 		return placement.Done
 	case target.OrderRefused:
-		return placement.OldFence
+		return placement.Refused
 	}
 	return placement.Failed
 }
--- a/host/state.go
+++ b/host/state.go
@@ -23,6 +23,9 @@
 	commitTimeout = 2 * time.Second
 	// expiryInterval is the pause between looks at the leases.
 	expiryInterval = 100 * time.Millisecond
+	// renewalGap is the longest time without a confirmed lead after which the
+	// table of leases still counts.
+	renewalGap = 500 * time.Millisecond
 	// claimRetention is how long ended claims are kept.
 	claimRetention = 7 * 24 * time.Hour
 	// claimSweep is the pause between removals of old claims.
@@ -44,6 +47,8 @@
 	// term is the term for which leases holds; 0 while this replica does not
 	// lead or has not applied all that earlier leaders committed.
 	term uint64
+	// confirmed is when the lead was last seen to be backed by a majority.
+	confirmed time.Time
 	// idle are the services that cannot serve, by the session that told it.
 	idle map[uint64][]string
 }
@@ -259,14 +264,14 @@
 // holds all that earlier leaders committed.
 func (s *stateReplica) follow(ctx context.Context) (term uint64, leads bool) {
 	lead := s.replica.Leadership()
-	s.mu.Lock()
-	current := s.term
-	s.mu.Unlock()
-	if !lead.Self || !lead.Confirmed {
+	if !lead.Self {
 		s.lead(0)
 		return 0, false
 	}
-	if current == lead.Term {
+	if !lead.Confirmed {
+		return 0, false
+	}
+	if s.goOn(lead.Term) {
 		return lead.Term, true
 	}
 	barrier, cancel := clockwork.WithTimeout(ctx, s.clock, commitTimeout)
@@ -291,6 +296,22 @@
 	return lead.Term, true
 }
 
+// goOn reports whether the table of leases is that of the term. After a gap in
+// which nobody could renew, every session gets a whole lease again.
+func (s *stateReplica) goOn(term uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.term != term {
+		return false
+	}
+	now := s.clock.Now()
+	if now.Sub(s.confirmed) > renewalGap {
+		s.leases.Elected(now)
+	}
+	s.confirmed = now
+	return true
+}
+
 func (s *stateReplica) lead(term uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -298,6 +319,7 @@
 		return
 	}
 	s.term = term
+	s.confirmed = s.clock.Now()
 	s.idle = map[uint64][]string{}
 	s.leases = registry.NewLeases(registry.WithLease(session.Lease), registry.WithMargin(session.Margin))
 	s.leases.Elected(s.clock.Now())
