--- a/host/placer.go
+++ b/host/placer.go
@@ -60,12 +60,21 @@
 		host:     h,
 		log:      logs.Part(h.Log, "Placement"),
 		clock:    h.Clock,
-		planner:  placement.New(placement.WithAuthorityWait(session.Lease)),
+		planner:  placement.New(placement.WithTimes(placementTimes())),
 		digests:  map[string]hostDigest{},
 		recorded: map[string]uint64{},
 	}
 }
 
+// placementTimes are the planner's waits: a decision is acted on for less than a
+// lease, and after a lease every host that may give work knows of an order.
+func placementTimes() placement.Times {
+	times := placement.DefaultTimes()
+	times.AuthorityWait = session.Lease
+	times.DrainSettle = session.Lease
+	return times
+}
+
 // take keeps a host's digest while this replica leads.
 func (p *placer) take(m peer.Digest, reply peer.Reply) {
 	if _, leads := p.lead(); !leads {
