--- /dev/null
+++ b/quorum/bench_test.go
@@ -0,0 +1,236 @@
+package quorum
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// fileStorage appends what it saves to a file and syncs it. It is for the cost
+// of a write alone, and is never loaded.
+type fileStorage struct {
+	MemoryStorage
+	file  *os.File
+	bytes int
+	syncs int
+}
+
+func newFileStorage(b *testing.B, host string) *fileStorage {
+	file, err := os.Create(filepath.Join(b.TempDir(), host))
+	require.NoError(b, err)
+	b.Cleanup(func() { _ = file.Close() })
+	return &fileStorage{file: file}
+}
+
+func (s *fileStorage) Save(state HardState, entries []Entry) error {
+	data := EncodeHardState(state)
+	for i := range entries {
+		record := EncodeEntry(entries[i])
+		data = binary.LittleEndian.AppendUint32(data, uint32(len(record)))
+		data = append(data, record...)
+	}
+	if err := s.sync(data); err != nil {
+		return err
+	}
+	return s.MemoryStorage.Save(state, entries)
+}
+
+func (s *fileStorage) sync(data []byte) error {
+	s.bytes += len(data)
+	s.syncs++
+	if _, err := s.file.Write(data); err != nil {
+		return err
+	}
+	return s.file.Sync()
+}
+
+// discard is a machine that does nothing.
+type discard struct{}
+
+func (discard) Apply(_, _ uint64, _ []byte) []byte { return nil }
+func (discard) Snapshot() ([]byte, error)          { return []byte{1}, nil }
+func (discard) Restore([]byte) error               { return nil }
+
+// BenchmarkCommit commits commands of 200 bytes on three replicas, each with a
+// synced file, against bare syncs of the same bytes in the same run.
+func BenchmarkCommit(b *testing.B) {
+	for _, writers := range []int{1, 8, 64} {
+		b.Run(fmt.Sprintf("Writers=%d", writers), func(b *testing.B) { benchmarkCommit(b, writers) })
+	}
+}
+
+func benchmarkCommit(b *testing.B, writers int) {
+	const commits = 512
+	c := newReplicas(b, Config{})
+	defer c.stopAll()
+	leader, storage := startOnFiles(b, c)
+	command := make([]byte, 200)
+	startBytes, startSyncs := storage.bytes, storage.syncs
+	b.ResetTimer()
+	for range b.N {
+		var group sync.WaitGroup
+		for range writers {
+			group.Go(func() {
+				for range commits / writers {
+					if _, err := leader.Propose(context.Background(), command); err != nil {
+						b.Error(err)
+						return
+					}
+				}
+			})
+		}
+		group.Wait()
+	}
+	b.StopTimer()
+	elapsed := b.Elapsed()
+	total := float64(b.N * commits)
+	perSync := (storage.bytes - startBytes) / max(storage.syncs-startSyncs, 1)
+	bare := bareSync(b, perSync)
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(float64(elapsed.Nanoseconds())/total, "ns/commit")
+	b.ReportMetric(total/elapsed.Seconds(), "commits/s")
+	b.ReportMetric(float64(bare.Nanoseconds()), "ns/bare-sync")
+	b.ReportMetric(float64(elapsed.Nanoseconds())/total/float64(bare.Nanoseconds()), "bare-syncs/commit")
+	b.ReportMetric(total/float64(storage.syncs-startSyncs), "commits/sync")
+}
+
+// startOnFiles starts three replicas and waits for a leader.
+func startOnFiles(b *testing.B, c *replicas) (*Replica, *fileStorage) {
+	var members []Member
+	for _, host := range []string{"h1", "h2", "h3"} {
+		members = append(members, Member{ID: "id-" + host, Host: host, Voter: true})
+	}
+	lead := make(chan string, 16)
+	stores := map[string]*fileStorage{}
+	for _, m := range members {
+		stores[m.ID] = newFileStorage(b, m.Host)
+		require.NoError(b, Bootstrap(stores[m.ID], "cluster", m.Host, members))
+		r, err := Start(Config{Host: m.Host}, stores[m.ID], c, discard{}, WithLeadershipChange(func(l Leadership) {
+			if l.Self {
+				lead <- l.Leader
+			}
+		}))
+		require.NoError(b, err)
+		c.mu.Lock()
+		c.byID[m.ID] = r
+		c.mu.Unlock()
+	}
+	id := <-lead
+	_, err := c.byID[id].Propose(context.Background(), nil)
+	require.NoError(b, err)
+	return c.byID[id], stores[id]
+}
+
+// bareSync is the mean time to write and sync that many bytes.
+func bareSync(b *testing.B, size int) time.Duration {
+	const syncs = 200
+	storage := newFileStorage(b, "bare")
+	data := make([]byte, size)
+	begin := time.Now()
+	for range syncs {
+		require.NoError(b, storage.sync(data))
+	}
+	return time.Since(begin) / syncs
+}
+
+// BenchmarkFailover stops the leader and counts the ticks of 50 ms until another
+// has committed in its term, over many seeds.
+func BenchmarkFailover(b *testing.B) {
+	for _, size := range []int{3, 5} {
+		for _, lose := range []int{0, 100} {
+			b.Run(fmt.Sprintf("Replicas=%d/LossPerThousand=%d", size, lose), func(b *testing.B) {
+				var ticks []int
+				for range b.N {
+					ticks = nil
+					for seed := range uint64(1000) {
+						ticks = append(ticks, failover(b, seed, size, lose))
+					}
+				}
+				slices.Sort(ticks)
+				sum := 0
+				for _, t := range ticks {
+					sum += t
+				}
+				tick := float64(DefaultTick.Milliseconds())
+				b.ReportMetric(float64(sum)/float64(len(ticks)), "ticks/failover")
+				b.ReportMetric(tick*float64(sum)/float64(len(ticks)), "ms/failover")
+				b.ReportMetric(tick*float64(ticks[len(ticks)*99/100]), "ms-p99")
+				b.ReportMetric(tick*float64(ticks[len(ticks)-1]), "ms-max")
+			})
+		}
+	}
+}
+
+// failover returns the ticks from the loss of a leader to the next one's first
+// commit.
+func failover(b *testing.B, seed uint64, size, lose int) int {
+	s := newSim(b, seed, size, simFaults{})
+	leader := s.electLeader()
+	for range s.random.IntN(2 * DefaultElectionTicks) {
+		s.tick()
+	}
+	s.faults.Lose = lose
+	s.crash(leader)
+	for ticks := 1; ; ticks++ {
+		s.random.Shuffle(len(s.nodes), func(i, j int) { s.nodes[i], s.nodes[j] = s.nodes[j], s.nodes[i] })
+		s.tick()
+		for _, n := range s.nodes {
+			if n.node != nil && n.node.Role() == Leader && n.node.committedInTerm() {
+				return ticks
+			}
+		}
+	}
+}
+
+// BenchmarkHeartbeat counts the bytes of a cluster at rest, per replica and
+// second, with the headers of TCP over IP for each message and for a separate
+// acknowledgement of each.
+func BenchmarkHeartbeat(b *testing.B) {
+	const (
+		headers = 2 * 52
+		seconds = 60
+	)
+	for _, size := range []int{3, 5} {
+		b.Run(fmt.Sprintf("Replicas=%d", size), func(b *testing.B) {
+			leaderOut, leaderIn, payload := 0, 0, 0
+			for range b.N {
+				leaderOut, leaderIn, payload = 0, 0, 0
+				s := newSim(b, 1, size, simFaults{})
+				s.config.HeartbeatTicks = DefaultHeartbeatTicks
+				leader := s.electLeader()
+				for range seconds * int(time.Second/DefaultTick) {
+					for _, n := range s.nodes {
+						n.node.Tick()
+						s.process(n)
+					}
+					for len(s.wire) > 0 {
+						m := s.wire[0]
+						m.Cluster, m.From, m.To = "0123456789abcdef", "0123456789abcdef", "0123456789abcdef"
+						bytes := len(EncodeMessages([]Message{m}))
+						payload += bytes
+						if s.wire[0].From == leader.node.ID() {
+							leaderOut += bytes + headers
+						} else {
+							leaderIn += bytes + headers
+						}
+						to := s.byID(s.wire[0].To)
+						to.node.Step(s.wire[0])
+						s.wire = s.wire[1:]
+						s.process(to)
+					}
+				}
+			}
+			b.ReportMetric(float64(leaderOut+leaderIn)/seconds, "leader-B/s")
+			b.ReportMetric(float64(leaderOut+leaderIn)/seconds/float64(size-1), "follower-B/s")
+			b.ReportMetric(float64(payload)/seconds, "payload-B/s")
+		})
+	}
+}
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -20,6 +20,10 @@
 	DefaultElectionTicks  = 12
 	DefaultElectionSpread = 8
 	DefaultHeartbeatTicks = 4
+	// A campaign without a result is repeated after retryTicks ticks and less
+	// than retrySpread more.
+	retryTicks  = 2
+	retrySpread = 5
 	// DefaultAppendBytes bounds the entries of one message.
 	DefaultAppendBytes = 256 << 10
 	// DefaultInflightBytes bounds the unacknowledged entries per follower.
@@ -166,7 +170,7 @@
 // retrySoon starts a short randomized timeout, for a campaign without a result.
 func (n *Node) retrySoon() {
 	n.elapsed = 0
-	n.timeout = 2 + n.random.IntN(n.config.ElectionSpread)
+	n.timeout = retryTicks + n.random.IntN(retrySpread)
 }
 
 // becomeFollower enters the term, forgetting what belongs to an older one.
