fleet: test what is reported of a text with values that cannot be read

18 mutations of the checks: eight were not noticed. Six are now; two were code that had no effect (a test for empty names, a copy before formatting) and are gone.

--- a/fleet/change_test.go
+++ b/fleet/change_test.go
@@ -39,6 +39,15 @@
 	require.Equal(t, []string{"rabat"}, workspaces)
 }
 
+func TestDiffFromNothing(t *testing.T) {
+	first, err := Parse([]byte(smallText))
+	require.NoError(t, err)
+	require.Empty(t, Diff(nil, nil))
+	require.Contains(t, Diff(nil, first), Change{Kind: Added, Part: PartService, Name: "desk"})
+	services, _ := Removes(first, nil)
+	require.Equal(t, []string{"engines", "desk"}, services)
+}
+
 // TestDiffSeesEveryField changes each field of the domain types in turn.
 func TestDiffSeesEveryField(t *testing.T) {
 	fresh := func() *Fleet {
--- a/fleet/check.go
+++ b/fleet/check.go
@@ -108,7 +108,7 @@
 func (c *checker) unique(path, what string, names []string) {
 	seen := make(map[string]bool, len(names))
 	for i, name := range names {
-		if seen[name] && name != "" {
+		if seen[name] {
 			c.faultf(fmt.Sprintf(path, i), "the %s %q stands twice; each name is accepted once", what, name)
 		}
 		seen[name] = true
--- a/fleet/format.go
+++ b/fleet/format.go
@@ -12,5 +12,5 @@
 	if _, err := Parse(text); err != nil {
 		return nil, err
 	}
-	return hujson.Format(append([]byte(nil), text...))
+	return hujson.Format(text)
 }
--- a/fleet/parse_test.go
+++ b/fleet/parse_test.go
@@ -110,13 +110,50 @@
 	require.Equal(t, []string{"Name", "Services[0].Model", "Services[0].Calls[0].Idempotent", "Services[1].DependsOn[0]", "Services[1].Limits.Quue"}, got)
 }
 
+// TestFaultsThatOnlyFollow: what could not be read is reported once, and
+// nothing that only follows from it.
+func TestFaultsThatOnlyFollow(t *testing.T) {
+	tests := []struct {
+		name     string
+		old, new string
+		want     []string
+	}{
+		{"kind", `"Plain"`, `7`, []string{"Services[1].Kind"}},
+		{"a key that begins like another", `"Plain"`, `"odd", "Kindly": 1`, []string{"Services[1].Kind", "Services[1].Kindly"}},
+		{"name of a service", `"Name": "engines"`, `"Name": 7`, []string{"Services[0].Name"}},
+		{"two names", `{"Name": "Pay"}`, `{}, {}`, []string{"Services[1].Calls[0].Name", "Services[1].Calls[1].Name"}},
+		{"services", "\"Services\": [\n", `"Services": 7, "Workspaces": [{"Name": "x", "Services": ["desk"]}]}//`, []string{"Services"}},
+		{"failure domains", `["north", "south"]`, `[7]`, []string{"FailureDomains[0]"}},
+		{"calls", `, "Calls": [{"Name": "Pay"}]`, ``, []string{"Services[1].Calls"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			text := strings.Replace(smallText, test.old, test.new, 1)
+			require.NotEqual(t, smallText, text)
+			if test.name == "services" {
+				text = text[:strings.Index(text, "//")]
+			}
+			_, err := Parse([]byte(text))
+			var faults *Faults
+			require.True(t, errors.As(err, &faults), "%v", err)
+			var got []string
+			for _, fault := range faults.All {
+				got = append(got, fault.Path)
+			}
+			require.Equal(t, test.want, got, "%v", err)
+		})
+	}
+}
+
 func TestFaultsOfAHostileTextAreBounded(t *testing.T) {
-	text := "{" + strings.Repeat(`"x":1,`, MaxTextBytes/6-1) + "}"
+	const keys = MaxTextBytes/6 - 1
+	text := "{" + strings.Repeat(`"x":1,`, keys) + "}"
 	_, err := Parse([]byte(text))
 	var faults *Faults
 	require.True(t, errors.As(err, &faults))
 	require.Len(t, faults.All, 100)
-	require.Greater(t, faults.More, 500_000)
+	const missing = 3
+	require.Equal(t, keys+missing-len(faults.All), faults.More)
 
 	_, err = Parse([]byte(`{"` + strings.Repeat("é", 1<<20) + `": 1}`))
 	require.True(t, errors.As(err, &faults))
@@ -170,8 +207,10 @@
 			require.ErrorIs(t, err, ErrInvalid)
 			return
 		}
+		input := bytes.Clone(text)
 		formatted, err := Format(text)
 		require.NoError(t, err)
+		require.Equal(t, input, text, "the input is not changed")
 		again, err := Parse(formatted)
 		require.NoError(t, err)
 		require.Equal(t, parsed, again)
