--- a/fleet/parse_test.go
+++ b/fleet/parse_test.go
@@ -66,6 +66,7 @@
 		{"no model", `"Model": "m1", `, ``, `Services[0].Model: no model`},
 		{"model of a plain service", `"Plain",`, `"Plain", "Model": "m1",`, `a service of the kind Plain has no Model`},
 		{"no calls", `[{"Name": "Pay"}]`, `[]`, `Services[1].Calls: no call`},
+		{"calls missing", `, "Calls": [{"Name": "Pay"}]`, ``, `Services[1].Calls: this key is missing`},
 		{"call twice", `{"Name": "Pay"}`, `{"Name": "Pay"}, {"Name": "Pay"}`, `Services[1].Calls[1].Name: the call "Pay" stands twice`},
 		{"service twice", "\t],\n", `{"Name": "desk", "Kind": "Plain", "Calls": [{"Name": "Pay"}]}],`, `Services[2].Name: the service "desk" stands twice`},
 		{"domain twice", `"north", "south"`, `"north", "north"`, `FailureDomains[1]: the failure domain "north" stands twice`},
