--- a/admission/fleet.go
+++ b/admission/fleet.go
@@ -17,13 +17,14 @@
 		return true
 	}
 	if !known {
-		at = s.slot(announcement.Name)
+		at = s.slot(now, announcement.Name)
 	}
 	t := s.targets[at]
 	if t.announced.After(announcement.Stamp) {
 		return false
 	}
 	if t.known && t.announced == announcement.Stamp {
+		s.repeated(now, at)
 		return !t.left
 	}
 	s.enter(now, at, announcement.Incarnation)
@@ -32,13 +33,22 @@
 	t.replaced = false
 	t.announced = announcement.Stamp
 	t.announcement = announcement
-	t.lastSeen = now
+	t.hear(now)
 	t.warmUp.report(announcement.Cold)
 	s.openPlace(at)
 	s.sync(now, at)
 	return true
 }
 
+// repeated takes the newest announcement once more, which is how a target that
+// reports no load shows that it is there.
+func (s *Service) repeated(now time.Time, at int) {
+	if t := s.targets[at]; !t.left && !t.replaced {
+		t.hear(now)
+		s.sync(now, at)
+	}
+}
+
 // enter makes the target's state that of the incarnation. The work of an earlier
 // one ended with it.
 func (s *Service) enter(now time.Time, at int, incarnation uint64) {
@@ -46,7 +56,7 @@
 	if t.incarnation == incarnation {
 		return
 	}
-	*t = targetState{name: t.name, incarnation: incarnation}
+	*t = targetState{name: t.name, incarnation: incarnation, lastSeen: t.lastSeen}
 	s.addInFlight(now, at, -int(s.candidates[at].InFlight))
 	for _, granted := range s.permits {
 		if granted.target == at {
@@ -71,7 +81,7 @@
 
 func (s *Service) bindPlace(place chat.Place, at int) {
 	for len(s.byPlace) <= int(place) {
-		s.byPlace = append(s.byPlace, -1)
+		s.byPlace = append(s.byPlace, 0)
 	}
 	if place != chat.NoPlace {
 		s.byPlace[place] = at
@@ -109,7 +119,7 @@
 		return true
 	}
 	t.reported = report.Stamp
-	t.lastSeen = now
+	t.hear(now)
 	t.warmUp.report(report.Cold)
 	t.peak.note(now, int(s.candidates[at].InFlight))
 	t.outside = max(report.InFlight+report.Queued-t.peak.highest(), 0)
@@ -136,13 +146,14 @@
 func (s *Service) Leave(now time.Time, leave target.Leave) {
 	s.advance(now)
 	defer s.pump(now)
-	at := s.slot(leave.Name)
+	at := s.slot(now, leave.Name)
 	t := s.targets[at]
 	if t.announced.After(leave.Stamp) {
 		return
 	}
 	s.enter(now, at, leave.Incarnation)
 	t.announced = leave.Stamp
+	t.heard = true
 	t.left = true
 	s.sync(now, at)
 }
--- a/admission/pump.go
+++ b/admission/pump.go
@@ -26,7 +26,9 @@
 		}
 	}
 	for _, item := range passed {
-		s.queue.line(item)
+		if s.queue.waiting[item.request.ID] == item {
+			s.queue.line(item)
+		}
 	}
 }
 
@@ -37,6 +39,8 @@
 	case !now.Before(item.expires):
 		s.refuseWaiting(now, item, RefusedDeadline, "the deadline passed in the queue")
 	case s.waitsForWarm(item):
+		s.queue.unwant(item)
+		s.queue.want(item, s.query(item).Known[0])
 		s.queue.hold(item, now.Add(s.options.warmWait))
 	case s.place(now, item):
 	case len(item.request.Exclude) > 0:
@@ -59,17 +63,19 @@
 	query := s.query(item)
 	if query.Known[0] != item.wants || contains(query.Excluded, item.wants) {
 		s.queue.unwant(item)
+		s.queue.resumeOne(item, now)
 		if query.Known[0] != route.None && !contains(query.Excluded, query.Known[0]) {
 			s.queue.want(item, query.Known[0])
 		}
 		return
 	}
-	choice := s.options.choose(&query, s.candidates)
+	choice := s.options.choose(&query.Query, s.candidates)
 	s.grant(now, item, &query, &choice)
 }
 
 // waitsForWarm reports whether a request whose turn it is should wait a little
-// for the target where its chat is warm, which has no room now.
+// for the target where its chat is warm, which has no room now. It need not if
+// the context can be moved.
 func (s *Service) waitsForWarm(item *waiting) bool {
 	if s.options.warmWait <= 0 || !item.heldUntil.IsZero() {
 		return false
@@ -81,16 +87,20 @@
 	if second := query.Known[1]; second != route.None && !contains(query.Excluded, second) && s.hasRoom(second) {
 		return false
 	}
-	return s.candidates[query.Known[0]].Admits() && !s.hasRoom(query.Known[0])
+	warm := query.Known[0]
+	if s.targets[warm].announcement.MovesCache {
+		return false
+	}
+	return s.candidates[warm].Admits() && !s.hasRoom(warm)
 }
 
 // place grants or refuses a waiting request, or reports that it must wait on.
 func (s *Service) place(now time.Time, item *waiting) bool {
 	query := s.query(item)
-	choice := s.options.choose(&query, s.candidates)
+	choice := s.options.choose(&query.Query, s.candidates)
 	if choice.Target == route.None {
 		query.Bound = max(query.Bound, s.factor.Bound(route.Unfilled(s.candidates)))
-		choice = s.options.choose(&query, s.candidates)
+		choice = s.options.choose(&query.Query, s.candidates)
 	}
 	if choice.Target != route.None {
 		s.grant(now, item, &query, &choice)
@@ -103,11 +113,20 @@
 	return false
 }
 
-func (s *Service) query(item *waiting) route.Query {
+// lookup is a query with what is known of the request's chat.
+type lookup struct {
+	route.Query
+	known chat.Known
+	// last is the target where the chat ran last, or route.None.
+	last int
+}
+
+func (s *Service) query(item *waiting) lookup {
 	known := s.memory.Find(item.chat)
-	query := route.Query{
+	query := lookup{known: known, last: s.targetAt(known.Last)}
+	query.Query = route.Query{
 		Chat:  uint64(item.chat),
-		Known: [2]int{s.targetAt(known.Last), s.targetAt(known.Second)},
+		Known: [2]int{query.last, s.targetAt(known.Second)},
 		Bound: s.factor.Bound(s.load),
 		First: s.options.first,
 	}
@@ -126,7 +145,11 @@
 	if place == chat.NoPlace || int(place) >= len(s.byPlace) {
 		return route.None
 	}
-	return s.byPlace[place]
+	at := s.byPlace[place]
+	if s.targets[at].place != place {
+		return route.None
+	}
+	return at
 }
 
 func (s *Service) allExcluded(excluded []int) bool {
--- a/admission/refuse.go
+++ b/admission/refuse.go
@@ -24,7 +24,9 @@
 		Message:    message,
 		RetryAfter: s.retryAfter(now, request.Workspace, code),
 	}
-	s.recent.add(now, request.ID, refusal)
+	if code != RefusedNotOwner {
+		s.recent.add(now, request.ID, refusal)
+	}
 	s.metrics.refused(code)
 	decision := decisionOf(request, waited)
 	decision.Reason = string(code)
@@ -55,6 +57,9 @@
 func (s *Service) closedTargets() []Refused {
 	var list []Refused
 	for at := range s.candidates {
+		if s.targets[at].name == "" {
+			continue
+		}
 		if reason := s.candidates[at].Refuses(unlimited); reason != route.Open {
 			list = append(list, Refused{s.targets[at].name, reason.String()})
 		}
--- a/admission/status.go
+++ b/admission/status.go
@@ -16,9 +16,10 @@
 	Adopted  bool
 	InFlight int
 	// Mean is the mean number in flight over the admitting targets.
-	Mean       float64
-	Chats      int
-	Targets    []TargetStatus
+	Mean    float64
+	Chats   int
+	Targets []TargetStatus
+	// Workspaces lists those with requests that wait or are in flight.
 	Workspaces []WorkspaceStatus
 }
 
@@ -58,10 +59,13 @@
 	if s.load.Targets > 0 {
 		status.Mean = float64(s.load.InFlight) / float64(s.load.Targets)
 	}
-	for at := range s.targets {
+	for _, at := range s.byName {
 		status.Targets = append(status.Targets, s.targetStatus(at))
 	}
 	for _, w := range s.workspaces {
+		if w.idle() {
+			continue
+		}
 		status.Workspaces = append(status.Workspaces, WorkspaceStatus{w.name, w.waiting, w.inFlight})
 	}
 	slices.SortFunc(status.Targets, func(a, b TargetStatus) int { return cmp.Compare(a.Name, b.Name) })
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -19,10 +19,10 @@
 // errorEvent is the name of the event that tells why a stream is not whole.
 const errorEvent = "error"
 
-// relay is the body of a streamed answer. Each Read gives one event, which the
-// HTTP server sends as one chunk.
+// relay is the body of a streamed answer. Each Read waits for one event and adds
+// those that have arrived with it; the HTTP server sends them as one chunk.
 type relay struct {
-	*visit
+	*exchange
 	attempt *attempt
 	record  *record
 
@@ -48,27 +48,38 @@
 		if r.err != nil {
 			return 0, r.err
 		}
-		r.advance()
+		r.fill(len(p) / 2)
 	}
 	n := copy(p, r.pending)
 	r.pending = r.pending[n:]
 	return n, nil
 }
 
-// advance prepares the next event, the end mark or the error event.
+// fill prepares the next event and those that need no waiting, up to enough
+// bytes.
+func (r *relay) fill(enough int) {
+	r.buffer = r.buffer[:0]
+	r.advance()
+	for r.err == nil && len(r.buffer) < enough && r.attempt.answer.Ready() {
+		r.advance()
+	}
+	r.pending = r.buffer
+}
+
+// advance appends the next event, the end mark or the error event.
 func (r *relay) advance() {
 	event, err := r.event()
 	switch {
 	case err == nil:
 		r.next++
-		r.buffer = web.AppendNumbered(r.buffer[:0], event.Offset, event.Name, event.Data)
+		begin := len(r.buffer)
+		r.buffer = web.AppendNumbered(r.buffer, event.Offset, event.Name, event.Data)
+		r.record.add(r.buffer[begin:])
 	case errors.Is(err, errEOF):
 		r.end()
 	default:
 		r.fail(err)
 	}
-	r.pending = r.buffer
-	r.record.add(r.pending)
 }
 
 // event returns the next event, from another connection if this one failed.
@@ -96,7 +107,9 @@
 	return r.attempt.event, nil
 }
 
-// resume continues a cut stream at its offset through another connection.
+// resume continues a cut stream at its offset through another connection. A
+// target that can't be reached costs no retry: when one dies, every stream on it
+// has to move, and they are only as many as it had.
 func (r *relay) resume(cause error) bool {
 	if !r.call.Idempotent || !r.attempt.permit.Resumes || r.ctx.Err() != nil {
 		return false
@@ -110,51 +123,54 @@
 			r.gateway.meters.resumed.Inc(1)
 			return true
 		}
-		if r.ctx.Err() != nil || !r.retryable(err) || !r.gateway.budgets.of(r.service.Name).take() || !r.backOff() {
+		if r.ctx.Err() != nil || !r.retryable(err) || !r.payResume(err) || !r.backOff() {
 			return false
 		}
 	}
 	return false
 }
 
-// giveUp releases the attempt that failed. A target whose connection was cut
-// may be asked again; one that misbehaved is not.
+func (r *relay) payResume(err error) bool {
+	return errors.Is(err, target.ErrUnreachable) || r.gateway.budgets.of(r.service.Name).take()
+}
+
+// giveUp abandons the attempt that failed. A target whose connection was cut may
+// be asked again; one that misbehaved is avoided.
 func (r *relay) giveUp(cause error) {
-	r.gateway.logAttempt(r.exchange, r.attempt, cause)
 	if !errors.Is(cause, target.ErrCut) {
 		r.excluded = append(r.excluded, r.attempt.permit.Target)
 	}
-	r.finish(r.attempt, admission.OutcomeFailed)
+	r.abandon(r.attempt, cause)
 }
 
-// end prepares the end mark of a whole stream.
+// end appends the end mark of a whole stream.
 func (r *relay) end() {
 	end := r.attempt.answer.End()
 	r.finish(r.attempt, admission.OutcomeDone)
-	r.gateway.logDone(r.exchange, r.attempt, end.Warm)
+	r.gateway.logDone(r.dispatcher, r.attempt, end.Warm)
 	r.gateway.meters.answered.Inc(1)
 	r.gateway.meters.repeated.Inc(int64(end.Repeated))
 	data, _ := json.Marshal(endBody{
 		Request: r.callerID, Events: r.next, Target: r.attempt.permit.Target, Warm: end.Warm,
 	})
-	r.buffer = web.AppendNumbered(r.buffer[:0], r.next, web.EndEvent, data)
+	begin := len(r.buffer)
+	r.buffer = web.AppendNumbered(r.buffer, r.next, web.EndEvent, data)
 	r.err = errEOF
-	r.record.add(r.buffer)
+	r.record.add(r.buffer[begin:])
 	r.record.done()
-	r.record = nil
 }
 
-// fail prepares the error event of a stream that is not whole.
+// fail appends the error event of a stream that is not whole.
 func (r *relay) fail(err error) {
 	r.record.failed()
 	r.abandon(r.attempt, err)
 	f := r.failure(err)
 	r.gateway.meters.failed(f)
-	r.buffer = web.AppendNumbered(r.buffer[:0], r.next, errorEvent, EncodeFailure(f))
+	r.buffer = web.AppendNumbered(r.buffer, r.next, errorEvent, EncodeFailure(f))
 	r.err = errBroken
 }
 
-// Close ends the visit. A stream whose caller has gone is stopped on the
+// Close ends the exchange. A stream whose caller has gone is stopped on the
 // target, but a call that runs at most once is read to its end.
 func (r *relay) Close() error {
 	if r.closed {
@@ -162,7 +178,7 @@
 	}
 	r.closed = true
 	for r.err == nil && !r.call.Idempotent {
-		r.advance()
+		r.fill(0)
 	}
 	if r.err == nil {
 		r.leave()
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -57,12 +57,17 @@
 	}
 	r.contentType = string(header.ContentType())
 	r.body = ctx.PostBody()
+	if limit := r.service.Limits.BodyBytes; limit > 0 && len(r.body) > limit {
+		return r, bodyTooLarge()
+	}
 	return r, r.setDeadline(string(header.Peek(HeaderTimeout)))
 }
 
 // checkLimits checks the method and the sizes that the HTTP server does not.
 func (g *Gateway) checkLimits(ctx *fasthttp.RequestCtx) *Failure {
 	switch {
+	case !ctx.Request.Header.IsHTTP11():
+		return failure(fasthttp.StatusHTTPVersionNotSupported, CodeBadRequest, "calls need HTTP/1.1, which tells a cut answer from a whole one")
 	case !ctx.IsPost():
 		return failure(fasthttp.StatusMethodNotAllowed, CodeMethod, "calls are made by POST")
 	case len(ctx.Request.Header.RequestURI()) > g.settings.uriBytes:
--- a/placement/guard.go
+++ b/placement/guard.go
@@ -50,7 +50,8 @@
 func (p *Planner) checkServices() {
 	ready := map[string]int{}
 	for _, name := range p.names {
-		if e := p.engines[name]; p.serves(e) {
+		e := p.engines[name]
+		if p.serves(e) {
 			ready[e.Service]++
 		}
 	}
@@ -59,7 +60,6 @@
 			text := fmt.Sprintf("%s has %d of %d targets", s.Name, ready[s.Name], s.Placement.Min)
 			p.alarms.raise(Alarm{Kind: AlarmBelowMinimum, Service: s.Name, Text: text})
 		}
-		p.updateRoll(s)
 		if s.roll.stopped {
 			p.alarms.raise(Alarm{Kind: AlarmRollStopped, Service: s.Name, Text: s.roll.reason})
 		}
--- a/placement/lifecycle.go
+++ b/placement/lifecycle.go
@@ -6,13 +6,26 @@
 	"time"
 )
 
-// OrderRecorded says that the log holds the order.
-func (p *Planner) OrderRecorded(now time.Time, id string) {
+// OrderRecorded says that the log holds the order, under a fencing number that
+// grows with each record; 0 keeps the leader's.
+func (p *Planner) OrderRecorded(now time.Time, id string, fence uint64) {
 	if o := p.order(id); o != nil && o.state == Recording {
+		o.Fence = max(o.Fence, fence)
 		o.enter(now, Draining)
 	}
 }
 
+// OrderRefused says that the log does not take the order. Its target gets
+// another one after a pause.
+func (p *Planner) OrderRefused(now time.Time, id string) {
+	o := p.order(id)
+	if o == nil || o.state != Recording {
+		return
+	}
+	p.engines[o.Target].retryAt = now.Add(p.times.Retry)
+	p.close(now, o, OutcomeCancelled, "the log does not take it")
+}
+
 // OrderAnswered takes a target's answer. Answers to orders that have ended, or of
 // another target or start, are dropped.
 func (p *Planner) OrderAnswered(now time.Time, reply OrderReply) {
@@ -31,7 +44,7 @@
 		}
 	case Failed:
 		p.fail(now, o, OutcomeFailed, Alarm{Kind: AlarmOrderFailed, Text: reply.Reason})
-	case OldFence:
+	case Refused:
 		text := fmt.Sprintf("it has seen a higher fencing number than %d", o.Fence)
 		p.fail(now, o, OutcomeFailed, Alarm{Kind: AlarmOldFence, Text: text})
 	}
@@ -109,8 +122,8 @@
 	if now.Before(p.sendAfter) {
 		return
 	}
-	if reason := p.pointless(o, e); reason != "" && !o.adopted {
-		p.close(now, o, OutcomeCancelled, reason)
+	if reason := p.pointless(now, o, e); reason != "" {
+		p.refuseSend(now, o, reason)
 		return
 	}
 	serving := e.Ready && e.Service != ""
@@ -119,10 +132,18 @@
 		p.checkDrain(now, o, e)
 		return
 	}
+	if p.handover.find(e.Name) != nil {
+		p.waits[e.Name] = "its chats are being moved"
+		return
+	}
 	if wait := p.guard(now, e, p.serving(now)); wait != "" {
 		p.refuseSend(now, o, wait)
 		return
 	}
+	if wait := p.slotRefusal(now, o); wait != "" {
+		p.waits[o.Target] = wait
+		return
+	}
 	o.before = build{model: e.Model, version: e.Version, adapters: e.Adapters}
 	o.beforeService = e.Service
 	o.beforeMismatched = e.mismatched
@@ -130,8 +151,21 @@
 	p.send(now, o)
 }
 
-// refuseSend cancels an order that would take a service below its minimum. One
-// that an earlier leader may have sent waits instead.
+// slotRefusal returns why an adopted load that has lost its share of the weight
+// store can't be sent again now.
+func (p *Planner) slotRefusal(now time.Time, o *pending) string {
+	if o.Kind != LoadModel || o.holdsSlot(now) {
+		return ""
+	}
+	wait := p.store.refusal(now, p.runningLoads(now), o.Bytes)
+	if wait == "" {
+		p.store.start(now, o.Bytes)
+	}
+	return wait
+}
+
+// refuseSend cancels an order that is not wanted or would take a service below
+// its minimum. One that an earlier leader may have sent waits instead.
 func (p *Planner) refuseSend(now time.Time, o *pending, wait string) {
 	if o.adopted {
 		p.waits[o.Target] = wait
@@ -141,7 +175,7 @@
 }
 
 // pointless returns why an order that was not sent is not wanted any more.
-func (p *Planner) pointless(o *pending, e *engine) string {
+func (p *Planner) pointless(now time.Time, o *pending, e *engine) string {
 	if !p.inService(e) {
 		return "the target is taken out"
 	}
@@ -155,9 +189,28 @@
 	if b := s.build(); b.model != o.Model || b.version != o.Version {
 		return "the wish has changed"
 	}
+	busy := e.Ready && e.Service != "" && e.Service != o.Service
+	if o.Reason == ReasonMinimum && busy && !p.lacksWithout(now, o, e) {
+		return "the service is at its minimum again"
+	}
 	return ""
 }
 
+// lacksWithout reports whether the order's service would lack targets if the
+// order were not there.
+func (p *Planner) lacksWithout(now time.Time, o *pending, e *engine) bool {
+	e.order = nil
+	a := p.newAssignment(now)
+	e.order = o
+	p.applyPins(a)
+	for service, s := range a.services {
+		if s.Name == o.Service {
+			return a.shortage(service) > 0
+		}
+	}
+	return false
+}
+
 // checkDrain ends an order whose target does not run empty.
 func (p *Planner) checkDrain(now time.Time, o *pending, e *engine) {
 	if now.Sub(o.since) < p.times.DrainTimeout {
@@ -249,14 +302,7 @@
 func (p *Planner) close(now time.Time, o *pending, outcome Outcome, reason string) {
 	p.orders = slices.DeleteFunc(p.orders, func(other *pending) bool { return other == o })
 	e := p.engines[o.Target]
-	switch o.Kind {
-	case ExportCache:
-		e.exporting = nil
-	case ImportCache:
-		e.importing = nil
-	default:
-		e.order = nil
-	}
+	e.detach(o)
 	if o.Kind == LoadModel && !o.wasSent() {
 		p.store.cancel(now, o.Bytes)
 	}
--- a/placement/order.go
+++ b/placement/order.go
@@ -29,7 +29,8 @@
 type Order struct {
 	// ID stays the same when the order is sent again.
 	ID string
-	// Fence is the fencing number of the leader that sends the order.
+	// Fence is the fencing number: that of the order's place in the log, or the
+	// leader's if that is higher.
 	Fence  uint64
 	Target string
 	// Incarnation is the start of the target that the order is meant for; any
@@ -99,8 +100,9 @@
 	Done OrderResult = "Done"
 	// Failed says that the target gave up and is as before, or serves nothing.
 	Failed OrderResult = "Failed"
-	// OldFence says that the target has seen a higher fencing number.
-	OldFence OrderResult = "OldFence"
+	// Refused says that the target has seen a higher fencing number and has not
+	// run the order.
+	Refused OrderResult = "Refused"
 )
 
 // OrderReply answers an order.
@@ -145,6 +147,9 @@
 	pause    time.Duration
 	// adopted is set for an order of an earlier leader, which may have sent it.
 	adopted bool
+	// slotUntil ends the share of the weight store that an adopted load keeps
+	// until it is sent again.
+	slotUntil time.Time
 	// before is what the target served when the order was first sent.
 	before build
 	// beforeService is the service of that time; beforeMismatched says that
@@ -154,7 +159,10 @@
 }
 
 // holdsSlot reports whether the load may still take from the weight store.
-func (o *pending) holdsSlot() bool {
+func (o *pending) holdsSlot(now time.Time) bool {
+	if o.adopted && o.SentAt.IsZero() && !now.Before(o.slotUntil) {
+		return false
+	}
 	return o.Kind == LoadModel && o.state != Stuck
 }
 
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -15,6 +15,7 @@
 type Planner struct {
 	times      Times
 	modelBytes int64
+	unloads    bool
 
 	text       *fleet.Fleet
 	services   []*service
@@ -26,6 +27,8 @@
 	engines    map[string]*engine
 	names      []string
 	observedAt time.Time
+	// firstObserved is when this planner began to learn of targets.
+	firstObserved time.Time
 
 	leading   bool
 	fence     uint64
@@ -85,6 +88,9 @@
 // not named is missing.
 func (p *Planner) Observe(now time.Time, targets []TargetState) {
 	p.observedAt = now
+	if p.firstObserved.IsZero() {
+		p.firstObserved = now
+	}
 	for i := range targets {
 		p.observe(now, targets[i])
 	}
@@ -156,9 +162,10 @@
 	}
 }
 
-// Lead makes this planner the leader's. The orders are those that the log holds;
-// an earlier leader may have sent any of them. Nothing is sent until that
-// leader's authority must have ended.
+// Lead makes this planner the leader's, after Configure and a first Observe. The
+// orders are those that the log holds and that have not ended; an earlier leader
+// may have sent any of them. Nothing is sent until that leader's authority must
+// have ended.
 func (p *Planner) Lead(now time.Time, fence uint64, outstanding []Order) {
 	p.leading = true
 	p.fence = fence
@@ -185,7 +192,12 @@
 // adopt takes over an order of an earlier leader.
 func (p *Planner) adopt(now time.Time, order Order) {
 	o := &pending{Order: order, state: Draining, since: now, adopted: true, pause: p.times.Resend}
-	o.Fence = p.fence
+	o.Fence = max(order.Fence, p.fence)
+	if o.Kind == LoadModel && o.Bytes == 0 {
+		o.Bytes = p.sizeOf(build{model: o.Model, version: o.Version})
+	}
+	o.SentAt = time.Time{}
+	o.slotUntil = now.Add(p.adoptedSlot(o.Bytes))
 	p.orders = append(p.orders, o)
 	if o.Kind == LoadModel {
 		p.store.start(now, o.Bytes)
@@ -200,6 +212,14 @@
 	p.attach(e, o)
 }
 
+// adoptedSlot returns how long a load of an earlier leader may still run.
+func (p *Planner) adoptedSlot(size int64) time.Duration {
+	if expected := p.store.expected(size); expected > 0 {
+		return expected
+	}
+	return p.times.OrderTimeout
+}
+
 // attach links an order with its target.
 func (p *Planner) attach(e *engine, o *pending) {
 	switch o.Kind {
@@ -221,9 +241,10 @@
 	}
 	p.until = authorityUntil
 	p.waits = map[string]string{}
+	p.updateRolls()
 	p.progressOrders(now)
 	if !now.Before(p.sendAfter) {
-		p.dispatch(now)
+		p.dispatchWhenInformed(now)
 		p.planHandover(now)
 	}
 	p.checkServices()
@@ -233,6 +254,15 @@
 	return effects
 }
 
+// dispatchWhenInformed waits until a planner that has just begun to observe has
+// had the time to hear of all targets; else it would replace those it does not
+// know yet.
+func (p *Planner) dispatchWhenInformed(now time.Time) {
+	if !p.firstObserved.IsZero() && now.Sub(p.firstObserved) >= p.times.LossGrace {
+		p.dispatch(now)
+	}
+}
+
 // logf adds a decision line.
 func (p *Planner) logf(format string, args ...any) {
 	p.effects = append(p.effects, Log{Line: "placement: " + fmt.Sprintf(format, args...)})
--- a/target/call.go
+++ b/target/call.go
@@ -29,6 +29,8 @@
 type Call struct {
 	// RequestID is the fleet's own id of the request, the same for every attempt.
 	RequestID string
+	// Attempt grows with each sending of the request.
+	Attempt int
 	// Address is the target's IP:port.
 	Address   string
 	Service   string
@@ -111,6 +113,8 @@
 	// Next returns the next event of a stream, whose data is valid until the
 	// following call. It returns io.EOF after the end mark.
 	Next() (Event, error)
+	// Ready reports whether Next has a whole event at hand and need not wait.
+	Ready() bool
 	// End returns the end mark once Next has returned io.EOF.
 	End() End
 	// Close gives the connection up; a whole answer's connection is kept.
@@ -121,6 +125,7 @@
 type Sender interface {
 	// Send returns when the answer begins. Its error is a *SendError.
 	Send(ctx context.Context, call Call) (Answer, error)
-	// Cancel tells the target at address to stop a request.
-	Cancel(ctx context.Context, address, requestID string) error
+	// Cancel tells the target at address to stop a request, unless it was sent
+	// again by a later attempt.
+	Cancel(ctx context.Context, address, requestID string, attempt int) error
 }
--- a/target/web/order.go
+++ b/target/web/order.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/url"
+	"strconv"
 	"time"
 
 	"comfreytiller.dev/target"
@@ -58,10 +59,11 @@
 	if o.ID == "" {
 		return o, errors.Wrap(ErrBody, "order without ID")
 	}
-	if o.Kind != target.OrderLoadModel && o.Kind != target.OrderChangeRole {
-		return o, errors.Wrapf(ErrBody, "Kind %q is neither LoadModel nor ChangeRole", o.Kind)
+	switch o.Kind {
+	case target.OrderLoadModel, target.OrderChangeRole, target.OrderUnload:
+		return o, nil
 	}
-	return o, nil
+	return o, errors.Wrapf(ErrBody, "Kind %q is none of LoadModel, ChangeRole, Unload", o.Kind)
 }
 
 // EncodeOrderReply writes the reply to an order as JSON.
@@ -112,9 +114,11 @@
 	return err
 }
 
-// Cancel tells the target at address to stop a request.
-func (c *Client) Cancel(ctx context.Context, address, requestID string) error {
-	_, err := c.simple(ctx, address, fasthttp.MethodPost, PathCancel+url.PathEscape(requestID), nil, maxReplyBytes)
+// Cancel tells the target at address to stop a request, unless it was sent
+// again by a later attempt.
+func (c *Client) Cancel(ctx context.Context, address, requestID string, attempt int) error {
+	path := PathCancel + url.PathEscape(requestID) + "/" + strconv.Itoa(attempt)
+	_, err := c.simple(ctx, address, fasthttp.MethodPost, path, nil, maxReplyBytes)
 	return err
 }
 
