--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -157,3 +157,33 @@
 	s.Tick(after(13 * time.Second))
 	require.Equal(t, map[string]RefusalCode{"none": RefusedNoTarget}, refusalsOf(s.Effects()))
 }
+
+// What one workspace was served ahead of its turn does not set a third one back.
+func TestServingAheadOfTurnDoesNotSetOthersBack(t *testing.T) {
+	q := newQueue()
+	item := func(w *workspace, id string) *waiting {
+		i := &waiting{request: Request{ID: id}, workspace: w, wants: -1}
+		q.add(i)
+		return i
+	}
+	ahead, behind, third := newWorkspace("ahead"), newWorkspace("behind"), newWorkspace("third")
+	ahead.share, behind.share, third.share = 1, 1, 1
+	item(behind, "b")
+	for i := range 3 {
+		q.serve(item(ahead, fmt.Sprint(i)))
+	}
+	item(third, "t")
+	require.Equal(t, behind.start, third.start)
+}
+
+func TestEndedRequestsAreRememberedWithinBounds(t *testing.T) {
+	r := newRecent()
+	for i := range recentCount + 10 {
+		r.add(start, fmt.Sprint(i), nil)
+	}
+	require.Len(t, r.byID, recentCount)
+	require.NotContains(t, r.byID, "9")
+	r.add(after(recentAge+time.Second), "new", nil)
+	require.Len(t, r.byID, 1)
+	require.Len(t, r.order, 1)
+}
--- a/admission/rules_test.go
+++ b/admission/rules_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -228,11 +229,12 @@
 // A displaced chat's permit names where its context can be had, if both engines
 // move contexts.
 func TestPermitNamesTheHolderOfTheContext(t *testing.T) {
-	for _, moves := range []bool{true, false} {
+	for _, moving := range [][]string{{"e0", "e1"}, {"e0"}, {"e1"}, nil} {
 		s := warmService(2)
+		moves := len(moving) == 2
 		for i := range 2 {
 			a := announcement(fmt.Sprintf("e%d", i), 1, 2)
-			a.MovesCache, a.Address = moves, a.Name
+			a.MovesCache, a.Address = slices.Contains(moving, a.Name), a.Name
 			s.Announce(start, a)
 		}
 		s.Acquire(start, request("a", "chat"))
@@ -240,7 +242,7 @@
 		require.Empty(t, first.CacheFrom)
 		s.Acquire(start, request("full", "chat"))
 		s.Acquire(start, request("c", "chat"))
-		require.Len(t, permitsOf(s.Effects()), map[bool]int{true: 2, false: 1}[moves], "it waits only where the context can't move")
+		require.Len(t, permitsOf(s.Effects()), map[bool]int{true: 2, false: 1}[slices.Contains(moving, first.Target)], "it waits only where the context can't move")
 		s.Cancel(start, "c")
 		s.Effects()
 		config := reviews()
@@ -277,6 +279,10 @@
 	config.Workspaces = config.Workspaces[1:]
 	s.Configure(start, config)
 	require.Equal(t, map[string]RefusalCode{"r8": RefusedUnknownWorkspace}, refusalsOf(s.Effects()))
+	require.Contains(t, s.workspaces, "Rabat", "its requests run on")
+	s.ReleaseHost(start, "h1")
+	s.Configure(start, config)
+	require.NotContains(t, s.workspaces, "Rabat")
 }
 
 // A leave that is older than the newest announcement, and a copy that is older
@@ -328,6 +334,18 @@
 		next.Release(after(time.Second), done(p))
 	}
 	require.Equal(t, 8, stateOf(next, "e0").Limit)
+	require.Len(t, next.Export(after(time.Second), 1).Targets, 3)
+	require.Empty(t, next.Export(after(2*time.Second), 1).Targets)
+	require.Len(t, next.Export(after(time.Second+exportAgain), 1).Targets, 3, "a copy may have been lost")
+}
+
+// The copy of an owner that hands over may come after the targets' own news.
+func TestLateHandoverStillGivesTheWarmUpProgress(t *testing.T) {
+	s := New(reviews(), 4)
+	s.Announce(start, announcement("e0", 1, 1))
+	require.Equal(t, 2, stateOf(s, "e0").Limit)
+	s.Import(start, warmService(1).Export(start, 0))
+	require.Equal(t, 8, stateOf(s, "e0").Limit)
 }
 
 // What an earlier owner had in flight on a target shows what it can bear.
