--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -22,7 +22,7 @@
 // relay is the body of a streamed answer. Each Read waits for one event and adds
 // those that have arrived with it; the HTTP server sends them as one chunk.
 type relay struct {
-	*visit
+	*exchange
 	attempt *attempt
 	record  *record
 
@@ -107,7 +107,9 @@
 	return r.attempt.event, nil
 }
 
-// resume continues a cut stream at its offset through another connection.
+// resume continues a cut stream at its offset through another connection. A
+// target that can't be reached costs no retry: when one dies, every stream on it
+// has to move, and they are only as many as it had.
 func (r *relay) resume(cause error) bool {
 	if !r.call.Idempotent || !r.attempt.permit.Resumes || r.ctx.Err() != nil {
 		return false
@@ -121,13 +123,17 @@
 			r.gateway.meters.resumed.Inc(1)
 			return true
 		}
-		if r.ctx.Err() != nil || !r.retryable(err) || !r.gateway.budgets.of(r.service.Name).take() || !r.backOff() {
+		if r.ctx.Err() != nil || !r.retryable(err) || !r.payResume(err) || !r.backOff() {
 			return false
 		}
 	}
 	return false
 }
 
+func (r *relay) payResume(err error) bool {
+	return errors.Is(err, target.ErrUnreachable) || r.gateway.budgets.of(r.service.Name).take()
+}
+
 // giveUp abandons the attempt that failed. A target whose connection was cut may
 // be asked again; one that misbehaved is avoided.
 func (r *relay) giveUp(cause error) {
@@ -141,7 +147,7 @@
 func (r *relay) end() {
 	end := r.attempt.answer.End()
 	r.finish(r.attempt, admission.OutcomeDone)
-	r.gateway.logDone(r.exchange, r.attempt, end.Warm)
+	r.gateway.logDone(r.dispatcher, r.attempt, end.Warm)
 	r.gateway.meters.answered.Inc(1)
 	r.gateway.meters.repeated.Inc(int64(end.Repeated))
 	data, _ := json.Marshal(endBody{
@@ -164,7 +170,7 @@
 	r.err = errBroken
 }
 
-// Close ends the visit. A stream whose caller has gone is stopped on the
+// Close ends the exchange. A stream whose caller has gone is stopped on the
 // target, but a call that runs at most once is read to its end.
 func (r *relay) Close() error {
 	if r.closed {
--- a/gateway/silent_test.go
+++ b/gateway/silent_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"bufio"
+	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,7 +14,7 @@
 )
 
 // lossy puts a relay that can lose connections before a target.
-func (b *bench) lossy(address string) *standin.Blackhole {
+func (b *fixture) lossy(address string) *standin.Blackhole {
 	hole, err := standin.NewBlackhole(address)
 	require.NoError(b.t, err)
 	b.t.Cleanup(hole.Close)
@@ -22,7 +25,7 @@
 }
 
 func TestIdempotentWorkMovesFromASilentConnectionToANewOne(t *testing.T) {
-	b := newBench(t)
+	b := newFixture(t)
 	plain := b.plain("treasury-1")
 	hole := b.lossy(plain.Address())
 	b.get("Treasury/Balance", `{}`)
@@ -38,7 +41,7 @@
 }
 
 func TestAPaymentNeverGoesOnAnOldConnection(t *testing.T) {
-	b := newBench(t)
+	b := newFixture(t)
 	plain := b.plain("treasury-1")
 	hole := b.lossy(plain.Address())
 	b.get("Treasury/Balance", `{}`)
@@ -50,7 +53,7 @@
 }
 
 func TestAStreamOnAConnectionThatGoesSilentIsResumed(t *testing.T) {
-	b := newBench(t)
+	b := newFixture(t)
 	engine := b.engine(standin.EngineSettings{Name: "engine-1", Gap: 20 * time.Millisecond})
 	hole := b.lossy(engine.Address())
 	response := b.post("Reviews/Draft", dossier)
@@ -69,8 +72,31 @@
 	require.Equal(t, int64(1), b.counter("resumed_streams"))
 }
 
+func TestStreamsMoveFromAnEngineThatDies(t *testing.T) {
+	const streams = 30
+	b := newFixture(t)
+	b.catalog.fleet.Services[0].Timeouts.Gap = patience
+	dying := b.engine(standin.EngineSettings{Name: "engine-1", Gap: 10 * time.Millisecond})
+	b.engine(standin.EngineSettings{Name: "engine-2"})
+	var group sync.WaitGroup
+	var whole atomic.Int64
+	for range streams {
+		group.Go(func() {
+			text, err := read(b.post("Reviews/Draft", dossier))
+			stream := parseStream(t, text)
+			if err == nil && stream.end != "" && slices.Equal(wantTokens(dossier, 12), stream.tokens) {
+				whole.Add(1)
+			}
+		})
+	}
+	eventually(t, func() bool { return dying.InFlight() == streams }, "the engine is at work")
+	dying.Close()
+	group.Wait()
+	require.Equal(t, int64(streams), whole.Load())
+}
+
 func TestATargetThatIsSilentAltogetherIsGivenUp(t *testing.T) {
-	b := newBench(t)
+	b := newFixture(t)
 	plain := b.plain("treasury-1")
 	hole := b.lossy(plain.Address())
 	hole.LoseAll(true)
--- a/placement/handover.go
+++ b/placement/handover.go
@@ -18,6 +18,8 @@
 	BytesPerTarget int64
 	// BatchBytes is the most that one order moves.
 	BatchBytes int64
+	// ChatBytes is taken for a chat whose size is not known.
+	ChatBytes int64
 	// PrefillBytesPerSecond is the rate at which an engine makes the same cache
 	// anew. A chat is moved only while its chance to return outweighs the
 	// transfer: chance × bytes / prefill rate > bytes / transfer rate.
@@ -34,6 +36,7 @@
 		BytesPerSecond:        1 << 30,
 		BytesPerTarget:        64 << 30,
 		BatchBytes:            2 << 30,
+		ChatBytes:             64 << 20,
 		PrefillBytesPerSecond: 200 << 20,
 		HalfLife:              20 * time.Minute,
 		Window:                2 * time.Minute,
@@ -42,9 +45,11 @@
 
 // ChatState is a chat whose cache is warm on a target.
 type ChatState struct {
-	Chat  string
+	Chat string
+	// Bytes is the size of the cache; 0 for unknown.
 	Bytes int64
-	// LastUsed is when the chat's last request ran, Turns how many it has had.
+	// LastUsed is when the chat's last request ran, Turns how many it has had;
+	// 0 counts as one.
 	LastUsed time.Time
 	Turns    int
 }
@@ -81,13 +86,25 @@
 	return handover{limits: DefaultHandoverLimits()}
 }
 
-// Chats takes the chats that are warm on a target. It is needed for targets that
-// leave or are taken out; a chat that is no longer named is not moved any more.
-func (p *Planner) Chats(now time.Time, target string, chats []ChatState) {
+// HandsOver reports whether the target's chats are to be moved: it leaves, is
+// taken out, or drains for an order to serve another service.
+func (p *Planner) HandsOver(target string) bool {
 	e := p.engines[target]
-	if e == nil || p.inService(e) || !e.MovesCache {
+	return e != nil && e.MovesCache && e.Service != "" && (!p.inService(e) || e.changesService())
+}
+
+// changesService reports whether the target drains for another service.
+func (e *engine) changesService() bool {
+	return e.order != nil && e.order.state == Draining && e.order.Service != e.Service
+}
+
+// Chats takes the chats that are warm on a target for which HandsOver is true. A
+// chat that is no longer named is not moved any more.
+func (p *Planner) Chats(now time.Time, target string, chats []ChatState) {
+	if !p.HandsOver(target) {
 		return
 	}
+	e := p.engines[target]
 	t := p.handover.find(target)
 	if t == nil || t.incarnation != e.Incarnation {
 		p.handover.drop(target)
@@ -96,6 +113,11 @@
 		slices.SortFunc(p.handover.transfers, func(a, b *transfer) int { return strings.Compare(a.source, b.source) })
 	}
 	t.chats = slices.Clone(chats)
+	for i := range t.chats {
+		if t.chats[i].Bytes <= 0 {
+			t.chats[i].Bytes = p.handover.limits.ChatBytes
+		}
+	}
 	if t.batch != nil {
 		t.chats = slices.DeleteFunc(t.chats, func(c ChatState) bool { return t.batch.holds(c.Chat) })
 	}
@@ -122,7 +144,7 @@
 // chat has had and halves with each half-life of silence.
 func (h *handover) chance(now time.Time, c ChatState) float64 {
 	idle := max(0, now.Sub(c.LastUsed))
-	habit := 1 - math.Exp2(-float64(c.Turns))
+	habit := 1 - math.Exp2(-float64(max(1, c.Turns)))
 	return habit * math.Exp2(-idle.Seconds()/h.limits.HalfLife.Seconds())
 }
 
@@ -157,7 +179,9 @@
 		return "the target is gone"
 	case e.Incarnation != t.incarnation:
 		return "the target restarted"
-	case p.inService(e):
+	case e.Service == "":
+		return "the target serves nothing"
+	case p.inService(e) && !e.changesService():
 		return "the target is back"
 	case now.Sub(t.since) >= p.handover.limits.Window:
 		return "its time is over"
--- a/placement/handover_test.go
+++ b/placement/handover_test.go
@@ -52,7 +52,7 @@
 	// A chance of 0.195 to return pays; it halves every 20 minutes.
 	require.Len(t, moved, 10)
 	require.Empty(t, f.planner.Status(f.now).Handovers)
-	require.True(t, f.logged("handover of engine-000 ended: no other chat pays, 10 chats"))
+	require.True(t, f.said("handover of engine-000 ended: no other chat pays, 10 chats"))
 	require.Empty(t, f.closed, "cache orders are not in the log")
 	for _, o := range f.sent {
 		require.NotEqual(t, o.Kind == placement.ImportCache, o.Target == "engine-000")
@@ -60,12 +60,14 @@
 }
 
 func TestHandoverBudgetAndRate(t *testing.T) {
-	f, chats := drained(8, func(l *placement.HandoverLimits) { l.BytesPerTarget = 5 * gibibyte })
+	f, chats := drained(30, func(l *placement.HandoverLimits) {
+		l.BytesPerTarget, l.BytesPerSecond, l.PrefillBytesPerSecond = 15*gibibyte, gibibyte/4, 1
+	})
 	f.planner.Chats(f.now, "engine-000", chats)
-	f.run(2)
-	require.LessOrEqual(t, len(f.movedChats()), 4, "one gibibyte a second and one batch ahead")
-	f.run(60)
-	require.Len(t, f.movedChats(), 5)
+	f.run(20)
+	require.LessOrEqual(t, len(f.movedChats()), 20/4+4, "the rate and two batches ahead of it")
+	f.run(100)
+	require.Len(t, f.movedChats(), 15)
 }
 
 func TestHandoverEnds(t *testing.T) {
@@ -85,7 +87,7 @@
 		f.run(5)
 		end(f)
 		f.run(10)
-		require.True(t, f.logged("handover of engine-000 ended: "+reason), reason)
+		require.True(t, f.said("handover of engine-000 ended: "+reason), reason)
 		require.Empty(t, f.planner.Status(f.now).Handovers, reason)
 		sent := len(f.sent)
 		f.run(60)
@@ -94,6 +96,22 @@
 	}
 }
 
+func TestHandoverBeforeAnOrder(t *testing.T) {
+	text := textOf(service("Reviews", "large", "1", 1, 1), service("Answers", "small", "1", 0, 1))
+	f := settled(text, 3, 3)
+	require.False(t, f.planner.HandsOver("engine-001"))
+	f.pins["engine-001"] = "Answers"
+	f.configure()
+	f.run(2)
+	require.True(t, f.planner.HandsOver("engine-001"))
+	f.planner.Chats(f.now, "engine-001", []placement.ChatState{{Chat: "chat", Turns: 9, LastUsed: f.now}})
+	f.run(30)
+	require.Equal(t, []string{"chat"}, f.movedChats())
+	require.Equal(t, placement.ExportCache, f.sent[0].Kind)
+	require.Equal(t, placement.LoadModel, f.sent[len(f.sent)-1].Kind)
+	require.Equal(t, "Answers", f.target("engine-001").Service)
+}
+
 func TestHandoverGoesToAnotherTarget(t *testing.T) {
 	f, chats := drained(2, func(*placement.HandoverLimits) {})
 	f.target("engine-001").CachedChats = 0
