Use one bound for every choice while some targets come back cold

Cause: the queue looked for warm targets under the mean over all targets, also when that bound left no target with room and the mean over the targets below their own limits applied. Requests then waited 500 ms for warm targets that could take them, and went cold elsewhere.

BenchmarkDecision asks for chats that are all new in its new-N parts; before, most were known after the first pass.

--- a/admission/decision_bench_test.go
+++ b/admission/decision_bench_test.go
@@ -22,20 +22,22 @@
 func BenchmarkDecision(b *testing.B) {
 	for _, targets := range []int{18, 910} {
 		b.Run(fmt.Sprintf("warm-%d", targets), func(b *testing.B) { benchmarkPermit(b, targets, 1000) })
-		b.Run(fmt.Sprintf("new-%d", targets), func(b *testing.B) { benchmarkPermit(b, targets, 1<<30) })
+		b.Run(fmt.Sprintf("new-%d", targets), func(b *testing.B) { benchmarkPermit(b, targets, 0) })
 		b.Run(fmt.Sprintf("choose-%d", targets), func(b *testing.B) { benchmarkChoose(b, targets) })
 		b.Run(fmt.Sprintf("baseline-%d", targets), func(b *testing.B) { benchmarkRank(b, targets) })
 	}
 	b.Run("memory", benchmarkMemory)
 }
 
-func benchmarkPermit(b *testing.B, targets, chats int) {
-	s := warmService(targets, WithChats(200_000, time.Hour))
+// benchmarkPermit asks for the chats that are remembered, or for chats that are
+// all new if none is.
+func benchmarkPermit(b *testing.B, targets, remembered int) {
+	s := warmService(targets, WithChats(max(remembered, 1), time.Hour))
 	requests := make([]Request, 4096)
 	for i := range requests {
 		requests[i] = request("r"+strconv.Itoa(i), "")
 	}
-	for i := range min(chats, 1000) {
+	for i := range remembered {
 		s.memory.Use(start, chat.KeyOf("c"+strconv.Itoa(i)), s.targets[i%targets].place, false)
 	}
 	names := make([]string, 1<<16)
@@ -47,7 +49,10 @@
 	for i := range b.N {
 		r := requests[i%len(requests)]
 		r.ID = names[i%len(names)] + "-" + r.ID
-		r.Chat = names[i%min(chats, len(names))]
+		r.Chat = names[i%len(names)]
+		if remembered > 0 {
+			r.Chat = names[i%remembered]
+		}
 		s.Acquire(start, r)
 		effects := s.Effects()
 		s.Release(start, done(*effects[0].Permit))
--- a/admission/domain_bench_test.go
+++ b/admission/domain_bench_test.go
@@ -65,10 +65,17 @@
 	return float64(d.waits[len(d.waits)*99/100]) / float64(time.Millisecond)
 }
 
-func moveDomain(movesCache bool, opts ...Option) *domainMove {
+// variant says how the engines of a run differ.
+type variant struct {
+	movesCache bool
+	// restarts is set when the domain comes back with new incarnations.
+	restarts bool
+}
+
+func moveDomain(v variant, opts ...Option) *domainMove {
 	config := vernici()
 	m := newModel(1, config, 18, opts...)
-	m.movesCache = movesCache
+	m.movesCache = v.movesCache
 	d := &domainMove{model: m}
 	m.onRun = d.run
 	for _, e := range m.engines {
@@ -84,7 +91,14 @@
 	}
 	send()
 	m.after(drainAt+inForceDelay, func() { m.takeOut(map[string]bool{"A": true}) })
-	m.after(restoreAt+inForceDelay, func() { m.takeOut(nil) })
+	m.after(restoreAt+inForceDelay, func() {
+		m.takeOut(nil)
+		for _, e := range m.engines {
+			if v.restarts && e.domain == "A" {
+				m.join(e)
+			}
+		}
+	})
 	m.runUntil(start.Add(domainEnd))
 	return d
 }
@@ -107,7 +121,7 @@
 
 func BenchmarkDomainMove(b *testing.B) {
 	for range b.N {
-		ours := moveDomain(false)
+		ours := moveDomain(variant{})
 		m := ours.model
 		b.ReportMetric(float64(ours.late), "late-new-work/op")
 		b.ReportMetric(float64(m.refused)/float64(m.granted+m.refused), "refused/ratio")
@@ -115,10 +129,14 @@
 		b.ReportMetric(ours.windows[0].ratio(), "reuse-before")
 		b.ReportMetric(ours.windows[1].ratio(), "reuse-during")
 		b.ReportMetric(ours.windows[2].ratio(), "reuse-after")
-		moving := moveDomain(true)
+		moving := moveDomain(variant{movesCache: true})
 		b.ReportMetric(moving.windows[1].ratio(), "moving-during")
 		b.ReportMetric(moving.p99(), "moving-p99-ms")
-		baseline := moveDomain(false, withPolicy(withoutMemory))
+		cold := moveDomain(variant{restarts: true})
+		b.ReportMetric(cold.windows[2].ratio(), "cold-return-after")
+		b.ReportMetric(cold.p99(), "cold-return-p99-ms")
+		b.ReportMetric(float64(cold.model.refused)/float64(cold.model.granted+cold.model.refused), "cold-return-refused")
+		baseline := moveDomain(variant{}, withPolicy(withoutMemory))
 		b.ReportMetric(baseline.windows[1].ratio(), "baseline-during")
 		b.ReportMetric(baseline.windows[2].ratio(), "baseline-after")
 		b.ReportMetric(baseline.p99(), "baseline-p99-ms")
--- a/admission/pump.go
+++ b/admission/pump.go
@@ -16,7 +16,9 @@
 	s.queue.resume(now)
 	var passed []*waiting
 	for s.queue.len() > 0 {
-		if item := s.queue.warmNext(s.hasRoom); item != nil {
+		bound := s.bound()
+		hasRoom := func(target int) bool { return s.candidates[target].Refuses(bound) == route.Open }
+		if item := s.queue.warmNext(hasRoom); item != nil {
 			s.grantWarm(now, item)
 			continue
 		}
@@ -53,8 +55,16 @@
 	return true
 }
 
-func (s *Service) hasRoom(at int) bool {
-	return s.candidates[at].Refuses(s.factor.Bound(s.load)) == route.Open
+// bound returns the largest number in flight on one target. The mean is that of
+// all admitting targets, unless those within it are full by their own limits.
+func (s *Service) bound() int {
+	bound := s.factor.Bound(s.load)
+	for i := range s.candidates {
+		if s.candidates[i].Refuses(bound) == route.Open {
+			return bound
+		}
+	}
+	return max(bound, s.factor.Bound(route.Unfilled(s.candidates)))
 }
 
 // grantWarm grants a request on the target that it wants, unless its chat has
@@ -84,24 +94,25 @@
 	if query.Known[0] == route.None || contains(query.Excluded, query.Known[0]) {
 		return false
 	}
-	if second := query.Known[1]; second != route.None && !contains(query.Excluded, second) && s.hasRoom(second) {
+	if second := query.Known[1]; second != route.None && s.offers(&query, second) {
 		return false
 	}
 	warm := query.Known[0]
 	if s.targets[warm].announcement.MovesCache {
 		return false
 	}
-	return s.candidates[warm].Admits() && !s.hasRoom(warm)
+	return s.candidates[warm].Admits() && !s.offers(&query, warm)
+}
+
+// offers reports whether the request may run on the target now.
+func (s *Service) offers(query *lookup, at int) bool {
+	return !contains(query.Excluded, at) && s.candidates[at].Refuses(query.Bound) == route.Open
 }
 
 // place grants or refuses a waiting request, or reports that it must wait on.
 func (s *Service) place(now time.Time, item *waiting) bool {
 	query := s.query(item)
 	choice := s.options.choose(&query.Query, s.candidates)
-	if choice.Target == route.None {
-		query.Bound = max(query.Bound, s.factor.Bound(route.Unfilled(s.candidates)))
-		choice = s.options.choose(&query.Query, s.candidates)
-	}
 	if choice.Target != route.None {
 		s.grant(now, item, &query, &choice)
 		return true
@@ -127,7 +138,7 @@
 	query.Query = route.Query{
 		Chat:  uint64(item.chat),
 		Known: [2]int{query.last, s.targetAt(known.Second)},
-		Bound: s.factor.Bound(s.load),
+		Bound: s.bound(),
 		First: s.options.first,
 	}
 	if known.Displaced && query.Known[1] != route.None && s.candidates[query.Known[1]].Admits() {
