--- a/standin/announcer.go
+++ b/standin/announcer.go
@@ -46,6 +46,8 @@
 	eventIncarnation uint64
 	eventSeq         uint64
 	lostEvents       int
+	// eventLag is how late cache events are sent.
+	eventLag time.Duration
 }
 
 func newAnnouncer(clock clockwork.Clock, hosts []string, key string, heartbeat time.Duration, t announced, done chan struct{}) *announcer {
@@ -135,14 +137,19 @@
 		return
 	}
 	a.mu.Unlock()
-	a.enqueue(func() error {
+	send := func() error {
 		name := a.target.announcement().Name
 		body, err := web.EncodeEvent(target.CacheEvent{Name: name, Change: change, Chats: chats, Stamp: stamp})
 		if err != nil {
 			return err
 		}
 		return a.post(web.PathEvents, body)
-	})
+	}
+	if a.eventLag <= 0 {
+		a.enqueue(send)
+		return
+	}
+	a.clock.AfterFunc(a.eventLag, func() { a.enqueue(send) })
 }
 
 // stamp numbers the next message; a new incarnation starts again at 1.
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -57,6 +57,7 @@
 		return nil, err
 	}
 	e.announcer = newAnnouncer(clock, settings.Hosts, settings.SharedKey, settings.Heartbeat, e, e.done)
+	e.announcer.eventLag = settings.EventLag
 	e.announcer.start()
 	return e, nil
 }
--- a/standin/engine_settings.go
+++ b/standin/engine_settings.go
@@ -38,6 +38,8 @@
 	FirstByte     time.Duration
 	WarmFirstByte time.Duration
 	ColdFirstByte time.Duration
+	// EventLag is how late the engine publishes its cache events.
+	EventLag time.Duration
 	// Gap is the time between tokens.
 	Gap time.Duration
 	// Tokens is the length of an answer whose request names none.
