Wait for the request before its budget ends in the client's tests

A run of the package hung once: the fake clock could end the budget before the request had been written, so that the scripted target did not use up its silent answer and kept it for the next request.

--- a/target/web/client_test.go
+++ b/target/web/client_test.go
@@ -19,6 +19,8 @@
 type script struct {
 	listener net.Listener
 	conns    chan net.Conn
+	// asked gets a token for each request that has arrived.
+	asked chan struct{}
 }
 
 // newScript answers the requests of all connections in turn by answers; an
@@ -26,7 +28,7 @@
 func newScript(t *testing.T, answers ...string) *script {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	s := &script{listener: listener, conns: make(chan net.Conn, 16)}
+	s := &script{listener: listener, conns: make(chan net.Conn, 16), asked: make(chan struct{}, 16)}
 	next := make(chan string, len(answers))
 	for _, answer := range answers {
 		next <- answer
@@ -38,14 +40,14 @@
 				return
 			}
 			s.conns <- c
-			go answerEach(c, next)
+			go s.answerEach(c, next)
 		}
 	}()
 	t.Cleanup(func() { _ = listener.Close() })
 	return s
 }
 
-func answerEach(c net.Conn, next chan string) {
+func (s *script) answerEach(c net.Conn, next chan string) {
 	reader := bufio.NewReader(c)
 	for {
 		request, err := http.ReadRequest(reader)
@@ -53,6 +55,7 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, request.Body)
+		s.asked <- struct{}{}
 		if answer := <-next; answer != "" {
 			_, _ = io.WriteString(c, answer)
 		}
@@ -77,7 +80,7 @@
 		_, err := client.Send(context.Background(), call)
 		failed <- err
 	}()
-	require.NoError(t, clock.BlockUntilContext(t.Context(), 1))
+	<-s.asked
 	first := <-s.conns
 	clock.Advance(time.Second)
 	err := <-failed
@@ -149,13 +152,15 @@
 
 func TestOneDeadConnectionEndsTheOthersKeptToItsTarget(t *testing.T) {
 	s := newScript(t, okAnswer, okAnswer, "", okAnswer)
-	client := NewClient(clockwork.NewRealClock(), WithMaxIdle(time.Hour))
+	clock := clockwork.NewFakeClock()
+	client := NewClient(clock, WithDialTimeout(0), WithMaxIdle(time.Hour))
 	defer client.Close()
 	var answers []target.Answer
 	for range 2 {
 		answer, err := client.Send(context.Background(), s.call())
 		require.NoError(t, err)
 		answers = append(answers, answer)
+		<-s.asked
 	}
 	for _, answer := range answers {
 		_, err := answer.Body(10)
@@ -163,8 +168,15 @@
 		answer.Close()
 	}
 	call := s.call()
-	call.FirstByte = 20 * time.Millisecond
-	_, err := client.Send(context.Background(), call)
+	call.FirstByte = time.Second
+	failed := make(chan error, 1)
+	go func() {
+		_, err := client.Send(context.Background(), call)
+		failed <- err
+	}()
+	<-s.asked
+	clock.Advance(time.Second)
+	err := <-failed
 	var sendError *target.SendError
 	require.ErrorAs(t, err, &sendError)
 	require.True(t, sendError.Reused)
