--- a/placement/handover_test.go
+++ b/placement/handover_test.go
@@ -104,11 +104,16 @@
 	f.configure()
 	f.run(2)
 	require.True(t, f.planner.HandsOver("engine-001"))
-	f.planner.Chats(f.now, "engine-001", []placement.ChatState{{Chat: "chat", Turns: 9, LastUsed: f.now}})
-	f.run(30)
-	require.Equal(t, []string{"chat"}, f.movedChats())
-	require.Equal(t, placement.ExportCache, f.sent[0].Kind)
-	require.Equal(t, placement.LoadModel, f.sent[len(f.sent)-1].Kind)
+	var chats []placement.ChatState
+	for i := range 10 {
+		chats = append(chats, placement.ChatState{Chat: fmt.Sprintf("chat-%d", i), Bytes: gibibyte, Turns: 9, LastUsed: f.now})
+	}
+	f.planner.Chats(f.now, "engine-001", chats)
+	f.run(40)
+	require.Len(t, f.movedChats(), 10)
+	for _, o := range f.sent[:10] {
+		require.NotEqual(t, placement.LoadModel, o.Kind, "the order waits for the chats")
+	}
 	require.Equal(t, "Answers", f.target("engine-001").Service)
 }
 
--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -45,6 +45,11 @@
 	f.run(600)
 	require.Len(t, f.sent, sent, "a settled fleet gets no orders")
 	require.True(t, f.said("placement: Reviews: LoadModel large 1 on engine-"))
+	fences := map[uint64]string{}
+	for _, o := range f.sent {
+		require.Contains(t, []string{"", o.ID}, fences[o.Fence], "each record has its own fencing number")
+		fences[o.Fence] = o.ID
+	}
 }
 
 func TestDependenciesFirst(t *testing.T) {
@@ -294,6 +299,11 @@
 	f.run(100)
 	require.Len(t, f.recorded, 1, "the owner stops giving it work")
 	require.Empty(t, f.sent, "a request still runs")
+	f.target("engine-001").missing = true
+	f.run(3)
+	f.target("engine-001").missing = false
+	f.run(1)
+	require.Empty(t, f.closed, "a flap cancels nothing")
 	f.target("engine-001").InFlight = 0
 	f.run(1)
 	require.Len(t, f.sent, 1)
@@ -472,6 +482,25 @@
 	for _, e := range f.targets {
 		require.Equal(t, "2", e.Version)
 	}
+	f.planner.RememberFailure(placement.Order{Kind: placement.LoadModel, Service: "Reviews", Model: "large", Version: "2"})
+	f.run(2)
+	require.Empty(t, f.planner.Status(f.now).Services[0].RollStopped, "no roll is under way")
+}
+
+func TestMissingTargetKeepsItsShareOfTheStore(t *testing.T) {
+	f := newFakeFleet(textOf(service("Reviews", "large", "1", 2, 1)), engines(1, "a"), placement.WithModelBytes(4*modelSize))
+	f.run(18)
+	require.Len(t, f.sent, 1)
+	f.targets[0].missing = true
+	f.run(10)
+	f.targets[0].missing = false
+	f.run(2)
+	f.targets[0].missing = true
+	f.run(60)
+	require.Len(t, f.recorded, 1, "the load may still run for all that is known")
+	f.run(40)
+	require.Empty(t, f.recorded)
+	require.Equal(t, placement.OutcomeGone, f.closed[0].Outcome)
 }
 
 func TestDomainOutAndBack(t *testing.T) {
