--- a/admission/queue.go
+++ b/admission/queue.go
@@ -57,6 +57,11 @@
 	return w
 }
 
+// idle reports whether no request of the workspace waits or is in flight.
+func (w *workspace) idle() bool {
+	return w.waiting == 0 && w.inFlight == 0
+}
+
 // queue orders waiting requests: between workspaces by start-time fair queueing
 // weighted by their shares, within one by priority, then by arrival.
 type queue struct {
@@ -149,11 +154,15 @@
 // resumeFor puts the held requests back that want the target.
 func (q *queue) resumeFor(target int, now time.Time) {
 	for _, item := range q.wanting[target] {
-		if item.held {
-			item.held = false
-			item.heldUntil = now
-			q.line(item)
-		}
+		q.resumeOne(item, now)
+	}
+}
+
+func (q *queue) resumeOne(item *waiting, now time.Time) {
+	if item.held {
+		item.held = false
+		item.heldUntil = now
+		q.line(item)
 	}
 }
 
@@ -187,11 +196,10 @@
 	item.workspace.waiting--
 	q.expiring.remove(item.expiry)
 	q.unwant(item)
-	if item.held {
-		item.held = false
-		return
+	if item.position >= 0 {
+		q.unline(item)
 	}
-	q.unline(item)
+	item.held = false
 }
 
 // inOrder returns the waiting requests in the order of their arrival.
--- a/chat/memory_test.go
+++ b/chat/memory_test.go
@@ -161,19 +161,21 @@
 	m.Use(at(0), KeyOf("y"), a, false)
 	require.True(t, m.Apply(at(1), event(1, target.CacheEvicted, "x")))
 	require.Equal(t, Known{Last: a}, m.Find(KeyOf("x")), "an eviction that may be late only makes it uncertain")
-	m.Use(at(2), KeyOf("x"), a, false)
+	m.Apply(at(2), event(2, target.CacheStored, "x"))
 	require.True(t, m.Find(KeyOf("x")).Certain)
-	m.Apply(at(10), event(2, target.CacheEvicted, "x"))
+	m.Apply(at(10), event(3, target.CacheEvicted, "x"))
 	require.Equal(t, NoPlace, m.Find(KeyOf("x")).Last)
-	m.Apply(at(10), event(3, target.CacheStored, "x"))
+	m.Apply(at(10), event(4, target.CacheStored, "x"))
 	require.Equal(t, a, m.Find(KeyOf("x")).Last)
-	m.Apply(at(11), event(5, target.CacheStored, "z"))
+	m.Apply(at(11), event(6, target.CacheStored, "z"))
 	require.Equal(t, Known{Last: a}, m.Find(KeyOf("y")), "after a gap the place stays preferred but is uncertain")
-	m.Apply(at(11), event(4, target.CacheEvicted, "y"))
+	m.Apply(at(11), event(5, target.CacheEvicted, "y"))
 	require.Equal(t, a, m.Find(KeyOf("y")).Last, "a late event is dropped")
-	m.Use(at(12), KeyOf("y"), a, false)
+	m.Apply(at(12), event(7, target.CacheStored, "y"))
 	require.True(t, m.Find(KeyOf("y")).Certain)
-	m.Apply(at(13), event(6, target.CacheCleared))
+	m.Use(at(12), KeyOf("x"), a, false)
+	require.True(t, m.Find(KeyOf("x")).Certain)
+	m.Apply(at(13), event(8, target.CacheCleared))
 	require.Equal(t, NoPlace, m.Find(KeyOf("y")).Last)
 	require.False(t, m.Apply(at(13), target.CacheEvent{Name: "a", Stamp: target.Stamp{Incarnation: 2, Sequence: 1}}))
 	require.False(t, m.Apply(at(13), target.CacheEvent{Name: "b"}))
@@ -186,6 +188,13 @@
 	m.Open("a", 2, 0)
 	require.Equal(t, NoPlace, m.Find(KeyOf("x")).Last)
 	require.Equal(t, NoPlace, m.Open("a", 1, 0))
+
+	full := NewMemory(2, time.Hour)
+	full.Use(at(0), KeyOf("old"), full.Open("b", 1, 0), false)
+	full.Use(at(1), KeyOf("lost"), full.Open("a", 1, 0), false)
+	full.Close("a")
+	full.Use(at(2), KeyOf("new"), full.Open("b", 1, 0), false)
+	require.NotEqual(t, NoPlace, full.Find(KeyOf("old")).Last, "what is lost goes before what is old")
 }
 
 func TestDisplacedChatKnowsItsHome(t *testing.T) {
@@ -252,6 +261,18 @@
 	})
 }
 
+func TestOlderBatchDoesNotReplaceNewerKnowledge(t *testing.T) {
+	m := NewMemory(10, time.Hour)
+	a, b := m.Open("a", 1, 0), m.Open("b", 1, 0)
+	m.Use(at(0), 1, b, false)
+	m.Use(at(0), 2, b, false)
+	batch := m.All(at(9))
+	m.Use(at(5), 1, a, false)
+	m.Merge(at(9), batch)
+	require.Equal(t, a, m.Find(1).Last)
+	require.Equal(t, b, m.Find(2).Last)
+}
+
 func (m *Memory) named(chat Key) [3]any {
 	known := m.Find(chat)
 	return [3]any{m.places[known.Last].target, m.places[known.Second].target, known.Displaced}
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -16,7 +16,7 @@
 )
 
 // rawRequest sends bytes and returns the answer.
-func (b *bench) rawRequest(raw string) (int, FailureBody) {
+func (b *fixture) rawRequest(raw string) (int, FailureBody) {
 	connection, err := net.Dial("tcp", b.address)
 	require.NoError(b.t, err)
 	defer connection.Close()
@@ -51,11 +51,12 @@
 			"POST " + pay + " HTTP/1.1\r\n" + end + "Transfer-Encoding: chunked\r\n\r\n800\r\n" + strings.Repeat("x", 2048) + "\r\n0\r\n\r\n",
 			413, CodeBodyTooLarge,
 		},
-		{"a body announced beyond the limit", "POST " + pay + " HTTP/1.1\r\n" + end + "Content-Length: 9999999\r\n\r\n", 413, CodeBodyTooLarge},
+		{"a body announced beyond the limit", "POST " + pay + " HTTP/1.1\r\n" + end + "Content-Length: 100000\r\n\r\n", 413, CodeBodyTooLarge},
 		{"a header too large", post(pay, "X-Long: "+strings.Repeat("x", 9<<10)+"\r\n", ""), 431, CodeHeaderLimit},
 		{"too many header fields", post(pay, strings.Repeat("X-Many: 1\r\n", 80), ""), 431, CodeHeaderLimit},
 		{"a path too long", post(pay+strings.Repeat("x", 3<<10), "", ""), 414, CodeURILimit},
 		{"another method", "GET " + pay + " HTTP/1.1\r\n" + end + "\r\n", 405, CodeMethod},
+		{"HTTP/1.0", strings.Replace(post(pay, "", payment), "HTTP/1.1", "HTTP/1.0", 1), 505, CodeBadRequest},
 		{"an unknown path", post("/v2/else", "", ""), 404, CodeNotFound},
 		{"an unknown service", post(PathServices+"Else/Pay", "", ""), 404, CodeNotFound},
 		{"an unknown call", post(PathServices+"Treasury/Else", "", ""), 404, CodeNotFound},
@@ -68,7 +69,7 @@
 		{"no workspace", "POST " + pay + " HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n", 403, CodeForbidden},
 		{"a service the workspace may not use", strings.Replace(post(PathServices+"Reviews/Draft", "", ""), "Students", "Desk", 1), 403, CodeForbidden},
 	}
-	b := newBench(t)
+	b := newFixture(t)
 	plain := b.plain("treasury-1")
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
@@ -84,8 +85,23 @@
 	require.Equal(t, 200, status, "the gateway still serves")
 }
 
+func TestARefusalNamesTheRequestToo(t *testing.T) {
+	b := newFixture(t)
+	for path, body := range map[string]string{
+		"Treasury/Pay":  strings.Repeat("x", 1<<10+1),
+		"Else/Pay":      "",
+		"Treasury/Else": "",
+	} {
+		response := b.post(path, body, HeaderRequest, "mine-1")
+		_, err := read(response)
+		require.NoError(t, err)
+		require.GreaterOrEqual(t, response.StatusCode, 400)
+		require.Equal(t, "mine-1", response.Header.Get(HeaderRequest), path)
+	}
+}
+
 func TestASlowSenderIsTimedOut(t *testing.T) {
-	b := newBench(t, WithReadTimeout(50*time.Millisecond))
+	b := newFixture(t, WithReadTimeout(50*time.Millisecond))
 	for name, raw := range map[string]string{
 		"header": "POST /v1/services/Treasury/Pay HTTP/1.1\r\nHost:",
 		"body":   "POST /v1/services/Treasury/Pay HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\nhalf",
@@ -100,7 +116,7 @@
 }
 
 func TestConnectionsBeyondTheLimitAreRefused(t *testing.T) {
-	b := newBench(t, WithMaxConnections(1))
+	b := newFixture(t, WithMaxConnections(1))
 	b.plain("treasury-1")
 	status, _ := b.get("Treasury/Balance", `{}`)
 	require.Equal(t, 200, status)
@@ -119,7 +135,7 @@
 }
 
 // neverRead asks for a long stream and reads nothing of it.
-func (b *bench) neverRead() net.Conn {
+func (b *fixture) neverRead() net.Conn {
 	connection, err := net.Dial("tcp", b.address)
 	require.NoError(b.t, err)
 	tcp, ok := connection.(*net.TCPConn)
@@ -133,7 +149,7 @@
 }
 
 func TestACallerThatNeverReadsIsCut(t *testing.T) {
-	b := newBench(t, WithWriteStall(100*time.Millisecond))
+	b := newFixture(t, WithWriteStall(100*time.Millisecond))
 	engine := b.engine(standin.EngineSettings{Name: "engine-1"})
 	connection := b.neverRead()
 	defer connection.Close()
--- a/gateway/log_test.go
+++ b/gateway/log_test.go
@@ -30,7 +30,7 @@
 }
 
 func TestEachRoutingDecisionHasOneLine(t *testing.T) {
-	b := newBench(t)
+	b := newFixture(t)
 	var out lockedBuffer
 	logger, err := logs.New(&out, "info", "text")
 	require.NoError(t, err)
@@ -50,8 +50,20 @@
 	}
 }
 
+func TestARequestThatIsGivenUpHasALine(t *testing.T) {
+	b := newFixture(t)
+	var out lockedBuffer
+	logger, err := logs.New(&out, "info", "text")
+	require.NoError(t, err)
+	b.gateway.log = logs.Part(logger, "Route")
+	b.get("Reviews/Draft", dossier, HeaderChat, "c-17")
+	require.Len(t, out.lines(), 1)
+	require.Contains(t, out.lines()[0], "is given up")
+	require.Contains(t, out.lines()[0], "Code=NoTarget")
+}
+
 func TestTheMetricsTellOutcomesAndReuse(t *testing.T) {
-	b := newBench(t)
+	b := newFixture(t)
 	b.engine(standin.EngineSettings{Name: "engine-1"})
 	for range 3 {
 		b.get("Reviews/Draft", dossier, HeaderChat, "c-17")
--- a/registry/state.go
+++ b/registry/state.go
@@ -32,6 +32,9 @@
 
 	sessions map[uint64]Host
 	owners   map[string]Owner
+	// moves holds the last move of each service, so that a MoveOwner that is
+	// sent again gets the same answer.
+	moves map[string]move
 
 	operations operations
 	claims     claims
@@ -46,6 +49,7 @@
 	hosts   bool
 	owners  bool
 	outages bool
+	orders  bool
 }
 
 func (c changes) any() bool {
@@ -59,6 +63,7 @@
 		pins:       map[string]string{},
 		sessions:   map[uint64]Host{},
 		owners:     map[string]Owner{},
+		moves:      map[string]move{},
 		operations: newOperations(),
 		claims:     newClaims(),
 		orders:     map[string]Order{},
