--- a/journal/errors.go
+++ b/journal/errors.go
@@ -24,7 +24,7 @@
 	ErrClosed = errors.New("journal is closed")
 	// ErrIndex says that the indexes of a call do not fit the log.
 	ErrIndex = errors.New("journal index out of order")
-	// ErrTooLarge says that a record or a state is longer than a record may be.
+	// ErrTooLarge says that a record, a state or a batch is longer than it may be.
 	ErrTooLarge = errors.New("journal record is too large")
 )
 
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -218,6 +218,7 @@
 	if len(state) > maxRecordBytes {
 		return errors.Wrapf(ErrTooLarge, "state has %d bytes", len(state))
 	}
+	total := len(state)
 	if len(indexes) != len(records) {
 		return errors.Wrapf(ErrIndex, "%d indexes for %d records", len(indexes), len(records))
 	}
@@ -231,6 +232,10 @@
 		if len(records[i]) > maxRecordBytes {
 			return errors.Wrapf(ErrTooLarge, "index %d has %d bytes", index, len(records[i]))
 		}
+		total += len(records[i])
+	}
+	if total > maxBatchBytes {
+		return errors.Wrapf(ErrTooLarge, "batch has %d bytes", total)
 	}
 	return nil
 }
--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -166,6 +166,8 @@
 	require.NoError(t, err)
 	require.NoError(t, log.SaveSnapshot(5, []byte("snapshot")))
 	require.NoError(t, log.Close())
+	older := folder + "/snapshot-0000000000000003"
+	require.NoError(t, os.WriteFile(older, []byte("left by a crash"), 0o600))
 	name := folder + "/snapshot-0000000000000005"
 	whole, err := os.ReadFile(name)
 	require.NoError(t, err)
@@ -176,7 +178,13 @@
 		_, err = journal.Open(folder)
 		require.ErrorIs(t, err, journal.ErrCorrupt, "offset %d", offset)
 		require.True(t, strings.Contains(err.Error(), name))
+		require.FileExists(t, older, "a refused journal must stay as it was")
 	}
+	require.NoError(t, os.WriteFile(name, whole, 0o600))
+	log, err = journal.Open(folder)
+	require.NoError(t, err)
+	require.NoError(t, log.Close())
+	require.NoFileExists(t, older)
 }
 
 // TestBoundedDisk takes a snapshot now and then over many changes.
--- a/journal/record.go
+++ b/journal/record.go
@@ -18,6 +18,9 @@
 // maxRecordBytes bounds a record's payload.
 const maxRecordBytes = 256 << 20
 
+// maxBatchBytes bounds the payloads of one write.
+const maxBatchBytes = 1 << 30
+
 // recordKind tells what a record does to the log.
 type recordKind uint8
 
--- a/journal/recovery.go
+++ b/journal/recovery.go
@@ -3,40 +3,62 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/go-faster/errors"
 )
 
-// repair finds the newest snapshot, removes what a crash left half made, and
-// checks all segments.
+// found is what the folder holds; numbers are in ascending order.
+type found struct {
+	temporary []string
+	snapshots []uint64
+	segments  []uint64
+}
+
+// repair checks the newest snapshot and all segments, and only then removes what
+// a crash left half made: a folder that is refused stays as it was.
 func (j *Journal) repair() error {
 	names, err := j.files.List(j.folder)
 	if err != nil {
 		return errors.Wrap(err, "list folder")
 	}
-	var sequences []uint64
+	all := sortNames(names)
+	if len(all.snapshots) > 0 {
+		j.snapshotIndex = slices.Max(all.snapshots)
+	}
+	if _, err := j.readSnapshot(j.snapshotIndex); err != nil {
+		return err
+	}
+	if len(all.segments) == 0 && j.snapshotIndex != 0 {
+		return &CorruptError{File: j.path(snapshotName(j.snapshotIndex)), Reason: "snapshot without a segment"}
+	}
+	if err := j.checkSegments(all.segments); err != nil {
+		return err
+	}
+	if err := j.removeLeftovers(&all); err != nil {
+		return err
+	}
+	if len(all.segments) == 0 {
+		return j.roll()
+	}
+	return j.openActive()
+}
+
+func sortNames(names []string) found {
+	var all found
 	for _, name := range names {
 		var number uint64
 		switch {
 		case strings.HasSuffix(name, temporarySuffix):
-			err = j.files.Remove(j.path(name))
+			all.temporary = append(all.temporary, name)
 		case matches(name, snapshotFormat, &number):
-			err = j.keepNewest(number)
+			all.snapshots = append(all.snapshots, number)
 		case matches(name, segmentFormat, &number):
-			sequences = append(sequences, number)
+			all.segments = append(all.segments, number)
 		}
-		if err != nil {
-			return errors.Wrapf(err, "file %s", name)
-		}
-	}
-	if _, err := j.readSnapshot(j.snapshotIndex); err != nil {
-		return err
-	}
-	if len(sequences) == 0 {
-		return j.startEmpty()
 	}
-	return j.recoverSegments(sequences)
+	return all
 }
 
 func matches(name, format string, number *uint64) bool {
@@ -44,27 +66,24 @@
 	return err == nil && fmt.Sprintf(format, *number) == name
 }
 
-// keepNewest removes the older of two snapshots; names come in order.
-func (j *Journal) keepNewest(index uint64) error {
-	old := j.snapshotIndex
-	j.snapshotIndex = index
-	if old == 0 {
-		return nil
-	}
-	return j.files.Remove(j.path(snapshotName(old)))
-}
-
-// startEmpty creates the first segment. A snapshot without any segment is
-// damage: a segment always exists before the first snapshot.
-func (j *Journal) startEmpty() error {
-	if j.snapshotIndex != 0 {
-		return &CorruptError{File: j.path(snapshotName(j.snapshotIndex)), Reason: "snapshot without a segment"}
+// removeLeftovers removes half-made files and the snapshots before the newest.
+func (j *Journal) removeLeftovers(all *found) error {
+	names := slices.Clone(all.temporary)
+	for _, index := range all.snapshots {
+		if index != j.snapshotIndex {
+			names = append(names, snapshotName(index))
+		}
+	}
+	for _, name := range names {
+		if err := j.files.Remove(j.path(name)); err != nil {
+			return errors.Wrapf(err, "remove %s", name)
+		}
 	}
-	return j.roll()
+	return nil
 }
 
-// recoverSegments checks all segments and opens the last one for appending.
-func (j *Journal) recoverSegments(sequences []uint64) error {
+// checkSegments checks all segments; the last one becomes the active one.
+func (j *Journal) checkSegments(sequences []uint64) error {
 	r := newReplay(j.snapshotIndex, false)
 	for i, sequence := range sequences {
 		if i > 0 && sequence != sequences[i-1]+1 {
@@ -83,7 +102,7 @@
 	}
 	j.state = r.state
 	j.lastIndex = max(r.last, j.snapshotIndex)
-	return j.openActive()
+	return nil
 }
 
 // openActive cuts an incomplete write off the active segment and writes the rest
--- a/journal/segment.go
+++ b/journal/segment.go
@@ -109,9 +109,9 @@
 
 // publish makes a whole file appear under its name, or leaves things as they
 // were when the disk is full.
-func (j *Journal) publish(name string, content []byte) error {
+func (j *Journal) publish(name string, parts ...[]byte) error {
 	temporary := j.path(name + temporarySuffix)
-	if err := j.writeTemporary(temporary, content); err != nil {
+	if err := j.writeTemporary(temporary, parts); err != nil {
 		return err
 	}
 	if err := j.files.Rename(temporary, j.path(name)); err != nil {
@@ -123,15 +123,20 @@
 	return nil
 }
 
-func (j *Journal) writeTemporary(temporary string, content []byte) error {
+func (j *Journal) writeTemporary(temporary string, parts [][]byte) error {
 	f, err := j.files.Create(temporary)
 	if err != nil {
 		return j.failUnlessFull(err, "create file")
 	}
 	defer f.Close()
-	if _, err := f.WriteAt(content, 0); err != nil {
-		_ = j.files.Remove(temporary)
-		return j.failUnlessFull(err, "write file")
+	offset := int64(0)
+	for _, part := range parts {
+		n, err := f.WriteAt(part, offset)
+		if err != nil {
+			_ = j.files.Remove(temporary)
+			return j.failUnlessFull(err, "write file")
+		}
+		offset += int64(n)
 	}
 	if err := f.Sync(); err != nil {
 		return j.fail(errors.Wrap(err, "sync file"))
--- a/journal/snapshot.go
+++ b/journal/snapshot.go
@@ -32,7 +32,7 @@
 	if index == 0 || index < j.snapshotIndex {
 		return errors.Wrapf(ErrIndex, "snapshot at %d below the one at %d", index, j.snapshotIndex)
 	}
-	if err := j.publish(snapshotName(index), encodeSnapshot(index, data)); err != nil {
+	if err := j.publish(snapshotName(index), snapshotHeader(index, data), data); err != nil {
 		return errors.Wrap(err, "save snapshot")
 	}
 	old := j.snapshotIndex
@@ -45,14 +45,13 @@
 	return nil
 }
 
-func encodeSnapshot(index uint64, data []byte) []byte {
-	content := make([]byte, 0, snapshotHeaderBytes+len(data))
-	content = append(content, snapshotMagic...)
-	content = binary.LittleEndian.AppendUint64(content, index)
-	content = binary.LittleEndian.AppendUint64(content, uint64(len(data)))
-	sum := crc32.Update(crc32.Checksum(content, castagnoli), castagnoli, data)
-	content = binary.LittleEndian.AppendUint32(content, sum)
-	return append(content, data...)
+func snapshotHeader(index uint64, data []byte) []byte {
+	header := make([]byte, 0, snapshotHeaderBytes)
+	header = append(header, snapshotMagic...)
+	header = binary.LittleEndian.AppendUint64(header, index)
+	header = binary.LittleEndian.AppendUint64(header, uint64(len(data)))
+	sum := crc32.Update(crc32.Checksum(header, castagnoli), castagnoli, data)
+	return binary.LittleEndian.AppendUint32(header, sum)
 }
 
 // readSnapshot returns the data of the snapshot at index; nil for index 0.
