Suspend a service whose lease has lapsed; keep one copy of a followed service

A withdrawn grant freed a place that was granted again at once; such grants stayed until the next flush. A suspended service refuses what waits, so that entry hosts ask again, and grants once the lease is live. The backup host now folds each copy into one memory instead of keeping up to 4,096 of them.

--- a/host/handover.go
+++ b/host/handover.go
@@ -11,10 +11,7 @@
 	"comfreytiller.dev/registry"
 )
 
-// maxCopies bounds the copies kept of one service; the oldest go first.
-const maxCopies = 4096
-
-// sendCopies sends each backup host what changed.
+// sendCopies sends each backup host what changed, and all to a new one.
 func (o *owners) sendCopies(now time.Time) {
 	view := o.session.View()
 	for _, service := range o.all() {
@@ -22,7 +19,11 @@
 		if !ok {
 			continue
 		}
-		o.sendCopy(backup.PeerAddress, service, service.export(now, copyChats))
+		limit := copyChats
+		if service.copiedTo != backup.Session {
+			service.copiedTo, limit = backup.Session, 0
+		}
+		o.sendCopy(backup.PeerAddress, service, service.export(now, limit))
 	}
 }
 
@@ -45,8 +46,7 @@
 	o.mu.Lock()
 	service := o.owned[m.Service]
 	if service == nil {
-		kept := append(o.copies[m.Service], copied)
-		o.copies[m.Service] = kept[max(0, len(kept)-maxCopies):]
+		o.follows(m.Service, copied)
 	}
 	o.mu.Unlock()
 	if service != nil && service.owner.Fence > m.Fence {
@@ -54,6 +54,24 @@
 	}
 }
 
+// follows adds to the copy of a service of another owner; the lock is held.
+func (o *owners) follows(name string, copied admission.Copy) {
+	if copied.Current {
+		o.handed[name] = copied
+		return
+	}
+	followed, ok := o.followed[name]
+	if !ok {
+		config, known := serviceConfig(o.session.View(), name)
+		if !known {
+			return
+		}
+		followed = admission.New(config, 0, admission.WithChats(ownerChats, ownerChatAge))
+		o.followed[name] = followed
+	}
+	followed.Import(o.clock.Now(), copied)
+}
+
 // moveAway hands over the services that another host should own.
 func (o *owners) moveAway(ctx context.Context, view *registry.View) {
 	for _, service := range o.all() {
@@ -98,7 +116,7 @@
 func (o *owners) handOver(ctx context.Context, service *owned) {
 	defer o.endMove(service.name)
 	view := o.session.View()
-	copied := service.stop(o.clock.Now())
+	copied := service.stop()
 	if backup, ok := view.Hosts[view.Owners[service.name].Backup]; ok {
 		data, err := encodeCopy(copied)
 		if err == nil {
--- a/host/owned.go
+++ b/host/owned.go
@@ -10,6 +10,12 @@
 	"comfreytiller.dev/target"
 )
 
+const (
+	// ownerChats and ownerChatAge bound the memory of one service's chats.
+	ownerChats   = 1_500_000
+	ownerChatAge = 24 * time.Hour
+)
+
 // owned is a service that this host decides for.
 type owned struct {
 	owners  *owners
@@ -27,14 +33,19 @@
 	announced map[string]target.Announcement
 	// stopped is set when the service is given up: no more grants.
 	stopped bool
+	// copiedTo is the backup's session that has the whole memory.
+	copiedTo uint64
+	// suspended is set while the lease is not live.
+	suspended bool
 }
 
 func newOwned(o *owners, name string, owner registry.Owner, config admission.Config, sessions map[uint64]bool) *owned {
 	s := &owned{
-		owners:    o,
-		name:      name,
-		owner:     owner,
-		service:   admission.New(config, owner.Fence, admission.WithScope(o.scope(name))),
+		owners: o,
+		name:   name,
+		owner:  owner,
+		service: admission.New(config, owner.Fence,
+			admission.WithScope(o.scope(name)), admission.WithChats(ownerChats, ownerChatAge)),
 		replies:   map[string]peer.Reply{},
 		adopting:  sessions,
 		announced: map[string]target.Announcement{},
@@ -53,7 +64,7 @@
 // acquire asks for a permit; reply is called with a Permit or a Refusal.
 func (s *owned) acquire(request admission.Request, reply peer.Reply) {
 	s.do(func(now time.Time) {
-		if s.stopped {
+		if s.stopped || s.suspended {
 			reply(notOwner(request.ID))
 			return
 		}
@@ -144,38 +155,39 @@
 func (s *owned) tick() {
 	s.do(func(now time.Time) {
 		s.finishAdopting(now)
+		s.resumeWithLease(now)
 		s.service.Tick(now)
 	})
 }
 
 // stop ends all grants, and refuses what waits so that it is asked again at
 // the next owner. It returns the memory for that owner.
-func (s *owned) stop(now time.Time) admission.Copy {
+func (s *owned) stop() admission.Copy {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.owners.clock.Now()
 	s.flush()
 	s.stopped = true
-	for id, reply := range s.replies {
-		reply(notOwner(id))
-		s.service.Cancel(now, id)
-	}
-	s.replies = map[string]peer.Reply{}
-	s.service.Effects()
+	s.service.Suspend(now)
+	s.flush()
 	return s.service.Export(now, 0)
 }
 
 // resume grants again after a move that found no other host.
 func (s *owned) resume() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.stopped = false
+	s.do(func(now time.Time) {
+		s.stopped = false
+		s.service.Adopted(now)
+	})
 }
 
 // export returns a part of the memory for the backup host.
 func (s *owned) export(now time.Time, limit int) admission.Copy {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.service.Export(now, limit)
+	copied := s.service.Export(now, limit)
+	copied.Current = false
+	return copied
 }
 
 func (s *owned) status() admission.Status {
@@ -185,7 +197,8 @@
 }
 
 // flush sends the service's effects; the lock is held. A grant leaves only
-// under a live lease, which is checked last.
+// under a live lease, which is checked last. Without one the owner stops
+// granting: what waits is asked again where there is an owner.
 func (s *owned) flush() {
 	for _, effect := range s.service.Effects() {
 		if effect.Permit != nil && s.owners.session.Check() != nil {
@@ -197,15 +210,29 @@
 	}
 }
 
-// withdraw takes back a permit that may not be sent.
+// withdraw takes back a permit that may not be sent, and suspends the service
+// first, so that the place that gets free is not granted again.
 func (s *owned) withdraw(requestID string) {
-	s.service.Withdraw(s.owners.clock.Now(), requestID)
+	now := s.owners.clock.Now()
+	if !s.suspended {
+		s.suspended = true
+		s.service.Suspend(now)
+	}
+	s.service.Withdraw(now, requestID)
 	if reply, ok := s.replies[requestID]; ok {
 		delete(s.replies, requestID)
 		reply(notOwner(requestID))
 	}
 }
 
+// resumeWithLease grants again once the lease is live; the lock is held.
+func (s *owned) resumeWithLease(now time.Time) {
+	if s.suspended && !s.stopped && s.owners.session.Check() == nil {
+		s.suspended = false
+		s.service.Adopted(now)
+	}
+}
+
 func (s *owned) send(effect admission.Effect) {
 	id := effect.Decision.RequestID
 	reply, ok := s.replies[id]
--- a/host/owners.go
+++ b/host/owners.go
@@ -40,21 +40,24 @@
 	owned  map[string]*owned
 	view   *registry.View
 	number uint64
-	// copies are what other owners sent for the case that this host follows
-	// them.
-	copies map[string][]admission.Copy
+	// followed are the services that this host keeps a copy of, for the case
+	// that it follows their owners.
+	followed map[string]*admission.Service
+	// handed are the memories of owners that hand over to this host.
+	handed map[string]admission.Copy
 	// moving are the services being handed over.
 	moving map[string]bool
 }
 
 func newOwners(h *Host) *owners {
 	return &owners{
-		host:   h,
-		log:    logs.Part(h.Log, "Owner"),
-		clock:  h.Clock,
-		owned:  map[string]*owned{},
-		copies: map[string][]admission.Copy{},
-		moving: map[string]bool{},
+		host:     h,
+		log:      logs.Part(h.Log, "Owner"),
+		clock:    h.Clock,
+		owned:    map[string]*owned{},
+		followed: map[string]*admission.Service{},
+		handed:   map[string]admission.Copy{},
+		moving:   map[string]bool{},
 	}
 }
 
@@ -143,7 +146,7 @@
 		}
 		delete(o.owned, name)
 		delete(o.moving, name)
-		service.stop(o.clock.Now())
+		service.stop()
 		o.log.Infof("Gives up %s.", name)
 	}
 }
@@ -163,10 +166,14 @@
 		}
 		service := newOwned(o, name, owner, config, liveSessions(view))
 		now := o.clock.Now()
-		for _, copied := range o.copies[name] {
-			service.imports(now, copied)
+		if followed, ok := o.followed[name]; ok {
+			service.imports(now, followed.Export(now, 0))
+			delete(o.followed, name)
+		}
+		if handed, ok := o.handed[name]; ok {
+			service.imports(now, handed)
+			delete(o.handed, name)
 		}
-		delete(o.copies, name)
 		o.owned[name] = service
 		o.log.Infof("Takes over %s with fence %d.", name, owner.Fence)
 	}
