A closed session opens no other

Cause: after a graceful CloseSession the renewal loop saw that its session was gone and opened a new one, which nobody renewed; every later takeover waited until it expired.

--- a/integration/load_test.go
+++ b/integration/load_test.go
@@ -133,6 +133,9 @@
 	paid     atomic.Int64
 	unknown  atomic.Int64
 
+	slowestPayment atomic.Int64
+	slowestChat    atomic.Int64
+
 	mu sync.Mutex
 	// notRun are the payments whose last answer said that they did not run.
 	notRun map[string]bool
@@ -181,6 +184,20 @@
 	}, body)]++
 }
 
+// slow notes the longest time that a request took.
+func (l *load) slow(slowest *atomic.Int64, what string, started time.Time) {
+	took := time.Since(started)
+	if int64(took) > slowest.Load() {
+		slowest.Store(int64(took))
+	}
+	if took > slowRequest {
+		l.t.Logf("%s took %s", what, took.Round(time.Millisecond))
+	}
+}
+
+// slowRequest is what is worth a line in the test's output.
+const slowRequest = 3 * time.Second
+
 // next waits for the pause; false when the load is to end.
 func (l *load) next(pause time.Duration) bool {
 	select {
@@ -213,7 +230,9 @@
 	for n := 0; l.next(chatPause); n++ {
 		body := fmt.Appendf(nil, `{"Tokens": %d, "Worker": %d, "Turn": %d}`, chatTokens, worker, n)
 		chat := fmt.Sprintf("chat-%d-%d", worker, n%4)
+		started := time.Now()
 		got := post(l.host(worker+n).callers, "Dossiers/Review", chat, "", body, requestTimeout)
+		l.slow(&l.slowestChat, "chat "+chat, started)
 		switch {
 		case got.err != nil:
 			l.broken.Add(1)
@@ -243,6 +262,7 @@
 }
 
 func (l *load) pay(n int, key string) {
+	defer l.slow(&l.slowestPayment, "payment "+key, time.Now())
 	const sends = 4
 	for try := range sends {
 		got := post(l.host(n+try).callers, "Treasury/ReleasePayment", "", key, []byte(`{"Amount": 100}`), requestTimeout)
@@ -292,6 +312,8 @@
 	l.t.Logf("chats %d, warm %d, refused %d, broken %d; payments %d, paid %d, unknown %d",
 		l.chats.Load(), l.warm.Load(), l.refused.Load(), l.broken.Load(),
 		l.payments.Load(), l.paid.Load(), l.unknown.Load())
+	l.t.Logf("slowest chat %s, slowest payment %s",
+		time.Duration(l.slowestChat.Load()).Round(time.Millisecond), time.Duration(l.slowestPayment.Load()).Round(time.Millisecond))
 	for reason, count := range l.reasons {
 		l.t.Logf("refused %d times: %s", count, reason)
 	}
--- a/session/client.go
+++ b/session/client.go
@@ -78,9 +78,10 @@
 	return c.idle[service]
 }
 
-// Run opens a session and renews it until ctx ends.
+// Run opens a session and renews it until ctx ends or the client is closed. A
+// closed client opens no other session: nobody would renew that one.
 func (c *Client) Run(ctx context.Context) {
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !c.isClosing() {
 		if c.Number() == 0 {
 			if err := c.open(ctx); err != nil {
 				c.pause(ctx)
@@ -93,6 +94,12 @@
 	}
 }
 
+func (c *Client) isClosing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing
+}
+
 // Close ends the session for good, so that its services move at once. The
 // caller has stopped all work under the session.
 func (c *Client) Close(ctx context.Context) error {
--- a/session/client_test.go
+++ b/session/client_test.go
@@ -222,4 +222,7 @@
 	require.ErrorIs(t, c.Check(), ErrNoLease)
 	_, open := r.machine.Session(c.Number())
 	require.False(t, open)
+
+	c.Run(t.Context())
+	require.Empty(t, r.machine.View().Hosts, "a closed client has opened a session that nobody renews")
 }
