--- a/gateway/caller_test.go
+++ b/gateway/caller_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"testing"
 	"time"
 
@@ -64,6 +66,35 @@
 	eventually(t, func() bool { return b.gateway.InFlight() == 0 }, "the request is over")
 }
 
+// Requests that end well, badly or early leave no goroutine behind.
+func TestNothingIsLeftBehind(t *testing.T) {
+	b := newFixture(t)
+	engine := b.engine(standin.EngineSettings{Name: "engine-1", Gap: time.Millisecond})
+	for i := range 60 {
+		switch i % 3 {
+		case 0:
+			engine.Inject(standin.Fault{Kind: standin.FaultCut, After: 4, Times: 1})
+		case 1:
+			engine.Inject(standin.Fault{Kind: standin.FaultError, Times: 1})
+		}
+		ctx, leave := context.WithCancel(context.Background())
+		response, err := b.tryPost(ctx, "Reviews/Draft", dossier)
+		require.NoError(t, err)
+		if i%2 == 0 {
+			leave()
+		}
+		_, _ = read(response)
+		leave()
+	}
+	eventually(t, func() bool { return b.gateway.InFlight() == 0 && engine.InFlight() == 0 }, "all is over")
+	eventually(t, func() bool {
+		stacks := make([]byte, 1<<20)
+		stacks = stacks[:runtime.Stack(stacks, true)]
+		return !bytes.Contains(stacks, []byte("readOne")) && !bytes.Contains(stacks, []byte("(*work).run"))
+	}, "no watch and no task is left")
+	eventually(t, func() bool { return len(b.admitter.outcomes()) == b.admitter.grants() }, "every permit is released")
+}
+
 // The watch may read the first byte of the next request; it must not be lost.
 func TestARequestSentAheadIsServedToo(t *testing.T) {
 	b := newFixture(t)
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -16,7 +16,7 @@
 type fakeAdmitter struct {
 	mu       sync.Mutex
 	targets  []admission.Permit
-	asked    []admission.Request
+	granted  int
 	released []admission.Release
 	refusal  *admission.Refusal
 	onGrant  func()
@@ -30,7 +30,6 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.asked = append(f.asked, r)
 	if f.refusal != nil {
 		return admission.Permit{}, f.refusal
 	}
@@ -39,6 +38,7 @@
 			continue
 		}
 		permit.RequestID = r.ID
+		f.granted++
 		if f.onGrant != nil {
 			f.onGrant()
 		}
@@ -56,7 +56,7 @@
 func (f *fakeAdmitter) grants() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return len(f.asked)
+	return f.granted
 }
 
 // outcomes returns how the permits ended.
@@ -95,7 +95,9 @@
 	claims     map[ClaimKey]Claim
 	failFinish bool
 	failOpen   bool
-	steps      []string
+	// blockFinish keeps Finish waiting until it is closed; nil for not at all.
+	blockFinish chan struct{}
+	steps       []string
 }
 
 var errQuorum = errors.New("no quorum")
@@ -131,6 +133,9 @@
 }
 
 func (f *fakeClaims) Finish(_ context.Context, key ClaimKey, answer Answer) error {
+	if f.blockFinish != nil {
+		<-f.blockFinish
+	}
 	if f.failFinish {
 		return errQuorum
 	}
--- a/gateway/once_test.go
+++ b/gateway/once_test.go
@@ -182,6 +182,25 @@
 	require.Equal(t, 1, plain.Total())
 }
 
+func TestAnAnswerIsNotHeldBackByASlowQuorum(t *testing.T) {
+	b := newFixture(t, WithClaimTimeout(long, 10*time.Millisecond))
+	plain := b.plain("treasury-1")
+	b.claims.blockFinish = make(chan struct{})
+	status, text := b.get("Treasury/Pay", payment, HeaderKey, "pay-1")
+	require.Equal(t, 200, status)
+	require.Contains(t, text, `"Run":1`)
+	status, text = b.get("Treasury/Pay", payment, HeaderKey, "pay-1")
+	require.Equal(t, 409, status)
+	require.Contains(t, text, `"Code":"Running"`)
+	close(b.claims.blockFinish)
+	eventually(t, func() bool { return len(b.claims.history()) == 2 }, "the outcome is stored")
+	eventually(t, func() bool {
+		status, _ := b.get("Treasury/Pay", payment, HeaderKey, "pay-1")
+		return status == 200
+	}, "the stored answer is given")
+	require.Equal(t, 1, plain.Total())
+}
+
 func TestAnAnswerTooLongToStoreIsToldAsRun(t *testing.T) {
 	b := newFixture(t, WithStoredBytes(8))
 	b.plain("treasury-1")
