quorum: heartbeats every 6 ticks, package documentation, stricter repeats

Heartbeats every 6 ticks in place of 4, elections after 15 to 19 ticks in place of 12 to 19. A repeated membership command no longer succeeds while the first is uncommitted.

--- a/quorum/drive.go
+++ b/quorum/drive.go
@@ -18,7 +18,7 @@
 			return
 		}
 		r.recovered()
-		r.transport.Send(r.pending.AfterSave)
+		r.send(r.pending.AfterSave)
 		r.apply(r.pending)
 		r.barriers.confirm(r.pending.Reads)
 		r.pending = nil
@@ -36,7 +36,13 @@
 	r.rounds.sent(r.node.Round(), now)
 	r.pending = &ready
 	r.publishLead()
-	r.transport.Send(ready.Messages)
+	r.send(ready.Messages)
+}
+
+func (r *Replica) send(messages []Message) {
+	if len(messages) > 0 {
+		r.transport.Send(messages)
+	}
 }
 
 // save makes the node's write durable. A snapshot goes first: the state's commit
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -16,10 +16,10 @@
 // Timing and sizes that a zero NodeConfig field stands for.
 const (
 	// DefaultElectionTicks is the least number of ticks without a leader before
-	// an election; the most is this and DefaultElectionSpread.
-	DefaultElectionTicks  = 12
-	DefaultElectionSpread = 8
-	DefaultHeartbeatTicks = 4
+	// an election; the most is less than this and DefaultElectionSpread.
+	DefaultElectionTicks  = 15
+	DefaultElectionSpread = 5
+	DefaultHeartbeatTicks = 6
 	// A campaign without a result is repeated after retryTicks ticks and less
 	// than retrySpread more.
 	retryTicks  = 2
--- a/quorum/proposal.go
+++ b/quorum/proposal.go
@@ -83,10 +83,16 @@
 		return 0, 0, ErrNotLeader
 	}
 	members, err := p.edit(r.node)
-	if err != nil || sameMembers(members, r.node.Members()) {
+	if err != nil {
 		return 0, 0, err
 	}
-	return r.node.ProposeMembers(members)
+	if !sameMembers(members, r.node.Members()) {
+		return r.node.ProposeMembers(members)
+	}
+	if r.node.log.membersPending() {
+		return 0, 0, ErrMembersPending
+	}
+	return 0, 0, nil
 }
 
 // settle tells the outcome; done holds one, and a caller that gave up takes none.
--- a/quorum/quorum.go
+++ b/quorum/quorum.go
@@ -2,7 +2,42 @@
 //
 // The Node is a pure step function: messages and ticks go in, messages and
 // writes come out. The Replica drives a Node over a Storage, a Transport and a
-// Machine.
+// Machine, with one write per batch of commands.
+//
+// # Usage
+//
+// The first host of a cluster is bootstrapped once, with itself as the only
+// member; every other host starts empty, gets a fresh identity with its first
+// write, and waits until it is added:
+//
+//	storage := quorum.NewJournalStorage(journal)
+//	if first {
+//		member := quorum.Member{ID: quorum.NewID(), Host: host, Address: address, Voter: true}
+//		err = quorum.Bootstrap(storage, quorum.NewID(), host, []quorum.Member{member})
+//	}
+//	replica, err := quorum.Start(quorum.Config{Host: host}, storage, transport, machine)
+//
+//	// On the leader, for a host that reports its Status().ID:
+//	err = replica.AddLearner(ctx, quorum.Member{ID: id, Host: host, Address: address})
+//	err = replica.Promote(ctx, id) // ErrNotCaughtUp until it holds everything
+//
+//	result, err := replica.Propose(ctx, command)
+//
+// A host whose disk was lost starts empty in the same way, and takes the place
+// of its old identity by Replace. Its old vote is gone with its old identity.
+//
+// # Authority
+//
+// A lead is confirmed while a majority has answered a heartbeat that was sent
+// less than an election timeout ago, less a margin, by the clock. Followers that
+// answered refuse their vote to others for an election timeout, also after a
+// restart, so no other replica leads meanwhile. The margin covers the timers; it
+// does not cover clocks that run at different rates.
+//
+// # Limits
+//
+// Snapshots are held in memory and are taken between two batches: a machine
+// whose Snapshot and write take longer than an election timeout loses its lead.
 package quorum
 
 import (
@@ -39,8 +74,9 @@
 	Restore(snapshot []byte) error
 }
 
-// Transport carries messages between replicas. Send does not block; it may
-// lose, delay, duplicate or reorder messages.
+// Transport carries messages between replicas, each to its ToAddress. Send does
+// not block; it may lose, delay, duplicate or reorder messages. The receiver
+// hands them to Replica.Deliver.
 type Transport interface {
 	Send(messages []Message)
 }
--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -95,6 +95,8 @@
 		return nil, err
 	}
 	r.publish()
+	// What was committed before the restart is applied at once.
+	r.signal()
 	go r.run()
 	go r.notify()
 	return r, nil
