quorum: admit a host that has no member yet

Admit adds a replica, waits until it holds everything committed and gives it a vote; a host whose old replica is still a member gets ErrHostTaken, so that a lost disk comes back only by an operator's Replace. IDs stay random.

--- a/quorum/admin.go
+++ b/quorum/admin.go
@@ -14,6 +14,8 @@
 	ErrTooFewVoters = errors.New("fewer than three voters: the loss of one is not survivable")
 	// ErrTransferFailed says that the leader still leads.
 	ErrTransferFailed = errors.New("the leadership was not taken over")
+	// ErrHostTaken says that another replica of the host is a member.
+	ErrHostTaken = errors.New("another replica of the host is a member; replace it")
 )
 
 // minVoters is the fewest voters of which one may be lost.
@@ -69,6 +71,47 @@
 	}), "remove replica %s", id)
 }
 
+// Admit adds a replica of a host that has no member yet and gives it a vote once
+// it holds everything committed. It returns ErrHostTaken, with no effect, if
+// another replica of the host is a member: that disk was lost, and only an
+// operator's Replace may take its place. After another error it may be called
+// again, on the leader.
+func (r *Replica) Admit(ctx context.Context, member Member) error {
+	err := r.until(ctx, func(n *Node) (bool, error) {
+		for _, m := range n.Members() {
+			if m.Host == member.Host && m.ID != member.ID {
+				return false, ErrHostTaken
+			}
+		}
+		return true, nil
+	})
+	if err != nil {
+		return errors.Wrapf(err, "admit replica %s of host %s", member.ID, member.Host)
+	}
+	return wrapf(r.inOrder(ctx, r.addVoter(ctx, member)), "admit replica %s of host %s", member.ID, member.Host)
+}
+
+// addVoter is the steps that make a new replica a voter.
+func (r *Replica) addVoter(ctx context.Context, member Member) []func() error {
+	return []func() error{
+		func() error { return r.AddLearner(ctx, member) },
+		func() error {
+			return r.until(ctx, func(n *Node) (bool, error) { return n.CaughtUp(member.ID), nil })
+		},
+		func() error { return r.Promote(ctx, member.ID) },
+	}
+}
+
+// inOrder does the steps, each until it is not refused for now.
+func (r *Replica) inOrder(ctx context.Context, steps []func() error) error {
+	for _, step := range steps {
+		if err := r.retry(ctx, step); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Replace puts a new replica in the place of an old one: it adds it as a
 // learner, waits until it holds everything committed, gives it a vote and
 // removes the old one. It returns nil once the loss of any one replica is
@@ -76,21 +119,11 @@
 // After an error it may be called again, on the leader, and goes on from where
 // it was.
 func (r *Replica) Replace(ctx context.Context, oldID string, replacement Member) error {
-	steps := []func() error{
-		func() error { return r.AddLearner(ctx, replacement) },
-		func() error {
-			return r.until(ctx, func(n *Node) (bool, error) { return n.CaughtUp(replacement.ID), nil })
-		},
-		func() error { return r.Promote(ctx, replacement.ID) },
+	steps := append(r.addVoter(ctx, replacement),
 		func() error { return r.Remove(ctx, oldID) },
 		func() error { return r.untilSurvivable(ctx) },
-	}
-	for _, step := range steps {
-		if err := r.retry(ctx, step); err != nil {
-			return errors.Wrapf(err, "replace replica %s by %s", oldID, replacement.ID)
-		}
-	}
-	return nil
+	)
+	return wrapf(r.inOrder(ctx, steps), "replace replica %s by %s", oldID, replacement.ID)
 }
 
 // retry repeats a step that is refused only for now, when the node has moved on.
--- a/quorum/quorum.go
+++ b/quorum/quorum.go
@@ -18,13 +18,14 @@
 //	replica, err := quorum.Start(quorum.Config{Host: host}, storage, transport, machine)
 //
 //	// On the leader, for a host that reports its Status().ID:
-//	err = replica.AddLearner(ctx, quorum.Member{ID: id, Host: host, Address: address})
-//	err = replica.Promote(ctx, id) // ErrNotCaughtUp until it holds everything
+//	err = replica.Admit(ctx, quorum.Member{ID: id, Host: host, Address: address})
 //
 //	result, err := replica.Propose(ctx, command)
 //
-// A host whose disk was lost starts empty in the same way, and takes the place
-// of its old identity by Replace. Its old vote is gone with its old identity.
+// A host whose disk was lost starts empty in the same way. Admit refuses it with
+// ErrHostTaken, and it takes the place of its old identity by Replace. Its old
+// vote is gone with its old identity, so IDs are never made from host names: a
+// host that was bootstrapped again under its old ID could vote twice in a term.
 //
 // # Authority
 //
--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -200,7 +200,9 @@
 		r.node.Tick()
 	}
 	for _, m := range batch.messages {
-		r.contacts[m.From] = now
+		if findMember(r.node.Members(), m.From) >= 0 {
+			r.contacts[m.From] = now
+		}
 		r.node.Step(m)
 	}
 	for _, p := range batch.proposals {
