--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -95,6 +95,8 @@
 		return nil, err
 	}
 	r.publish()
+	// What was committed before the restart is applied at once.
+	r.signal()
 	go r.run()
 	go r.notify()
 	return r, nil
@@ -198,7 +200,9 @@
 		r.node.Tick()
 	}
 	for _, m := range batch.messages {
-		r.contacts[m.From] = now
+		if findMember(r.node.Members(), m.From) >= 0 {
+			r.contacts[m.From] = now
+		}
 		r.node.Step(m)
 	}
 	for _, p := range batch.proposals {
