--- a/placement/fakes_test.go
+++ b/placement/fakes_test.go
@@ -137,9 +137,10 @@
 	for _, effect := range effects {
 		switch e := effect.(type) {
 		case placement.RecordOrder:
+			f.logged++
+			e.Order.Fence = f.logged
 			f.recorded = append(f.recorded, e.Order)
 			if !f.logStalls {
-				f.logged++
 				f.planner.OrderRecorded(f.now, e.Order.ID, f.logged)
 			}
 		case placement.SendOrder:
--- a/placement/lifecycle.go
+++ b/placement/lifecycle.go
@@ -45,11 +45,24 @@
 	case Failed:
 		p.fail(now, o, OutcomeFailed, Alarm{Kind: AlarmOrderFailed, Text: reply.Reason})
 	case Refused:
-		text := fmt.Sprintf("it has seen a higher fencing number than %d", o.Fence)
-		p.fail(now, o, OutcomeFailed, Alarm{Kind: AlarmOldFence, Text: text})
+		p.refused(now, o)
 	}
 }
 
+// refused ends an order that the target has refused, unless an earlier send of it
+// may have got through: then only the target's report tells.
+func (p *Planner) refused(now time.Time, o *pending) {
+	alarm := Alarm{
+		Kind: AlarmOldFence, Service: o.Service, Target: o.Target,
+		Text: fmt.Sprintf("it has seen a higher fencing number than %d", o.Fence),
+	}
+	if o.adopted || o.sends > 1 {
+		p.alarms.raise(alarm)
+		return
+	}
+	p.fail(now, o, OutcomeFailed, alarm)
+}
+
 func (p *Planner) order(id string) *pending {
 	for _, o := range p.orders {
 		if o.ID == id {
@@ -230,6 +243,7 @@
 		o.SentAt = now
 		o.enter(now, Sent)
 	}
+	o.sends++
 	o.nextSend = now.Add(o.pause)
 	o.pause = min(2*o.pause, p.times.ResendMost)
 	p.effects = append(p.effects, SendOrder{Order: o.Order, Until: p.until})
--- a/placement/order.go
+++ b/placement/order.go
@@ -145,6 +145,8 @@
 	deadline time.Time
 	nextSend time.Time
 	pause    time.Duration
+	// sends counts how often this planner has sent the order.
+	sends int
 	// adopted is set for an order of an earlier leader, which may have sent it.
 	adopted bool
 	// slotUntil ends the share of the weight store that an adopted load keeps
--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -503,6 +503,20 @@
 	require.Equal(t, placement.OutcomeGone, f.closed[0].Outcome)
 }
 
+func TestRefusedResendMayRun(t *testing.T) {
+	f := newFakeFleet(textOf(service("Reviews", "large", "1", 6, 1)), engines(6, "a"), placement.WithModelBytes(modelSize))
+	f.run(18)
+	require.Len(t, f.recorded, 2)
+	for _, e := range f.targets {
+		e.fence = 99
+		e.checksFence = e.running != nil
+	}
+	f.run(60)
+	require.True(t, f.alarmed(placement.AlarmOldFence))
+	require.Equal(t, 2, f.mostLoads, "a refused resend does not free the store")
+	require.Equal(t, 6, f.ready("Reviews"))
+}
+
 func TestDomainOutAndBack(t *testing.T) {
 	text := textOf(service("Reviews", "large", "1", 3, 2))
 	f := settled(text, 9, 9)
