--- a/placement/fakes_test.go
+++ b/placement/fakes_test.go
@@ -208,7 +208,7 @@
 	for _, t := range f.targets {
 		t.coldLeft = max(0, t.coldLeft-1)
 		t.Cold = t.coldLeft > 0
-		if t.running != nil && !t.ignoresOrders && !t.missing {
+		if t.running != nil && !t.ignoresOrders {
 			loading = append(loading, t)
 		}
 	}
--- a/placement/property_test.go
+++ b/placement/property_test.go
@@ -36,7 +36,7 @@
 func disturb(t *rapid.T, f *fakeFleet) {
 	e := rapid.SampledFrom(f.targets).Draw(t, "target")
 	s := &f.text.Services[rapid.IntRange(0, len(f.text.Services)-1).Draw(t, "service")]
-	switch rapid.IntRange(0, 9).Draw(t, "event") {
+	switch rapid.IntRange(0, 13).Draw(t, "event") {
 	case 0:
 		e.restart()
 	case 1:
@@ -60,10 +60,25 @@
 		e.InFlight = rapid.IntRange(0, 2).Draw(t, "in flight")
 	case 9:
 		f.planner.Pressure(f.now, s.Name, rapid.IntRange(0, 200).Draw(t, "queued"), 0)
+	case 10:
+		e.missing = !e.missing
+	case 11:
+		e.Leaving = !e.Leaving
+	case 12:
+		f.out[e.Name] = !f.out[e.Name]
+	case 13:
+		e.wrongModel = !e.wrongModel
 	}
 	f.configure()
 }
 
+// takesWork reports whether the target serves what it shows; one with a model
+// that nobody ordered serves nothing.
+func (f *fakeFleet) takesWork(e *fakeTarget) bool {
+	out := e.missing || e.Leaving || f.out[e.Name] || f.domains[e.FailureDomain]
+	return e.Ready && !out && e.Model != "another"
+}
+
 // served counts the targets that serve a service and have no order.
 func (f *fakeFleet) served(service string) int {
 	ordered := map[string]bool{}
@@ -72,7 +87,7 @@
 	}
 	n := 0
 	for _, e := range f.targets {
-		if e.Service == service && e.Ready && !e.missing && !f.domains[e.FailureDomain] && !ordered[e.Name] {
+		if e.Service == service && f.takesWork(e) && !ordered[e.Name] {
 			n++
 		}
 	}
@@ -100,7 +115,7 @@
 func serviceOf(f *fakeFleet) map[string]string {
 	all := map[string]string{}
 	for _, e := range f.targets {
-		if e.Ready && !e.missing && !f.domains[e.FailureDomain] {
+		if f.takesWork(e) {
 			all[e.Name] = e.Service
 		}
 	}
@@ -124,7 +139,8 @@
 			require.GreaterOrEqual(t, f.served(s.Name), s.Placement.Min, "%s took %s below its minimum", o.ID, s.Name)
 			require.Zero(t, f.target(o.Target).InFlight, "%s cut requests", o.ID)
 		}
-		require.False(t, f.domains[f.target(o.Target).FailureDomain], "order to a domain taken out")
+		e := f.target(o.Target)
+		require.False(t, f.domains[e.FailureDomain] || f.out[e.Name] || e.Leaving, "order to a target taken out")
 	}
 }
 
