--- a/placement/fakes_test.go
+++ b/placement/fakes_test.go
@@ -137,9 +137,10 @@
 	for _, effect := range effects {
 		switch e := effect.(type) {
 		case placement.RecordOrder:
+			f.logged++
+			e.Order.Fence = f.logged
 			f.recorded = append(f.recorded, e.Order)
 			if !f.logStalls {
-				f.logged++
 				f.planner.OrderRecorded(f.now, e.Order.ID, f.logged)
 			}
 		case placement.SendOrder:
@@ -207,7 +208,7 @@
 	for _, t := range f.targets {
 		t.coldLeft = max(0, t.coldLeft-1)
 		t.Cold = t.coldLeft > 0
-		if t.running != nil && !t.ignoresOrders && !t.missing {
+		if t.running != nil && !t.ignoresOrders {
 			loading = append(loading, t)
 		}
 	}
