--- a/host/claims.go
+++ b/host/claims.go
@@ -60,7 +60,7 @@
 		return claim, nil
 	}
 	if claim.State == gateway.ClaimOpen {
-		claim.State = gateway.ClaimInDoubt
+		claim.State = gateway.ClaimRunning
 	}
 	return claim, nil
 }
