--- a/host/operators.go
+++ b/host/operators.go
@@ -39,7 +39,10 @@
 
 // Check validates a text and tells what it would change.
 func (o *operators) Check(_ context.Context, request *operatorpb.CheckRequest) (*operatorpb.CheckResponse, error) {
-	view := o.host.session.View()
+	view, err := o.view()
+	if err != nil {
+		return nil, err
+	}
 	response := &operatorpb.CheckResponse{Version: view.FleetVersion}
 	parsed, err := fleet.Parse(request.Text)
 	if err != nil {
@@ -125,7 +128,10 @@
 
 // Show returns the text in force.
 func (o *operators) Show(context.Context, *operatorpb.ShowRequest) (*operatorpb.ShowResponse, error) {
-	view := o.host.session.View()
+	view, err := o.view()
+	if err != nil {
+		return nil, err
+	}
 	return &operatorpb.ShowResponse{Version: view.FleetVersion, Text: view.FleetText}, nil
 }
 
@@ -165,6 +171,16 @@
 	return &operatorpb.PinResponse{Revision: result.Version}, nil
 }
 
+// view returns the fleet as this host knows it. A host that has just started
+// knows none: it must not show version 0 as the one in force.
+func (o *operators) view() (*registry.View, error) {
+	view := o.host.session.View()
+	if view.Revision == 0 {
+		return nil, twirp.Unavailable.Error("this host has not read the fleet's state yet")
+	}
+	return view, nil
+}
+
 // operation stamps an operation with its time. The ID alone tells a resend.
 func (o *operators) operation(id string) registry.Operation {
 	return registry.Operation{ID: id, Time: o.host.Clock.Now()}
--- a/host/operators_status.go
+++ b/host/operators_status.go
@@ -17,7 +17,10 @@
 func (o *operators) Status(ctx context.Context, _ *operatorpb.StatusRequest) (*operatorpb.StatusResponse, error) {
 	ctx, cancel := clockwork.WithTimeout(ctx, o.host.Clock, ownerTimeout)
 	defer cancel()
-	view := o.host.session.View()
+	view, err := o.view()
+	if err != nil {
+		return nil, err
+	}
 	response := &operatorpb.StatusResponse{
 		Version:    view.FleetVersion,
 		Revision:   view.Revision,
