Give up a service for good after an unanswered move; insist on the end of claims

A move whose answer was lost made the old owner grant again although the service may have moved. Now only the registry's word that no other host can own it lets it go on; everything else is proposed again under the same fence. One start number a process, so that an OpenSession sent again supersedes nothing. A claim whose end could not be committed in time is proposed again until the session ends; an opening without an answer is cancelled.

--- a/host/claims.go
+++ b/host/claims.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/jonboulle/clockwork"
 
 	"comfreytiller.dev/gateway"
 	"comfreytiller.dev/registry"
@@ -45,6 +46,8 @@
 		Time:        now,
 	})
 	if err != nil {
+		// The command may still be committed late; this attempt will not use it.
+		c.insist(key, mine, c.cancellation(key, mine))
 		return gateway.Claim{}, errors.Wrapf(err, "open claim %s of %s", key.Key, key.Workspace)
 	}
 	if result.Code == registry.CodeConflict {
@@ -101,18 +104,25 @@
 	c.open[key] = mine
 }
 
-func (c *claims) take(key gateway.ClaimKey) openClaim {
+func (c *claims) held(key gateway.ClaimKey) openClaim {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	mine := c.open[key]
-	delete(c.open, key)
-	return mine
+	return c.open[key]
+}
+
+// drop forgets an attempt that has ended at the quorum.
+func (c *claims) drop(key gateway.ClaimKey, mine openClaim) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open[key] == mine {
+		delete(c.open, key)
+	}
 }
 
 // Finish commits the outcome and the answer.
 func (c *claims) Finish(ctx context.Context, key gateway.ClaimKey, answer gateway.Answer) error {
-	mine := c.take(key)
-	return c.commit(ctx, key, registry.FinishClaim{
+	mine := c.held(key)
+	return c.commit(ctx, key, mine, registry.FinishClaim{
 		Key:     registry.ClaimKey(key),
 		Session: mine.session,
 		Attempt: mine.attempt,
@@ -128,20 +138,24 @@
 
 // Cancel commits that the request was never sent.
 func (c *claims) Cancel(ctx context.Context, key gateway.ClaimKey) error {
-	mine := c.take(key)
-	return c.commit(ctx, key, registry.CancelClaim{
+	mine := c.held(key)
+	return c.commit(ctx, key, mine, c.cancellation(key, mine))
+}
+
+func (c *claims) cancellation(key gateway.ClaimKey, mine openClaim) registry.CancelClaim {
+	return registry.CancelClaim{
 		Key:         registry.ClaimKey(key),
 		Fingerprint: mine.fingerprint,
 		Session:     mine.session,
 		Attempt:     mine.attempt,
 		Time:        c.host.Clock.Now(),
-	})
+	}
 }
 
 // Doubt commits that the request may have run.
 func (c *claims) Doubt(ctx context.Context, key gateway.ClaimKey) error {
-	mine := c.take(key)
-	return c.commit(ctx, key, registry.DoubtClaim{
+	mine := c.held(key)
+	return c.commit(ctx, key, mine, registry.DoubtClaim{
 		Key:     registry.ClaimKey(key),
 		Session: mine.session,
 		Attempt: mine.attempt,
@@ -149,13 +163,34 @@
 	})
 }
 
-func (c *claims) commit(ctx context.Context, key gateway.ClaimKey, command registry.Command) error {
+// commit proposes the end of an attempt. What is not committed in the time of
+// the request is proposed again until it is, or until the session has ended,
+// which puts the claim in doubt by itself.
+func (c *claims) commit(ctx context.Context, key gateway.ClaimKey, mine openClaim, command registry.Command) error {
 	result, err := c.session.Propose(ctx, command)
-	if err == nil {
-		err = result.Err()
-	}
 	if err != nil {
+		c.insist(key, mine, command)
+		return errors.Wrapf(err, "commit %T of claim %s of %s", command, key.Key, key.Workspace)
+	}
+	c.drop(key, mine)
+	if err := result.Err(); err != nil {
 		return errors.Wrapf(err, "commit %T of claim %s of %s", command, key.Key, key.Workspace)
 	}
 	return nil
 }
+
+// insist proposes a command in the background until it has an answer or the
+// session has ended.
+func (c *claims) insist(key gateway.ClaimKey, mine openClaim, command registry.Command) {
+	go func() {
+		defer c.drop(key, mine)
+		for c.session.Number() == mine.session {
+			ctx, cancel := clockwork.WithTimeout(context.Background(), c.host.Clock, operatorTimeout)
+			_, err := c.session.Propose(ctx, command)
+			cancel()
+			if err == nil {
+				return
+			}
+		}
+	}()
+}
--- a/host/handover.go
+++ b/host/handover.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/jonboulle/clockwork"
 
 	"comfreytiller.dev/admission"
@@ -75,7 +76,7 @@
 // moveAway hands over the services that another host should own.
 func (o *owners) moveAway(ctx context.Context, view *registry.View) {
 	for _, service := range o.all() {
-		if !view.ShouldMove(service.name) || !o.startMove(service.name) {
+		if !view.ShouldMove(service.name) && !service.isStopped() || !o.startMove(service.name) {
 			continue
 		}
 		go func() {
@@ -127,18 +128,29 @@
 			o.log.Warnf("Memory of %s is not handed over: %v.", service.name, err)
 		}
 	}
-	result, err := o.session.Propose(ctx, registry.MoveOwner{
+	o.proposeMove(ctx, service)
+}
+
+// proposeMove proposes the move until it has an answer. The service is kept only
+// if no other host can own it: after any other outcome it may have moved.
+func (o *owners) proposeMove(ctx context.Context, service *owned) {
+	command := registry.MoveOwner{
 		Service: service.name,
 		Session: service.owner.Session,
 		Fence:   service.owner.Fence,
-	})
-	if err == nil {
-		err = result.Err()
 	}
+	result, err := o.session.Propose(ctx, command)
 	if err != nil {
+		o.log.Warnf("Has stopped deciding for %s, whose move has no answer: %v.", service.name, err)
+		return
+	}
+	switch err := result.Err(); {
+	case err == nil:
+		o.log.Infof("Hands over %s.", service.name)
+	case errors.Is(err, registry.ErrNoCandidate):
 		service.resume()
 		o.log.Warnf("Keeps %s: %v.", service.name, err)
-		return
+	default:
+		o.log.Warnf("Does not decide for %s any more: %v.", service.name, err)
 	}
-	o.log.Infof("Hands over %s.", service.name)
 }
--- a/host/host.go
+++ b/host/host.go
@@ -150,7 +150,7 @@
 		Owns:          h.Settings.OwnsServices,
 		Replicas:      h.Settings.StateReplicas,
 		Clock:         h.Clock,
-		Nonce:         rand.Uint64,
+		Start:         rand.Uint64(),
 		Idle:          h.owners.idle,
 	}, h.node)
 	h.owners.session = h.session
--- a/host/owned.go
+++ b/host/owned.go
@@ -173,6 +173,14 @@
 	return s.service.Export(now, 0)
 }
 
+// isStopped reports whether the service was given up, and is to be proposed for
+// a move again where it is still owned here.
+func (s *owned) isStopped() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopped
+}
+
 // resume grants again after a move that found no other host.
 func (s *owned) resume() {
 	s.do(func(now time.Time) {
--- a/host/state.go
+++ b/host/state.go
@@ -338,7 +338,7 @@
 }
 
 func (s *stateReplica) sweep(ctx context.Context, now time.Time) {
-	s.commit(ctx, registry.ExpireClaims{Before: now.Add(-claimRetention)})
+	s.commit(ctx, registry.ExpireClaims{Before: now.Add(-claimRetention), Now: now})
 }
 
 // commit proposes the leader's own command; a later look repeats what failed.
--- a/session/client.go
+++ b/session/client.go
@@ -126,7 +126,7 @@
 		PeerAddress:   c.config.PeerAddress,
 		CallerAddress: c.config.CallerAddress,
 		Owns:          c.config.Owns,
-		Start:         c.config.Nonce(),
+		Start:         c.config.Start,
 	})
 	if err != nil {
 		return errors.Wrapf(err, "open session of %s", c.config.Host)
--- a/session/client_test.go
+++ b/session/client_test.go
@@ -87,11 +87,10 @@
 }
 
 func newClient(r *replicas) *Client {
-	nonce := uint64(0)
 	return New(Config{
 		Host: "host-1", FailureDomain: "East", PeerAddress: "127.0.0.1:1", Owns: true,
 		Replicas: []string{"a", "b"}, Clock: r.clock,
-		Nonce: func() uint64 { nonce++; return nonce },
+		Start: 7,
 	}, r)
 }
 
--- a/session/session.go
+++ b/session/session.go
@@ -67,8 +67,9 @@
 	// Replicas are peer addresses of state replicas.
 	Replicas []string
 	Clock    clockwork.Clock
-	// Nonce draws a random number for each session.
-	Nonce func() uint64
+	// Start is a random number of this process. A command that is sent again
+	// after a lost answer then opens no second session.
+	Start uint64
 	// Idle returns the services owned by this host that cannot serve now; nil
 	// for none.
 	Idle func() []string
