quorum: let answered callers join the next batch

A caller that was just answered proposes again a moment later; the replica took the first of them alone and let the others wait for its write. It now yields once before it takes a batch.

--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"runtime"
 	"sync"
 	"time"
 
@@ -183,6 +184,8 @@
 		case <-ticker.Chan():
 			r.work(true)
 		case <-r.wake:
+			// Callers that were just answered may have more to add to the batch.
+			runtime.Gosched()
 			r.work(false)
 		}
 	}
