--- a/quorum/node.go
+++ b/quorum/node.go
@@ -16,10 +16,14 @@
 // Timing and sizes that a zero NodeConfig field stands for.
 const (
 	// DefaultElectionTicks is the least number of ticks without a leader before
-	// an election; the most is this and DefaultElectionSpread.
-	DefaultElectionTicks  = 12
-	DefaultElectionSpread = 8
-	DefaultHeartbeatTicks = 4
+	// an election; the most is less than this and DefaultElectionSpread.
+	DefaultElectionTicks  = 15
+	DefaultElectionSpread = 5
+	DefaultHeartbeatTicks = 6
+	// A campaign without a result is repeated after retryTicks ticks and less
+	// than retrySpread more.
+	retryTicks  = 2
+	retrySpread = 5
 	// DefaultAppendBytes bounds the entries of one message.
 	DefaultAppendBytes = 256 << 10
 	// DefaultInflightBytes bounds the unacknowledged entries per follower.
@@ -166,7 +170,7 @@
 // retrySoon starts a short randomized timeout, for a campaign without a result.
 func (n *Node) retrySoon() {
 	n.elapsed = 0
-	n.timeout = 2 + n.random.IntN(n.config.ElectionSpread)
+	n.timeout = retryTicks + n.random.IntN(retrySpread)
 }
 
 // becomeFollower enters the term, forgetting what belongs to an older one.
