--- a/host/handover.go
+++ b/host/handover.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/jonboulle/clockwork"
 
 	"comfreytiller.dev/admission"
@@ -11,10 +12,7 @@
 	"comfreytiller.dev/registry"
 )
 
-// maxCopies bounds the copies kept of one service; the oldest go first.
-const maxCopies = 4096
-
-// sendCopies sends each backup host what changed.
+// sendCopies sends each backup host what changed, and all to a new one.
 func (o *owners) sendCopies(now time.Time) {
 	view := o.session.View()
 	for _, service := range o.all() {
@@ -22,7 +20,11 @@
 		if !ok {
 			continue
 		}
-		o.sendCopy(backup.PeerAddress, service, service.export(now, copyChats))
+		limit := copyChats
+		if service.copiedTo != backup.Session {
+			service.copiedTo, limit = backup.Session, 0
+		}
+		o.sendCopy(backup.PeerAddress, service, service.export(now, limit))
 	}
 }
 
@@ -45,8 +47,7 @@
 	o.mu.Lock()
 	service := o.owned[m.Service]
 	if service == nil {
-		kept := append(o.copies[m.Service], copied)
-		o.copies[m.Service] = kept[max(0, len(kept)-maxCopies):]
+		o.follows(m.Service, copied)
 	}
 	o.mu.Unlock()
 	if service != nil && service.owner.Fence > m.Fence {
@@ -54,10 +55,28 @@
 	}
 }
 
+// follows adds to the copy of a service of another owner; the lock is held.
+func (o *owners) follows(name string, copied admission.Copy) {
+	if copied.Current {
+		o.handed[name] = copied
+		return
+	}
+	followed, ok := o.followed[name]
+	if !ok {
+		config, known := serviceConfig(o.session.View(), name)
+		if !known {
+			return
+		}
+		followed = admission.New(config, 0, admission.WithChats(ownerChats, ownerChatAge))
+		o.followed[name] = followed
+	}
+	followed.Import(o.clock.Now(), copied)
+}
+
 // moveAway hands over the services that another host should own.
 func (o *owners) moveAway(ctx context.Context, view *registry.View) {
 	for _, service := range o.all() {
-		if !view.ShouldMove(service.name) || !o.startMove(service.name) {
+		if !view.ShouldMove(service.name) && !service.isStopped() || !o.startMove(service.name) {
 			continue
 		}
 		go func() {
@@ -98,7 +117,7 @@
 func (o *owners) handOver(ctx context.Context, service *owned) {
 	defer o.endMove(service.name)
 	view := o.session.View()
-	copied := service.stop(o.clock.Now())
+	copied := service.stop()
 	if backup, ok := view.Hosts[view.Owners[service.name].Backup]; ok {
 		data, err := encodeCopy(copied)
 		if err == nil {
@@ -109,18 +128,29 @@
 			o.log.Warnf("Memory of %s is not handed over: %v.", service.name, err)
 		}
 	}
-	result, err := o.session.Propose(ctx, registry.MoveOwner{
+	o.proposeMove(ctx, service)
+}
+
+// proposeMove proposes the move until it has an answer. The service is kept only
+// if no other host can own it: after any other outcome it may have moved.
+func (o *owners) proposeMove(ctx context.Context, service *owned) {
+	command := registry.MoveOwner{
 		Service: service.name,
 		Session: service.owner.Session,
 		Fence:   service.owner.Fence,
-	})
-	if err == nil {
-		err = result.Err()
 	}
+	result, err := o.session.Propose(ctx, command)
 	if err != nil {
+		o.log.Warnf("Has stopped deciding for %s, whose move has no answer: %v.", service.name, err)
+		return
+	}
+	switch err := result.Err(); {
+	case err == nil:
+		o.log.Infof("Hands over %s.", service.name)
+	case errors.Is(err, registry.ErrNoCandidate):
 		service.resume()
 		o.log.Warnf("Keeps %s: %v.", service.name, err)
-		return
+	default:
+		o.log.Warnf("Does not decide for %s any more: %v.", service.name, err)
 	}
-	o.log.Infof("Hands over %s.", service.name)
 }
