--- a/commands/status.go
+++ b/commands/status.go
@@ -58,10 +58,10 @@
 	for _, service := range s.Services {
 		row(service.Name, service.Owner, service.Backup, service.Serving, service.Queued, service.Problem)
 	}
-	row("TARGET", "SERVICE", "DOMAIN", "STATE", "IN FLIGHT", "LIMIT")
+	row("TARGET", "SERVICE", "DOMAIN", "STATE", "IN FLIGHT", "LIMIT", "WAITS")
 	for _, service := range s.Services {
 		for _, t := range service.Targets {
-			row(t.Name, t.Service, t.FailureDomain, t.State, t.InFlight, t.Limit)
+			row(t.Name, t.Service, t.FailureDomain, t.State, t.InFlight, t.Limit, t.Reason)
 		}
 	}
 	row("REPLICA", "HOST", "ADDRESS", "VOTER", "LEADER", "MATCH")
--- a/commands/status_json.go
+++ b/commands/status_json.go
@@ -39,6 +39,7 @@
 		State         string
 		InFlight      int32
 		Limit         int32
+		Waits         string
 	}
 	replicaStatus struct {
 		ID      string
@@ -92,7 +93,7 @@
 		Problem: s.Problem,
 	}
 	for _, t := range s.Targets {
-		status.Targets = append(status.Targets, targetStatus{t.Name, t.FailureDomain, t.State, t.InFlight, t.Limit})
+		status.Targets = append(status.Targets, targetStatus{t.Name, t.FailureDomain, t.State, t.InFlight, t.Limit, t.Reason})
 	}
 	return status
 }
--- a/host/operators_status.go
+++ b/host/operators_status.go
@@ -39,9 +39,51 @@
 		}
 	}
 	response.Replicas = o.replicaStatus(ctx, view)
+	o.placementStatus(ctx, response)
 	return response, nil
 }
 
+// placementStatus asks the leader; without its answer the orders are left out.
+func (o *operators) placementStatus(ctx context.Context, response *operatorpb.StatusResponse) {
+	answer, err := o.host.node.Call(ctx, o.host.session.Leader(), peer.StatusAsk{})
+	if err != nil {
+		return
+	}
+	told, ok := answer.(peer.StatusTold)
+	if !ok {
+		return
+	}
+	status, err := decodePlacement(told.Status)
+	if err != nil {
+		return
+	}
+	for _, order := range status.Orders {
+		response.Orders = append(response.Orders, &operatorpb.OrderStatus{
+			Id:      order.Id,
+			Target:  order.Target,
+			Kind:    order.Kind,
+			Service: order.Service,
+			State:   order.State,
+			Reason:  order.Reason,
+		})
+	}
+	response.Alarms = status.Alarms
+	for _, service := range status.Services {
+		if service.RollStopped != "" {
+			response.Alarms = append(response.Alarms, "RollStopped: "+service.Name+": "+service.RollStopped)
+		}
+	}
+	waits := map[string]string{}
+	for _, t := range status.Targets {
+		waits[t.Name] = t.Waits
+	}
+	for _, service := range response.Services {
+		for _, t := range service.Targets {
+			t.Reason = waits[t.Name]
+		}
+	}
+}
+
 func (o *operators) serviceStatus(ctx context.Context, view *registry.View, name string) *operatorpb.ServiceStatus {
 	owner, ok := view.Owners[name]
 	status := &operatorpb.ServiceStatus{Name: name}
--- a/host/placer.go
+++ b/host/placer.go
@@ -60,7 +60,7 @@
 		host:     h,
 		log:      logs.Part(h.Log, "Placement"),
 		clock:    h.Clock,
-		planner:  placement.New(placement.WithTimes(placementTimes())),
+		planner:  placement.New(placement.WithTimes(placementTimes()), placement.WithUnload()),
 		digests:  map[string]hostDigest{},
 		recorded: map[string]uint64{},
 	}
@@ -87,6 +87,23 @@
 	reply(peer.Taken{})
 }
 
+// tellStatus answers with the newest status of placement.
+func (p *placer) tellStatus(reply peer.Reply) {
+	if _, leads := p.lead(); !leads {
+		reply(peer.Failure{Message: "this host does not lead the state replicas"})
+		return
+	}
+	p.mu.Lock()
+	status := p.status
+	p.mu.Unlock()
+	data, err := encodePlacement(status)
+	if err != nil {
+		reply(peer.Failure{Message: err.Error()})
+		return
+	}
+	reply(peer.StatusTold{Status: data})
+}
+
 // lead returns the term in which this replica leads with a confirmed majority
 // and holds all that earlier leaders committed.
 func (p *placer) lead() (uint64, bool) {
@@ -157,14 +174,20 @@
 // sent. The fence is an index of the log, so that it is above theirs.
 func (p *placer) start(now time.Time, term uint64) {
 	p.term = term
-	var outstanding []placement.Order
+	var outstanding, failed []placement.Order
 	for _, order := range p.host.state.machine.Orders() {
-		if order.State == registry.OrderPending {
+		switch order.State {
+		case registry.OrderPending:
 			outstanding = append(outstanding, fromRegistry(order))
+		case registry.OrderFailed:
+			failed = append(failed, fromRegistry(order))
 		}
 	}
 	fence := p.host.state.replica.Status().Commit
 	p.planner.Lead(now, fence, outstanding)
+	for _, order := range failed {
+		p.planner.RememberFailure(order)
+	}
 	p.log.Infof("Plans in term %d with fence %d and %d outstanding orders.", term, fence, len(outstanding))
 }
 
@@ -349,9 +372,9 @@
 }
 
 func (p *placer) closeOrder(ctx context.Context, e placement.CloseOrder) {
-	state := registry.OrderFailed
-	if e.Outcome == placement.OutcomeDone {
-		state = registry.OrderDone
+	state := registry.OrderDone
+	if e.Outcome.Failed() {
+		state = registry.OrderFailed
 	}
 	result, err := p.host.session.Propose(ctx, registry.FinishOrder{ID: e.ID, State: state, Time: p.clock.Now()})
 	if err == nil {
--- a/host/receive.go
+++ b/host/receive.go
@@ -27,6 +27,10 @@
 	case peer.TargetNews:
 		h.owners.targetNews(m, reply)
 	case peer.StatusAsk:
+		if m.Service == "" {
+			h.placer.tellStatus(reply)
+			return
+		}
 		h.owners.tellStatus(m, reply)
 	case peer.VersionsAsk:
 		view := h.session.View()
--- a/peer/message.go
+++ b/peer/message.go
@@ -119,7 +119,8 @@
 	IdleServices []string
 }
 
-// StatusAsk asks an owner for the status of a service.
+// StatusAsk asks an owner for the status of a service, or, without one, the
+// state leader for that of placement.
 type StatusAsk struct{ Service string }
 
 // StatusTold answers StatusAsk with an encoded status.
