--- a/host/host.go
+++ b/host/host.go
@@ -153,7 +153,7 @@
 		Start:         rand.Uint64(),
 		Idle:          h.owners.idle,
 	}, h.node)
-	h.owners.session = h.session
+	h.owners.session, h.owners.authority = h.session, h.session
 	h.sender = web.NewClient(h.Clock)
 	h.entry = newEntry(h)
 	h.receiver = newTargets(h)
--- a/host/owned.go
+++ b/host/owned.go
@@ -209,7 +209,7 @@
 // granting: what waits is asked again where there is an owner.
 func (s *owned) flush() {
 	for _, effect := range s.service.Effects() {
-		if effect.Permit != nil && s.owners.session.Check() != nil {
+		if effect.Permit != nil && s.owners.authority.Check() != nil {
 			s.withdraw(effect.Permit.RequestID)
 			continue
 		}
@@ -235,7 +235,7 @@
 
 // resumeWithLease grants again once the lease is live; the lock is held.
 func (s *owned) resumeWithLease(now time.Time) {
-	if s.suspended && !s.stopped && s.owners.session.Check() == nil {
+	if s.suspended && !s.stopped && s.owners.authority.Check() == nil {
 		s.suspended = false
 		s.service.Adopted(now)
 	}
--- a/host/owners.go
+++ b/host/owners.go
@@ -13,6 +13,7 @@
 
 	"comfreytiller.dev/admission"
 	"comfreytiller.dev/common/logs"
+	"comfreytiller.dev/gateway"
 	"comfreytiller.dev/peer"
 	"comfreytiller.dev/registry"
 	"comfreytiller.dev/session"
@@ -35,6 +36,8 @@
 	log     *logrus.Logger
 	clock   clockwork.Clock
 	session *session.Client
+	// authority tells whether this host may grant now.
+	authority gateway.Authority
 
 	mu     sync.Mutex
 	owned  map[string]*owned
