--- a/common/logs/logs.go
+++ b/common/logs/logs.go
@@ -45,25 +45,30 @@
 	return logger
 }
 
-// prefixHook puts a part's prefix in front of every message.
-type prefixHook struct{ prefix string }
+// partFormatter formats a part's lines as the base logger does, behind the
+// part's prefix, while the base logger's level allows them. The level may change
+// while the process runs.
+type partFormatter struct {
+	base   *logrus.Logger
+	prefix string
+}
 
 // Part returns a logger for one part of a host: every message starts with the
 // part's name and a colon.
 func Part(base *logrus.Logger, part string) *logrus.Logger {
 	logger := logrus.New()
 	logger.SetOutput(base.Out)
-	logger.SetLevel(base.GetLevel())
-	logger.SetFormatter(base.Formatter)
-	logger.AddHook(prefixHook{prefix: part + ": "})
+	logger.SetLevel(logrus.TraceLevel)
+	logger.SetFormatter(&partFormatter{base: base, prefix: part + ": "})
 	return logger
 }
 
-// Levels returns every level, since each message carries the prefix.
-func (h prefixHook) Levels() []logrus.Level { return logrus.AllLevels }
-
-// Fire puts the prefix in front of the message.
-func (h prefixHook) Fire(entry *logrus.Entry) error {
-	entry.Message = h.prefix + entry.Message
-	return nil
+// Format returns the line, or nothing below the base logger's level.
+func (f *partFormatter) Format(entry *logrus.Entry) ([]byte, error) {
+	if !f.base.IsLevelEnabled(entry.Level) {
+		return nil, nil
+	}
+	prefixed := *entry
+	prefixed.Message = f.prefix + entry.Message
+	return f.base.Formatter.Format(&prefixed)
 }
--- a/common/logs/logs_test.go
+++ b/common/logs/logs_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"testing"
 
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 )
 
@@ -22,3 +23,15 @@
 	_, err = New(&bytes.Buffer{}, "info", "xml")
 	require.ErrorIs(t, err, ErrFormat)
 }
+
+func TestPartsFollowTheLevelOfTheBase(t *testing.T) {
+	var out bytes.Buffer
+	base, err := New(&out, "info", "text")
+	require.NoError(t, err)
+	part := Part(base, "Route")
+	part.Debug("hidden")
+	require.Empty(t, out.String())
+	base.SetLevel(logrus.DebugLevel)
+	part.Debug("shown")
+	require.Contains(t, out.String(), "Route: shown")
+}
