Say less in a permit's frames

A grant repeats nothing of its question, releases name their service once and no target, outcomes are numbers; acknowledgements are counted as TCP delays them, one for two segments.

--- a/common/meter/conn.go
+++ b/common/meter/conn.go
@@ -5,9 +5,13 @@
 // packetOverheadBytes is what TCP and IP add to one segment, options included.
 const packetOverheadBytes = 52
 
+// acknowledgementBytes is one segment's share of the acknowledgements that go the
+// other way: TCP delays them and sends one for two segments, or none where an
+// answer carries it.
+const acknowledgementBytes = packetOverheadBytes / 2
+
 // Conn counts a connection's bytes as control traffic. Each write and read
-// counts one segment's headers and one acknowledgement the other way, which is
-// an upper bound where segments carry several writes.
+// counts as one segment with its headers and its share of acknowledgements.
 type Conn struct {
 	net.Conn
 	control *Control
@@ -23,7 +27,7 @@
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.control.Received(n + packetOverheadBytes)
-		c.control.Sent(packetOverheadBytes)
+		c.control.Sent(acknowledgementBytes)
 	}
 	return n, err
 }
@@ -33,7 +37,7 @@
 	n, err := c.Conn.Write(p)
 	if n > 0 {
 		c.control.Sent(n + packetOverheadBytes)
-		c.control.Received(packetOverheadBytes)
+		c.control.Received(acknowledgementBytes)
 	}
 	return n, err
 }
--- a/host/adoption.go
+++ b/host/adoption.go
@@ -106,7 +106,7 @@
 	batch := e.releases[service]
 	delete(e.releases, service)
 	e.mu.Unlock()
-	message := peer.Releases{Releases: releasesFor(owner.Fence, batch)}
+	message := peer.Releases{Service: service, Releases: releasesFor(owner.Fence, batch)}
 	if len(message.Releases) == 0 {
 		return
 	}
--- a/host/entry.go
+++ b/host/entry.go
@@ -166,7 +166,10 @@
 	case peer.Refusal:
 		return admission.Permit{}, &m.Refusal
 	case peer.Permit:
-		return e.accept(m.Permit, owner, number)
+		permit := m.Permit
+		permit.RequestID, permit.Host = request.ID, request.Host
+		permit.Service, permit.Workspace, permit.Chat = request.Service, request.Workspace, request.Chat
+		return e.accept(permit, owner, number)
 	}
 	return admission.Permit{}, errors.Errorf("answer of type %T from the owner of %s", answer, request.Service)
 }
--- a/peer/codec_admission.go
+++ b/peer/codec_admission.go
@@ -12,13 +12,13 @@
 	case Acquire:
 		wire.Body = &peerpb.Frame_Acquire{Acquire: acquireToWire(m, now)}
 	case Permit:
-		wire.Body = &peerpb.Frame_Permit{Permit: permitToWire(m.Permit)}
+		wire.Body = &peerpb.Frame_Permit{Permit: grantToWire(m.Permit)}
 	case Refusal:
 		wire.Body = &peerpb.Frame_Refusal{Refusal: refusalToWire(m.Refusal)}
 	case Cancel:
 		wire.Body = &peerpb.Frame_Cancel{Cancel: &peerpb.Cancel{Service: m.Service, RequestId: m.RequestID}}
 	case Releases:
-		wire.Body = &peerpb.Frame_Releases{Releases: releasesToWire(m.Releases)}
+		wire.Body = &peerpb.Frame_Releases{Releases: releasesToWire(m)}
 	case Adopt:
 		wire.Body = &peerpb.Frame_Adopt{Adopt: adoptToWire(m)}
 	}
@@ -29,7 +29,7 @@
 	case *peerpb.Frame_Acquire:
 		return acquireFromWire(b.Acquire, now)
 	case *peerpb.Frame_Permit:
-		return Permit{Permit: permitFromWire(b.Permit)}
+		return Permit{Permit: grantFromWire(b.Permit)}
 	case *peerpb.Frame_Refusal:
 		return Refusal{Refusal: refusalFromWire(b.Refusal)}
 	case *peerpb.Frame_Cancel:
@@ -134,14 +134,63 @@
 	}
 }
 
-func releasesToWire(releases []admission.Release) *peerpb.Releases {
-	wire := &peerpb.Releases{}
-	for _, r := range releases {
+// grantToWire leaves out what the host that asked knows.
+func grantToWire(p admission.Permit) *peerpb.Grant {
+	return &peerpb.Grant{
+		Target:      p.Target,
+		Incarnation: p.Incarnation,
+		Address:     p.Address,
+		Fence:       p.Fence,
+		ValidFor:    int64(p.ValidFor),
+		Warm:        p.Warm,
+		Waited:      int64(p.Waited),
+		Reason:      p.Reason,
+		ChecksFence: p.ChecksFence,
+		Resumes:     p.Resumes,
+		CacheFrom:   p.CacheFrom,
+	}
+}
+
+func grantFromWire(w *peerpb.Grant) admission.Permit {
+	return admission.Permit{
+		Target:      w.Target,
+		Incarnation: w.Incarnation,
+		Address:     w.Address,
+		Fence:       w.Fence,
+		ValidFor:    time.Duration(w.ValidFor),
+		Warm:        w.Warm,
+		Waited:      time.Duration(w.Waited),
+		Reason:      w.Reason,
+		ChecksFence: w.ChecksFence,
+		Resumes:     w.Resumes,
+		CacheFrom:   w.CacheFrom,
+	}
+}
+
+// outcomes are the outcomes' numbers on the wire.
+var outcomes = map[admission.Outcome]peerpb.Outcome{
+	admission.OutcomeDone:      peerpb.Outcome_OUTCOME_DONE,
+	admission.OutcomeFailed:    peerpb.Outcome_OUTCOME_FAILED,
+	admission.OutcomeCancelled: peerpb.Outcome_OUTCOME_CANCELLED,
+	admission.OutcomeUnsent:    peerpb.Outcome_OUTCOME_UNSENT,
+}
+
+func outcomeFromWire(number peerpb.Outcome) admission.Outcome {
+	for outcome, known := range outcomes {
+		if known == number {
+			return outcome
+		}
+	}
+	return ""
+}
+
+// releasesToWire leaves out the targets, which the owner knows.
+func releasesToWire(m Releases) *peerpb.Releases {
+	wire := &peerpb.Releases{Service: m.Service}
+	for _, r := range m.Releases {
 		wire.Releases = append(wire.Releases, &peerpb.Release{
 			RequestId: r.RequestID,
-			Service:   r.Service,
-			Target:    r.Target,
-			Outcome:   string(r.Outcome),
+			Outcome:   outcomes[r.Outcome],
 			FirstByte: int64(r.FirstByte),
 		})
 	}
@@ -149,17 +198,16 @@
 }
 
 func releasesFromWire(w *peerpb.Releases) Releases {
-	var releases []admission.Release
+	m := Releases{Service: w.Service}
 	for _, r := range w.Releases {
-		releases = append(releases, admission.Release{
+		m.Releases = append(m.Releases, admission.Release{
 			RequestID: r.RequestId,
-			Service:   r.Service,
-			Target:    r.Target,
-			Outcome:   admission.Outcome(r.Outcome),
+			Service:   w.Service,
+			Outcome:   outcomeFromWire(r.Outcome),
 			FirstByte: time.Duration(r.FirstByte),
 		})
 	}
-	return Releases{Releases: releases}
+	return m
 }
 
 func adoptToWire(m Adopt) *peerpb.Adopt {
--- a/peer/message.go
+++ b/peer/message.go
@@ -26,7 +26,8 @@
 	Fence uint64
 }
 
-// Permit answers an Acquire.
+// Permit answers an Acquire. What the question said is not sent: RequestID,
+// Host, Service, Workspace and Chat arrive empty.
 type Permit struct{ Permit admission.Permit }
 
 // Refusal answers an Acquire.
@@ -38,8 +39,11 @@
 	RequestID string
 }
 
-// Releases gives permits back.
-type Releases struct{ Releases []admission.Release }
+// Releases gives permits of one service back, without their targets.
+type Releases struct {
+	Service  string
+	Releases []admission.Release
+}
 
 // Taken answers messages that only need to be known as received.
 type Taken struct{}
