--- a/host/bench_test.go
+++ b/host/bench_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"slices"
+	"syscall"
 	"testing"
 	"time"
 
@@ -104,17 +106,36 @@
 // a second over the whole fleet.
 func (f *testFleet) measureControl(b *testing.B, permits int) {
 	const seconds = 10
+	cpu := processorTime(b)
 	rest := f.controlRates(seconds, func() { <-time.After(seconds * time.Second) })
+	perHost := float64(seconds * len(f.hosts))
+	restCPU := (processorTime(b) - cpu).Seconds() / perHost
+	b.ReportMetric(100*restCPU, "rest-%core/host")
 	rates := rest
 	if permits > 0 {
+		cpu = processorTime(b)
 		rates = f.controlRates(seconds, func() { f.askPermits(permits*seconds, seconds*time.Second) })
 		// Each byte is counted by its sender and by its receiver.
 		b.ReportMetric((sum(rates)-sum(rest))/float64(permits)/2, "B/permit")
+		busy := (processorTime(b)-cpu).Seconds()/perHost - restCPU
+		b.ReportMetric(1e6*busy*float64(len(f.hosts))/float64(permits), "cpu-µs/permit")
 	}
 	slices.Sort(rates)
 	b.ReportMetric(sum(rates)/float64(len(rates)), "mean-B/s")
 	b.ReportMetric(rates[len(rates)/2], "median-B/s")
 	b.ReportMetric(rates[len(rates)-1], "most-B/s")
+	var memory runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&memory)
+	b.ReportMetric(float64(memory.HeapInuse+memory.StackInuse)/1024/float64(len(f.hosts)), "KiB/host")
+}
+
+// processorTime returns the processor time of this process, targets included.
+func processorTime(b *testing.B) time.Duration {
+	b.Helper()
+	var usage syscall.Rusage
+	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
 // controlRates returns each host's control bytes a second while run runs.
