--- /dev/null
+++ b/journal/example_test.go
@@ -0,0 +1,37 @@
+package journal_test
+
+import (
+	"fmt"
+	"os"
+
+	"comfreytiller.dev/journal"
+)
+
+func Example() {
+	folder, err := os.MkdirTemp("", "journal-")
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	log, err := journal.Open(folder)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	err = log.Append([]byte("term 1"), []uint64{1, 2}, [][]byte{[]byte("one"), []byte("two")})
+	fmt.Println(err, log.Close())
+
+	// What Append acknowledged is there after a restart.
+	log, err = journal.Open(folder)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer func() { _ = log.Close() }()
+	state, _, _, indexes, records, err := log.Load()
+	fmt.Println(string(state), indexes, string(records[1]), err)
+	// Output:
+	// <nil> <nil>
+	// term 1 [1 2] two <nil>
+}
