--- a/peer/message.go
+++ b/peer/message.go
@@ -26,7 +26,8 @@
 	Fence uint64
 }
 
-// Permit answers an Acquire.
+// Permit answers an Acquire. What the question said is not sent: RequestID,
+// Host, Service, Workspace and Chat arrive empty.
 type Permit struct{ Permit admission.Permit }
 
 // Refusal answers an Acquire.
@@ -38,8 +39,11 @@
 	RequestID string
 }
 
-// Releases gives permits back.
-type Releases struct{ Releases []admission.Release }
+// Releases gives permits of one service back, without their targets.
+type Releases struct {
+	Service  string
+	Releases []admission.Release
+}
 
 // Taken answers messages that only need to be known as received.
 type Taken struct{}
@@ -119,7 +123,8 @@
 	IdleServices []string
 }
 
-// StatusAsk asks an owner for the status of a service.
+// StatusAsk asks an owner for the status of a service, or, without one, the
+// state leader for that of placement.
 type StatusAsk struct{ Service string }
 
 // StatusTold answers StatusAsk with an encoded status.
