--- a/commands/daemon.go
+++ b/commands/daemon.go
@@ -34,7 +34,7 @@
 const daemonHelp = `comfreytillerd: the daemon of an entry host
 
   --Settings FILE   the host's settings, JSON with comments
-  --Bootstrap       write the first state of a new cluster, once on each of its first members
+  --Bootstrap       make a new cluster with this host as its only member, once
   --Restore FILE    with --Bootstrap: start from a backup, under a new cluster name
   --Version         print the version
 
--- a/host/host.go
+++ b/host/host.go
@@ -118,11 +118,6 @@
 	if len(own.StateReplicas) == 0 {
 		own.StateReplicas = []string{own.Peers}
 	}
-	if own.State != nil && len(own.State.Members) == 0 && h.Bootstrap {
-		alone := *own.State
-		alone.Members = []settings.Member{{Host: own.Host, Address: own.Peers}}
-		own.State = &alone
-	}
 	return nil
 }
 
--- a/host/operators_replica.go
+++ b/host/operators_replica.go
@@ -56,7 +56,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := o.add(ctx, member); err != nil {
+		if err := replica.Admit(ctx, member); err != nil {
 			return nil, twirp.Aborted.Error(err.Error())
 		}
 		return &operatorpb.ReplicaResponse{Message: fmt.Sprintf("Replica %s on host %s has a vote.", member.ID, member.Host)}, nil
@@ -89,24 +89,6 @@
 	return "one of " + joined(o.host.Settings.StateReplicas)
 }
 
-// add adds a learner and promotes it once it holds everything committed.
-func (o *operators) add(ctx context.Context, member quorum.Member) error {
-	if err := o.host.state.replica.AddLearner(ctx, member); err != nil {
-		return err
-	}
-	for {
-		err := o.host.state.replica.Promote(ctx, member.ID)
-		if err == nil || ctx.Err() != nil {
-			return err
-		}
-		select {
-		case <-ctx.Done():
-			return err
-		case <-o.host.Clock.After(lagPoll):
-		}
-	}
-}
-
 // identify asks the replica at an address who it is.
 func (o *operators) identify(ctx context.Context, address string) (quorum.Member, error) {
 	answer, err := o.host.node.Call(ctx, address, peer.IdentityAsk{})
--- a/host/receive.go
+++ b/host/receive.go
@@ -79,5 +79,5 @@
 		return peer.IdentityTold{Host: h.Settings.Host}
 	}
 	status := h.state.replica.Status()
-	return peer.IdentityTold{ID: status.ID, Host: status.Host}
+	return peer.IdentityTold{ID: status.ID, Host: status.Host, Cluster: status.Cluster}
 }
--- a/host/state.go
+++ b/host/state.go
@@ -84,18 +84,15 @@
 	return s, nil
 }
 
-// bootstrap writes the first state. The first members' IDs are made from their
-// host names, so that all of them write the same; any later one is random.
+// ErrClusterRuns refuses to make a cluster where one runs already.
+var ErrClusterRuns = errors.New("a cluster runs already")
+
+// bootstrap writes the first state of a new cluster with this host's replica as
+// its only member; the others are added by an operator. Identities are random,
+// so that neither a replica nor a cluster ever comes back as its old self.
 func bootstrap(h *Host, storage quorum.Storage) error {
-	state := h.Settings.State
-	members := make([]quorum.Member, 0, len(state.Members))
-	for _, member := range state.Members {
-		members = append(members, quorum.Member{
-			ID:      state.Cluster + "/" + member.Host,
-			Host:    member.Host,
-			Address: member.Address,
-			Voter:   true,
-		})
+	if err := findCluster(h); err != nil {
+		return err
 	}
 	var snapshot []byte
 	if h.Restore != nil {
@@ -104,9 +101,33 @@
 			return errors.Wrap(err, "read backup")
 		}
 	}
-	err := quorum.BootstrapFrom(storage, state.Cluster, h.Settings.Host, members, snapshot)
+	state := h.Settings.State
+	cluster := state.Cluster + "-" + quorum.NewID()
+	member := quorum.Member{ID: quorum.NewID(), Host: h.Settings.Host, Address: h.Settings.Peers, Voter: true}
+	err := quorum.BootstrapFrom(storage, cluster, h.Settings.Host, []quorum.Member{member}, snapshot)
 	if err != nil {
-		return errors.Wrapf(err, "bootstrap cluster %s in %s", state.Cluster, state.Folder)
+		return errors.Wrapf(err, "bootstrap cluster %s in %s", cluster, state.Folder)
+	}
+	h.log.Infof("Makes cluster %s.", cluster)
+	return nil
+}
+
+// findCluster asks the other state replicas of the settings whether they belong
+// to a cluster. A host whose disk was lost must not start another one.
+func findCluster(h *Host) error {
+	for _, address := range h.Settings.StateReplicas {
+		if address == h.Settings.Peers {
+			continue
+		}
+		ctx, cancel := clockwork.WithTimeout(context.Background(), h.Clock, ownerTimeout)
+		answer, err := h.node.Call(ctx, address, peer.IdentityAsk{})
+		cancel()
+		if err != nil {
+			continue
+		}
+		if told, ok := answer.(peer.IdentityTold); ok && told.Cluster != "" {
+			return errors.Wrapf(ErrClusterRuns, "%s with a replica on host %s at %s", told.Cluster, told.Host, address)
+		}
 	}
 	return nil
 }
--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -116,3 +116,17 @@
 	}
 	return others
 }
+
+// replicaOf returns the identity of a host's state replica.
+func (s *system) replicaOf(n *node) string {
+	s.t.Helper()
+	status, ok := s.status(s.leader())
+	require.True(s.t, ok)
+	for _, replica := range status.Replicas {
+		if replica.Host == n.name {
+			return replica.ID
+		}
+	}
+	require.Fail(s.t, "no replica", n.name)
+	return ""
+}
--- a/peer/codec_state.go
+++ b/peer/codec_state.go
@@ -37,7 +37,7 @@
 	case IdentityAsk:
 		wire.Body = &peerpb.Frame_IdentityAsk{IdentityAsk: &peerpb.Ping{}}
 	case IdentityTold:
-		wire.Body = &peerpb.Frame_IdentityTold{IdentityTold: &peerpb.IdentityTold{Id: m.ID, Host: m.Host}}
+		wire.Body = &peerpb.Frame_IdentityTold{IdentityTold: &peerpb.IdentityTold{Id: m.ID, Host: m.Host, Cluster: m.Cluster}}
 	}
 }
 
@@ -70,7 +70,7 @@
 	case *peerpb.Frame_IdentityAsk:
 		return IdentityAsk{}
 	case *peerpb.Frame_IdentityTold:
-		return IdentityTold{ID: b.IdentityTold.Id, Host: b.IdentityTold.Host}
+		return IdentityTold{ID: b.IdentityTold.Id, Host: b.IdentityTold.Host, Cluster: b.IdentityTold.Cluster}
 	}
 	return nil
 }
--- a/peer/message.go
+++ b/peer/message.go
@@ -147,6 +147,9 @@
 type IdentityTold struct {
 	ID   string
 	Host string
+	// Cluster is the cluster's identity; empty for a replica that waits to be
+	// added.
+	Cluster string
 }
 
 // Digest tells the state leader of the targets that a host knows.
--- a/settings/load.go
+++ b/settings/load.go
@@ -90,25 +90,10 @@
 		value, at,
 		jsonc.Field{Name: "Folder", Required: true, Read: folder(r, &state.Folder)},
 		jsonc.Field{Name: "Cluster", Required: true, Read: jsonc.Name(r, &state.Cluster)},
-		jsonc.Field{Name: "Members", Read: func(value *hujson.Value, at *jsonc.Place) {
-			r.List(value, at, maxReplicas, func(value *hujson.Value, at *jsonc.Place) {
-				state.Members = append(state.Members, readMember(r, value, at))
-			})
-		}},
 	)
 	return state
 }
 
-func readMember(r *jsonc.Reader, value *hujson.Value, at *jsonc.Place) Member {
-	var member Member
-	r.Object(
-		value, at,
-		jsonc.Field{Name: "Host", Required: true, Read: jsonc.Name(r, &member.Host)},
-		jsonc.Field{Name: "Address", Required: true, Read: address(r, &member.Address)},
-	)
-	return member
-}
-
 func readLog(r *jsonc.Reader, value *hujson.Value, at *jsonc.Place, into *Log) {
 	r.Object(
 		value, at,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -47,17 +47,8 @@
 type State struct {
 	// Folder is the data folder on the host's disk. It must exist.
 	Folder string
-	// Cluster names the cluster; it is fixed with the first start.
+	// Cluster begins the identity of a cluster that --Bootstrap makes here.
 	Cluster string
-	// Members are the first members, used once with --Bootstrap.
-	Members []Member
-}
-
-// Member is one of the first state replicas.
-type Member struct {
-	Host string
-	// Address is the peer IP:port.
-	Address string
 }
 
 // Log says what is logged and how.
