--- a/host/placer.go
+++ b/host/placer.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
@@ -14,7 +13,6 @@
 	"comfreytiller.dev/placement"
 	"comfreytiller.dev/registry"
 	"comfreytiller.dev/session"
-	"comfreytiller.dev/target"
 )
 
 const (
@@ -276,142 +274,3 @@
 		MovesCache:    a.MovesCache,
 	}
 }
-
-// address returns where a target takes orders, if it is still the same start.
-func (p *placer) address(name string, incarnation uint64) string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, heard := range p.digests {
-		for _, t := range heard.digest.Targets {
-			if t.Announcement.Name == name && t.Announcement.Incarnation == incarnation {
-				return t.Announcement.Address
-			}
-		}
-	}
-	return ""
-}
-
-func (p *placer) carryOut(ctx context.Context, effect placement.Effect) {
-	switch e := effect.(type) {
-	case placement.RecordOrder:
-		go p.record(ctx, e.Order)
-	case placement.SendOrder:
-		go p.send(ctx, e)
-	case placement.CloseOrder:
-		go p.closeOrder(ctx, e)
-	case placement.Log:
-		p.log.Info(e.Line)
-	case placement.Alarm:
-		p.log.Warnf("Alarm %s: %s.", e.Kind, e.Text)
-		p.host.Scope.SubScope("placement").Tagged(map[string]string{"alarm": string(e.Kind)}).Counter("alarms").Inc(1)
-	}
-}
-
-func (p *placer) record(ctx context.Context, order placement.Order) {
-	result, err := p.host.session.Propose(ctx, toRegistry(order, p.clock.Now()))
-	if err == nil {
-		err = result.Err()
-	}
-	if err != nil {
-		p.log.Warnf("Order %s to %s is not recorded: %v.", order.ID, order.Target, err)
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.recorded[order.ID] = result.Order.Fence
-	if err != nil {
-		p.recorded[order.ID] = 0
-	}
-}
-
-// send sends an order unless its time has passed or the lead is gone.
-func (p *placer) send(ctx context.Context, e placement.SendOrder) {
-	address := p.address(e.Order.Target, e.Order.Incarnation)
-	if address == "" {
-		return
-	}
-	ctx, cancel := clockwork.WithDeadline(ctx, p.clock, p.clock.Now().Add(ownerTimeout))
-	defer cancel()
-	if _, leads := p.lead(); !leads || !p.clock.Now().Before(e.Until) {
-		return
-	}
-	reply, err := p.host.sender.Order(ctx, address, target.Order{
-		ID:       e.Order.ID,
-		Fence:    e.Order.Fence,
-		Kind:     target.OrderKind(e.Order.Kind),
-		Service:  e.Order.Service,
-		Model:    e.Order.Model,
-		Version:  e.Order.Version,
-		Adapters: e.Order.Adapters,
-		Role:     e.Order.Role,
-	})
-	if err != nil {
-		p.log.Warnf("Order %s to %s has no answer yet: %v.", e.Order.ID, e.Order.Target, err)
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.answers = append(p.answers, placement.OrderReply{
-		ID:          e.Order.ID,
-		Target:      e.Order.Target,
-		Incarnation: e.Order.Incarnation,
-		Result:      resultOf(reply.State),
-		Reason:      reply.Message,
-	})
-}
-
-func resultOf(state target.OrderState) placement.OrderResult {
-	switch state {
-	case target.OrderAccepted:
-		return placement.Accepted
-	case target.OrderDone:
-		return placement.Done
-	case target.OrderRefused:
-		return placement.Refused
-	}
-	return placement.Failed
-}
-
-func (p *placer) closeOrder(ctx context.Context, e placement.CloseOrder) {
-	state := registry.OrderDone
-	if e.Outcome.Failed() {
-		state = registry.OrderFailed
-	}
-	result, err := p.host.session.Propose(ctx, registry.FinishOrder{ID: e.ID, State: state, Time: p.clock.Now()})
-	if err == nil {
-		err = result.Err()
-	}
-	if err != nil && !errors.Is(err, registry.ErrUnknown) {
-		p.log.Warnf("Order %s stays open: %v.", e.ID, err)
-	}
-}
-
-func toRegistry(order placement.Order, now time.Time) registry.RecordOrder {
-	return registry.RecordOrder{
-		ID:          order.ID,
-		Target:      order.Target,
-		Incarnation: order.Incarnation,
-		Kind:        string(order.Kind),
-		Service:     order.Service,
-		Model:       order.Model,
-		Version:     order.Version,
-		Adapters:    order.Adapters,
-		Role:        string(order.Role),
-		Time:        now,
-	}
-}
-
-func fromRegistry(order registry.Order) placement.Order {
-	return placement.Order{
-		ID:          order.ID,
-		Fence:       order.Fence,
-		Target:      order.Target,
-		Incarnation: order.Incarnation,
-		Kind:        placement.OrderKind(order.Kind),
-		Service:     order.Service,
-		Model:       order.Model,
-		Version:     order.Version,
-		Adapters:    order.Adapters,
-		Role:        target.Role(order.Role),
-		RecordedAt:  order.Time,
-	}
-}
--- a/integration/cluster_test.go
+++ b/integration/cluster_test.go
@@ -158,7 +158,10 @@
 		Host, FailureDomain, Callers, Peers, Admin, KeyFile string
 
 		StateReplicas []string
-		State         *state `json:",omitempty"`
+	}
+	type withState struct {
+		settings
+		State state
 	}
 	s := settings{
 		Host: n.name, FailureDomain: n.domain,
@@ -169,10 +172,11 @@
 			s.StateReplicas = append(s.StateReplicas, other.peers)
 		}
 	}
+	var written any = s
 	if n.replica {
-		s.State = &state{Folder: n.folder, Cluster: "Test"}
+		written = withState{settings: s, State: state{Folder: n.folder, Cluster: "Test"}}
 	}
-	text, err := json.MarshalIndent(s, "", "  ")
+	text, err := json.MarshalIndent(written, "", "  ")
 	require.NoError(c.t, err)
 	require.NoError(c.t, os.WriteFile(n.settings, text, 0o600))
 }
