Let no lost owner hold up another service's releases; ask lagging hosts at once

A dependency counts as out only after 5 s, since a new owner hears of its targets within one. The last releases of a drain have their own time.

--- a/host/adoption.go
+++ b/host/adoption.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"slices"
-	"sync"
 
 	"github.com/go-faster/errors"
 	"github.com/jonboulle/clockwork"
@@ -22,14 +21,15 @@
 	if number == 0 {
 		return
 	}
-	var told sync.WaitGroup
 	for service, owner := range view.Owners {
-		if e.knows(service, owner, number) {
+		if e.knows(service, owner, number) || !e.begin(e.telling, service) {
 			continue
 		}
-		told.Go(func() { e.tell(ctx, view, service, owner, number) })
+		go func() {
+			defer e.end(e.telling, service)
+			e.tell(ctx, view, service, owner, number)
+		}()
 	}
-	told.Wait()
 }
 
 func (e *entry) knows(service string, owner registry.Owner, number uint64) bool {
@@ -54,8 +54,9 @@
 		return
 	}
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.told[service] = adoption{fence: owner.Fence, session: number}
+	e.mu.Unlock()
+	e.nudge()
 }
 
 // nudge makes run look again soon.
@@ -88,10 +89,21 @@
 	view := e.session.View()
 	for _, service := range e.releasing() {
 		owner, ok := view.Owners[service]
-		if !ok || !e.knows(service, owner, e.session.Number()) {
+		if !ok || !e.knows(service, owner, e.session.Number()) || !e.begin(e.sending, service) {
 			continue
 		}
-		e.sendReleases(ctx, view, service, owner)
+		go func() {
+			defer e.end(e.sending, service)
+			e.sendReleases(ctx, view, service, owner)
+		}()
+	}
+}
+
+// flushAll sends the releases until none is left or ctx ends.
+func (e *entry) flushAll(ctx context.Context) {
+	for len(e.releasing()) > 0 && ctx.Err() == nil {
+		e.flush(ctx)
+		e.gather(ctx)
 	}
 }
 
--- a/host/entry.go
+++ b/host/entry.go
@@ -41,7 +41,10 @@
 	releases map[string][]pendingRelease
 	// told are the owners that know this session's permits, by service.
 	told map[string]adoption
-	wake chan struct{}
+	// telling and sending are the services with such a call under way.
+	telling map[string]bool
+	sending map[string]bool
+	wake    chan struct{}
 
 	caches *cacheMover
 }
@@ -70,6 +73,8 @@
 		live:     map[string]admission.Permit{},
 		releases: map[string][]pendingRelease{},
 		told:     map[string]adoption{},
+		telling:  map[string]bool{},
+		sending:  map[string]bool{},
 		wake:     make(chan struct{}, 1),
 		caches:   newCacheMover(h),
 	}
@@ -260,7 +265,8 @@
 	}
 }
 
-// run tells new owners this host's permits and sends the releases.
+// run tells new owners this host's permits and sends the releases. Each service
+// goes its own way, so that a lost owner holds up no other.
 func (e *entry) run(ctx context.Context) {
 	for {
 		_, changed := e.session.Watch()
@@ -277,6 +283,23 @@
 	}
 }
 
+// begin claims a kind of work for a service; false while it is under way.
+func (e *entry) begin(work map[string]bool, service string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if work[service] {
+		return false
+	}
+	work[service] = true
+	return true
+}
+
+func (e *entry) end(work map[string]bool, service string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(work, service)
+}
+
 func (e *entry) gather(ctx context.Context) {
 	select {
 	case <-ctx.Done():
--- a/host/host.go
+++ b/host/host.go
@@ -217,13 +217,13 @@
 // then the requests end, then the session.
 func (h *Host) drain() error {
 	h.log.Info("Drains.")
-	ctx, cancel := clockwork.WithTimeout(context.Background(), h.Clock, handoverTimeout)
-	defer cancel()
-	h.owners.handOverAll(ctx)
+	h.handOver()
 	err := h.gateway.Drain(context.Background())
-	h.entry.flush(ctx)
-	closing, cancelClose := clockwork.WithTimeout(context.Background(), h.Clock, handoverTimeout)
-	defer cancelClose()
+	// Another owner may have been lost while the last streams ran.
+	h.handOver()
+	closing, cancel := clockwork.WithTimeout(context.Background(), h.Clock, handoverTimeout)
+	defer cancel()
+	h.entry.flushAll(closing)
 	if closeErr := h.session.Close(closing); closeErr != nil {
 		h.log.Warnf("Session stays until its lease ends: %v.", closeErr)
 	}
@@ -237,6 +237,12 @@
 	return nil
 }
 
+func (h *Host) handOver() {
+	ctx, cancel := clockwork.WithTimeout(context.Background(), h.Clock, handoverTimeout)
+	defer cancel()
+	h.owners.handOverAll(ctx)
+}
+
 func (h *Host) close() {
 	h.closeListeners()
 	h.node.Close()
--- a/host/operators.go
+++ b/host/operators.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -25,6 +26,8 @@
 	operatorTimeout = 10 * time.Second
 	// lagPoll is the pause between looks at the hosts that lag.
 	lagPoll = 50 * time.Millisecond
+	// lagTimeout bounds one question to a host.
+	lagTimeout = time.Second
 )
 
 // operators serves the operators' tool. Any host can; changes go to the leader.
@@ -190,10 +193,8 @@
 		waiting[name] = true
 	}
 	for {
-		for name := range waiting {
-			if o.reached(ctx, name, reached) {
-				delete(waiting, name)
-			}
+		for _, name := range o.arrived(ctx, waiting, reached) {
+			delete(waiting, name)
 		}
 		if len(waiting) == 0 {
 			return nil
@@ -206,6 +207,27 @@
 	}
 }
 
+// arrived asks the hosts at the same time and returns those that have applied
+// the change.
+func (o *operators) arrived(ctx context.Context, waiting map[string]bool, reached func(*registry.View) bool) []string {
+	ctx, cancel := clockwork.WithTimeout(ctx, o.host.Clock, lagTimeout)
+	defer cancel()
+	var asked sync.WaitGroup
+	var mu sync.Mutex
+	var arrived []string
+	for name := range waiting {
+		asked.Go(func() {
+			if o.reached(ctx, name, reached) {
+				mu.Lock()
+				defer mu.Unlock()
+				arrived = append(arrived, name)
+			}
+		})
+	}
+	asked.Wait()
+	return arrived
+}
+
 // reached asks a host for the versions that it has applied. A host whose
 // session has ended gives no work to targets, so it no longer counts.
 func (o *operators) reached(ctx context.Context, name string, reached func(*registry.View) bool) bool {
--- a/host/owned.go
+++ b/host/owned.go
@@ -33,6 +33,8 @@
 	announced map[string]target.Announcement
 	// stopped is set when the service is given up: no more grants.
 	stopped bool
+	// served is when some target could last take work.
+	served time.Time
 	// copiedTo is the backup's session that has the whole memory.
 	copiedTo uint64
 	// suspended is set while the lease is not live.
@@ -49,6 +51,7 @@
 		replies:   map[string]peer.Reply{},
 		adopting:  sessions,
 		announced: map[string]target.Announcement{},
+		served:    o.clock.Now(),
 	}
 	return s
 }
@@ -198,6 +201,17 @@
 	return copied
 }
 
+// idleFor returns how long no target could take work.
+func (s *owned) idleFor() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.owners.clock.Now()
+	if !s.adopted || serves(s.service.Status()) {
+		s.served = now
+	}
+	return now.Sub(s.served)
+}
+
 func (s *owned) status() admission.Status {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/host/owners.go
+++ b/host/owners.go
@@ -246,11 +246,15 @@
 	return live
 }
 
-// idle returns the owned services that cannot serve now.
+// idleAfter is how long a service must be unable to serve before those that
+// depend on it are refused: a new owner hears of its targets within a second.
+const idleAfter = 5 * time.Second
+
+// idle returns the owned services that have not been able to serve for a while.
 func (o *owners) idle() []string {
 	var idle []string
 	for _, service := range o.all() {
-		if !serves(service.status()) {
+		if service.idleFor() >= idleAfter {
 			idle = append(idle, service.name)
 		}
 	}
