--- a/integration/cluster_test.go
+++ b/integration/cluster_test.go
@@ -45,7 +45,11 @@
 		if binaries.err != nil {
 			return
 		}
-		build := exec.Command("go", "build", "-o", binaries.folder, "../cmd/comfreytiller", "../cmd/comfreytillerd")
+		arguments := []string{"build", "-o", binaries.folder}
+		if os.Getenv("RACE") == "1" {
+			arguments = append(arguments, "-race")
+		}
+		build := exec.Command("go", append(arguments, "../cmd/comfreytiller", "../cmd/comfreytillerd")...)
 		if out, err := build.CombinedOutput(); err != nil {
 			binaries.err = fmt.Errorf("build: %w: %s", err, out)
 		}
