--- a/host/state.go
+++ b/host/state.go
@@ -359,7 +359,11 @@
 }
 
 func (s *stateReplica) sweep(ctx context.Context, now time.Time) {
-	s.commit(ctx, registry.ExpireClaims{Before: now.Add(-claimRetention), Now: now})
+	s.commit(ctx, registry.ExpireClaims{
+		Before: now.Add(-claimRetention),
+		Now:    now,
+		Sweeps: uint64(claimRetention / claimSweep / 2),
+	})
 }
 
 // commit proposes the leader's own command; a later look repeats what failed.
--- a/registry/claim.go
+++ b/registry/claim.go
@@ -84,6 +84,8 @@
 	Note string
 	// Finished is the number of the log entry that stored the answer.
 	Finished uint64
+	// Swept is the number of ExpireClaims that found the claim ended.
+	Swept uint64
 }
 
 func (c *Claim) dispatchedBy(session, attempt uint64) bool {
--- a/registry/claim_commands.go
+++ b/registry/claim_commands.go
@@ -141,7 +141,7 @@
 		s.clock = command.Now
 		s.claims.changedBy(command.Now)
 	}
-	return Result{Code: CodeOK, Count: s.claims.expire(command.Before)}
+	return Result{Code: CodeOK, Count: s.claims.expire(command.Before, command.Sweeps)}
 }
 
 // dispatched returns the claim if the session's attempt is its dispatcher.
--- a/registry/claim_test.go
+++ b/registry/claim_test.go
@@ -349,3 +349,23 @@
 		}
 	})
 }
+
+// A leader whose clock is days ahead must not forget a payment that just ran: its
+// key would be granted again.
+func TestClockAheadForgetsNoClaimEarly(t *testing.T) {
+	r := newReplica()
+	session := r.open(t, "host-1", "north", 1)
+	key := ClaimKey{"w", "Treasury", "order-1"}
+	require.True(t, r.do(t, OpenClaim{Key: key, Fingerprint: 1, Session: session, Attempt: 1, Time: testStart}).Granted)
+	require.NoError(t, r.do(t, FinishClaim{Key: key, Session: session, Attempt: 1, Time: testStart}).Err())
+
+	ahead := testStart.Add(8 * 24 * time.Hour)
+	const sweeps = 3
+	for range sweeps {
+		require.Zero(t, r.do(t, ExpireClaims{Now: ahead, Before: ahead.Add(-time.Hour), Sweeps: sweeps}).Count)
+	}
+	resent := r.do(t, OpenClaim{Key: key, Fingerprint: 1, Session: session, Attempt: 2, Time: testStart})
+	require.False(t, resent.Granted)
+	require.Equal(t, ClaimDone, resent.Claim.State)
+	require.Equal(t, uint64(1), r.do(t, ExpireClaims{Now: ahead, Before: ahead.Add(-time.Hour), Sweeps: sweeps}).Count)
+}
--- a/registry/claims.go
+++ b/registry/claims.go
@@ -96,10 +96,15 @@
 	}
 }
 
-// expire removes the claims that ended before the time.
-func (c *claims) expire(before time.Time) (count uint64) {
+// expire removes the claims that ended before the time and that enough earlier
+// calls have found ended.
+func (c *claims) expire(before time.Time, sweeps uint64) (count uint64) {
 	for key, claim := range c.byKey {
-		if claim.ended() && claim.Changed.Before(before) {
+		if !claim.ended() {
+			continue
+		}
+		claim.Swept++
+		if claim.Changed.Before(before) && claim.Swept > sweeps {
 			c.storedBytes -= len(claim.Answer.Body)
 			delete(c.byKey, key)
 			count++
--- a/registry/codec.go
+++ b/registry/codec.go
@@ -106,6 +106,7 @@
 		Ran:         claim.Ran,
 		Note:        claim.Note,
 		Finished:    claim.Finished,
+		Swept:       claim.Swept,
 	}
 }
 
@@ -123,6 +124,7 @@
 		Ran:         wire.GetRan(),
 		Note:        wire.GetNote(),
 		Finished:    wire.GetFinished(),
+		Swept:       wire.GetSwept(),
 	}
 }
 
--- a/registry/command.go
+++ b/registry/command.go
@@ -152,6 +152,9 @@
 	// MaxClockError was led by a wrong clock once and goes back to it.
 	Now    time.Time
 	Before time.Time
+	// Sweeps is the number of earlier ExpireClaims that must have found a claim
+	// ended: a leader whose clock is days ahead then forgets nothing early.
+	Sweeps uint64
 }
 
 // RecordOrder records an order to a target before it is sent.
--- a/registry/command_codec.go
+++ b/registry/command_codec.go
@@ -81,7 +81,7 @@
 		}}}
 	case ExpireClaims:
 		return &registrypb.Command{Kind: &registrypb.Command_ExpireClaims{ExpireClaims: &registrypb.ExpireClaims{
-			Now: timeToWire(c.Now), Before: timeToWire(c.Before),
+			Now: timeToWire(c.Now), Before: timeToWire(c.Before), Sweeps: c.Sweeps,
 		}}}
 	case RecordOrder:
 		return &registrypb.Command{Kind: &registrypb.Command_RecordOrder{RecordOrder: &registrypb.RecordOrder{
@@ -141,7 +141,7 @@
 		return DoubtClaim{keyFromWire(c.GetKey()), c.GetSession(), c.GetAttempt(), timeFromWire(c.GetTime())}
 	case *registrypb.Command_ExpireClaims:
 		c := kind.ExpireClaims
-		return ExpireClaims{timeFromWire(c.GetNow()), timeFromWire(c.GetBefore())}
+		return ExpireClaims{timeFromWire(c.GetNow()), timeFromWire(c.GetBefore()), c.GetSweeps()}
 	case *registrypb.Command_RecordOrder:
 		return recordOrderFromWire(kind.RecordOrder)
 	case *registrypb.Command_FinishOrder:
