--- a/commands/app.go
+++ b/commands/app.go
@@ -106,6 +106,17 @@
 	return fail(ExitFailed, "%s", told.Msg())
 }
 
+// again tells how to learn an outcome that may be unknown; a definite refusal
+// needs no resend.
+func (a *app) again(err error, arguments string) error {
+	told := remote(err)
+	var known *failure
+	if errors.As(told, &known) && known.code == ExitUnreachable {
+		a.printf("Send it again with %s to learn the outcome.\n", arguments)
+	}
+	return told
+}
+
 // operation returns a new name for an operation, so that a resend after a lost
 // answer gets the same answer.
 func operation() string { return rand.Text() }
--- a/commands/apply.go
+++ b/commands/apply.go
@@ -1,6 +1,7 @@
 package commands
 
 import (
+	"fmt"
 	"strings"
 
 	"github.com/integrii/flaggy"
@@ -65,8 +66,7 @@
 		Wait:      int64(a.wait),
 	})
 	if err != nil {
-		a.printf("Send it again with --Operation %s --Base %d to learn the outcome.\n", operationID, base)
-		return remote(err)
+		return a.again(err, fmt.Sprintf("--Operation %s --Base %d", operationID, base))
 	}
 	return a.reportApply(operationID, response)
 }
--- a/commands/claims.go
+++ b/commands/claims.go
@@ -122,8 +122,7 @@
 		Note:      arguments.note,
 	})
 	if err != nil {
-		a.printf("Send it again with --Operation %s to learn the outcome.\n", arguments.operation)
-		return remote(err)
+		return a.again(err, "--Operation "+arguments.operation)
 	}
 	a.printf("Claim %s is %s.\n", arguments.key, response.State)
 	return nil
--- a/commands/outage.go
+++ b/commands/outage.go
@@ -69,8 +69,7 @@
 		Wait:          int64(a.wait),
 	})
 	if err != nil {
-		a.printf("Send it again with --Operation %s to learn the outcome.\n", arguments.operation)
-		return remote(err)
+		return a.again(err, "--Operation "+arguments.operation)
 	}
 	if a.json {
 		err := a.printJSON(outage{arguments.operation, response.Revision, response.Lagging})
--- a/commands/status.go
+++ b/commands/status.go
@@ -71,8 +71,8 @@
 	for _, order := range s.Orders {
 		row("ORDER "+order.Id, order.Target, order.Kind, order.Service, order.State, order.Reason)
 	}
+	_ = table.Flush()
 	for _, alarm := range s.Alarms {
-		row("ALARM", alarm)
+		a.printf("ALARM %s\n", alarm)
 	}
-	_ = table.Flush()
 }
--- a/gateway/once.go
+++ b/gateway/once.go
@@ -124,7 +124,7 @@
 // replay answers with the stored outcome.
 func (x *exchange) replay(ctx *fasthttp.RequestCtx, claim Claim) {
 	if claim.Answer.Truncated {
-		f := failure(fasthttp.StatusConflict, CodeNotStored, "the request has run; its answer was too long to be stored")
+		f := failure(fasthttp.StatusConflict, CodeNotStored, "the request has run; its answer is not stored")
 		f.Ran = RanYes
 		x.gateway.fail(ctx, f)
 		return
--- a/host/claims.go
+++ b/host/claims.go
@@ -69,9 +69,9 @@
 }
 
 func toGateway(claim registry.Claim) gateway.Claim {
-	return gateway.Claim{
+	converted := gateway.Claim{
 		ClaimKey:    gateway.ClaimKey(claim.ClaimKey),
-		State:       gatewayState(claim),
+		State:       gateway.ClaimState(claim.State),
 		Fingerprint: claim.Fingerprint,
 		Dispatcher:  claim.Dispatcher,
 		Answer: gateway.Answer{
@@ -81,18 +81,20 @@
 			Truncated:   claim.Answer.Truncated,
 		},
 	}
+	if claim.State == registry.ClaimSettled {
+		settle(&converted, claim.Ran)
+	}
+	return converted
 }
 
-// gatewayState maps a claim's state; one that operators settled is cancelled if
-// the request did not run, and stays in doubt about its answer if it did.
-func gatewayState(claim registry.Claim) gateway.ClaimState {
-	if claim.State == registry.ClaimSettled {
-		if claim.Ran {
-			return gateway.ClaimInDoubt
-		}
-		return gateway.ClaimCancelled
+// settle gives a claim that operators settled the state that their verdict
+// amounts to: it ran and its answer is not stored, or it never runs.
+func settle(claim *gateway.Claim, ran bool) {
+	claim.State = gateway.ClaimCancelled
+	if ran {
+		claim.State = gateway.ClaimDone
+		claim.Answer = gateway.Answer{Truncated: true}
 	}
-	return gateway.ClaimState(claim.State)
 }
 
 func (c *claims) keep(key gateway.ClaimKey, mine openClaim) {
--- a/host/host.go
+++ b/host/host.go
@@ -147,6 +147,7 @@
 		Clock:         h.Clock,
 		Start:         rand.Uint64(),
 		Idle:          h.owners.idle,
+		Trouble:       func(err error) { h.log.Warnf("The lease is not renewed: %v.", err) },
 	}, h.node)
 	h.owners.session, h.owners.authority = h.session, h.session
 	h.sender = web.NewClient(h.Clock)
@@ -237,6 +238,16 @@
 	return nil
 }
 
+// refusePeer logs a connection that ended before both ends had proved the key. A
+// peer with another key closes first, and names the key in its own log.
+func (h *Host) refusePeer(err error) {
+	if errors.Is(err, peer.ErrKey) || errors.Is(err, peer.ErrFrame) {
+		h.log.Warnf("Peer connection refused: %v.", err)
+		return
+	}
+	h.log.Debugf("Peer connection ended early: %v.", err)
+}
+
 func (h *Host) handOver() {
 	ctx, cancel := clockwork.WithTimeout(context.Background(), h.Clock, handoverTimeout)
 	defer cancel()
@@ -264,7 +275,7 @@
 	go func() {
 		_ = splitter.Serve(func(conn net.Conn) {
 			if err := h.node.ServeConn(conn); err != nil {
-				h.log.Warnf("Peer connection refused: %v.", err)
+				h.refusePeer(err)
 			}
 		})
 	}()
--- a/host/operators_replica.go
+++ b/host/operators_replica.go
@@ -61,10 +61,13 @@
 		}
 		return &operatorpb.ReplicaResponse{Message: fmt.Sprintf("Replica %s on host %s has a vote.", member.ID, member.Host)}, nil
 	case "Remove":
+		if !o.isMember(request.Id) {
+			return nil, twirp.NotFound.Error("there is no replica " + request.Id + "; status shows their identities")
+		}
 		if err := replica.Remove(ctx, request.Id); err != nil {
 			return nil, twirp.Aborted.Error(err.Error())
 		}
-		return &operatorpb.ReplicaResponse{Message: fmt.Sprintf("Replica %s is removed.", request.Id)}, nil
+		return &operatorpb.ReplicaResponse{Message: o.removed(request.Id)}, nil
 	case "Replace":
 		member, err := o.identify(ctx, request.Address)
 		if err != nil {
@@ -80,6 +83,15 @@
 	return nil, twirp.InvalidArgument.Error("the change is " + request.Change + "; accepted are Add, Remove and Replace")
 }
 
+func (o *operators) isMember(id string) bool {
+	for _, member := range o.host.state.replica.Status().Members {
+		if member.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
 func (o *operators) leaderHint() string {
 	if o.host.state != nil {
 		if leader := o.host.state.leader(); leader != "" {
@@ -89,6 +101,21 @@
 	return "one of " + joined(o.host.Settings.StateReplicas)
 }
 
+// removed tells what the loss of another replica would mean.
+func (o *operators) removed(id string) string {
+	voters := 0
+	for _, member := range o.host.state.replica.Status().Members {
+		if member.Voter && member.ID != id {
+			voters++
+		}
+	}
+	const survivable = 3
+	if voters < survivable {
+		return fmt.Sprintf("Replica %s is removed. Only %d have a vote: the loss of one stops all changes.", id, voters)
+	}
+	return fmt.Sprintf("Replica %s is removed; %d have a vote.", id, voters)
+}
+
 // identify asks the replica at an address who it is.
 func (o *operators) identify(ctx context.Context, address string) (quorum.Member, error) {
 	answer, err := o.host.node.Call(ctx, address, peer.IdentityAsk{})
--- a/host/placer_orders.go
+++ b/host/placer_orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -35,7 +36,7 @@
 	case placement.CloseOrder:
 		go p.closeOrder(ctx, e)
 	case placement.Log:
-		p.log.Info(e.Line)
+		p.log.Info(strings.TrimPrefix(e.Line, "placement: "))
 	case placement.Alarm:
 		p.log.Warnf("Alarm %s: %s.", e.Kind, e.Text)
 		p.host.Scope.SubScope("placement").Tagged(map[string]string{"alarm": string(e.Kind)}).Counter("alarms").Inc(1)
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -53,7 +53,7 @@
 		wire.Body = &peerpb.Frame_Failure{Failure: &peerpb.Failure{Message: m.Message}}
 	case Taken:
 		wire.Body = &peerpb.Frame_Taken{Taken: &peerpb.Taken{}}
-	case Acquire, Permit, Refusal, Cancel, Releases, Adopt:
+	case Acquire, Permit, Refusal, Releases, Adopt:
 		setAdmissionBody(wire, message, now)
 	case TargetNews, TargetKnown, CopyPart, StatusAsk, StatusTold, Digest:
 		setTargetBody(wire, message)
--- a/peer/codec_admission.go
+++ b/peer/codec_admission.go
@@ -15,8 +15,6 @@
 		wire.Body = &peerpb.Frame_Permit{Permit: grantToWire(m.Permit)}
 	case Refusal:
 		wire.Body = &peerpb.Frame_Refusal{Refusal: refusalToWire(m.Refusal)}
-	case Cancel:
-		wire.Body = &peerpb.Frame_Cancel{Cancel: &peerpb.Cancel{Service: m.Service, RequestId: m.RequestID}}
 	case Releases:
 		wire.Body = &peerpb.Frame_Releases{Releases: releasesToWire(m)}
 	case Adopt:
@@ -32,8 +30,6 @@
 		return Permit{Permit: grantFromWire(b.Permit)}
 	case *peerpb.Frame_Refusal:
 		return Refusal{Refusal: refusalFromWire(b.Refusal)}
-	case *peerpb.Frame_Cancel:
-		return Cancel{Service: b.Cancel.Service, RequestID: b.Cancel.RequestId}
 	case *peerpb.Frame_Releases:
 		return releasesFromWire(b.Releases)
 	case *peerpb.Frame_Adopt:
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -61,7 +61,6 @@
 		Refusal{Refusal: admission.Refusal{
 			RequestID: "r", Code: admission.RefusedQueueFull, Message: "m", RetryAfter: time.Second,
 		}},
-		Cancel{Service: "s", RequestID: "r"},
 		Releases{Service: "s", Releases: []admission.Release{
 			{RequestID: "r", Service: "s", Outcome: admission.OutcomeDone, FirstByte: time.Second},
 			{RequestID: "q", Service: "s", Outcome: admission.OutcomeFailed},
--- a/peer/message.go
+++ b/peer/message.go
@@ -33,12 +33,6 @@
 // Refusal answers an Acquire.
 type Refusal struct{ Refusal admission.Refusal }
 
-// Cancel withdraws an Acquire.
-type Cancel struct {
-	Service   string
-	RequestID string
-}
-
 // Releases gives permits of one service back, without their targets.
 type Releases struct {
 	Service  string
@@ -186,7 +180,6 @@
 func (Acquire) message()      {}
 func (Permit) message()       {}
 func (Refusal) message()      {}
-func (Cancel) message()       {}
 func (Releases) message()     {}
 func (Taken) message()        {}
 func (Adopt) message()        {}
--- a/session/client.go
+++ b/session/client.go
@@ -26,6 +26,8 @@
 	leader   string
 	next     int
 	closing  bool
+	// reported is the last failure told to Trouble; only Run uses it.
+	reported string
 }
 
 // New returns a client without a session; Run opens one.
@@ -84,11 +86,14 @@
 	for ctx.Err() == nil && !c.isClosing() {
 		if c.Number() == 0 {
 			if err := c.open(ctx); err != nil {
+				c.report(err)
 				c.pause(ctx)
 				continue
 			}
 		}
-		if err := c.renew(ctx); err != nil {
+		err := c.renew(ctx)
+		c.report(err)
+		if err != nil {
 			c.pause(ctx)
 		}
 	}
@@ -234,15 +239,27 @@
 // lose forgets a session that the state replicas have closed.
 func (c *Client) lose(session uint64) {
 	c.mu.Lock()
-	lost := c.number == session
-	if lost {
-		c.number = 0
-		c.leaseEnd = time.Time{}
-		c.notify()
+	defer c.mu.Unlock()
+	if c.number != session {
+		return
 	}
-	c.mu.Unlock()
-	if lost && c.config.Closed != nil {
-		c.config.Closed()
+	c.number = 0
+	c.leaseEnd = time.Time{}
+	c.notify()
+}
+
+// report tells of a failure once, until another one or a success follows.
+func (c *Client) report(err error) {
+	text := ""
+	if err != nil {
+		text = err.Error()
+	}
+	if text == c.reported {
+		return
+	}
+	c.reported = text
+	if err != nil && c.config.Trouble != nil {
+		c.config.Trouble(err)
 	}
 }
 
--- a/session/session.go
+++ b/session/session.go
@@ -73,8 +73,9 @@
 	// Idle returns the services owned by this host that cannot serve now; nil
 	// for none.
 	Idle func() []string
-	// Closed is called when the session was lost; nil for none.
-	Closed func()
+	// Trouble is called when opening or renewing begins to fail in another way
+	// than before; nil for none.
+	Trouble func(err error)
 }
 
 // emptyView is the view before the first news.
--- a/standin/engine_order.go
+++ b/standin/engine_order.go
@@ -91,6 +91,7 @@
 		e.settings.Service = order.Service
 		e.settings.Model = order.Model
 		e.settings.Version = order.Version
+		e.settings.Adapters = order.Adapters
 		e.cache.clear()
 		e.cold = e.settings.ColdRequests > 0
 		e.completed = 0
--- a/standin/engine_report.go
+++ b/standin/engine_report.go
@@ -10,7 +10,7 @@
 		Name: e.settings.Name, Stamp: target.Stamp{Incarnation: e.incarnation},
 		Address: e.Address(), FailureDomain: e.settings.FailureDomain, Kind: target.KindModel,
 		Service: e.settings.Service, Model: e.settings.Model, Version: e.settings.Version,
-		Role: e.settings.Role, Capacity: e.settings.Slots, CachedChats: e.settings.CachedChats,
+		Adapters: e.settings.Adapters, Role: e.settings.Role, Capacity: e.settings.Slots, CachedChats: e.settings.CachedChats,
 		Cold: e.cold, ChecksFence: e.settings.ChecksFence, Resumes: true, MovesCache: true,
 	}
 }
--- a/standin/engine_settings.go
+++ b/standin/engine_settings.go
@@ -13,6 +13,7 @@
 	Service       string
 	Model         string
 	Version       string
+	Adapters      []string
 	Role          target.Role
 	// Hosts are the entry hosts to announce to, IP:port.
 	Hosts     []string
