--- a/integration/cluster_test.go
+++ b/integration/cluster_test.go
@@ -88,6 +88,9 @@
 	folder  string
 	replica bool
 
+	// drainTimeout is the setting of that name.
+	drainTimeout time.Duration
+
 	// ready is set while a balancer would send requests here.
 	ready atomic.Bool
 
@@ -162,6 +165,8 @@
 		Host, FailureDomain, Callers, Peers, Admin, KeyFile string
 
 		StateReplicas []string
+		// DrainTimeout "0s" is no bound.
+		DrainTimeout string
 	}
 	type withState struct {
 		settings
@@ -170,6 +175,7 @@
 	s := settings{
 		Host: n.name, FailureDomain: n.domain,
 		Callers: n.callers, Peers: n.peers, Admin: n.admin, KeyFile: c.keyFile,
+		DrainTimeout: n.drainTimeout.String(),
 	}
 	for _, other := range c.nodes {
 		if other.replica {
