--- a/host/host.go
+++ b/host/host.go
@@ -118,11 +118,6 @@
 	if len(own.StateReplicas) == 0 {
 		own.StateReplicas = []string{own.Peers}
 	}
-	if own.State != nil && len(own.State.Members) == 0 && h.Bootstrap {
-		alone := *own.State
-		alone.Members = []settings.Member{{Host: own.Host, Address: own.Peers}}
-		own.State = &alone
-	}
 	return nil
 }
 
@@ -150,10 +145,11 @@
 		Owns:          h.Settings.OwnsServices,
 		Replicas:      h.Settings.StateReplicas,
 		Clock:         h.Clock,
-		Nonce:         rand.Uint64,
+		Start:         rand.Uint64(),
 		Idle:          h.owners.idle,
+		Trouble:       func(err error) { h.log.Warnf("The lease is not renewed: %v.", err) },
 	}, h.node)
-	h.owners.session = h.session
+	h.owners.session, h.owners.authority = h.session, h.session
 	h.sender = web.NewClient(h.Clock)
 	h.entry = newEntry(h)
 	h.receiver = newTargets(h)
@@ -222,13 +218,13 @@
 // then the requests end, then the session.
 func (h *Host) drain() error {
 	h.log.Info("Drains.")
-	ctx, cancel := clockwork.WithTimeout(context.Background(), h.Clock, handoverTimeout)
-	defer cancel()
-	h.owners.handOverAll(ctx)
+	h.handOver()
 	err := h.gateway.Drain(context.Background())
-	h.entry.flush(ctx)
-	closing, cancelClose := clockwork.WithTimeout(context.Background(), h.Clock, handoverTimeout)
-	defer cancelClose()
+	// Another owner may have been lost while the last streams ran.
+	h.handOver()
+	closing, cancel := clockwork.WithTimeout(context.Background(), h.Clock, handoverTimeout)
+	defer cancel()
+	h.entry.flushAll(closing)
 	if closeErr := h.session.Close(closing); closeErr != nil {
 		h.log.Warnf("Session stays until its lease ends: %v.", closeErr)
 	}
@@ -242,6 +238,22 @@
 	return nil
 }
 
+// refusePeer logs a connection that ended before both ends had proved the key. A
+// peer with another key closes first, and names the key in its own log.
+func (h *Host) refusePeer(err error) {
+	if errors.Is(err, peer.ErrKey) || errors.Is(err, peer.ErrFrame) {
+		h.log.Warnf("Peer connection refused: %v.", err)
+		return
+	}
+	h.log.Debugf("Peer connection ended early: %v.", err)
+}
+
+func (h *Host) handOver() {
+	ctx, cancel := clockwork.WithTimeout(context.Background(), h.Clock, handoverTimeout)
+	defer cancel()
+	h.owners.handOverAll(ctx)
+}
+
 func (h *Host) close() {
 	h.closeListeners()
 	h.node.Close()
@@ -263,7 +275,7 @@
 	go func() {
 		_ = splitter.Serve(func(conn net.Conn) {
 			if err := h.node.ServeConn(conn); err != nil {
-				h.log.Warnf("Peer connection refused: %v.", err)
+				h.refusePeer(err)
 			}
 		})
 	}()
--- a/host/operators_replica.go
+++ b/host/operators_replica.go
@@ -56,15 +56,18 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := o.add(ctx, member); err != nil {
+		if err := replica.Admit(ctx, member); err != nil {
 			return nil, twirp.Aborted.Error(err.Error())
 		}
 		return &operatorpb.ReplicaResponse{Message: fmt.Sprintf("Replica %s on host %s has a vote.", member.ID, member.Host)}, nil
 	case "Remove":
+		if !o.isMember(request.Id) {
+			return nil, twirp.NotFound.Error("there is no replica " + request.Id + "; status shows their identities")
+		}
 		if err := replica.Remove(ctx, request.Id); err != nil {
 			return nil, twirp.Aborted.Error(err.Error())
 		}
-		return &operatorpb.ReplicaResponse{Message: fmt.Sprintf("Replica %s is removed.", request.Id)}, nil
+		return &operatorpb.ReplicaResponse{Message: o.removed(request.Id)}, nil
 	case "Replace":
 		member, err := o.identify(ctx, request.Address)
 		if err != nil {
@@ -80,6 +83,15 @@
 	return nil, twirp.InvalidArgument.Error("the change is " + request.Change + "; accepted are Add, Remove and Replace")
 }
 
+func (o *operators) isMember(id string) bool {
+	for _, member := range o.host.state.replica.Status().Members {
+		if member.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
 func (o *operators) leaderHint() string {
 	if o.host.state != nil {
 		if leader := o.host.state.leader(); leader != "" {
@@ -89,22 +101,19 @@
 	return "one of " + joined(o.host.Settings.StateReplicas)
 }
 
-// add adds a learner and promotes it once it holds everything committed.
-func (o *operators) add(ctx context.Context, member quorum.Member) error {
-	if err := o.host.state.replica.AddLearner(ctx, member); err != nil {
-		return err
-	}
-	for {
-		err := o.host.state.replica.Promote(ctx, member.ID)
-		if err == nil || ctx.Err() != nil {
-			return err
-		}
-		select {
-		case <-ctx.Done():
-			return err
-		case <-o.host.Clock.After(lagPoll):
+// removed tells what the loss of another replica would mean.
+func (o *operators) removed(id string) string {
+	voters := 0
+	for _, member := range o.host.state.replica.Status().Members {
+		if member.Voter && member.ID != id {
+			voters++
 		}
 	}
+	const survivable = 3
+	if voters < survivable {
+		return fmt.Sprintf("Replica %s is removed. Only %d have a vote: the loss of one stops all changes.", id, voters)
+	}
+	return fmt.Sprintf("Replica %s is removed; %d have a vote.", id, voters)
 }
 
 // identify asks the replica at an address who it is.
--- a/host/owned.go
+++ b/host/owned.go
@@ -33,6 +33,8 @@
 	announced map[string]target.Announcement
 	// stopped is set when the service is given up: no more grants.
 	stopped bool
+	// served is when some target could last take work.
+	served time.Time
 	// copiedTo is the backup's session that has the whole memory.
 	copiedTo uint64
 	// suspended is set while the lease is not live.
@@ -49,6 +51,7 @@
 		replies:   map[string]peer.Reply{},
 		adopting:  sessions,
 		announced: map[string]target.Announcement{},
+		served:    o.clock.Now(),
 	}
 	return s
 }
@@ -173,6 +176,14 @@
 	return s.service.Export(now, 0)
 }
 
+// isStopped reports whether the service was given up, and is to be proposed for
+// a move again where it is still owned here.
+func (s *owned) isStopped() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopped
+}
+
 // resume grants again after a move that found no other host.
 func (s *owned) resume() {
 	s.do(func(now time.Time) {
@@ -190,6 +201,17 @@
 	return copied
 }
 
+// idleFor returns how long no target could take work.
+func (s *owned) idleFor() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.owners.clock.Now()
+	if !s.adopted || serves(s.service.Status()) {
+		s.served = now
+	}
+	return now.Sub(s.served)
+}
+
 func (s *owned) status() admission.Status {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -201,7 +223,7 @@
 // granting: what waits is asked again where there is an owner.
 func (s *owned) flush() {
 	for _, effect := range s.service.Effects() {
-		if effect.Permit != nil && s.owners.session.Check() != nil {
+		if effect.Permit != nil && s.owners.authority.Check() != nil {
 			s.withdraw(effect.Permit.RequestID)
 			continue
 		}
@@ -227,7 +249,7 @@
 
 // resumeWithLease grants again once the lease is live; the lock is held.
 func (s *owned) resumeWithLease(now time.Time) {
-	if s.suspended && !s.stopped && s.owners.session.Check() == nil {
+	if s.suspended && !s.stopped && s.owners.authority.Check() == nil {
 		s.suspended = false
 		s.service.Adopted(now)
 	}
--- a/host/receive.go
+++ b/host/receive.go
@@ -27,6 +27,10 @@
 	case peer.TargetNews:
 		h.owners.targetNews(m, reply)
 	case peer.StatusAsk:
+		if m.Service == "" {
+			h.placer.tellStatus(reply)
+			return
+		}
 		h.owners.tellStatus(m, reply)
 	case peer.VersionsAsk:
 		view := h.session.View()
@@ -75,5 +79,5 @@
 		return peer.IdentityTold{Host: h.Settings.Host}
 	}
 	status := h.state.replica.Status()
-	return peer.IdentityTold{ID: status.ID, Host: status.Host}
+	return peer.IdentityTold{ID: status.ID, Host: status.Host, Cluster: status.Cluster}
 }
--- a/peer/message.go
+++ b/peer/message.go
@@ -26,21 +26,19 @@
 	Fence uint64
 }
 
-// Permit answers an Acquire.
+// Permit answers an Acquire. What the question said is not sent: RequestID,
+// Host, Service, Workspace and Chat arrive empty.
 type Permit struct{ Permit admission.Permit }
 
 // Refusal answers an Acquire.
 type Refusal struct{ Refusal admission.Refusal }
 
-// Cancel withdraws an Acquire.
-type Cancel struct {
-	Service   string
-	RequestID string
+// Releases gives permits of one service back, without their targets.
+type Releases struct {
+	Service  string
+	Releases []admission.Release
 }
 
-// Releases gives permits back.
-type Releases struct{ Releases []admission.Release }
-
 // Taken answers messages that only need to be known as received.
 type Taken struct{}
 
@@ -119,7 +117,8 @@
 	IdleServices []string
 }
 
-// StatusAsk asks an owner for the status of a service.
+// StatusAsk asks an owner for the status of a service, or, without one, the
+// state leader for that of placement.
 type StatusAsk struct{ Service string }
 
 // StatusTold answers StatusAsk with an encoded status.
@@ -142,6 +141,9 @@
 type IdentityTold struct {
 	ID   string
 	Host string
+	// Cluster is the cluster's identity; empty for a replica that waits to be
+	// added.
+	Cluster string
 }
 
 // Digest tells the state leader of the targets that a host knows.
@@ -178,7 +180,6 @@
 func (Acquire) message()      {}
 func (Permit) message()       {}
 func (Refusal) message()      {}
-func (Cancel) message()       {}
 func (Releases) message()     {}
 func (Taken) message()        {}
 func (Adopt) message()        {}
--- a/session/session.go
+++ b/session/session.go
@@ -67,13 +67,15 @@
 	// Replicas are peer addresses of state replicas.
 	Replicas []string
 	Clock    clockwork.Clock
-	// Nonce draws a random number for each session.
-	Nonce func() uint64
+	// Start is a random number of this process. A command that is sent again
+	// after a lost answer then opens no second session.
+	Start uint64
 	// Idle returns the services owned by this host that cannot serve now; nil
 	// for none.
 	Idle func() []string
-	// Closed is called when the session was lost; nil for none.
-	Closed func()
+	// Trouble is called when opening or renewing begins to fail in another way
+	// than before; nil for none.
+	Trouble func(err error)
 }
 
 // emptyView is the view before the first news.
