--- a/host/copy_codec.go
+++ b/host/copy_codec.go
@@ -9,6 +9,7 @@
 	"comfreytiller.dev/admission"
 	"comfreytiller.dev/chat"
 	"comfreytiller.dev/comfreytiller/host/hostpb"
+	"comfreytiller.dev/peer"
 	"comfreytiller.dev/target"
 )
 
@@ -48,6 +49,9 @@
 	}
 	c := admission.Copy{Current: wire.Current}
 	for _, t := range wire.Targets {
+		if t.Announcement == nil {
+			return admission.Copy{}, errors.Wrap(ErrCopy, "a target without announcement")
+		}
 		c.Targets = append(c.Targets, targetCopyFromWire(t))
 	}
 	for _, spot := range wire.Spots {
@@ -79,25 +83,8 @@
 }
 
 func targetCopyToWire(t admission.TargetCopy) *hostpb.TargetCopy {
-	a := t.Announcement
 	return &hostpb.TargetCopy{
-		Name:                 a.Name,
-		Incarnation:          a.Incarnation,
-		Sequence:             a.Sequence,
-		Address:              a.Address,
-		FailureDomain:        a.FailureDomain,
-		Kind:                 string(a.Kind),
-		Service:              a.Service,
-		Model:                a.Model,
-		Version:              a.Version,
-		Adapters:             a.Adapters,
-		Role:                 string(a.Role),
-		Capacity:             int32(a.Capacity),
-		CachedChats:          int64(a.CachedChats),
-		Cold:                 a.Cold,
-		ChecksFence:          a.ChecksFence,
-		Resumes:              a.Resumes,
-		MovesCache:           a.MovesCache,
+		Announcement:         peer.AnnouncementToWire(t.Announcement),
 		AnnouncedIncarnation: t.Announced.Incarnation,
 		AnnouncedSequence:    t.Announced.Sequence,
 		Left:                 t.Left,
@@ -109,24 +96,7 @@
 
 func targetCopyFromWire(w *hostpb.TargetCopy) admission.TargetCopy {
 	return admission.TargetCopy{
-		Announcement: target.Announcement{
-			Name:          w.Name,
-			Stamp:         target.Stamp{Incarnation: w.Incarnation, Sequence: w.Sequence},
-			Address:       w.Address,
-			FailureDomain: w.FailureDomain,
-			Kind:          target.Kind(w.Kind),
-			Service:       w.Service,
-			Model:         w.Model,
-			Version:       w.Version,
-			Adapters:      w.Adapters,
-			Role:          target.Role(w.Role),
-			Capacity:      int(w.Capacity),
-			CachedChats:   int(w.CachedChats),
-			Cold:          w.Cold,
-			ChecksFence:   w.ChecksFence,
-			Resumes:       w.Resumes,
-			MovesCache:    w.MovesCache,
-		},
+		Announcement: peer.AnnouncementFromWire(w.Announcement),
 		Announced:    target.Stamp{Incarnation: w.AnnouncedIncarnation, Sequence: w.AnnouncedSequence},
 		Left:         w.Left,
 		Silent:       time.Duration(w.Silent),
--- a/host/digest.go
+++ b/host/digest.go
@@ -38,14 +38,19 @@
 }
 
 func (d *digester) run(ctx context.Context) {
-	ticker := d.clock.NewTicker(digestInterval)
+	every(ctx, d.clock, digestInterval, d.send)
+}
+
+// every calls run at each interval until ctx ends.
+func every(ctx context.Context, clock clockwork.Clock, interval time.Duration, run func(context.Context)) {
+	ticker := clock.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.Chan():
-			d.send(ctx)
+			run(ctx)
 		}
 	}
 }
--- a/host/placer.go
+++ b/host/placer.go
@@ -115,16 +115,7 @@
 	if p.host.state == nil {
 		return
 	}
-	ticker := p.clock.NewTicker(placementInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			p.step(ctx)
-		}
-	}
+	every(ctx, p.clock, placementInterval, p.step)
 }
 
 func (p *placer) step(ctx context.Context) {
--- a/host/state.go
+++ b/host/state.go
@@ -260,25 +260,18 @@
 
 // run follows the lead and closes sessions whose lease has ended.
 func (s *stateReplica) run(ctx context.Context) {
-	ticker := s.clock.NewTicker(expiryInterval)
-	defer ticker.Stop()
 	swept := s.clock.Now()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-		}
+	every(ctx, s.clock, expiryInterval, func(ctx context.Context) {
 		term, leads := s.follow(ctx)
 		if !leads {
-			continue
+			return
 		}
 		s.expire(ctx, term)
 		if now := s.clock.Now(); now.Sub(swept) > claimSweep {
 			swept = now
 			s.sweep(ctx, now)
 		}
-	}
+	})
 }
 
 // follow starts a table of leases when this replica begins to lead, once it
--- a/peer/codec_digest.go
+++ b/peer/codec_digest.go
@@ -6,7 +6,7 @@
 	wire := &peerpb.Digest{Host: m.Host, Session: m.Session}
 	for _, t := range m.Targets {
 		wire.Targets = append(wire.Targets, &peerpb.DigestTarget{
-			Announcement: announcementToWire(t.Announcement),
+			Announcement: AnnouncementToWire(t.Announcement),
 			Ready:        t.Ready,
 			Cold:         t.Cold,
 			Leaving:      t.Leaving,
@@ -31,7 +31,7 @@
 			continue
 		}
 		m.Targets = append(m.Targets, DigestTarget{
-			Announcement: *announcementFromWire(t.Announcement),
+			Announcement: AnnouncementFromWire(t.Announcement),
 			Ready:        t.Ready,
 			Cold:         t.Cold,
 			Leaving:      t.Leaving,
--- a/peer/codec_target.go
+++ b/peer/codec_target.go
@@ -46,7 +46,7 @@
 	wire := &peerpb.TargetNews{Service: m.Service}
 	switch {
 	case m.Announcement != nil:
-		wire.News = &peerpb.TargetNews_Announcement{Announcement: announcementToWire(*m.Announcement)}
+		wire.News = &peerpb.TargetNews_Announcement{Announcement: AnnouncementToWire(*m.Announcement)}
 	case m.Load != nil:
 		wire.News = &peerpb.TargetNews_Load{Load: loadToWire(*m.Load)}
 	case m.Cache != nil:
@@ -64,7 +64,8 @@
 	m := TargetNews{Service: w.Service}
 	switch n := w.News.(type) {
 	case *peerpb.TargetNews_Announcement:
-		m.Announcement = announcementFromWire(n.Announcement)
+		announcement := AnnouncementFromWire(n.Announcement)
+		m.Announcement = &announcement
 	case *peerpb.TargetNews_Load:
 		m.Load = loadFromWire(n.Load)
 		m.Load.Service = w.Service
@@ -85,7 +86,8 @@
 	return target.Stamp{Incarnation: incarnation, Sequence: sequence}
 }
 
-func announcementToWire(a target.Announcement) *peerpb.Announcement {
+// AnnouncementToWire maps an announcement for messages of other packages, too.
+func AnnouncementToWire(a target.Announcement) *peerpb.Announcement {
 	return &peerpb.Announcement{
 		Name:          a.Name,
 		Incarnation:   a.Incarnation,
@@ -107,8 +109,9 @@
 	}
 }
 
-func announcementFromWire(w *peerpb.Announcement) *target.Announcement {
-	return &target.Announcement{
+// AnnouncementFromWire is the inverse of AnnouncementToWire.
+func AnnouncementFromWire(w *peerpb.Announcement) target.Announcement {
+	return target.Announcement{
 		Name:          w.Name,
 		Stamp:         stamp(w.Incarnation, w.Sequence),
 		Address:       w.Address,
