Count a permit of an earlier start until it is released

Cause: when a target came back under a new incarnation its owner stopped counting the permits of the earlier one. A permit not yet sent then reached the new process at the same address, beside as many as its cold limit allows. The property test's own count takes such permits in, too, which is stricter.

--- a/admission/copy.go
+++ b/admission/copy.go
@@ -106,7 +106,7 @@
 		s.importProgress(now, at, copied, current)
 		return
 	}
-	s.enter(now, at, copied.Announced.Incarnation)
+	s.enter(at, copied.Announced.Incarnation)
 	t.known = true
 	t.left = copied.Left
 	t.announced = copied.Announced
--- a/admission/fleet.go
+++ b/admission/fleet.go
@@ -27,7 +27,7 @@
 		s.repeated(now, at)
 		return !t.left
 	}
-	s.enter(now, at, announcement.Incarnation)
+	s.enter(at, announcement.Incarnation)
 	t.known = true
 	t.left = false
 	t.replaced = false
@@ -49,28 +49,21 @@
 	}
 }
 
-// enter makes the target's state that of the incarnation. The work of an earlier
-// one ended with it.
-func (s *Service) enter(now time.Time, at int, incarnation uint64) {
+// enter makes the target's state that of the incarnation. Permits of an earlier
+// one still count until they are released: one that is not sent yet will reach
+// the new process, which takes calls at the same address.
+func (s *Service) enter(at int, incarnation uint64) {
 	t := s.targets[at]
 	if t.incarnation == incarnation {
 		return
 	}
 	*t = targetState{name: t.name, incarnation: incarnation, lastSeen: t.lastSeen}
-	s.addInFlight(now, at, -int(s.candidates[at].InFlight))
-	for _, granted := range s.permits {
-		if granted.target == at {
-			granted.counted = granted.permit.Incarnation == incarnation
-			s.addInFlight(now, at, count(granted.counted))
-		}
-	}
 }
 
-func count(counted bool) int {
-	if counted {
-		return 1
-	}
-	return 0
+// present reports whether the permit is for the target's present incarnation:
+// only then its outcome tells something of it.
+func (s *Service) present(granted *grant) bool {
+	return granted.permit.Incarnation == s.targets[granted.target].incarnation
 }
 
 func (s *Service) openPlace(at int) {
@@ -151,7 +144,7 @@
 	if t.announced.After(leave.Stamp) {
 		return
 	}
-	s.enter(now, at, leave.Incarnation)
+	s.enter(at, leave.Incarnation)
 	t.announced = leave.Stamp
 	t.heard = true
 	t.left = true
--- a/admission/grant.go
+++ b/admission/grant.go
@@ -34,7 +34,6 @@
 			CacheFrom:   s.cacheFrom(now, query, choice.Target),
 		},
 		target:    choice.Target,
-		counted:   true,
 		workspace: item.workspace,
 		chat:      item.chat,
 		probe:     t.circuit.open,
--- a/admission/owner.go
+++ b/admission/owner.go
@@ -19,21 +19,21 @@
 	at := s.slot(now, permit.Target)
 	t := s.targets[at]
 	if permit.Incarnation > t.incarnation {
-		s.enter(now, at, permit.Incarnation)
+		s.enter(at, permit.Incarnation)
 	}
 	granted := &grant{
 		permit:    permit,
 		target:    at,
-		counted:   permit.Incarnation == t.incarnation,
 		workspace: s.workspaceOf(permit.Workspace),
 		chat:      chat.KeyOf(permit.Chat),
 	}
 	granted.workspace.inFlight++
 	s.permits[permit.RequestID] = granted
-	if !granted.counted {
+	s.addInFlight(now, at, 1)
+	if !s.present(granted) {
+		s.sync(now, at)
 		return
 	}
-	s.addInFlight(now, at, 1)
 	t.warmUp.bore(s.config.Service.WarmUp, t.full(s), int(s.candidates[at].InFlight))
 	s.openPlace(at)
 	s.memory.Use(now, granted.chat, t.place, false)
@@ -76,7 +76,7 @@
 	for _, granted := range s.permits {
 		if granted.permit.Host == host {
 			s.drop(now, granted)
-			if granted.counted {
+			if s.present(granted) {
 				s.targets[granted.target].circuit.inconclusive(granted.probe)
 				s.sync(now, granted.target)
 			}
--- a/admission/release.go
+++ b/admission/release.go
@@ -27,7 +27,7 @@
 
 func (s *Service) giveBack(now time.Time, granted *grant, release *Release) {
 	s.drop(now, granted)
-	if granted.counted {
+	if s.present(granted) {
 		s.learn(now, granted, release)
 	}
 }
@@ -36,9 +36,8 @@
 func (s *Service) drop(now time.Time, granted *grant) {
 	delete(s.permits, granted.permit.RequestID)
 	granted.workspace.inFlight--
-	if granted.counted {
-		s.addInFlight(now, granted.target, -1)
-	}
+	s.addInFlight(now, granted.target, -1)
+	s.sync(now, granted.target)
 }
 
 // learn takes what the outcome tells of the target.
--- a/admission/service.go
+++ b/admission/service.go
@@ -47,10 +47,8 @@
 
 // grant is a permit in flight.
 type grant struct {
-	permit Permit
-	target int
-	// counted is false when the target was restarted since.
-	counted   bool
+	permit    Permit
+	target    int
 	workspace *workspace
 	chat      chat.Key
 	// moved is set when the grant changed the chat's place.
--- a/admission/service_test.go
+++ b/admission/service_test.go
@@ -84,3 +84,25 @@
 		}
 	}
 }
+
+// A permit that is not sent yet when its target restarts reaches the new process,
+// which takes calls at the same address and bears only its cold limit.
+func TestPermitOfAnEarlierStartCountsUntilItsRelease(t *testing.T) {
+	s := warmService(1)
+	s.Acquire(start, request("r1", ""))
+	stale := onlyPermit(t, s)
+	restarted := announcement("e0", 2, 1)
+	restarted.Cold = true
+	s.Announce(start, restarted)
+
+	s.Acquire(start, request("r2", ""))
+	s.Acquire(start, request("r3", ""))
+	second := onlyPermit(t, s)
+	require.Equal(t, uint64(2), second.Incarnation)
+	require.Equal(t, "r2", second.RequestID, "the cold limit is 2, and r1 may still arrive")
+
+	s.Release(start, done(stale))
+	third := onlyPermit(t, s)
+	require.Equal(t, "r3", third.RequestID)
+	require.Zero(t, s.Status().Targets[0].Warmed, "an answer of the earlier start warms nothing")
+}
--- a/admission/world_test.go
+++ b/admission/world_test.go
@@ -113,7 +113,8 @@
 func (w *world) inFlight(e *engine) int {
 	n := 0
 	for _, p := range w.permits {
-		if p.Target == e.name && p.Incarnation == e.announced {
+		// A permit of an earlier start may still be sent to the new one.
+		if p.Target == e.name {
 			n++
 		}
 	}
