--- a/integration/process_integration_test.go
+++ b/integration/process_integration_test.go
@@ -222,3 +222,18 @@
 	require.NotEqual(t, old, s.replicaOf(wiped))
 	s.apply(fleetVersionText("second"))
 }
+
+// Five state replicas go on without any two of them.
+func TestFiveReplicasLoseTwo(t *testing.T) {
+	s := newSystem(t, 6, 5)
+	l := startLoad(t, s.balanced, 6, 3)
+	l.served(50)
+	for range 2 {
+		s.kill(s.leader())
+		l.served(50)
+		l.paidMore(20)
+	}
+	s.apply(fleetVersionText("without two"), "--Wait", "20s")
+	l.finish(s.treasuries...)
+	s.checkCold()
+}
