--- a/commands/app.go
+++ b/commands/app.go
@@ -128,6 +128,18 @@
 	return encoder.Encode(value)
 }
 
+// done is the JSON form of a command that answers with one sentence.
+type done struct{ Message string }
+
+// say prints a sentence, or its JSON form where that was asked for.
+func (a *app) say(format string, arguments ...any) error {
+	if a.json {
+		return a.printJSON(done{Message: fmt.Sprintf(format, arguments...)})
+	}
+	a.printf(format+"\n", arguments...)
+	return nil
+}
+
 func (a *app) printf(format string, arguments ...any) {
 	_, _ = fmt.Fprintf(a.Out, format, arguments...)
 }
--- a/commands/backup.go
+++ b/commands/backup.go
@@ -38,6 +38,5 @@
 	if err := os.WriteFile(file, response.Backup, backupMode); err != nil {
 		return fail(ExitFailed, "write %s: %v", file, err)
 	}
-	a.printf("%s holds %d bytes. A cluster restored from it is a new one.\n", file, len(response.Backup))
-	return nil
+	return a.say("%s holds %d bytes. A cluster restored from it is a new one.", file, len(response.Backup))
 }
--- a/commands/check.go
+++ b/commands/check.go
@@ -43,8 +43,7 @@
 		return err
 	}
 	if offline {
-		a.printf("%s is accepted.\n", file)
-		return nil
+		return a.say("%s is accepted.", file)
 	}
 	client, err := a.client()
 	if err != nil {
--- a/commands/claims.go
+++ b/commands/claims.go
@@ -124,6 +124,5 @@
 	if err != nil {
 		return a.again(err, "--Operation "+arguments.operation)
 	}
-	a.printf("Claim %s is %s.\n", arguments.key, response.State)
-	return nil
+	return a.say("Claim %s is %s.", arguments.key, response.State)
 }
--- a/commands/operator_test.go
+++ b/commands/operator_test.go
@@ -58,6 +58,12 @@
 	}
 }
 
+func TestSentencesHaveAJSONForm(t *testing.T) {
+	code, out, errOut := run("check", "../examples/agence.fleet.jsonc", "--Offline", "--Json")
+	require.Equal(t, ExitDone, code, errOut)
+	require.JSONEq(t, `{"Message": "../examples/agence.fleet.jsonc is accepted."}`, out)
+}
+
 func TestEveryCommandHasHelpWithAnExample(t *testing.T) {
 	_, overview, _ := run("--help")
 	for _, name := range []string{
--- a/commands/pin.go
+++ b/commands/pin.go
@@ -35,9 +35,7 @@
 		return remote(err)
 	}
 	if service == "" {
-		a.printf("%s is released.\n", target)
-		return nil
+		return a.say("%s is released.", target)
 	}
-	a.printf("%s is bound to %s.\n", target, service)
-	return nil
+	return a.say("%s is bound to %s.", target, service)
 }
--- a/commands/replica.go
+++ b/commands/replica.go
@@ -50,6 +50,5 @@
 	if err != nil {
 		return remote(err)
 	}
-	a.printf("%s\n", response.Message)
-	return nil
+	return a.say("%s", response.Message)
 }
