--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 run:
 	go run ./cmd/comfreytiller run
 
-test: lint unit spec
+test: lint unit race spec
 
 build:
 	go build work
@@ -25,7 +25,7 @@
 	scripts/unit
 
 race:
-	RACE=1 scripts/unit
+	scripts/race
 
 spec:
 	scripts/spec
