--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -166,3 +166,25 @@
 	require.Fail(s.t, "no replica", n.name)
 	return ""
 }
+
+// silentOnce makes a stand-in take one request and answer nothing.
+var silentOnce = standin.Fault{Kind: standin.FaultSilent, Times: 1}
+
+// paying returns the number of requests that run on the treasuries.
+func (s *system) paying() int {
+	n := 0
+	for _, treasury := range s.treasuries {
+		n += treasury.InFlight()
+	}
+	return n
+}
+
+// requireRuns checks how often a payment ran, by all ledgers.
+func (s *system) requireRuns(key string, wanted int) {
+	s.t.Helper()
+	runs := 0
+	for _, treasury := range s.treasuries {
+		runs += treasury.Runs(key)
+	}
+	require.Equal(s.t, wanted, runs, "runs of %s", key)
+}
