Move streams for free from an engine that cuts them twice as it dies

The test closed the engine while some requests had no event yet. Such a request is retried within the budget of 3; with a first event that never comes exactly 3 of 30 are whole. The test now waits for each stream's first event, and a new test holds the bounded case at exactly 3.

Only a target that could not be reached was free, so the resumes went through the budget. A second cut by the target that cut the stream first is free now; the next attempt avoids it. Streams under a strict budget pay as before.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -98,8 +98,9 @@
 }
 
 // resume continues a cut stream at its offset through another connection. A
-// target that can't be reached costs no retry: when one dies, every stream on it
-// has to move, and they are only as many as it had.
+// target that can't be reached, or cuts the stream again without an event, costs
+// no retry: when one dies, every stream on it has to move, and they are only as
+// many as it had.
 func (r *relay) resume(cause error) bool {
 	if !r.Call.Idempotent || !r.attempt.permit.Resumes || r.ctx.Err() != nil {
 		return false
@@ -107,6 +108,7 @@
 	if r.Attempts > 0 && r.runs >= r.Attempts {
 		return false
 	}
+	cutBy := r.attempt.permit.Target
 	r.giveUp(cause)
 	if r.gateway.settings.strictBudget && !r.gateway.Budget.Take(r.Service.Name) {
 		return false
@@ -119,15 +121,23 @@
 			r.gateway.meters.resumed.Inc(1)
 			return true
 		}
-		if r.ctx.Err() != nil || !r.retryable(err) || !r.payResume(err) || !r.backOff() {
+		if r.ctx.Err() != nil || !r.retryable(err) || !r.payResume(err, cutBy) || !r.backOff() {
 			return false
 		}
 	}
 	return false
 }
 
-func (r *relay) payResume(err error) bool {
-	return errors.Is(err, target.ErrUnreachable) || r.gateway.Budget.Take(r.Service.Name)
+// payResume takes a retry from the budget unless the failure belongs to the
+// death of the target that cut the stream. The next attempt avoids that target.
+func (r *relay) payResume(err error, cutBy string) bool {
+	if errors.Is(err, target.ErrUnreachable) {
+		return true
+	}
+	if errors.Is(err, target.ErrCut) && r.target == cutBy && !r.gateway.settings.strictBudget {
+		return true
+	}
+	return r.gateway.Budget.Take(r.Service.Name)
 }
 
 // giveUp abandons the attempt that failed. A target whose connection was cut may
--- a/gateway/silent_test.go
+++ b/gateway/silent_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"io"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -76,25 +78,81 @@
 }
 
 func TestStreamsMoveFromAnEngineThatDies(t *testing.T) {
+	streamsMove(t, func(dying *standin.Engine) { dying.Close() })
+}
+
+// An engine that dies may still take connections for a moment and cut them
+// without an event. That is no other failure than the first one, and each stream
+// meets it once.
+func TestStreamsMoveFromAnEngineThatCutsThemTwice(t *testing.T) {
+	streamsMove(t, func(dying *standin.Engine) {
+		dying.Inject(standin.Fault{Kind: standin.FaultCut})
+		dying.Flap(false)
+	})
+}
+
+// streamsMove checks that every stream of an engine is whole although the engine
+// fails, and more of them than the budget has retries.
+func streamsMove(t *testing.T, failEngine func(*standin.Engine)) {
 	const streams = 30
 	b := newFixture(t)
-	dying := b.engine(standin.EngineSettings{Name: "engine-1", Gap: 10 * time.Millisecond})
+	dying := b.engine(standin.EngineSettings{Name: "engine-1", Gap: 100 * time.Millisecond})
 	b.engine(standin.EngineSettings{Name: "engine-2"})
-	var group sync.WaitGroup
+	var group, begun sync.WaitGroup
 	var whole atomic.Int64
+	begun.Add(streams)
 	for range streams {
 		group.Go(func() {
-			text, err := read(b.post("Reviews/Draft", dossier))
-			stream := parseStream(t, text)
+			response := b.post("Reviews/Draft", dossier)
+			defer response.Body.Close()
+			reader := bufio.NewReader(response.Body)
+			first, err := reader.ReadString('\n')
+			begun.Done()
+			if err != nil {
+				return
+			}
+			rest, err := io.ReadAll(reader)
+			stream := parseStream(t, first+string(rest))
 			if err == nil && stream.end != "" && slices.Equal(wantTokens(dossier, 12), stream.tokens) {
 				whole.Add(1)
 			}
 		})
 	}
+	// A request without an event is not a stream yet: its retry is paid for.
+	begun.Wait()
+	require.Equal(t, streams, dying.InFlight())
+	failEngine(dying)
+	group.Wait()
+	require.Equal(t, int64(streams), whole.Load())
+}
+
+// An engine dies before the first event of any request. Their retries stay
+// within the budget, and the callers of the others are told.
+func TestRequestsWithoutAnEventMoveWithinTheRetryBudget(t *testing.T) {
+	const streams = 30
+	const paid = streams / 10
+	b := newFixture(t, WithRetries(defaultAttempts, float64(paid)/streams))
+	dying := b.engine(standin.EngineSettings{Name: "engine-1", FirstByte: time.Minute})
+	b.engine(standin.EngineSettings{Name: "engine-2"})
+	var group sync.WaitGroup
+	var whole, told atomic.Int64
+	for range streams {
+		group.Go(func() {
+			response := b.post("Reviews/Draft", dossier)
+			text, err := read(response)
+			switch {
+			case response.StatusCode == http.StatusOK && err == nil && parseStream(t, text).end != "":
+				whole.Add(1)
+			case response.StatusCode == http.StatusBadGateway && err == nil:
+				told.Add(1)
+			}
+		})
+	}
 	eventually(t, func() bool { return dying.InFlight() == streams }, "the engine is at work")
 	dying.Close()
 	group.Wait()
-	require.Equal(t, int64(streams), whole.Load())
+	require.Equal(t, int64(paid), whole.Load())
+	require.Equal(t, int64(streams-paid), told.Load())
 }
 
 func TestATargetThatIsSilentAltogetherIsGivenUp(t *testing.T) {
