Refuse what would crowd the last warm target; few hosts use a cold one fully

A request that would go to a target above the low bound, while others take no more for now, is refused with a growing chance up to the limit of twice the mean and three; callers come back after 700 ms. Hosts no more than what a cold target bears a second send each at least one a second, which meet evenly enough, so they use all of it instead of 0.8.

entry/targets.go is split: cold.go, throttle.go, probe.go.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -162,6 +162,30 @@
 	}
 }
 
+// While every other target is cold as well, what the hosts leave unused of one
+// goes to the last warm target. Few hosts meet evenly enough to use all of it.
+func TestFewHostsUseAllThatAColdTargetBears(t *testing.T) {
+	const hosts, bears, seconds = 18, 20, 8
+	sent := 0
+	for i := range hosts {
+		f := newFixture(t)
+		f.entry.Settings.Host = fmt.Sprint("e-", i)
+		f.targets.hosts.take(hosts)
+		cold := f.entryOf("e-1", "engines", "a", 1)
+		cold.WarmUp = 10 * time.Second
+		f.hear(cold)
+		for range seconds * 100 {
+			f.clock.Advance(10 * time.Millisecond)
+			if _, refusal := f.ask(t, "r", "engines"); refusal == nil {
+				sent++
+			}
+		}
+	}
+	// The first interval goes to the hosts' turns.
+	require.GreaterOrEqual(t, sent, bears*(seconds-1))
+	require.LessOrEqual(t, sent, bears*seconds)
+}
+
 // Until the number of hosts is known the share is a small one.
 func TestAnUnknownNumberOfHostsIsTakenForALargeOne(t *testing.T) {
 	clock := clockwork.NewFakeClock()
--- a/entry/target.go
+++ b/entry/target.go
@@ -9,12 +9,6 @@
 )
 
 const (
-	// coldMargin is added to a target's own word on its warm-up, for the time
-	// that the word took.
-	coldMargin = 400 * time.Millisecond
-	// coldPart is the part of what a cold target bears that all hosts together
-	// use: their shares don't meet evenly within a second.
-	coldPart = 0.8
 	// firstDoubt and mostDoubt bound the time for which a target that failed to
 	// answer is avoided; it doubles with each failure in a row.
 	firstDoubt = 300 * time.Millisecond
@@ -63,11 +57,6 @@
 	coldAt time.Time
 }
 
-// cold reports whether the target is warming up.
-func (k *known) cold(now time.Time) bool {
-	return k.WarmUp > 0 && now.Before(k.ColdUntil().Add(coldMargin))
-}
-
 // count changes the number of own requests and follows its mean.
 func (k *known) count(now time.Time, change int) {
 	weight := min(float64(now.Sub(k.averageAt))/float64(averageOver), 1)
--- a/entry/targets.go
+++ b/entry/targets.go
@@ -14,8 +14,6 @@
 
 	"comfreytiller.dev/admission"
 	"comfreytiller.dev/common/logs"
-	"comfreytiller.dev/common/rendezvous"
-	"comfreytiller.dev/common/ticks"
 	"comfreytiller.dev/fleet"
 	"comfreytiller.dev/registry"
 	"comfreytiller.dev/route"
@@ -24,21 +22,10 @@
 )
 
 const (
-	// probeInterval is the pause between tries to connect to a target that could
-	// not be reached.
-	probeInterval = 500 * time.Millisecond
-	// probeTimeout bounds one try.
-	probeTimeout = 300 * time.Millisecond
-	// forgetSilent is how long a target that is silent and can't be reached is
-	// kept.
-	forgetSilent = time.Minute
 	// youngLasts is how long a target counts as new. youngSlack tells it from those that this
 	// host heard of at its own start.
 	youngLasts = 45 * time.Second
 	youngSlack = 3 * time.Second
-	// fullRetry is the least after which a caller may find room in a full service,
-	// and half of the longest.
-	fullRetry = 300 * time.Millisecond
 	// noTargetRetry is when a caller may find a target again: within it a target
 	// that restarts or returns has been heard of.
 	noTargetRetry = 700 * time.Millisecond
@@ -214,43 +201,6 @@
 	}
 }
 
-// throttle lets plain services through in proportion to their queues, once for
-// each word on the loads. The lock is held.
-func (t *targets) throttle(now time.Time) {
-	table, view := t.entry.view.Table(), t.entry.view.view()
-	if table == nil {
-		return
-	}
-	hosts := t.hosts.count()
-	for name, list := range t.byService {
-		service := table.Service(name)
-		if service == nil || service.Kind != fleet.KindPlain {
-			continue
-		}
-		running, slots := 0.0, 0
-		mean := meanOthers(now, list)
-		for _, k := range list {
-			if k.State != roster.Ready || view.IsOut(k.Name, k.FailureDomain) || k.doubtful(now) {
-				continue
-			}
-			own, _ := k.estimate(now, hosts, mean)
-			running += own
-			slots += k.Capacity
-		}
-		throttle := t.throttles[name]
-		if throttle == nil {
-			throttle = &route.Throttle{}
-			t.throttles[name] = throttle
-		}
-		was := throttle.Share()
-		throttle.Hear(running, slots)
-		if now := throttle.Share(); (was == 1) != (now == 1) {
-			t.log.WithFields(logrus.Fields{"Service": name, "Share": now, "Running": running, "Slots": slots}).
-				Info("The share of requests that is let through changes.")
-		}
-	}
-}
-
 // told takes a target's word on its load.
 func (t *targets) told(name string, load target.Load) {
 	t.mu.Lock()
@@ -375,48 +325,22 @@
 	}
 }
 
-// nextCold is when this host may send its next request to a cold target. The
-// first one waits for this host's turn, so that not all hosts begin at once.
-func (t *targets) nextCold(k *known, service *fleet.Service, hosts int) time.Time {
-	if !k.nextCold.Before(k.coldAt) {
-		return k.nextCold
-	}
-	const turns = 1 << 16
-	turn := rendezvous.Score(t.entry.Settings.Host, k.Name) % turns
-	return k.coldAt.Add(coldInterval(service, hosts) * time.Duration(turn) / turns)
-}
-
-// coldInterval is the pause between two requests of one host to a cold target.
-func coldInterval(service *fleet.Service, hosts int) time.Duration {
-	rate := service.WarmUp.ColdPerSecond * coldPart
-	if rate <= 0 {
-		return 0
-	}
-	return time.Duration(float64(hosts) / rate * float64(time.Second))
-}
-
 // why tells why no target was chosen, with what the decision rests on.
 func (t *targets) why(view *registry.View, list []*known, candidates []route.Local) string {
 	counts := map[route.Reason]int{}
-	full := 0
+	full, crowded := 0, 0
 	for i := range candidates {
 		counts[candidates[i].Closed]++
-		if candidates[i].Closed == route.Open && candidates[i].Full {
+		switch {
+		case candidates[i].Closed != route.Open:
+		case candidates[i].Full:
 			full++
+		default:
+			crowded++
 		}
 	}
-	return fmt.Sprintf("of %d targets %d leave, %d are out, %d were tried, %d are full or warming up (fleet version %d, outage version %d)",
-		len(list), counts[route.Leaving], counts[route.DomainOut], counts[route.Excluded], full, view.FleetVersion, view.OutageVersion)
-}
-
-// refuseFull refuses a request to a service whose queues are full. Callers come
-// back spread over the time in which the queues change.
-func (t *targets) refuseFull(request *admission.Request, share float64) error {
-	return &admission.Refusal{
-		RequestID: request.ID, Code: admission.RefusedQueueFull,
-		Message:    fmt.Sprintf("the targets' queues are full, a share of %.2f is let through", share),
-		RetryAfter: fullRetry + rand.N(fullRetry),
-	}
+	return fmt.Sprintf("of %d targets %d leave, %d are out, %d were tried, %d are full or warming up, %d hold more than their part (fleet version %d, outage version %d)",
+		len(list), counts[route.Leaving], counts[route.DomainOut], counts[route.Excluded], full, crowded, view.FleetVersion, view.OutageVersion)
 }
 
 func (t *targets) refuse(request *admission.Request, code admission.RefusalCode, message string) error {
@@ -442,51 +366,3 @@
 		k.failed(now, release.Outcome == admission.OutcomeUnreachable)
 	}
 }
-
-// run looks after the targets that could not be reached.
-func (t *targets) run(ctx context.Context) {
-	ticks.Every(ctx, t.clock, probeInterval, func(ctx context.Context) {
-		for name, address := range t.unreachable() {
-			go t.probe(ctx, name, address)
-		}
-	})
-}
-
-// unreachable returns the addresses of targets that could not be reached, by
-// name, and forgets those that are silent, too.
-func (t *targets) unreachable() map[string]string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.clock.Now()
-	var addresses map[string]string
-	for name, k := range t.byName {
-		if !k.unreachable || k.State != roster.Ready {
-			continue
-		}
-		if k.Silent && now.Sub(k.Heard) > forgetSilent && k.own == 0 {
-			delete(t.byName, name)
-			t.index()
-			continue
-		}
-		if addresses == nil {
-			addresses = map[string]string{}
-		}
-		addresses[name] = k.Address
-	}
-	return addresses
-}
-
-// probe tries to connect to a target.
-func (t *targets) probe(ctx context.Context, name, address string) {
-	ctx, cancel := clockwork.WithTimeout(ctx, t.clock, probeTimeout)
-	defer cancel()
-	err := t.entry.sender.Reaches(ctx, address)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	k := t.byName[name]
-	if err != nil || k == nil || k.Address != address {
-		return
-	}
-	k.unreachable, k.failures = false, 0
-	t.log.WithFields(logrus.Fields{"Target": name, "Address": address}).Info("Target can be reached again.")
-}
--- a/route/local.go
+++ b/route/local.go
@@ -1,6 +1,9 @@
 package route
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Local is what one entry host knows of a target when it decides by itself, on a
 // view that other hosts share only roughly.
@@ -70,6 +73,13 @@
 	highExtra  = 3
 )
 
+// The limit is the most that one target should hold, a multiple of the mean and a
+// few. A target falls behind from there on.
+const (
+	limitFactor = 2
+	limitExtra  = 3
+)
+
 // mostOver bounds the price of a target beyond the high bound.
 const mostOver = 2
 
@@ -117,9 +127,32 @@
 			choice = LocalChoice{Target: i, Holder: holder, Home: i == order.home}
 		}
 	}
+	if choice.Target != None && crowds(&targets[choice.Target], point, low, mean, targets) {
+		return LocalChoice{Target: None, Holder: None}
+	}
 	return choice
 }
 
+// crowds reports whether a request is better refused than sent to the cheapest
+// target, since others take no more for now and this one has more than its part
+// already.
+//
+// It answers a release that leaves one warm target beside cold ones. The refused
+// part grows from none at the low bound to all at the limit, so that hosts that
+// know little of each other's requests do not overshoot together.
+func crowds(target *Local, point uint64, low, mean float64, targets []Local) bool {
+	over := (target.Running + 1 - low) / (limitFactor*mean + limitExtra - low)
+	if over <= 0 {
+		return false
+	}
+	if !slices.ContainsFunc(targets, func(t Local) bool { return t.Closed == Open && t.Full }) {
+		return false
+	}
+	// The low bits place requests on targets.
+	const points = 1 << 20
+	return float64(point>>44%points)/points < over
+}
+
 // promptCost is the time to get what a target does not keep of a prompt.
 func promptCost(i, holder, tokens int, targets []Local, order *ranking, costs *LocalCosts) time.Duration {
 	kept := targets[i].Kept
