Elect at once when all state replicas have just started

After a loss of all processes a replica waited 0.75 to 1 s before it asked for votes, since a leader that it answered just before may still count on that answer.

A replica that has heard no leader since its start now asks all voters. If each of them was started just now as well, no lead can be confirmed, and they vote at once; one that hears a leader refuses. A majority is not enough: the leader may be the one that does not answer.

--- a/quorum/election.go
+++ b/quorum/election.go
@@ -17,6 +17,7 @@
 	n.leader = ""
 	n.votes = map[string]bool{n.state.ID: true}
 	n.retrySoon()
+	round := n.roundOfStart(role)
 	kind, term := MessagePreVote, n.state.Term+1
 	if role == Candidate {
 		kind = MessageVote
@@ -32,11 +33,36 @@
 		}
 		n.send(Message{
 			Kind: kind, To: m.ID, Term: term, Transfer: transfer,
-			Index: n.log.lastIndex(), LogTerm: n.log.lastTerm(),
+			Index: n.log.lastIndex(), LogTerm: n.log.lastTerm(), Round: round,
 		})
 	}
 }
 
+// roundOfStart numbers a campaign of a node that may not yet take the silence of
+// leaders for their end, since it may have answered one just before it was
+// started. If every voter was started just now and has heard none, none is left
+// whose lead could still be confirmed, and they elect one at once. The votes
+// themselves then need a majority only: who hears a leader meanwhile refuses.
+// It is 0 for any other campaign.
+func (n *Node) roundOfStart(role Role) uint64 {
+	if !n.fresh || !n.followsLeader() {
+		return 0
+	}
+	if role == PreCandidate {
+		// An answer to an earlier start must not count.
+		n.freshRound = n.random.Uint64() | 1
+	}
+	return n.freshRound
+}
+
+// neededVotes is the number of grants that a campaign needs.
+func (n *Node) neededVotes() int {
+	if n.role == PreCandidate && n.fresh && n.followsLeader() {
+		return voterCount(n.log.members())
+	}
+	return majority(n.log.members())
+}
+
 // countVotes moves on if a majority granted the campaign, and tells whether. The
 // own vote counts once it is durable.
 func (n *Node) countVotes() bool {
@@ -55,7 +81,7 @@
 			refused++
 		}
 	}
-	needed := majority(n.log.members())
+	needed := n.neededVotes()
 	switch {
 	case granted >= needed && n.role == PreCandidate:
 		n.campaign(Candidate, false)
@@ -63,7 +89,7 @@
 	case granted >= needed:
 		n.becomeLeader()
 		return true
-	case refused >= needed:
+	case refused >= majority(n.log.members()):
 		n.role = Follower
 		n.votes = nil
 	}
@@ -79,6 +105,9 @@
 		// A grant carries the term asked for; a refusal carries the own term.
 		grant := current && m.Term > n.state.Term
 		answer := Message{Kind: MessagePreVoteResponse, To: m.From, Reject: !grant}
+		if n.fresh {
+			answer.Round = m.Round
+		}
 		if grant {
 			answer.Term = m.Term
 		}
@@ -98,7 +127,7 @@
 func (n *Node) handleVote(m *Message) {
 	switch {
 	case m.Kind == MessagePreVoteResponse && n.role == PreCandidate:
-		if !m.Reject && m.Term != n.state.Term+1 {
+		if !m.Reject && (m.Term != n.state.Term+1 || n.followsLeader() && m.Round != n.freshRound) {
 			return
 		}
 	case m.Kind == MessageVoteResponse && n.role == Candidate:
--- a/quorum/follower.go
+++ b/quorum/follower.go
@@ -6,6 +6,7 @@
 		n.becomeFollower(n.state.Term, from)
 	}
 	n.leader = from
+	n.fresh = false
 	n.sinceLeader = 0
 	n.elapsed = 0
 }
--- a/quorum/leader.go
+++ b/quorum/leader.go
@@ -11,6 +11,7 @@
 func (n *Node) becomeLeader() {
 	n.role = Leader
 	n.leader = n.state.ID
+	n.fresh = false
 	n.votes = nil
 	n.elapsed = 0
 	n.heartbeat = 0
--- a/quorum/message.go
+++ b/quorum/message.go
@@ -20,7 +20,9 @@
 	Commit uint64
 	// Entries follow Index without a gap.
 	Entries []Entry
-	// Round numbers the leader's heartbeats; a response repeats it.
+	// Round numbers the leader's heartbeats; a response repeats it. In a vote
+	// request it is set by a replica that heard no leader since its start, and in
+	// the response by one for which that holds as well.
 	Round uint64
 
 	// Reject refuses a vote or an append.
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -77,6 +77,10 @@
 	leader string
 	// sinceLeader counts the ticks since a leader's message, or the start.
 	sinceLeader int
+	// fresh is set until the node hears a leader or leads for the first time since
+	// its start; freshRound numbers its campaigns of that time.
+	fresh      bool
+	freshRound uint64
 	// elapsed counts towards timeout; on a leader, towards its quorum check.
 	elapsed   int
 	timeout   int
@@ -117,7 +121,8 @@
 	}
 	n.state.Commit = n.log.committed
 	n.applied = n.log.applied
-	n.resetTimeout()
+	n.fresh = true
+	n.retrySoon()
 	return n
 }
 
@@ -171,7 +176,8 @@
 	n.timeout = n.config.ElectionTicks + n.random.IntN(n.config.ElectionSpread)
 }
 
-// retrySoon starts a short randomized timeout, for a campaign without a result.
+// retrySoon starts a short randomized timeout, for a campaign without a result
+// and for the first one after the start.
 func (n *Node) retrySoon() {
 	n.elapsed = 0
 	n.timeout = retryTicks + n.random.IntN(retrySpread)
@@ -247,9 +253,9 @@
 func (n *Node) enterTerm(m *Message) bool {
 	switch m.Kind {
 	case MessagePreVote:
-		return !n.followsLeader()
+		return !n.followsLeader() || n.fresh && m.Round != 0
 	case MessageVote:
-		if n.followsLeader() && !m.Transfer {
+		if n.followsLeader() && !m.Transfer && !(n.fresh && m.Round != 0) {
 			return false
 		}
 	case MessagePreVoteResponse:
--- a/quorum/replicas_test.go
+++ b/quorum/replicas_test.go
@@ -119,6 +119,10 @@
 	c.state[host] = &register{}
 	config := c.config
 	config.Host = host
+	if config.Node.Seed != 0 {
+		// Equal seeds would let all campaign at the same ticks.
+		config.Node.Seed += uint64(host[len(host)-1])
+	}
 	r, err := Start(config, c.store[host], c, c.state[host], options...)
 	require.NoError(c.t, err)
 	c.mu.Lock()
--- a/quorum/slowdisk_test.go
+++ b/quorum/slowdisk_test.go
@@ -135,3 +135,45 @@
 		require.Equal(t, c.state["h1"].commands(), c.state["h3"].commands())
 	})
 }
+
+// A leader's snapshot comes while a write is under way. Until it is saved, it
+// is neither acknowledged nor applied.
+func TestASnapshotBesideAWriteCountsOnceItIsSaved(t *testing.T) {
+	members := []Member{
+		{ID: "a", Host: "a", Voter: true}, {ID: "b", Host: "b", Voter: true}, {ID: "c", Host: "c", Voter: true},
+	}
+	state := HardState{Cluster: "cluster", ID: "b", Host: "b", Term: 2, Vote: "a", Commit: firstIndex}
+	first := Snapshot{Index: firstIndex, Term: firstTerm, Members: members}
+	n := NewNode(NodeConfig{}, state, first, nil)
+	fromLeader := func(m Message) {
+		m.From, m.To, m.Cluster, m.Term = "a", "b", "cluster", 2
+		n.Step(m)
+	}
+	fromLeader(Message{Kind: MessageAppend, Index: 1, LogTerm: 1, Entries: []Entry{{Index: 2, Term: 2, Kind: EntryNoop}}})
+	write := n.Ready()
+	require.True(t, write.MustSave)
+
+	data := []byte("state")
+	fromLeader(Message{Kind: MessageSnapshot, Chunk: &Chunk{
+		Index: 10, Term: 2, Members: members, Total: uint64(len(data)), Checksum: checksum(data), Data: data,
+	}})
+	require.True(t, n.Installing())
+	fromLeader(Message{Kind: MessageAppend, Index: 10, LogTerm: 2, Commit: 10, Round: 7})
+	urgent := n.Urgent()
+	require.NotEmpty(t, urgent, "the leader is told that this replica lives")
+	for _, m := range urgent {
+		require.Equal(t, MessageAppendResponse, m.Kind)
+		require.False(t, m.Reject)
+		require.Equal(t, uint64(7), m.Round)
+		require.LessOrEqual(t, m.Index, uint64(firstIndex), "nothing more is durable")
+	}
+	require.Equal(t, uint64(firstIndex), n.AppliedIndex())
+	n.Advance()
+	require.Less(t, n.AppliedIndex(), uint64(10), "the machine does not hold the snapshot")
+
+	install := n.Ready()
+	require.NotNil(t, install.Install)
+	n.Advance()
+	require.Equal(t, uint64(10), n.AppliedIndex())
+	require.False(t, n.Installing())
+}
