Answer hosts with the first touch after a loss of all

A host that every hub has refused now waits at one of them, and the hub answers with its first touch. A host that has only lost one hub goes on to the next at once, as before.

TestAQuestionWaitsForTouch is new; the code before had no wait.

--- a/entry/watcher.go
+++ b/entry/watcher.go
@@ -82,7 +82,9 @@
 	for ctx.Err() == nil {
 		candidates := w.candidates()
 		address := candidates[w.at%len(candidates)]
-		err := w.ask(ctx, address)
+		// After a loss of all every hub is without touch for a while: a host that
+		// has been refused by each waits at one of them.
+		err := w.ask(ctx, address, w.failed >= len(candidates))
 		if err == nil {
 			w.failed = 0
 			if w.hub != address {
@@ -105,15 +107,16 @@
 	}
 }
 
-// ask asks a hub once and takes its news.
-func (w *watcher) ask(ctx context.Context, address string) error {
+// ask asks a hub once and takes its news. A hub without touch answers a patient
+// host when it has touch, or when the wait is over, and any other at once.
+func (w *watcher) ask(ctx context.Context, address string, patient bool) error {
 	view := w.entry.view.view()
 	question := peer.Watch{Host: w.entry.Settings.Host, Source: w.source, Roster: w.roster, Wait: watchWait, Loads: w.entry.targets.own()}
 	if view != nil {
 		question.Revision, question.FleetVersion = view.Revision, view.FleetVersion
 	}
 	slack := watchSlack
-	if w.hub != address {
+	if w.hub != address && !patient {
 		question.Wait = 0
 	}
 	if w.source == 0 {
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -80,7 +80,7 @@
 	gossip   *gossip
 	loads    *loads
 	steward  *steward
-	touch    touch
+	touch    *touch
 
 	peers net.Listener
 	admin net.Listener
@@ -102,6 +102,7 @@
 		table:        roster.NewTable(),
 		peers:        listener,
 	}
+	h.touch = newTouch(h.Clock)
 	h.watchers = newWatchers(h.Clock)
 	h.gossip = newGossip(h)
 	h.loads = newLoads(h.Clock)
--- a/hub/hub_test.go
+++ b/hub/hub_test.go
@@ -229,6 +229,32 @@
 	require.ErrorIs(t, err, protocol.ErrNotNow)
 }
 
+// After a loss of all, hosts ask before a leader is elected. They are answered
+// with the first touch, not with the next try.
+func TestAQuestionWaitsForTouch(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	touch := newTouch(clock)
+	ask := func(wait time.Duration) <-chan bool {
+		answered := make(chan bool, 1)
+		go func() { answered <- touch.await(wait) }()
+		return answered
+	}
+	require.False(t, <-ask(0), "a host that does not wait goes on to another hub")
+
+	first, second := ask(time.Second), ask(time.Second)
+	require.NoError(t, clock.BlockUntilContext(t.Context(), 2))
+	touch.renew(clock.Now())
+	require.True(t, <-first)
+	require.True(t, <-second)
+	require.True(t, <-ask(0))
+
+	clock.Advance(touchLasts)
+	late := ask(time.Second)
+	require.NoError(t, clock.BlockUntilContext(t.Context(), 1))
+	clock.Advance(time.Second)
+	require.False(t, <-late)
+}
+
 func TestPlacesAreGivenInOrder(t *testing.T) {
 	member := func(id, host string, voter bool) quorum.MemberStatus {
 		return quorum.MemberStatus{Member: quorum.Member{ID: id, Host: host, Voter: voter}}
--- a/hub/touch.go
+++ b/hub/touch.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -24,12 +24,59 @@
 )
 
 // touch is when the replica last held everything that a majority had committed.
-type touch struct{ at atomic.Pointer[time.Time] }
+type touch struct {
+	clock clockwork.Clock
+
+	mu sync.Mutex
+	at time.Time
+	// renewed is closed and replaced with each renewal.
+	renewed chan struct{}
+}
+
+func newTouch(clock clockwork.Clock) *touch {
+	return &touch{clock: clock, renewed: make(chan struct{})}
+}
+
+// renew records an answer to a question asked at the time.
+func (t *touch) renew(asked time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.at = asked
+	close(t.renewed)
+	t.renewed = make(chan struct{})
+}
+
+// held reports whether the replica was current a moment ago, and when to look
+// again.
+func (t *touch) held() (bool, <-chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.at.IsZero() && t.clock.Since(t.at) < touchLasts, t.renewed
+}
+
+// await waits for touch and reports whether it came in time.
+func (t *touch) await(wait time.Duration) bool {
+	held, renewed := t.held()
+	if held || wait <= 0 {
+		return held
+	}
+	timer := t.clock.NewTimer(wait)
+	defer timer.Stop()
+	for !held {
+		select {
+		case <-renewed:
+			held, renewed = t.held()
+		case <-timer.Chan():
+			return false
+		}
+	}
+	return true
+}
 
 // inTouch reports whether this hub's replica was current a moment ago.
 func (h *Hub) inTouch() bool {
-	at := h.touch.at.Load()
-	return at != nil && h.Clock.Since(*at) < touchLasts
+	held, _ := h.touch.held()
+	return held
 }
 
 // keepTouch asks the leader again and again whether the replica is current.
@@ -45,7 +92,7 @@
 		defer cancel()
 		err := h.replica.Quorum.Barrier(bounded)
 		if err == nil {
-			h.touch.at.Store(&asked)
+			h.touch.renew(asked)
 		}
 		if now := h.inTouch(); now != was {
 			was = now
--- a/hub/watchers.go
+++ b/hub/watchers.go
@@ -115,15 +115,17 @@
 func (h *Hub) watched(m peer.Watch, reply peer.Reply) {
 	h.watchers.heard(m.Host, m.Revision)
 	h.loads.host(m.Host, m.Loads)
-	if !h.inTouch() {
-		// The host goes on to another hub. After a loss of all, hundreds ask again
-		// and again, while the replicas need the link for their election.
+	began := h.Clock.Now()
+	if !h.touch.await(min(m.Wait, mostWait)) {
+		// The host goes on to another hub. After a loss of all, hundreds ask, while
+		// the replicas need the link for their election.
 		reply(peer.Watched{Source: m.Source, Roster: m.Roster, Replicas: h.replicas()})
 		return
 	}
 	if m.Source != h.source {
 		m.Roster = 0
 	}
+	m.Wait -= h.Clock.Since(began)
 	h.awaitNews(m)
 	answer := peer.Watched{
 		Current: h.inTouch(), Source: h.source, Hosts: h.watchers.count(), Replicas: h.replicas(),
