Serve late requests that fit into a drain, and log those that don't

A draining host now reads the request, serves it if its deadline is before the end of the drain limit, and closes the connection with the answer; any other is refused as before, with its line. Without a drain limit nothing changes.

TestALateRequestThatFitsTheDrainIsServed failed before (503, no line).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -130,6 +130,7 @@
 		gateway.WithBackoff(backoff),
 		gateway.WithLinger(0),
 		gateway.WithDrainLimit(max(e.Settings.DrainTimeout-leaveTime-exitTime, 0)),
+		gateway.WithLateRequests(),
 	)
 }
 
--- a/entry/targets.go
+++ b/entry/targets.go
@@ -328,6 +328,9 @@
 // why tells why no target was chosen, with what the decision rests on.
 func (t *targets) why(view *registry.View, list []*known, candidates []route.Local) string {
 	counts := map[route.Reason]int{}
+	if len(list) == 0 {
+		return fmt.Sprintf("no target of the service has been heard of yet (fleet version %d)", view.FleetVersion)
+	}
 	full, crowded := 0, 0
 	for i := range candidates {
 		counts[candidates[i].Closed]++
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -11,7 +11,8 @@
 var ErrDrainLimit = errors.New("drain limit reached")
 
 // Drain stops the gateway: its readiness fails and new requests are refused as
-// not run, on connections that then close. It returns when every request has
+// not run, on connections that then close. With WithLateRequests those whose
+// deadline comes before the drain limit are served. It returns when every request has
 // its answer and the connections are closed, or when ctx or the drain limit
 // ends it. Only a caller that does not read is cut, by its write budget.
 func (g *Gateway) Drain(ctx context.Context) error {
@@ -19,6 +20,8 @@
 		var cancel context.CancelFunc
 		ctx, cancel = clockwork.WithTimeout(ctx, g.Clock, g.settings.drainLimit)
 		defer cancel()
+		end := g.Clock.Now().Add(g.settings.drainLimit)
+		g.drainEnd.Store(&end)
 	}
 	idle := g.work.drain()
 	if g.settings.linger > 0 {
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 	"strings"
@@ -9,6 +10,7 @@
 	"testing"
 	"time"
 
+	"comfreytiller.dev/common/logs"
 	"comfreytiller.dev/standin"
 	"github.com/stretchr/testify/require"
 )
@@ -96,6 +98,41 @@
 	require.NoError(t, <-drained)
 }
 
+// Callers keep connections for later. One that comes back on such a connection
+// while a long stream holds up the drain is served if that can't delay the end.
+func TestALateRequestThatFitsTheDrainIsServed(t *testing.T) {
+	var lines bytes.Buffer
+	logger, err := logs.New(&lines, "info", "json")
+	require.NoError(t, err)
+	b := newFixture(t, WithLinger(0), WithDrainLimit(patience), WithLateRequests())
+	b.gateway.log = logs.Part(logger, "Route")
+	b.engine(standin.EngineSettings{Name: "engine-1", Gap: 50 * time.Millisecond})
+	b.get("Reviews/Status", dossier)
+	response := b.post("Reviews/Draft", dossier)
+	drained := make(chan error, 1)
+	go func() { drained <- b.gateway.Drain(context.Background()) }()
+	eventually(t, b.gateway.Draining, "the drain has begun")
+
+	refused := b.post("Reviews/Status", dossier, HeaderTimeout, (2 * patience).String(), HeaderRequest, "too-long")
+	text, err := read(refused)
+	require.NoError(t, err)
+	require.Equal(t, 503, refused.StatusCode)
+	require.Contains(t, text, `"Code":"Draining"`)
+	require.Contains(t, text, `"Ran":"No"`)
+
+	late := b.post("Reviews/Status", dossier, HeaderTimeout, "5s")
+	_, err = read(late)
+	require.NoError(t, err)
+	require.Equal(t, 200, late.StatusCode)
+	require.True(t, late.Close, "the next request goes elsewhere")
+
+	text, err = read(response)
+	require.NoError(t, err)
+	require.Equal(t, wantTokens(dossier, 12), parseStream(t, text).tokens)
+	require.NoError(t, <-drained)
+	require.Contains(t, lines.String(), "too-long", "the refusal has its line")
+}
+
 func TestACallerThatNeverReadsDoesNotBlockTheDrain(t *testing.T) {
 	b := newFixture(t, WithWriteStall(100*time.Millisecond))
 	engine := b.engine(standin.EngineSettings{Name: "engine-1"})
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -13,15 +13,21 @@
 
 // serveCall serves one call of a caller.
 func (g *Gateway) serveCall(ctx *fasthttp.RequestCtx) {
-	if !g.work.begin() {
-		g.fail(ctx, g.notReady())
-		return
-	}
+	begun := g.work.begin()
 	r := &Request{ID: g.nextID(), Started: g.Clock.Now()}
-	if f := g.Face.Parse(ctx, r); f != nil {
+	f := g.Face.Parse(ctx, r)
+	if f == nil && !begun {
+		begun = g.fitsDrain(r) && g.work.beginLate()
+		if !begun {
+			f = g.notReady()
+		}
+	}
+	if f != nil {
 		g.logRefused(r, f)
 		g.fail(ctx, f)
-		g.work.end()
+		if begun {
+			g.work.end()
+		}
 		return
 	}
 	x := g.newExchange(ctx, r)
@@ -35,6 +41,13 @@
 	}
 }
 
+// fitsDrain reports whether a request that comes while the gateway drains ends
+// before the drain does.
+func (g *Gateway) fitsDrain(r *Request) bool {
+	end := g.drainEnd.Load()
+	return g.settings.lateRequests && end != nil && !r.Deadline.After(*end)
+}
+
 // exchange is a caller's request from its arrival to the end of its answer.
 type exchange struct {
 	*dispatcher
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"comfreytiller.dev/common/logs"
 	"github.com/go-faster/errors"
@@ -55,6 +56,8 @@
 	// leaving is set while the host still serves but wants callers to go
 	// elsewhere.
 	leaving atomic.Bool
+	// drainEnd is when a drain with a limit ends; nil while there is none.
+	drainEnd atomic.Pointer[time.Time]
 }
 
 // New returns a gateway that serves nothing yet.
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -55,6 +55,7 @@
 	claimWait      time.Duration
 	linger         time.Duration
 	drainLimit     time.Duration
+	lateRequests   bool
 	handlers       []prefixHandler
 	targetErrors   bool
 	strictBudget   bool
@@ -134,6 +135,10 @@
 // with a refusal, so that the balancer sees its readiness fail.
 func WithLinger(d time.Duration) Option { return func(s *settings) { s.linger = d } }
 
+// WithLateRequests lets a draining gateway serve what comes on connections that
+// are open still, as long as its deadline is before the end of the drain limit.
+func WithLateRequests() Option { return func(s *settings) { s.lateRequests = true } }
+
 // WithDrainLimit bounds a drain. Without it every stream is finished.
 func WithDrainLimit(d time.Duration) Option { return func(s *settings) { s.drainLimit = d } }
 
--- a/gateway/work.go
+++ b/gateway/work.go
@@ -24,6 +24,20 @@
 	return true
 }
 
+// beginLate counts a request in while draining; it reports false once the drain
+// has found nothing left.
+func (w *work) beginLate() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	select {
+	case <-w.idle:
+		return false
+	default:
+		w.requests++
+		return true
+	}
+}
+
 // end counts a request out.
 func (w *work) end() {
 	w.mu.Lock()
