Tell callers of a leaving host to come back at once

The refusal of a draining host said 1 s, though the other hosts can serve at once and the connection closes. It says 50 ms.

--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -119,6 +119,7 @@
 	require.Equal(t, 503, refused.StatusCode)
 	require.Contains(t, text, `"Code":"Draining"`)
 	require.Contains(t, text, `"Ran":"No"`)
+	require.Contains(t, text, `"RetryAfter":0.05`, "the other hosts can serve at once")
 
 	late := b.post("Reviews/Status", dossier, HeaderTimeout, "5s")
 	_, err = read(late)
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"strings"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
@@ -32,6 +33,10 @@
 	contentStream = "text/event-stream"
 )
 
+// drainRetry is when a caller that a leaving host refuses may come back: the other
+// hosts can serve at once, and it does not meet this one again.
+const drainRetry = 50 * time.Millisecond
+
 // concurrencySlack keeps the HTTP server's own limit, which answers without an
 // error body, above the listener's.
 const concurrencySlack = 64
@@ -115,7 +120,7 @@
 // notReady returns why this host should get no requests, or nil.
 func (g *Gateway) notReady() *Failure {
 	if g.work.draining() {
-		return failure(fasthttp.StatusServiceUnavailable, CodeDraining, "this host is shutting down").after(g.settings.retryAfter)
+		return failure(fasthttp.StatusServiceUnavailable, CodeDraining, "this host is shutting down").after(drainRetry)
 	}
 	if g.Catalog.Fleet() == nil {
 		return failure(fasthttp.StatusServiceUnavailable, CodeNotReady, "no fleet is in force yet").after(g.settings.retryAfter)
