Tell callers when a started host will be ready

A host that knows no fleet yet now names the end of its first half second and 0 to 100 ms more; after that it can't tell and says a second as before.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -23,6 +23,9 @@
 		}
 	}
 	if f != nil {
+		if f.Code == CodeNotReady {
+			f.RetryAfter = g.startRetry()
+		}
 		g.logRefused(r, f)
 		g.fail(ctx, f)
 		if begun {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,6 +51,7 @@
 	work     *work
 	keys     *keys
 	log      *logrus.Logger
+	started  time.Time
 	idPrefix string
 	lastID   atomic.Uint64
 	// leaving is set while the host still serves but wants callers to go
@@ -84,6 +85,7 @@
 	if g.Face == nil {
 		g.Face = &nativeFace{gateway: g}
 	}
+	g.started = g.Clock.Now()
 	g.work = newWork()
 	g.keys = newKeys()
 	g.idPrefix = g.Host + "-" + nonce() + "-"
