Enforce the fleet's time-outs for headers and idle connections

The fleet text has Requests.HeaderTime and IdleTime now. The HTTP server's own time-outs are fixed when it starts, so the caller's connection puts the fleet's in place of them: for an idle connection, for the header, not for the body. A change counts from the next request of each connection.

--- a/fleet/bounds.go
+++ b/fleet/bounds.go
@@ -44,6 +44,7 @@
 	maxAttempts        = 100
 	maxWeight          = 1_000_000_000
 	maxHeaderBytes     = 1 << 20
+	minCallerTime      = time.Millisecond
 )
 
 // Defaults of the values that a text leaves out. Idempotent and Stream are
--- a/fleet/change.go
+++ b/fleet/change.go
@@ -79,6 +79,8 @@
 	d.fields(PartRequests, "", []value{
 		{"HeaderBytes", before.Requests.HeaderBytes, after.Requests.HeaderBytes},
 		{"BodyBytes", before.Requests.BodyBytes, after.Requests.BodyBytes},
+		{"HeaderTime", before.Requests.HeaderTime, after.Requests.HeaderTime},
+		{"IdleTime", before.Requests.IdleTime, after.Requests.IdleTime},
 	})
 	return d.changes
 }
--- a/fleet/parse_route.go
+++ b/fleet/parse_route.go
@@ -52,6 +52,8 @@
 		value, at,
 		jsonc.Field{Name: "HeaderBytes", Read: jsonc.Integer(&r.Reader, &limits.HeaderBytes, 1, maxHeaderBytes)},
 		jsonc.Field{Name: "BodyBytes", Read: jsonc.Integer(&r.Reader, &limits.BodyBytes, 1, maxBodyBytes)},
+		jsonc.Field{Name: "HeaderTime", Read: jsonc.Duration(&r.Reader, &limits.HeaderTime, minCallerTime, maxTotal)},
+		jsonc.Field{Name: "IdleTime", Read: jsonc.Duration(&r.Reader, &limits.IdleTime, minCallerTime, maxTotal)},
 	)
 }
 
--- a/fleet/route.go
+++ b/fleet/route.go
@@ -80,6 +80,10 @@
 type RequestLimits struct {
 	HeaderBytes int
 	BodyBytes   int
+	// HeaderTime is how long a caller may take to send a header, IdleTime how
+	// long a connection may stay without a request.
+	HeaderTime time.Duration
+	IdleTime   time.Duration
 }
 
 // Table finds routes, services and workspaces of one fleet without a search
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -19,6 +19,13 @@
 	stall   time.Duration
 	release func()
 	closing sync.Once
+	// limits returns the time for a header and for an idle connection.
+	limits func() (header, idle time.Duration)
+	// waiting is set from an answer to the first byte of the next request, armed
+	// since a deadline was set for its header. Only the server's goroutine uses
+	// them.
+	waiting bool
+	armed   bool
 
 	mu      sync.Mutex
 	kept    bool
@@ -26,7 +33,29 @@
 }
 
 func newCallerConn(clock clockwork.Clock, c net.Conn, stall time.Duration, release func()) *callerConn {
-	return &callerConn{Conn: c, guard: conn.NewGuard(clock, c), stall: stall, release: release}
+	return &callerConn{
+		Conn: c, guard: conn.NewGuard(clock, c), stall: stall, release: release,
+		limits: func() (time.Duration, time.Duration) { return 0, 0 },
+	}
+}
+
+// SetReadDeadline is how the HTTP server bounds the wait for a request, then the
+// reading of its header, and then of its body. The first two have limits in the
+// fleet, which change while the server runs.
+func (c *callerConn) SetReadDeadline(deadline time.Time) error {
+	header, idle := c.limits()
+	limit := time.Duration(0)
+	switch {
+	case deadline.IsZero():
+	case c.waiting:
+		limit, c.armed = idle, false
+	case !c.armed:
+		limit, c.armed = header, true
+	}
+	if limit > 0 {
+		deadline = time.Now().Add(limit)
+	}
+	return c.Conn.SetReadDeadline(deadline) //nolint:wrapcheck // The server tells time-outs by their type.
 }
 
 // Read reads from the connection, a kept byte first.
@@ -35,16 +64,22 @@
 	if c.kept && len(p) > 0 {
 		p[0] = c.keptVal
 		c.kept = false
+		c.waiting = false
 		c.mu.Unlock()
 		return 1, nil
 	}
 	c.mu.Unlock()
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.waiting = false
+	}
+	return n, err
 }
 
 // Write writes within the stall budget; a caller that does not read in that
 // time loses its connection.
 func (c *callerConn) Write(p []byte) (int, error) {
+	c.waiting, c.armed = true, false
 	c.guard.Arm(c.stall)
 	n, err := c.Conn.Write(p)
 	c.guard.Disarm()
@@ -64,7 +99,7 @@
 	c.mu.Lock()
 	kept := c.kept
 	c.mu.Unlock()
-	if kept || c.SetReadDeadline(time.Time{}) != nil {
+	if kept || c.Conn.SetReadDeadline(time.Time{}) != nil {
 		return func() {}
 	}
 	ended := make(chan struct{})
@@ -74,9 +109,9 @@
 	return func() {
 		once.Do(func() {
 			close(stopped)
-			_ = c.SetReadDeadline(time.Unix(1, 0))
+			_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 			<-ended
-			_ = c.SetReadDeadline(time.Time{})
+			_ = c.Conn.SetReadDeadline(time.Time{})
 		})
 	}
 }
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -157,3 +157,69 @@
 	eventually(t, func() bool { return b.gateway.InFlight() == 0 && engine.InFlight() == 0 }, "the request is over")
 	eventually(t, func() bool { return len(b.admitter.outcomes()) == 1 }, "the permit is released")
 }
+
+// halfHeader opens a connection that has sent a part of a header.
+func (b *fixture) halfHeader() net.Conn {
+	connection, err := net.Dial("tcp", b.address)
+	require.NoError(b.t, err)
+	b.t.Cleanup(func() { _ = connection.Close() })
+	require.NoError(b.t, connection.SetDeadline(time.Now().Add(patience)))
+	_, err = io.WriteString(connection, "POST "+PathServices+"Reviews/Status HTTP/1.1\r\nHost: h\r\n")
+	require.NoError(b.t, err)
+	return connection
+}
+
+// The fleet bounds the time for a header, but not that for a body.
+func TestTheFleetBoundsTheTimeForAHeader(t *testing.T) {
+	known := exampleFleet()
+	known.Requests.HeaderTime = 200 * time.Millisecond
+	b := newFixtureOf(t, known)
+	b.engine(standin.EngineSettings{Name: "engine-1"})
+	slowBody := b.halfHeader()
+	_, err := fmt.Fprintf(slowBody, "Comfreytiller-Workspace: Students\r\nContent-Length: %d\r\n\r\n", len(dossier))
+	require.NoError(t, err)
+
+	slowHeader := b.halfHeader()
+	response, err := http.ReadResponse(bufio.NewReader(slowHeader), nil)
+	require.NoError(t, err)
+	text, err := read(response)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusRequestTimeout, response.StatusCode)
+	require.Contains(t, text, CodeSlowSender)
+
+	// The other connection has waited as long by now.
+	_, err = io.WriteString(slowBody, dossier)
+	require.NoError(t, err)
+	response, err = http.ReadResponse(bufio.NewReader(slowBody), nil)
+	require.NoError(t, err)
+	_, err = read(response)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+}
+
+func TestTheFleetBoundsIdleConnections(t *testing.T) {
+	known := exampleFleet()
+	known.Requests.IdleTime = 200 * time.Millisecond
+	b := newFixtureOf(t, known)
+	b.engine(standin.EngineSettings{Name: "engine-1"})
+	connection := b.halfHeader()
+	reader := bufio.NewReader(connection)
+	rest := fmt.Sprintf("Comfreytiller-Workspace: Students\r\nContent-Length: %d\r\n\r\n%s", len(dossier), dossier)
+	serve := func() {
+		_, err := io.WriteString(connection, rest)
+		require.NoError(t, err)
+		response, err := http.ReadResponse(reader, nil)
+		require.NoError(t, err)
+		_, err = read(response)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, response.StatusCode)
+	}
+	serve()
+	_, err := io.WriteString(connection, "POST "+PathServices+"Reviews/Status HTTP/1.1\r\nHost: h\r\n")
+	require.NoError(t, err)
+	serve()
+	began := time.Now()
+	_, err = reader.ReadByte()
+	require.ErrorIs(t, err, io.EOF, "the host closes a connection without a request")
+	require.GreaterOrEqual(t, time.Since(began), known.Requests.IdleTime/2)
+}
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -38,7 +38,9 @@
 			continue
 		}
 		release := func() { l.open.Add(-1) }
-		return newCallerConn(l.gateway.Clock, c, l.gateway.settings.writeStall, release), nil
+		caller := newCallerConn(l.gateway.Clock, c, l.gateway.settings.writeStall, release)
+		caller.limits = l.gateway.callerTimes
+		return caller, nil
 	}
 }
 
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -70,7 +70,7 @@
 func (g *Gateway) bodyLimit(header *fasthttp.RequestHeader) fasthttp.RequestConfig {
 	limit := g.settings.bodyBytes
 	if g.settings.callsOnly {
-		return fasthttp.RequestConfig{MaxRequestBodySize: limit}
+		return fasthttp.RequestConfig{MaxRequestBodySize: limit, ReadTimeout: g.settings.readTimeout}
 	}
 	name, _, _ := strings.Cut(strings.TrimPrefix(string(header.RequestURI()), PathServices), "/")
 	if fleet := g.Catalog.Fleet(); fleet != nil {
@@ -78,7 +78,17 @@
 			limit = service.Limits.BodyBytes
 		}
 	}
-	return fasthttp.RequestConfig{MaxRequestBodySize: limit}
+	return fasthttp.RequestConfig{MaxRequestBodySize: limit, ReadTimeout: g.settings.readTimeout}
+}
+
+// callerTimes returns the fleet's limits on the time for a header and for an idle
+// connection; 0 leaves one to the settings.
+func (g *Gateway) callerTimes() (header, idle time.Duration) {
+	current := g.Catalog.Fleet()
+	if current == nil {
+		return 0, 0
+	}
+	return current.Requests.HeaderTime, current.Requests.IdleTime
 }
 
 // malformed answers a request that could not be read.
