Bring hosts back to their first hub

Cause: two of five hubs lost touch in the first seconds, their hosts fled to the others and stayed: 24, 37 and 41 hosts on three hubs and none on two, whose links (6 Mb/s) then carry the text to 102 hosts. Ruled out: the election, the replicas (leader and touch stand before the text comes).

A host asks its first hub again after 3 to 6 s, and more rarely each time that fails. TestHostsComeHomeWhenTheirHubServesAgain: at most 40 of 100 hosts on one of five hubs, all home at the end.

--- a/entry/watcher.go
+++ b/entry/watcher.go
@@ -50,10 +50,11 @@
 	source uint64
 	roster uint64
 	hub    string
+	homing homing
 }
 
 func newWatcher(e *Entry) *watcher {
-	return &watcher{entry: e, log: logs.Part(e.Log, "Watch"), clock: e.Clock, seeds: e.Settings.StateReplicas}
+	return &watcher{entry: e, log: logs.Part(e.Log, "Watch"), clock: e.Clock, seeds: e.Settings.StateReplicas, homing: newHoming(e.Settings.Host)}
 }
 
 // use replaces the hubs of the settings.
@@ -82,15 +83,16 @@
 	for ctx.Err() == nil {
 		candidates := w.candidates()
 		address := candidates[w.at%len(candidates)]
+		if first := candidates[0]; w.hub != "" && w.hub != first && w.homing.due(w.clock.Now()) {
+			w.goHome(ctx, first)
+			continue
+		}
 		// After a loss of all every hub is without touch for a while: a host that
 		// has been refused by each waits at one of them.
 		err := w.ask(ctx, address, w.failed >= len(candidates))
 		if err == nil {
 			w.failed = 0
-			if w.hub != address {
-				w.hub = address
-				w.log.WithField("Hub", address).Info("Watches a hub.")
-			}
+			w.watches(address, address == candidates[0])
 			continue
 		}
 		if w.hub == address {
@@ -107,6 +109,31 @@
 	}
 }
 
+// watches records the hub that has just answered.
+func (w *watcher) watches(address string, first bool) {
+	if w.hub == address {
+		return
+	}
+	w.hub = address
+	w.log.WithField("Hub", address).Info("Watches a hub.")
+	if first {
+		w.homing.home()
+	} else {
+		w.homing.away(w.clock.Now())
+	}
+}
+
+// goHome asks the first hub again and stays there if it can serve.
+func (w *watcher) goHome(ctx context.Context, first string) {
+	if err := w.ask(ctx, first, false); err != nil {
+		w.log.WithFields(logrus.Fields{"Hub": first, "Error": err.Error()}).Debug("The first hub can't serve yet.")
+		w.homing.failed(w.clock.Now())
+		return
+	}
+	w.at = 0
+	w.watches(first, true)
+}
+
 // ask asks a hub once and takes its news. A hub without touch answers a patient
 // host when it has touch, or when the wait is over, and any other at once.
 func (w *watcher) ask(ctx context.Context, address string, patient bool) error {
