Try to connect again before the kernel does

A node now tries for 0.2 s, 0.4 s and the rest. A refusal still ends it at once. TestAHostThatWasDarkIsReachedAtOnce did not build before; with one try it sees one of 1 s.

--- a/peer/node.go
+++ b/peer/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/jonboulle/clockwork"
@@ -25,6 +26,9 @@
 	config  Config
 	handler Handler
 
+	// tryDial opens a connection within the time.
+	tryDial func(address string, timeout time.Duration) (net.Conn, error)
+
 	mu     sync.Mutex
 	dialed map[string]*dialing
 	open   map[*Conn]struct{}
@@ -46,8 +50,11 @@
 	return &Node{
 		config:  config,
 		handler: handler,
-		dialed:  map[string]*dialing{},
-		open:    map[*Conn]struct{}{},
+		tryDial: func(address string, timeout time.Duration) (net.Conn, error) {
+			return net.DialTimeout("tcp", address, timeout)
+		},
+		dialed: map[string]*dialing{},
+		open:   map[*Conn]struct{}{},
 	}
 }
 
@@ -196,8 +203,7 @@
 }
 
 func (n *Node) dialConn(address string) (*Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	raw, err := dialer.Dial("tcp", address)
+	raw, err := n.dialAgain(address)
 	if err != nil {
 		return nil, err
 	}
@@ -210,3 +216,21 @@
 	_ = conn.SetDeadline(noDeadline)
 	return newConn(address, conn, n.config.Clock, n.handler), nil
 }
+
+// dialAgain opens a connection, with a new try where one takes longer than usual:
+// the kernel repeats a lost first packet only after a second, and a host that was
+// dark for a moment, as after a loss of power, is back long before that.
+func (n *Node) dialAgain(address string) (net.Conn, error) {
+	left := dialTimeout
+	for try := firstDial; ; try *= 2 {
+		if try >= left {
+			return n.tryDial(address, left)
+		}
+		conn, err := n.tryDial(address, try)
+		var slow net.Error
+		if err == nil || !errors.As(err, &slow) || !slow.Timeout() {
+			return conn, err
+		}
+		left -= try
+	}
+}
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net"
+	"os"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -170,3 +172,37 @@
 	clock.Advance(2 * time.Second)
 	require.True(t, conn.check(clock.Now()))
 }
+
+// A host without power drops the first packet of a connection. The next try does
+// not wait until the kernel sends that packet again.
+func TestAHostThatWasDarkIsReachedAtOnce(t *testing.T) {
+	clock := clockwork.NewRealClock()
+	echo := func(_ string, message Message, reply Reply) { reply(message) }
+	address := listen(t, newTestNode("b", testKey, clock, echo))
+	a := newTestNode("a", testKey, clock, echo)
+	var tries []time.Duration
+	a.tryDial = func(address string, timeout time.Duration) (net.Conn, error) {
+		tries = append(tries, timeout)
+		if len(tries) <= 2 {
+			// Nobody answers within the time.
+			return nil, &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}
+		}
+		return net.DialTimeout("tcp", address, timeout)
+	}
+	answer, err := a.Call(t.Context(), address, VersionsAsk{})
+	require.NoError(t, err)
+	require.Equal(t, VersionsAsk{}, answer)
+	require.Equal(t, []time.Duration{firstDial, 2 * firstDial, dialTimeout - 3*firstDial}, tries)
+}
+
+func TestARefusedConnectionIsNotTriedAgain(t *testing.T) {
+	a := newTestNode("a", testKey, clockwork.NewRealClock(), nil)
+	tries := 0
+	a.tryDial = func(string, time.Duration) (net.Conn, error) {
+		tries++
+		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	}
+	_, err := a.Call(t.Context(), "127.0.0.1:1", VersionsAsk{})
+	require.ErrorIs(t, err, syscall.ECONNREFUSED)
+	require.Equal(t, 1, tries)
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -47,6 +47,9 @@
 	deadAfter = 700 * time.Millisecond
 	// dialTimeout bounds connecting and the handshake.
 	dialTimeout = time.Second
+	// firstDial bounds the first try to connect, each further one twice the one
+	// before; 0.2 s is several round trips between regions.
+	firstDial = 200 * time.Millisecond
 	// idleAfter closes a connection without traffic.
 	idleAfter = 2 * time.Minute
 )
