Keep prompts with few requests near their home in large fleets

In a large fleet more hosts share the requests of such a prompt, and each target more copies it. Large fleets now look for 6 again, small ones for 24, hot prompts for 48.

--- a/route/local.go
+++ b/route/local.go
@@ -60,7 +60,10 @@
 	largeFleet     = 32
 	largeLowFactor = 1.4
 	largeLowExtra  = 1
-	largeHotRoom   = 48
+	// In a large fleet many hosts share few requests for a prompt, unless it is
+	// hot: each of them has little to lose to an old view.
+	largeHotRoom  = 48
+	largeCoolRoom = 6
 )
 
 // Between the low and the high bound on one target's requests, each a multiple of
--- a/route/local_test.go
+++ b/route/local_test.go
@@ -215,6 +215,35 @@
 	}
 }
 
+// In a large fleet a full home has many neighbours. A prompt with few requests
+// goes to some of them, since each one more copies it; a hot one to many.
+func TestAPromptWithFewRequestsStaysNearItsHome(t *testing.T) {
+	used := func(targets []Local, hot bool) int {
+		seen := map[int]bool{}
+		random := rand.New(rand.NewPCG(5, 6))
+		for range 500 {
+			seen[ChooseLocal(17, random.Uint64(), hot, 10_000, targets, &testCosts).Target] = true
+		}
+		return len(seen)
+	}
+	targets := localTargets(112)
+	for i := range targets {
+		targets[i].Running = 4
+	}
+	home := ChooseLocal(17, 0, false, 10_000, targets, &testCosts).Target
+	targets[home].Running = 10
+	require.LessOrEqual(t, used(targets, false), 4)
+	require.GreaterOrEqual(t, used(targets, true), 12)
+	// A small fleet has no more room to lose to an old view.
+	small := localTargets(9)
+	for i := range small {
+		small[i].Running = 4
+	}
+	home = ChooseLocal(17, 0, false, 10_000, small, &testCosts).Target
+	small[home].Running = 10
+	require.GreaterOrEqual(t, used(small, false), 5)
+}
+
 func TestThePromptOfALeavingTargetIsCopiedFromIt(t *testing.T) {
 	targets := localTargets(6)
 	first := ChooseLocal(17, 0, false, 10_000, targets, &testCosts)
--- a/route/spread.go
+++ b/route/spread.go
@@ -28,8 +28,11 @@
 	var room [mostSpread]float64
 	total, used := 0.0, 0
 	wanted := float64(spreadRoom)
-	if hot && len(targets) > largeFleet {
-		wanted = largeHotRoom
+	if len(targets) > largeFleet {
+		wanted = largeCoolRoom
+		if hot {
+			wanted = largeHotRoom
+		}
 	}
 	for used < count && total < wanted {
 		room[used] = max(bound-targets[order[used].target].Running, 0)
