--- a/commands/status.go
+++ b/commands/status.go
@@ -71,6 +71,7 @@
 	for _, order := range s.Orders {
 		row("ORDER "+order.Id, order.Target, order.Kind, order.Service, order.State, order.Reason)
 	}
+	// Like every line of a command, the table is lost if standard output is closed.
 	_ = table.Flush()
 	for _, alarm := range s.Alarms {
 		a.printf("ALARM %s\n", alarm)
--- a/common/sniff/sniff.go
+++ b/common/sniff/sniff.go
@@ -61,9 +61,11 @@
 
 func (s *Splitter) sort(conn net.Conn, match func(net.Conn)) {
 	first := make([]byte, len(s.prefix))
+	// Deadlines fail only on a closed connection, on which the next read fails too.
 	_ = conn.SetReadDeadline(s.clock.Now().Add(firstBytesTimeout))
 	n, err := io.ReadFull(conn, first)
 	if err != nil {
+		// The peer left before it said which protocol it speaks; there is nobody to tell.
 		_ = conn.Close()
 		return
 	}
@@ -104,6 +106,7 @@
 	select {
 	case q.conns <- conn:
 	case <-q.closed:
+		// The listener is gone, and so is whoever could handle an error.
 		_ = conn.Close()
 	}
 }
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -109,6 +109,7 @@
 	return func() {
 		once.Do(func() {
 			close(stopped)
+			// Both fail only on a closed connection, which ends the watch as well.
 			_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 			<-ended
 			_ = c.Conn.SetReadDeadline(time.Time{})
