Count targets that take no work in the mean that bounds the others

By the hosts' logs no request met a target with more than twice the mean of the 11 that took work and three; with the mean of all 18 to 20 of the service it is 38 to 100. A failure domain was out and engines were being replaced: those run on and count in the mean that overload is judged by. Ruled out: old reports (the estimates were within 2 to 4 of what ran), cold engines (5 requests).

The bounds now take the lower of both means into account; the low bound is then half way to the limit. TestTargetsThatTakeNoWorkCountInTheMean before: 494 of 3,600 met a full target (108 allowed).

--- a/route/local.go
+++ b/route/local.go
@@ -83,6 +83,10 @@
 	limitExtra  = 3
 )
 
+// leastRoom is kept between the mean of the targets that take work, the low bound
+// and the high one, however many are out.
+const leastRoom = 1
+
 // mostOver bounds the price of a target beyond the high bound.
 const mostOver = 2
 
@@ -110,7 +114,7 @@
 func ChooseLocal(key, point uint64, hot bool, tokens int, targets []Local, costs *LocalCosts) LocalChoice {
 	order := rank(key, targets)
 	mean := meanRunning(targets)
-	low, high := bounds(mean, len(targets))
+	low, high := boundsOf(mean, targets)
 	if order.home != None && targets[order.home].Running+1 > low {
 		if at := spread(key, point, hot, low, targets); at != None {
 			return LocalChoice{Target: at, Holder: order.holder(at, targets), Home: at == order.home}
@@ -203,6 +207,30 @@
 	return lowFactor*mean + lowExtra, highFactor*mean + highExtra
 }
 
+// boundsOf are the bounds for the targets. Those that take no new work but run
+// still, as while a failure domain is out, count in the mean that overload is
+// judged by, and leave the others less room above their own mean. The low bound is
+// then half way to the limit: below it each request more that leaves its home costs
+// a copy.
+func boundsOf(mean float64, targets []Local) (low, high float64) {
+	low, high = bounds(mean, len(targets))
+	sum, count := 0.0, 0
+	for i := range targets {
+		if targets[i].Closed != Gone {
+			sum += targets[i].Running
+			count++
+		}
+	}
+	if count == 0 {
+		return low, high
+	}
+	all := sum / float64(count)
+	lowAll, highAll := bounds(all, len(targets))
+	lowAll = (lowAll + limitFactor*all + limitExtra) / 2
+	low = min(low, max(lowAll, mean+leastRoom))
+	return low, min(high, max(highAll, low+leastRoom))
+}
+
 // meanRunning is the mean over the targets that take new work.
 func meanRunning(targets []Local) float64 {
 	sum, count := 0.0, 0
--- a/route/local_test.go
+++ b/route/local_test.go
@@ -82,7 +82,7 @@
 	}
 	r.keeps[at][key] = true
 	r.sent++
-	if r.targets[at].Running > 2*meanRunning(r.targets)+3 {
+	if r.targets[at].Running > 2*r.mean()+3 {
 		r.over++
 	}
 	r.targets[at].Running++
@@ -90,6 +90,15 @@
 	r.seen[at] += 0.1
 }
 
+// mean is what a target holds on average, counting those that take no new work.
+func (r *replay) mean() float64 {
+	sum := 0.0
+	for i := range r.targets {
+		sum += r.targets[i].Running
+	}
+	return sum / float64(len(r.targets))
+}
+
 // tick ends a part of what runs and refreshes what hosts believe.
 func (r *replay) tick() {
 	for i := range r.targets {
@@ -200,6 +209,23 @@
 	require.Greater(t, without.over, 2*with.over, "the rule's absence fills them in turn")
 }
 
+// A failure domain is out, and some targets of another one leave: the others take
+// the whole load, and still none of them holds twice what a target of the service
+// does on average.
+func TestTargetsThatTakeNoWorkCountInTheMean(t *testing.T) {
+	for _, hot := range []float64{0, 0.2} {
+		r := newReplay(18)
+		for i := range 6 {
+			r.targets[3*i].Closed = DomainOut
+		}
+		r.targets[1].Closed = Leaving
+		r.run(byHome, hot)
+		require.LessOrEqual(t, float64(r.over), 0.03*float64(r.sent), "of %d sent met a full target", r.sent)
+		require.Zero(t, r.refused)
+		require.Less(t, 4*r.read, 3600*10_000, "prompts are still kept at their homes")
+	}
+}
+
 // After a rolling release all targets but one are cold, and take no more than a
 // share of the load. The last one does not take all the rest.
 func TestTheLastWarmTargetIsNotFilled(t *testing.T) {
@@ -285,7 +311,7 @@
 		}), 0, 8).Draw(t, "targets")
 		choice := ChooseLocal(rapid.Uint64().Draw(t, "prompt"), rapid.Uint64().Draw(t, "point"), rapid.Bool().Draw(t, "hot"), 1000, targets, &testCosts)
 		open, sound, held, spare := 0, 0, 0, 0
-		low, _ := bounds(meanRunning(targets), len(targets))
+		low, _ := boundsOf(meanRunning(targets), targets)
 		for i := range targets {
 			if targets[i].Closed == Open && targets[i].Full {
 				held++
