--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -15,6 +15,7 @@
 // is kept for the server.
 type callerConn struct {
 	net.Conn
+	clock   clockwork.Clock
 	guard   *conn.Guard
 	stall   time.Duration
 	release func()
@@ -34,7 +35,7 @@
 
 func newCallerConn(clock clockwork.Clock, c net.Conn, stall time.Duration, release func()) *callerConn {
 	return &callerConn{
-		Conn: c, guard: conn.NewGuard(clock, c), stall: stall, release: release,
+		Conn: c, clock: clock, guard: conn.NewGuard(clock, c), stall: stall, release: release,
 		limits: func() (time.Duration, time.Duration) { return 0, 0 },
 	}
 }
@@ -53,7 +54,7 @@
 		limit, c.armed = header, true
 	}
 	if limit > 0 {
-		deadline = time.Now().Add(limit)
+		deadline = c.clock.Now().Add(limit)
 	}
 	return c.Conn.SetReadDeadline(deadline) //nolint:wrapcheck // The server tells time-outs by their type.
 }
