Take SIGHUP from the start of a process to its end

Their last line is 1.6 s after Drains, with neither Drained nor a warning, at the moment when new settings are announced by SIGHUP: the handler ended with SIGTERM, and without one the signal ends the process. The same held from the start of a process until the handler was set. Ruled out: the drain limit (4.6 s away) and the late requests (long streams from before the drain were cut, too).

The signal is taken before anything else and settings are followed until the drain is over. Whole hosts had the same fault.

--- a/commands/daemon.go
+++ b/commands/daemon.go
@@ -99,6 +99,9 @@
 }
 
 func runDaemon(given daemonArguments, streams Streams) error {
+	// SIGHUP ends a process that does not take it, also while it starts or drains.
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
 	loaded, err := settings.Load(given.settings)
 	if err != nil {
 		return err
@@ -110,7 +113,7 @@
 		return err
 	}
 	if loaded.Role != settings.RoleWhole {
-		return runRole(given, loaded, log, streams)
+		return runRole(given, loaded, log, hangUps, streams)
 	}
 	dependencies, err := daemonDependencies(given, loaded, log, streams)
 	if err != nil {
@@ -122,7 +125,9 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	go reload(ctx, given.settings, log)
+	following, end := context.WithCancel(context.Background())
+	defer end()
+	go reload(following, hangUps, given.settings, log)
 	return daemon.Run(ctx)
 }
 
@@ -187,10 +192,7 @@
 
 // reload takes the log level from the settings again on SIGHUP. All else needs
 // a restart; faulty settings change nothing.
-func reload(ctx context.Context, file string, log *logrus.Logger) {
-	hangUps := make(chan os.Signal, 1)
-	signal.Notify(hangUps, syscall.SIGHUP)
-	defer signal.Stop(hangUps)
+func reload(ctx context.Context, hangUps <-chan os.Signal, file string, log *logrus.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
--- a/commands/daemon_role.go
+++ b/commands/daemon_role.go
@@ -33,7 +33,7 @@
 }
 
 // runRole runs a daemon of the role Entry or State until SIGTERM or SIGINT.
-func runRole(given daemonArguments, loaded *settings.Settings, log *logrus.Logger, streams Streams) error {
+func runRole(given daemonArguments, loaded *settings.Settings, log *logrus.Logger, hangUps <-chan os.Signal, streams Streams) error {
 	speaks, known := protocols[loaded.Protocol]
 	if !known {
 		return errors.Wrapf(errProtocol, "%q", loaded.Protocol)
@@ -72,17 +72,16 @@
 		}
 		use, run = daemon.Watch, daemon.Run
 	}
-	go followSettings(ctx, given.settings, loaded, log, streams, use)
+	following, end := context.WithCancel(context.Background())
+	defer end()
+	go followSettings(following, hangUps, given.settings, loaded, log, streams, use)
 	return run(ctx)
 }
 
 // followSettings takes what may change while the daemon runs, on SIGHUP and when
 // the file is another one: the log level and the addresses of the state
 // replicas. Faulty settings change nothing.
-func followSettings(ctx context.Context, file string, loaded *settings.Settings, log *logrus.Logger, streams Streams, use func([]string)) {
-	hangUps := make(chan os.Signal, 1)
-	signal.Notify(hangUps, syscall.SIGHUP)
-	defer signal.Stop(hangUps)
+func followSettings(ctx context.Context, hangUps <-chan os.Signal, file string, loaded *settings.Settings, log *logrus.Logger, streams Streams, use func([]string)) {
 	ticker := streams.Clock.NewTicker(settingsInterval)
 	defer ticker.Stop()
 	var last []byte
