Report a command in doubt as unknown when its replica stops

Cause: a replica that stops finishes a command it has already proposed with ErrUnknownOutcome joined with ErrStopped. Propose checked ErrStopped first and replied NotLeader, which the proposer takes for 'had no effect'.

Change: the code of the reply is a function of its own that checks the unknown outcome first. Ruled out: dropping ErrStopped from the joined error, since local callers test for it.

--- a/state/state.go
+++ b/state/state.go
@@ -66,10 +66,10 @@
 // ErrClusterExists if Bootstrap is set and a cluster exists; see also
 // IsStorageNotEmpty.
 func Open(config Config) (*Replica, error) {
-	r := &Replica{Machine: config.Machine, log: config.Log, clock: config.Clock}
-	if r.Machine == nil {
-		r.Machine = registry.NewMachine()
+	if config.Machine == nil {
+		config.Machine = registry.NewMachine()
 	}
+	r := &Replica{Machine: config.Machine, log: config.Log, clock: config.Clock}
 	opened, err := journal.Open(config.DataDir)
 	if err != nil {
 		return nil, errors.Wrapf(err, "open journal in %s", config.DataDir)
@@ -115,7 +115,7 @@
 	}
 	var snapshot []byte
 	if config.Restore != nil {
-		if snapshot, err = registry.SnapshotFromBackup(config.Restore); err != nil {
+		if snapshot, err = config.Machine.SnapshotFromBackup(config.Restore); err != nil {
 			return errors.Wrap(err, "read backup")
 		}
 	}
@@ -197,14 +197,26 @@
 	ctx, cancel := clockwork.WithTimeout(context.Background(), r.clock, commitTimeout)
 	defer cancel()
 	result, err := r.Quorum.Propose(ctx, m.Command)
+	response := peer.ProposeResponse{Code: proposeCode(err), Result: result}
+	if err != nil {
+		response.Leader = r.LeaderAddress()
+	}
+	reply(response)
+}
+
+// proposeCode returns the code that tells the proposer whether its command may take
+// effect. A replica that stops joins quorum.ErrUnknownOutcome with an error that
+// alone means no effect, so the unknown outcome is checked first.
+func proposeCode(err error) peer.Code {
 	switch {
 	case err == nil:
-		reply(peer.ProposeResponse{Code: peer.CodeDone, Result: result})
+		return peer.CodeDone
+	case errors.Is(err, quorum.ErrUnknownOutcome):
+		return peer.CodeUnknown
 	case errors.Is(err, quorum.ErrNotLeader), errors.Is(err, quorum.ErrQueueFull), errors.Is(err, quorum.ErrStopped):
-		reply(peer.ProposeResponse{Code: peer.CodeNotLeader, Leader: r.LeaderAddress()})
-	default:
-		reply(peer.ProposeResponse{Code: peer.CodeUnknown, Leader: r.LeaderAddress()})
+		return peer.CodeNotLeader
 	}
+	return peer.CodeUnknown
 }
 
 // Identity returns the IDs of the replica and its cluster.
