Convert the priority of a route into that of a call

Cause: 0 goes first among routes and workspaces, the highest number among calls. ResolveRoute passed the value on unchanged, so an owner's queue served the least urgent route first. The platform's dialect relied on the unchanged value.

--- a/gateway/route.go
+++ b/gateway/route.go
@@ -62,7 +62,7 @@
 	}
 	r.Service, r.MaxAttempts, r.FirstByteObjective = *service, route.Attempts, route.Objective
 	r.Call = fleet.Call{
-		Name: route.Name, Idempotent: route.Retryable(), Priority: priority,
+		Name: route.Name, Idempotent: route.Retryable(), Priority: callPriority(priority),
 		Stream: route.Kind == fleet.RouteStream, StopsWithCaller: route.Kind == fleet.RouteStream,
 	}
 	r.Service.Timeouts = routeTimeouts(route)
@@ -70,6 +70,10 @@
 	return nil
 }
 
+// callPriority converts the priority of a route or workspace, of which the lowest
+// value goes first, to that of a call, of which the highest goes first.
+func callPriority(routePriority int) int { return -routePriority }
+
 // setRouteDeadline sets the deadline from the timeout of the caller or of the
 // route, whichever is shorter. deadlineMargin takes at most half of the timeout
 // of the caller.
--- a/target/call.go
+++ b/target/call.go
@@ -46,8 +46,7 @@
 	Chat      string
 	// IdempotencyKey is supplied by the caller; empty for none.
 	IdempotencyKey string
-	// Priority is passed on to engines. Higher numbers go first in the native
-	// protocol, lower numbers in the platform's protocol.
+	// Priority is passed on to engines. Higher numbers go first; dialects convert it.
 	Priority int
 	// FencingToken is the fencing token of the permit.
 	FencingToken uint64
