Tell hosts of a target's new kind or model, restore backups with the cluster's parser

Causes: hasChanged compared neither kind nor model, so that such a change reached no host. SnapshotFromBackup always used fleet.Parse, so that a cluster with its own format could not be restored.

Change: both fields are compared; SnapshotFromBackup is a method of the machine and uses its parser.

--- a/registry/backup.go
+++ b/registry/backup.go
@@ -3,7 +3,6 @@
 import (
 	"github.com/go-faster/errors"
 
-	"comfreytiller.dev/fleet"
 	"comfreytiller.dev/registry/registrypb"
 )
 
@@ -45,15 +44,16 @@
 }
 
 // SnapshotFromBackup returns the initial snapshot of a new cluster that is
-// restored from a backup. The new cluster needs a new identity: hosts of the
+// restored from a backup, whose fleet configuration must be valid for the
+// machine's parser. The state of the machine stays unchanged. The new cluster needs a new identity: hosts of the
 // former cluster hold later revisions and versions, and the claims lack its
 // changes after the backup. Errors wrap ErrBackup.
-func SnapshotFromBackup(backup []byte) (snapshot []byte, err error) {
+func (m *Machine) SnapshotFromBackup(backup []byte) (snapshot []byte, err error) {
 	wire, err := decodeWithChecksum(backupMagic, backup)
 	if err != nil {
 		return nil, errors.Wrap(ErrBackup, err.Error())
 	}
-	if _, err := stateFromWire(wire, fleet.Parse); err != nil {
+	if _, err := stateFromWire(wire, m.state.parseFleet); err != nil {
 		return nil, errors.Wrap(ErrBackup, err.Error())
 	}
 	return encodeWithChecksum(snapshotMagic, wire)
--- a/registry/versioned_fleet_test.go
+++ b/registry/versioned_fleet_test.go
@@ -69,6 +69,17 @@
 	require.Equal(t, "west", view.Fleet.Name)
 	_, err = delta.Apply(nil)
 	require.ErrorIs(t, err, ErrConfigMismatch)
+
+	// A backup is restored with the parser of the cluster, not with the default one.
+	backup, err := machine.Backup()
+	require.NoError(t, err)
+	snapshot, err = NewMachine(WithFleetParser(parse)).SnapshotFromBackup(backup)
+	require.NoError(t, err)
+	fromBackup := NewMachine(WithFleetParser(parse))
+	require.NoError(t, fromBackup.Restore(snapshot))
+	require.Equal(t, "west", fromBackup.View().Fleet.Name)
+	_, err = NewMachine().SnapshotFromBackup(backup)
+	require.ErrorIs(t, err, ErrBackup)
 }
 
 // TestConfigPatch_SmallChangeOfLargeConfig: the delta of a small change of a large
--- a/target/roster/roster.go
+++ b/target/roster/roster.go
@@ -129,14 +129,14 @@
 }
 
 // hasChanged reports whether two entries differ in more than the time of the
-// announcement: in state, address, service, failure domain, version, capacity,
-// silence or the end of the warm-up.
+// announcement: in state, address, kind, service, model, failure domain, version,
+// capacity, silence or the end of the warm-up.
 func hasChanged(a, b *Entry) bool {
 	const warmUpSlack = 500 * time.Millisecond
 	drift := a.ColdUntil().Sub(b.ColdUntil())
 	warmUpMoved := (a.WarmUpRemaining > 0 || b.WarmUpRemaining > 0) && (drift > warmUpSlack || drift < -warmUpSlack)
 	return a.State != b.State || a.Address != b.Address || a.Service != b.Service || a.FailureDomain != b.FailureDomain ||
-		a.Version != b.Version || a.Capacity != b.Capacity || a.Silent != b.Silent || warmUpMoved
+		a.Kind != b.Kind || a.Model != b.Model || a.Version != b.Version || a.Capacity != b.Capacity || a.Silent != b.Silent || warmUpMoved
 }
 
 // addressTaken reports whether a target that started later holds the address. A
--- a/target/roster/roster_test.go
+++ b/target/roster/roster_test.go
@@ -43,6 +43,21 @@
 	require.Equal(t, Ready, entry.State)
 }
 
+// A target that turns to another kind or loads another model under its name must reach
+// the hosts, which place requests by both.
+func TestMerge_ChangedKindOrModelIsAChange(t *testing.T) {
+	table := NewTable()
+	entry := newEntry("a", "x", 1, 1, Ready)
+	entry.Kind, entry.Model = target.KindPlain, "small"
+	table.Merge(baseTime, entry)
+	entry.Sequence, entry.Kind = 2, target.KindModel
+	require.True(t, table.Merge(baseTime, entry), "kind")
+	entry.Sequence, entry.Model = 3, "large"
+	require.True(t, table.Merge(baseTime, entry), "model")
+	entry.Sequence = 4
+	require.False(t, table.Merge(baseTime, entry))
+}
+
 func TestMerge_HeartbeatIsNoChange(t *testing.T) {
 	table := NewTable()
 	table.Merge(baseTime, newEntry("a", "x", 1, 1, Ready))
