Count only waiting requests as queued in the stand-in engine

Cause: waiters that gave up stayed in the heap and counted as queued, so that a load report could show a negative number in flight. After a crash the same happened until each cancelled request had left the queue.

Result: TestEngine_LoadReportExcludesCancelledRequests failed before.

--- a/standin/engine_report.go
+++ b/standin/engine_report.go
@@ -19,7 +19,8 @@
 func (e *Engine) loadReport() target.LoadReport {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	queued := e.slots.queued()
+	// After a crash, the cancelled requests leave the queue one by one.
+	queued := min(e.slots.queued(), len(e.inFlight))
 	return target.LoadReport{
 		Name: e.settings.Name, Service: e.settings.Service, InFlight: len(e.inFlight) - queued, Queued: queued,
 		CacheUsed: e.cache.usage(), Cold: e.cold,
--- a/standin/engine_test.go
+++ b/standin/engine_test.go
@@ -127,6 +127,26 @@
 	require.True(t, engine.Cold())
 }
 
+// A queued request that is cancelled leaves the engine at once; if the report still
+// counted it as queued, the number in flight would be negative.
+func TestEngine_LoadReportExcludesCancelledRequests(t *testing.T) {
+	engine := &Engine{slots: newSlotPool(1), inFlight: map[string]*engineRun{}, cache: newPrefixCache(1)}
+	require.True(t, engine.slots.acquire(0, nil, nil))
+	canceled := make(chan struct{})
+	close(canceled)
+	require.False(t, engine.slots.acquire(0, canceled, nil))
+	report := engine.loadReport()
+	require.Zero(t, report.InFlight)
+	require.Zero(t, report.Queued)
+
+	// The requests in flight of an engine that crashed are forgotten while one of them
+	// is still in the queue.
+	engine.slots.queue = append(engine.slots.queue, &waiter{ready: make(chan struct{})})
+	report = engine.loadReport()
+	require.Zero(t, report.InFlight)
+	require.Zero(t, report.Queued)
+}
+
 func TestEngine_QueuedRequestsRunByPriority(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	engine, err := NewEngine(clock, EngineSettings{Name: "engine-1", MaxRunning: 1, FirstByte: time.Second, DefaultTokens: 1})
--- a/standin/slots.go
+++ b/standin/slots.go
@@ -75,12 +75,17 @@
 	s.used--
 }
 
-// queued returns the number of queued requests, including abandoned ones that
-// are still in the heap.
+// queued returns the number of queued requests that still wait.
 func (s *slotPool) queued() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.queue.Len()
+	waiting := 0
+	for _, w := range s.queue {
+		if !w.abandoned {
+			waiting++
+		}
+	}
+	return waiting
 }
 
 // waiterHeap implements heap.Interface.
