--- a/admission/rules_test.go
+++ b/admission/rules_test.go
@@ -65,17 +65,21 @@
 		c.Acquire(start, newRequest(fmt.Sprintf("r%d", i), ""))
 		c.HandleLoadReport(start, newLoadReport("e0", uint64(i+2), 0))
 	}
-	require.Len(t, permitsOf(c.TakeEffects()), 16)
+	permits := permitsOf(c.TakeEffects())
+	require.Len(t, permits, 16)
 	for _, status := range c.Status().Targets {
 		require.Equal(t, 4, status.InFlight)
 	}
 	c.HandleLoadReport(start, newLoadReport("e1", 2, 9))
 	require.Equal(t, 8-5, targetStatusOf(c, "e1").Limit)
-	for _, p := range permitsOf(nil) {
-		c.Release(start, doneRelease(p))
-	}
 	c.HandleLoadReport(startPlus(time.Second), newLoadReport("e1", 3, 4))
 	require.Equal(t, 8, targetStatusOf(c, "e1").Limit)
+	for _, p := range permits {
+		c.Release(startPlus(time.Second), doneRelease(p))
+	}
+	for _, status := range c.Status().Targets {
+		require.Zero(t, status.InFlight, status.Name)
+	}
 }
 
 func TestSilentTarget_SuspectThenGoneThenWarmAgain(t *testing.T) {
--- a/placement/assign.go
+++ b/placement/assign.go
@@ -108,11 +108,13 @@
 	for service, s := range a.services {
 		for len(a.domainCounts[service]) < a.requiredSpread(service) {
 			if !a.spreadWithSpare(service, p.canUnload) && !a.spreadBySwap(service) {
-				message := fmt.Sprintf("%s is in %d of %d failure domains", s.Name, len(a.domainCounts[service]), s.Placement.Spread)
-				p.alarms.raise(Alarm{Kind: AlarmSpreadUnmet, Service: s.Name, Message: message})
 				break
 			}
 		}
+		if used := len(a.domainCounts[service]); used < min(s.Placement.Spread, a.count[service]) {
+			message := fmt.Sprintf("%s is in %d of %d failure domains", s.Name, used, s.Placement.Spread)
+			p.alarms.raise(Alarm{Kind: AlarmSpreadUnmet, Service: s.Name, Message: message})
+		}
 	}
 }
 
--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -132,8 +132,10 @@
 	require.Len(t, domains, 3)
 	config.Services[0].Placement.Spread = 4
 	config.Services[0].Placement.Min = 4
+	f.configure()
+	require.False(t, f.hasAlarm(placement.AlarmSpreadUnmet))
 	f.runFor(100)
-	require.True(t, f.hasAlarm(placement.AlarmSpreadUnmet) || len(domains) == 3)
+	require.True(t, f.hasAlarm(placement.AlarmSpreadUnmet), "four failure domains are required and three exist")
 }
 
 func TestSpread_DonorsAndMaximum(t *testing.T) {
