Stop sending to targets that say in a response that they leave or want a pause

Cause: a target says in every response that it is leaving, and may refuse a request with 503 and Retry-After. Hosts read neither: they went on sending until a hub told them of the announcement, for as long as they were out of touch, and sent into the pause.

Change: the dialects decode both into ResponseHeader.Leaving and RetryAfter; a value that is no bounded number of seconds is ignored or bounded with a reason. notice.Board holds them for one incarnation on one host, and the gateway reports them with the header, not at the end of a stream. Entry hosts exclude such targets for new requests, resends and resumed streams; if all targets of a service want a pause, callers are refused at once with a Retry-After that ends after the first pause and is spread. In the role Whole the host asks for no permit there, and the owner learns that the target is leaving. The native protocol and the stand-ins have the same headers; a load report in a response from another target at the address (421) is no longer taken for the called one's.

Ruled out: the board in the hubs, for the roles Entry and State, since the rule speaks of each host; cache transfers from a leaving target stay, since the copy is what its chats need next.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
 
 	"comfreytiller.dev/admission"
 	"comfreytiller.dev/common/logs"
@@ -32,7 +33,7 @@
 	f := &fixture{clock: clockwork.NewFakeClock()}
 	f.daemon = &Entry{
 		Dependencies: Dependencies{
-			Settings: &settings.Settings{Host: "e-1", FailureDomain: "a"}, Clock: f.clock, Log: log,
+			Settings: &settings.Settings{Host: "e-1", FailureDomain: "a"}, Clock: f.clock, Log: log, Scope: tally.NewTestScope("", nil),
 		},
 		view: newStateView(),
 	}
--- a/entry/target_selector.go
+++ b/entry/target_selector.go
@@ -11,13 +11,14 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
 
 	"comfreytiller.dev/admission"
 	"comfreytiller.dev/common/logs"
 	"comfreytiller.dev/fleet"
 	"comfreytiller.dev/registry"
 	"comfreytiller.dev/route"
-	"comfreytiller.dev/target"
+	"comfreytiller.dev/target/notice"
 	"comfreytiller.dev/target/roster"
 )
 
@@ -72,14 +73,19 @@
 	throttles   map[string]*route.Throttle
 	prefixCache *prefixCacheIndex
 	roster      *roster.Table
+	notices     *notice.Board
 	// firstTargetSeen is when this host learned of its first target.
 	firstTargetSeen time.Time
+
+	leavingNotices tally.Counter
+	pauseNotices   tally.Counter
 }
 
 func newTargetSelector(e *Entry) *targetSelector {
 	return &targetSelector{
 		daemon: e, log: logs.ForComponent(e.Log, "Target"), clock: e.Clock, hosts: &hostCount{clock: e.Clock},
 		byName: map[string]*targetState{}, byService: map[string][]*targetState{}, throttles: map[string]*route.Throttle{}, prefixCache: newPrefixCacheIndex(), roster: roster.NewTable(),
+		notices: notice.NewBoard(), leavingNotices: e.Scope.Counter("targets_leaving_in_response"), pauseNotices: e.Scope.Counter("target_pauses"),
 	}
 }
 
@@ -206,15 +212,6 @@
 	}
 }
 
-// recordTargetLoad records a load report of a target.
-func (t *targetSelector) recordTargetLoad(name string, load target.Load) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if s := t.byName[name]; s != nil {
-		s.recordLoad(t.clock.Now(), load)
-	}
-}
-
 // Acquire implements gateway.Admitter. It decides without waiting.
 func (t *targetSelector) Acquire(_ context.Context, request admission.Request) (admission.Permit, error) {
 	view := t.daemon.view.latest()
@@ -250,6 +247,9 @@
 	hot := key != 0 && t.prefixCache.recordRequest(now, key)
 	choice := route.ChooseLocal(key, rand.Uint64(), hot, tokens, candidates, costs)
 	if choice.Target == route.None {
+		if refusal := t.refusePaused(now, &request, list, candidates); refusal != nil {
+			return admission.Permit{}, refusal
+		}
 		return admission.Permit{}, t.refuse(&request, admission.RefusedNoTarget, t.explainNoTarget(view, list, candidates))
 	}
 	permit := t.grant(now, view, service, list[choice.Target], &candidates[choice.Target], &request, available, hosts)
@@ -287,7 +287,7 @@
 		Slots:          s.Capacity,
 		RecentlyJoined: now.Sub(s.firstSeen) < newTargetPeriod && s.firstSeen.Sub(t.firstTargetSeen) > startupSlack,
 		FailureRate:    s.decayedFailureRate(now),
-		AtCapacity:     now.Before(s.atCapacityUntil) || s.isCold(now) && now.Before(t.earliestColdRequest(s, service, hosts)),
+		AtCapacity:     now.Before(s.atCapacityUntil) || t.isPaused(now, s) || s.isCold(now) && now.Before(t.earliestColdRequest(s, service, hosts)),
 	}
 	local.InFlight, local.Queued = s.estimateLoad(now, hosts, mean)
 	if request.Prompt != nil {
@@ -296,7 +296,7 @@
 	switch {
 	case s.State == roster.Gone:
 		local.Availability = route.Gone
-	case s.State != roster.Ready:
+	case s.State != roster.Ready, t.notices.IsLeaving(s.Name, s.Incarnation):
 		local.Availability = route.Leaving
 	case view.IsOutOfService(s.Name, s.FailureDomain):
 		local.Availability = route.DomainOut
--- a/gateway/dependencies.go
+++ b/gateway/dependencies.go
@@ -31,9 +31,10 @@
 	// Codec implements the protocol of the callers; nil for the gateway's own
 	// protocol.
 	Codec Codec
-	// OnTargetLoad is called with the load that targets report in their
-	// responses; nil to ignore it.
-	OnTargetLoad func(target string, load target.Load)
+	// OnTargetResponse is called as soon as the header of a target's response
+	// has been received, also if the response violates the protocol; nil to
+	// ignore what targets say of themselves. The permit names the target.
+	OnTargetResponse func(permit admission.Permit, header target.ResponseHeader)
 	// RetryBudget limits retries; nil limits them to a share of the requests on
 	// this host.
 	RetryBudget RetryBudget
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -141,13 +141,11 @@
 	call.BeforeSend = func() error { return d.checkBeforeSend(a, requestedAt) }
 	d.gateway.metrics.attempts.Inc(1)
 	response, err := d.gateway.Sender.Send(ctx, call)
+	d.reportResponse(a, response, err)
 	if err != nil {
 		return err
 	}
 	a.response = response
-	if load := response.Header().Load; load != nil && d.gateway.OnTargetLoad != nil {
-		d.gateway.OnTargetLoad(a.permit.Target, *load)
-	}
 	if response.Header().NotExecuted {
 		d.maybeSent = maybeSentBefore
 		d.possibleRuns--
@@ -170,6 +168,21 @@
 	return nil
 }
 
+// reportResponse passes on what a target says of itself in a response, or in one that
+// violates the protocol.
+func (d *dispatcher) reportResponse(a *attempt, response target.Response, err error) {
+	if d.gateway.OnTargetResponse == nil {
+		return
+	}
+	var sendError *target.SendError
+	switch {
+	case err == nil:
+		d.gateway.OnTargetResponse(a.permit, response.Header())
+	case errors.As(err, &sendError):
+		d.gateway.OnTargetResponse(a.permit, sendError.Header)
+	}
+}
+
 // handleServerError keeps the complete error response of a target if the
 // gateway is configured to return it to the caller once no attempt is left.
 func (d *dispatcher) handleServerError(a *attempt) error {
--- a/host/host.go
+++ b/host/host.go
@@ -61,6 +61,8 @@
 	ownedServices       *ownedServices
 	permitClient        *permitClient
 	targetRelay         *targetRelay
+	leavingNotices      tally.Counter
+	pauseNotices        tally.Counter
 	gateway             *gateway.Gateway
 	placementController *placementController
 	digestReporter      *digestReporter
@@ -154,6 +156,7 @@
 	h.sender = web.NewClient(h.Clock)
 	h.permitClient = newPermitClient(h)
 	h.targetRelay = newTargetRelay(h)
+	h.leavingNotices, h.pauseNotices = h.Scope.Counter("targets_leaving_in_response"), h.Scope.Counter("target_pauses")
 	h.placementController = newPlacementController(h)
 	h.digestReporter = newDigestReporter(h)
 	h.gateway = h.newGateway()
@@ -176,6 +179,8 @@
 		Scope:          h.Scope.SubScope("gateway"),
 		Host:           h.Settings.Host,
 		ReadinessCheck: h.session.Check,
+
+		OnTargetResponse: h.recordResponse,
 	},
 		gateway.WithHandler("/v1/targets/", receiver.Handle),
 		gateway.WithDrainTimeout(h.Settings.DrainTimeout),
--- a/host/permit_client.go
+++ b/host/permit_client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -15,6 +16,7 @@
 	"comfreytiller.dev/peer"
 	"comfreytiller.dev/registry"
 	"comfreytiller.dev/session"
+	"comfreytiller.dev/target/notice"
 )
 
 const (
@@ -48,6 +50,7 @@
 	wake         chan struct{}
 
 	cacheTransferer *cacheTransferer
+	notices         *notice.Board
 }
 
 // pendingRelease is a release that has not been sent to the owner yet.
@@ -80,6 +83,7 @@
 		releaseCalls:    map[string]bool{},
 		wake:            make(chan struct{}, 1),
 		cacheTransferer: newCacheTransferer(h),
+		notices:         notice.NewBoard(),
 	}
 }
 
@@ -89,6 +93,7 @@
 	ctx, cancel := clockwork.WithDeadline(ctx, c.clock, request.Deadline)
 	defer cancel()
 	attempt := request
+	attempt.Exclude = append(slices.Clone(request.Exclude), c.notices.Blocked(c.clock.Now())...)
 	for try := 1; ; try++ {
 		permit, err := c.acquireWithLease(ctx, attempt)
 		if err == nil {
--- a/integration/faults_integration_test.go
+++ b/integration/faults_integration_test.go
@@ -115,6 +115,19 @@
 
 // A leaving engine must get no new requests, and its requests in flight must complete.
 func TestTargetLeave_CompletesInFlightRequests(t *testing.T) {
+	requireNoNewRequests(t, (*standin.Engine).Leave)
+}
+
+// A target may say only in its responses that it is leaving. The hosts that receive
+// them pass it on to the owner, who decides for all hosts.
+func TestTargetLeave_OnlyInResponses(t *testing.T) {
+	requireNoNewRequests(t, (*standin.Engine).SetLeaving)
+}
+
+// requireNoNewRequests lets an engine leave while it serves long streams and other
+// callers.
+func requireNoNewRequests(t *testing.T, leave func(*standin.Engine)) {
+	t.Helper()
 	s := newSystem(t, 6, 3)
 	l := startLoad(t, s.readyHosts, 8, 2)
 	l.awaitChats(200)
@@ -131,7 +144,7 @@
 		return leaving != nil
 	})
 	leftAt := time.Now()
-	leaving.Leave()
+	leave(leaving)
 	eventually(t, "the maximum drain delay", func() bool { return time.Since(leftAt) > maxDrainDelay })
 	statsBefore := leaving.Stats()
 	l.awaitChats(100)
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -72,7 +72,10 @@
 }
 
 // Leave notifies the hosts that the engine admits no new requests.
-func (e *Engine) Leave() { e.announcer.enqueueLeave() }
+func (e *Engine) Leave() {
+	e.SetLeaving()
+	e.announcer.enqueueLeave()
+}
 
 // Stats returns the current counters.
 func (e *Engine) Stats() EngineStats {
@@ -126,6 +129,7 @@
 // caller holds mu.
 func (e *Engine) startNewIncarnation(keepCache bool) {
 	e.incarnation++
+	e.leaving.Store(false)
 	if !keepCache {
 		e.cache.clear()
 	}
@@ -169,6 +173,10 @@
 	}
 	r.hasSlot = true
 	switch r.fault.Kind {
+	case FaultRefused:
+		e.endRun(r, false)
+		e.refuse(ctx, r.fault.Delay)
+		return
 	case FaultNoResponse:
 		select {
 		case <-e.done:
@@ -186,6 +194,7 @@
 		return
 	}
 	ctx.Response.Header.Set(web.HeaderRequestID, r.responseRequestID())
+	e.setNotices(&ctx.Response.Header)
 	ctx.SetContentType("text/event-stream")
 	ctx.Response.ImmediateHeaderFlush = true
 	ctx.SetBodyStream(r, -1)
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -32,6 +32,9 @@
 	FaultStalled FaultKind = "Stalled"
 	// FaultError responds with status 500.
 	FaultError FaultKind = "Error"
+	// FaultRefused responds with status 503 without executing the request. If Delay is
+	// set, the response asks for a pause of that length.
+	FaultRefused FaultKind = "Refused"
 )
 
 // Fault describes how responses fail.
@@ -41,7 +44,7 @@
 	Count int
 	// AfterEvents is the number of events that a stream sends before the fault.
 	AfterEvents int
-	// Delay is the additional delay of FaultDelayed.
+	// Delay is the additional delay of FaultDelayed and the pause of FaultRefused.
 	Delay time.Duration
 }
 
--- a/standin/plain_service.go
+++ b/standin/plain_service.go
@@ -70,7 +70,10 @@
 }
 
 // Leave notifies the hosts that the service admits no new requests.
-func (p *PlainService) Leave() { p.announcer.enqueueLeave() }
+func (p *PlainService) Leave() {
+	p.SetLeaving()
+	p.announcer.enqueueLeave()
+}
 
 // RunsByKey returns how many times a request with the idempotency key has run.
 func (p *PlainService) RunsByKey(key string) int {
@@ -131,6 +134,10 @@
 		p.respond(ctx, fasthttp.StatusInternalServerError, []byte(`{"Error":"injected"}`), Fault{})
 		return
 	}
+	if fault.Kind == FaultRefused {
+		p.refuse(ctx, fault.Delay)
+		return
+	}
 	key := string(ctx.Request.Header.Peek(web.HeaderIdempotencyKey))
 	run := p.recordRun(string(ctx.Request.Header.Peek(web.HeaderRequestID)), key)
 	defer p.finishRun()
--- a/standin/server.go
+++ b/standin/server.go
@@ -2,7 +2,10 @@
 
 import (
 	"net"
+	"strconv"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"comfreytiller.dev/target/web"
 	"github.com/go-faster/errors"
@@ -24,6 +27,9 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
+
+	// leaving is set once the target has said that it is leaving.
+	leaving atomic.Bool
 }
 
 // newServer listens on a free loopback port.
@@ -93,9 +99,31 @@
 	})
 }
 
+// SetLeaving makes all later responses of this incarnation say that the target is leaving, without a
+// message to the hosts.
+func (s *server) SetLeaving() { s.leaving.Store(true) }
+
+// setNotices sets the header that tells the host that the target is leaving.
+func (s *server) setNotices(header *fasthttp.ResponseHeader) {
+	if s.leaving.Load() {
+		header.Set(web.HeaderLeaving, "true")
+	}
+}
+
+// refuse responds that the request was not executed, and asks for a pause if it is
+// positive.
+func (s *server) refuse(ctx *fasthttp.RequestCtx, pause time.Duration) {
+	ctx.Response.Header.Set(web.HeaderNotExecuted, "true")
+	if pause > 0 {
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(pause.Seconds(), 'f', 3, 64))
+	}
+	s.respond(ctx, fasthttp.StatusServiceUnavailable, []byte(`{"Error":"refused"}`), Fault{})
+}
+
 // respond sends a non-streaming response, modified by fault.
 func (s *server) respond(ctx *fasthttp.RequestCtx, status int, body []byte, fault Fault) {
 	id := string(ctx.Request.Header.Peek(web.HeaderRequestID))
+	s.setNotices(&ctx.Response.Header)
 	switch fault.Kind {
 	case FaultNoResponse:
 		<-s.done
--- a/target/call.go
+++ b/target/call.go
@@ -102,7 +102,10 @@
 	// ConnectionReused is set when the call was sent on a connection that had been
 	// used before.
 	ConnectionReused bool
-	Err              error
+	// Header is the header of a response that violates the protocol; zero if none
+	// was received or if it belongs to another request.
+	Header ResponseHeader
+	Err    error
 }
 
 // Error returns the message of Err.
@@ -126,6 +129,13 @@
 	NotExecuted bool
 	// Load is the load that the target reports; nil if it reports none.
 	Load *Load
+	// Leaving is set when the target is about to stop and wants no new requests.
+	Leaving bool
+	// RetryAfter is how long the target wants no requests from this host; 0 for no
+	// pause. RetryAfterProblem is why the target's value was ignored or bounded; empty
+	// if it was used as it is.
+	RetryAfter        time.Duration
+	RetryAfterProblem string
 }
 
 // Load is the load that a target reports in a response.
--- a/target/web/client.go
+++ b/target/web/client.go
@@ -98,7 +98,7 @@
 		if conn.reused && ctx.Err() == nil {
 			c.pool.closeAddress(call.Address)
 		}
-		return nil, &target.SendError{Sent: true, ConnectionReused: conn.reused, Err: err}
+		return nil, &target.SendError{Sent: true, ConnectionReused: conn.reused, Header: response.header, Err: err}
 	}
 	return response, nil
 }
@@ -139,14 +139,15 @@
 	conn.reused = reused
 }
 
-// roundTrip writes the request, which it releases, and reads the response header.
+// roundTrip writes the request, which it releases, and reads the response header. The
+// returned response is closed if there is an error.
 func (c *Client) roundTrip(ctx context.Context, conn *targetConn, request *fasthttp.Request, call target.Call, dialect Dialect) (*Response, error) {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	response := &Response{client: c, conn: conn, call: call, stopCancelWatch: stop, ctx: ctx, dialect: dialect}
 	conn.watchdog.Arm(call.FirstByteTimeout)
 	if err := response.start(request); err != nil {
 		response.Close()
-		return nil, err
+		return response, err
 	}
 	return response, nil
 }
--- a/target/web/dialect.go
+++ b/target/web/dialect.go
@@ -13,7 +13,8 @@
 	// WriteRequest fills the HTTP request of a call.
 	WriteRequest(request *fasthttp.Request, call *target.Call)
 	// ParseHeader converts the header of a response. It returns target.ErrRequestMismatch
-	// if the response belongs to another call.
+	// and a zero header if the response belongs to another call. With any other error it
+	// returns what the target says of itself.
 	ParseHeader(header *fasthttp.ResponseHeader, call *target.Call) (target.ResponseHeader, error)
 	// NewEventStream returns a reader of the events in the body of a response.
 	NewEventStream(body *bufio.Reader, call *target.Call) EventStream
--- a/target/web/native.go
+++ b/target/web/native.go
@@ -29,12 +29,16 @@
 		return target.ResponseHeader{}, errors.Wrapf(target.ErrRequestMismatch, "asked %s, answered %q", call.RequestID, id)
 	}
 	contentType := string(header.ContentType())
-	return target.ResponseHeader{
+	response := target.ResponseHeader{
 		Status:      header.StatusCode(),
 		ContentType: contentType,
 		CacheHit:    string(header.Peek(HeaderWarm)) == "true",
 		Stream:      strings.HasPrefix(contentType, contentTypeEventStream),
-	}, nil
+		NotExecuted: string(header.Peek(HeaderNotExecuted)) == "true",
+		Leaving:     string(header.Peek(HeaderLeaving)) == "true",
+	}
+	SetRetryAfter(&response, header)
+	return response, nil
 }
 
 // NewEventStream returns a reader of events whose IDs contain the request ID and
--- a/target/web/protocol.go
+++ b/target/web/protocol.go
@@ -24,6 +24,8 @@
 	HeaderFence          = "Comfreytiller-Fence"
 	HeaderOffset         = "Comfreytiller-Offset"
 	HeaderWarm           = "Comfreytiller-Warm"
+	HeaderNotExecuted    = "Comfreytiller-Not-Executed"
+	HeaderLeaving        = "Comfreytiller-Leaving"
 	HeaderSharedKey      = "Comfreytiller-Key"
 	HeaderIdempotencyKey = "Idempotency-Key"
 )
--- a/target/web/response.go
+++ b/target/web/response.go
@@ -53,10 +53,10 @@
 		return r.classifyError(err)
 	}
 	parsed, err := r.dialect.ParseHeader(&header, &r.call)
+	r.header = parsed
 	if err != nil {
 		return err
 	}
-	r.header = parsed
 	if !r.header.Stream {
 		r.conn.watchdog.Disarm()
 	}
