Bound responses that never end, in bytes, time and memory

Cause: a target in trouble may send bytes that are no response until the host closes the connection. One body was limited to 32 MiB but any number of them at a time, a long announced length was allocated at once; empty lines, comments and duplicate events of a stream were read at full speed until its timeout; an idle connection into which a target sends stayed open until another one was used.

Change: all buffered responses share a limit (24 MiB on entry hosts, 8 MiB each), reserved as a body grows; bytes between events are limited to 1 MiB; the pool closes expired connections by a timer.

Ruled out: heads without end, which fasthttp limits by the read buffer of 8 KiB, and chunk extensions without end, which the chunked reader limits; both are in the tests.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -40,6 +40,10 @@
 	maxHeaderCount = 128
 	maxURIBytes    = 16 << 10
 	maxBodyBytes   = 8 << 20
+	// maxResponseBytes limits the size of a non-streaming response, maxBufferedBytes
+	// that of all of them together. Small hosts have little more than 128 MB.
+	maxResponseBytes = 8 << 20
+	maxBufferedBytes = 24 << 20
 	// maxAttempts is the maximum number of targets that one request is sent to.
 	maxAttempts = 4
 	// retryBackoff is the mean pause before a retry.
@@ -129,6 +133,8 @@
 		gateway.WithStrictRetryBudget(),
 		gateway.WithHeaderLimits(maxHeaderBytes, maxHeaderCount, maxURIBytes),
 		gateway.WithMaxBodyBytes(maxBodyBytes),
+		gateway.WithMaxResponseBytes(maxResponseBytes),
+		gateway.WithMaxBufferedBytes(maxBufferedBytes),
 		gateway.WithRetries(maxAttempts, e.Settings.Retries.Share),
 		gateway.WithBackoff(retryBackoff),
 		gateway.WithMinDrainDuration(0),
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -53,6 +53,8 @@
 	target string
 	// lastEventID is the ID of the last event that the caller has received.
 	lastEventID string
+	// reservedBytes is the memory that is reserved for responses.
+	reservedBytes int
 }
 
 // attempt is a single transmission of a request to one target.
@@ -138,6 +140,7 @@
 func (d *dispatcher) send(ctx context.Context, a *attempt, requestedAt time.Time, offset int, newConnection bool) error {
 	call := d.targetCall(a, offset, newConnection)
 	maybeSentBefore := d.maybeSent
+	call.ReserveBody = d.reserveBody
 	call.BeforeSend = func() error { return d.checkBeforeSend(a, requestedAt) }
 	d.gateway.metrics.attempts.Inc(1)
 	response, err := d.gateway.Sender.Send(ctx, call)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -80,6 +80,7 @@
 	x.cancel()
 	x.cancelCaller()
 	x.cancelDispatch()
+	x.releaseBody()
 	x.gateway.tracker.end()
 	x.gateway.metrics.inFlight.Update(float64(x.gateway.tracker.inFlight()))
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,10 +51,12 @@
 	retryBudgets *serviceBudgets
 	tracker      *requestTracker
 	openClaims   *openClaims
-	log          *logrus.Logger
-	started      time.Time
-	idPrefix     string
-	lastID       atomic.Uint64
+	// responseMemory is shared by the bodies of all responses.
+	responseMemory responseMemory
+	log            *logrus.Logger
+	started        time.Time
+	idPrefix       string
+	lastID         atomic.Uint64
 	// keepAliveDisabled is set while the host still serves requests but closes
 	// each connection after its next response.
 	keepAliveDisabled atomic.Bool
@@ -90,6 +92,7 @@
 	g.started = g.Clock.Now()
 	g.tracker = newRequestTracker()
 	g.openClaims = newOpenClaims()
+	g.responseMemory.free = g.settings.maxBufferedBytes
 	g.idPrefix = g.Host + "-" + nonce() + "-"
 	g.server = g.newServer()
 	return g
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -15,6 +15,7 @@
 	defaultMaxURIBytes      = 2 << 10
 	defaultMaxBodyBytes     = 4 << 20
 	defaultMaxResponseBytes = 32 << 20
+	defaultMaxBufferedBytes = 128 << 20
 	defaultMaxStoredBytes   = 64 << 10
 	defaultReadTimeout      = 15 * time.Second
 	defaultIdleTimeout      = 60 * time.Second
@@ -41,6 +42,7 @@
 	maxURIBytes         int
 	maxBodyBytes        int
 	maxResponseBytes    int
+	maxBufferedBytes    int
 	maxStoredBytes      int
 	readTimeout         time.Duration
 	idleTimeout         time.Duration
@@ -74,7 +76,7 @@
 func defaultSettings() settings {
 	return settings{
 		maxConnections: defaultMaxConnections, maxHeaderBytes: defaultMaxHeaderBytes, maxHeaderFields: defaultMaxHeaderFields,
-		maxURIBytes: defaultMaxURIBytes, maxBodyBytes: defaultMaxBodyBytes, maxResponseBytes: defaultMaxResponseBytes,
+		maxURIBytes: defaultMaxURIBytes, maxBodyBytes: defaultMaxBodyBytes, maxResponseBytes: defaultMaxResponseBytes, maxBufferedBytes: defaultMaxBufferedBytes,
 		maxStoredBytes: defaultMaxStoredBytes, readTimeout: defaultReadTimeout, idleTimeout: defaultIdleTimeout,
 		writeTimeout: defaultWriteTimeout, retryRatio: defaultRetryRatio, maxAttempts: defaultMaxAttempts,
 		maxResumes: defaultMaxResumes, backoff: defaultBackoff, retryAfter: defaultRetryAfter,
@@ -101,6 +103,9 @@
 // buffered until it is complete.
 func WithMaxResponseBytes(n int) Option { return func(s *settings) { s.maxResponseBytes = n } }
 
+// WithMaxBufferedBytes limits the size of all buffered responses together.
+func WithMaxBufferedBytes(n int) Option { return func(s *settings) { s.maxBufferedBytes = n } }
+
 // WithMaxStoredBytes limits the size of a response that is stored with a claim.
 func WithMaxStoredBytes(n int) Option { return func(s *settings) { s.maxStoredBytes = n } }
 
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -189,6 +189,10 @@
 		e.respond(ctx, fasthttp.StatusInternalServerError, []byte(`{"Error":"injected"}`), Fault{})
 		return
 	}
+	if e.respondEndless(ctx, nil, r.fault) {
+		e.endRun(r, false)
+		return
+	}
 	if !r.stream {
 		e.writeNonStreamingResponse(ctx, r)
 		return
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -35,6 +35,21 @@
 	// FaultRefused responds with status 503 without executing the request. If Delay is
 	// set, the response asks for a pause of that length.
 	FaultRefused FaultKind = "Refused"
+	// FaultEndlessHead sends a header field without end, FaultEndlessHeaderFields header
+	// fields without end and FaultEndlessInterim interim responses without end.
+	FaultEndlessHead         FaultKind = "EndlessHead"
+	FaultEndlessHeaderFields FaultKind = "EndlessHeaderFields"
+	FaultEndlessInterim      FaultKind = "EndlessInterim"
+	// FaultEndlessChunkExtension sends a chunk extension without end.
+	FaultEndlessChunkExtension FaultKind = "EndlessChunkExtension"
+	// FaultOverlong sends bytes without end after a complete response.
+	FaultOverlong FaultKind = "Overlong"
+	// FaultEndlessEvent sends a stream with an event without end, FaultEndlessEventLines
+	// one with empty lines without end.
+	FaultEndlessEvent      FaultKind = "EndlessEvent"
+	FaultEndlessEventLines FaultKind = "EndlessEventLines"
+	// FaultDrip sends one byte of the body after each Delay.
+	FaultDrip FaultKind = "Drip"
 )
 
 // Fault describes how responses fail.
@@ -44,7 +59,8 @@
 	Count int
 	// AfterEvents is the number of events that a stream sends before the fault.
 	AfterEvents int
-	// Delay is the additional delay of FaultDelayed and the pause of FaultRefused.
+	// Delay is the additional delay of FaultDelayed, the pause of FaultRefused and the
+	// interval of FaultDrip.
 	Delay time.Duration
 }
 
@@ -66,6 +82,13 @@
 	f.entries = nil
 }
 
+// pending returns the number of queued faults.
+func (f *faultQueue) pending() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.entries)
+}
+
 // pop returns the fault for the response that starts now; a zero Fault for none.
 func (f *faultQueue) pop() Fault {
 	f.mu.Lock()
--- a/standin/server.go
+++ b/standin/server.go
@@ -30,6 +30,8 @@
 
 	// leaving is set once the target has said that it is leaving.
 	leaving atomic.Bool
+	// endlessOpen is the number of endless responses that are being sent.
+	endlessOpen atomic.Int64
 }
 
 // newServer listens on a free loopback port.
@@ -60,6 +62,9 @@
 // Inject queues a fault for the next responses.
 func (s *server) Inject(fault Fault) { s.faults.add(fault) }
 
+// HasFaults reports whether faults are queued.
+func (s *server) HasFaults() bool { return s.faults.pending() > 0 }
+
 // Clear removes all queued faults.
 func (s *server) Clear() { s.faults.clear() }
 
@@ -123,6 +128,9 @@
 // respond sends a non-streaming response, modified by fault.
 func (s *server) respond(ctx *fasthttp.RequestCtx, status int, body []byte, fault Fault) {
 	id := string(ctx.Request.Header.Peek(web.HeaderRequestID))
+	if s.respondEndless(ctx, body, fault) {
+		return
+	}
 	s.setNotices(&ctx.Response.Header)
 	switch fault.Kind {
 	case FaultNoResponse:
--- a/target/call.go
+++ b/target/call.go
@@ -77,6 +77,10 @@
 	// BeforeSend is called after the last step that may block and before the
 	// first byte is sent. If it returns an error, the call is not sent.
 	BeforeSend func() error
+	// ReserveBody is called before the buffer of a non-streaming response grows by the
+	// given number of bytes; nil sets no limit but that of Response.Body. If it returns
+	// an error, the response is not read further.
+	ReserveBody func(bytes int) error
 }
 
 // OriginalRequest is a caller's request as received.
--- a/target/web/event_stream.go
+++ b/target/web/event_stream.go
@@ -10,8 +10,12 @@
 	"github.com/go-faster/errors"
 )
 
-// maxEventBytes limits the size of one event.
-const maxEventBytes = 256 << 10
+// Limits of a stream. maxEventBytes is the maximum size of one event, maxSkippedBytes
+// the maximum size of empty lines or duplicate events before the next event.
+const (
+	maxEventBytes   = 256 << 10
+	maxSkippedBytes = 1 << 20
+)
 
 // ParsedEvent is one server-sent event with its decoded fields.
 type ParsedEvent struct {
@@ -51,7 +55,7 @@
 			}
 			return ParsedEvent{}, err
 		}
-		if size += len(line); size > maxEventBytes {
+		if size += len(line) + 1; size > maxEventBytes {
 			return ParsedEvent{}, errors.Wrap(target.ErrResponseTooLarge, "read event")
 		}
 		if len(line) == 0 {
--- a/target/web/native.go
+++ b/target/web/native.go
@@ -104,6 +104,7 @@
 // Next returns the next event. It drops duplicate events and returns
 // target.ErrTruncated if an event is missing.
 func (e *nativeEvents) Next() (target.Event, error) {
+	skipped := 0
 	for {
 		parsed, err := e.reader.Next()
 		if errors.Is(err, io.EOF) {
@@ -121,6 +122,9 @@
 		}
 		if offset < e.nextOffset {
 			e.duplicates++
+			if skipped += len(parsed.Data); skipped > maxSkippedBytes {
+				return target.Event{}, errors.Wrap(target.ErrResponseTooLarge, "duplicate events")
+			}
 			continue
 		}
 		if offset > e.nextOffset {
--- a/target/web/passthrough_events.go
+++ b/target/web/passthrough_events.go
@@ -51,6 +51,7 @@
 // target.ErrTruncated if an event is missing, and io.ErrUnexpectedEOF if the body ends
 // within an event.
 func (p *PassthroughEvents) Next() (target.Event, error) {
+	skipped := 0
 	for {
 		id, err := p.readEvent()
 		if err != nil {
@@ -62,6 +63,9 @@
 		}
 		if p.hasLastID && number <= p.lastID {
 			p.duplicates++
+			if skipped += len(p.raw); skipped > maxSkippedBytes {
+				return target.Event{}, errors.Wrap(target.ErrResponseTooLarge, "duplicate events")
+			}
 			continue
 		}
 		if p.hasLastID && number > p.lastID+1 {
@@ -77,7 +81,7 @@
 // returns its ID.
 func (p *PassthroughEvents) readEvent() (id []byte, err error) {
 	p.raw = p.raw[:0]
-	fields := 0
+	fields, skipped := 0, 0
 	for {
 		line, err := p.reader.ReadSlice('\n')
 		p.raw = append(p.raw, line...)
@@ -94,6 +98,9 @@
 		line = bytes.TrimRight(line, "\r\n")
 		if len(line) == 0 {
 			if fields == 0 {
+				if skipped += len(p.raw); skipped > maxSkippedBytes {
+					return nil, errors.Wrap(target.ErrResponseTooLarge, "empty lines")
+				}
 				p.raw = p.raw[:0]
 				continue
 			}
--- a/target/web/pool.go
+++ b/target/web/pool.go
@@ -52,6 +52,9 @@
 	mu        sync.Mutex
 	idle      map[string][]*targetConn
 	lastSweep time.Time
+	// sweepTimer closes expired connections while no other connection is put back; nil
+	// until the first one is.
+	sweepTimer clockwork.Timer
 }
 
 // get returns the most recently used connection to address, or nil. It closes
@@ -98,6 +101,7 @@
 	}
 	p.setIdle(c.address, append(conns, c))
 	stale := p.sweep(c.idleSince)
+	p.scheduleSweep()
 	p.mu.Unlock()
 	if oldest != nil {
 		oldest.discard()
@@ -129,6 +133,31 @@
 	return stale
 }
 
+// scheduleSweep sets the timer for the next sweep. A target may send into an idle
+// connection without end, so that it must be closed even if no other one is used. The
+// caller holds mu.
+func (p *pool) scheduleSweep() {
+	if len(p.idle) == 0 {
+		return
+	}
+	if p.sweepTimer == nil {
+		p.sweepTimer = p.clock.AfterFunc(p.maxIdleTime+time.Millisecond, p.sweepExpired)
+		return
+	}
+	p.sweepTimer.Reset(p.maxIdleTime + time.Millisecond)
+}
+
+// sweepExpired closes the expired connections of all addresses.
+func (p *pool) sweepExpired() {
+	p.mu.Lock()
+	stale := p.sweep(p.clock.Now())
+	p.scheduleSweep()
+	p.mu.Unlock()
+	for _, c := range stale {
+		c.discard()
+	}
+}
+
 // setIdle replaces the idle connections of an address. The caller holds mu.
 func (p *pool) setIdle(address string, conns []*targetConn) {
 	if len(conns) == 0 {
@@ -155,6 +184,9 @@
 	p.mu.Lock()
 	idle := p.idle
 	p.idle = map[string][]*targetConn{}
+	if p.sweepTimer != nil {
+		p.sweepTimer.Stop()
+	}
 	p.mu.Unlock()
 	for _, conns := range idle {
 		for _, c := range conns {
--- a/target/web/response.go
+++ b/target/web/response.go
@@ -135,15 +135,16 @@
 		return nil, errors.Wrapf(target.ErrResponseTooLarge, "answer of %d bytes", r.contentLength)
 	}
 	var body []byte
-	if r.contentLength > 0 {
-		body = make([]byte, 0, r.contentLength+1)
-	}
 	for {
 		if len(body) > limit {
 			return nil, errors.Wrapf(target.ErrResponseTooLarge, "answer beyond %d bytes", limit)
 		}
 		if len(body) == cap(body) {
-			body = append(body, 0)[:len(body)]
+			grown, err := r.growBody(body, limit)
+			if err != nil {
+				return nil, err
+			}
+			body = grown
 		}
 		r.conn.watchdog.Arm(r.call.GapTimeout)
 		n, err := r.body.Read(body[len(body):cap(body)])
@@ -158,6 +159,29 @@
 	}
 }
 
+// minBodyBytes and maxInitialBodyBytes limit the first buffer of a body. A target may
+// announce more than it sends.
+const (
+	minBodyBytes        = 1 << 10
+	maxInitialBodyBytes = 64 << 10
+)
+
+// growBody returns body with a larger buffer, with room for one byte beyond the end or
+// the limit of the body.
+func (r *Response) growBody(body []byte, limit int) ([]byte, error) {
+	size := max(2*cap(body), minBodyBytes)
+	if r.contentLength >= 0 {
+		size = max(min(r.contentLength+1, maxInitialBodyBytes), min(size, r.contentLength+1))
+	}
+	size = min(size, limit+1)
+	if r.call.ReserveBody != nil {
+		if err := r.call.ReserveBody(size - cap(body)); err != nil {
+			return nil, err
+		}
+	}
+	return append(make([]byte, 0, size), body...), nil
+}
+
 // finishBody checks that the body, of which read bytes were received, is complete
 // according to its framing.
 func (r *Response) finishBody(read int) error {
