--- a/spec/consensus.pml
+++ b/spec/consensus.pml
@@ -3,11 +3,15 @@
  * rule and membership changes of one replica at a time.
  *
  * Parameters: N replicas, terms 1..T, logs of up to M entries. With -DMEMBERS,
- * leaders propose membership changes.
+ * leaders propose membership changes. With -DGONE, replicas are gone for good, with
+ * their disks, one after the other: a minority of the members may be gone at a time,
+ * and the next one follows once a membership without the former is committed.
  *
  * Mutations, each of which removes one rule, so that an assertion must fail:
  * -DVOTE_NOT_DURABLE, -DCOMMIT_OLD_TERM, -DMEMBERS_EARLY, -DMEMBERS_PENDING,
- * -DVOTE_SHORT_LOG.
+ * -DVOTE_SHORT_LOG, -DGONE_RETURNS (a replica with a new disk uses the ID of the one
+ * that is gone), -DGONE_EARLY (the next replica goes while a majority still counts the
+ * former).
  *
  * The network is not modelled as a channel. Any entry that the leader of a term
  * ever had in its log may reach any replica at any later time, any number of
@@ -29,7 +33,15 @@
 #define CANDIDATE 1
 #define LEADER    2
 
-#define EVERYONE ((1 << N) - 1)
+/* The members at the beginning. With GONE, the last replica is not among them: it has
+ * an empty disk and may take the place of one that is gone. */
+#ifdef GONE
+#define FIRST_MEMBERS ((1 << (N - 1)) - 1)
+#define FIRST_MAJORITY ((N - 1) / 2 + 1)
+#else
+#define FIRST_MEMBERS ((1 << N) - 1)
+#define FIRST_MAJORITY (N / 2 + 1)
+#endif
 
 /* An entry encodes its term and the membership that it sets; 0 for none. */
 #define ENTRY(leadTerm, members) ((leadTerm) + 8 * (members))
@@ -61,6 +73,11 @@
 #else
 #define ANY_TIME 0
 #endif
+#ifdef GONE_EARLY
+#define ANY_LOSS 1
+#else
+#define ANY_LOSS 0
+#endif
 #ifdef VOTE_NOT_DURABLE
 #define FORGET_VOTE(i) vote[i] = 0
 #else
@@ -75,6 +92,14 @@
 #define FIRST_ENTRY(i) appendOwn(i, ENTRY(term[i], 0))
 #endif
 
+/* With GONE, only the first entry of a log sets no membership, which keeps the search
+ * small: the others replace a replica that is gone. */
+#ifdef GONE
+#define MAX_PLAIN 1
+#else
+#define MAX_PLAIN M
+#endif
+
 /* The state of each replica; everything except role and votes is durable. */
 byte term[N];
 byte vote[N];
@@ -95,12 +120,20 @@
 byte committed[M];
 byte committedIn[M];
 
+#ifdef GONE
+/* The set of the replicas that are gone for good. */
+byte gone;
+#define RUNS(i) (!BIT(gone, i))
+#else
+#define RUNS(i) 1
+#endif
+
 byte slot, leadTerm, position, other, members, last, count, needed, ok;
 
 /* Sets members to the latest membership in the log of i, and last to the length
  * of the log up to and including the entry that set it. */
 inline membersOf(i) {
-	members = EVERYONE;
+	members = FIRST_MEMBERS;
 	last = 0;
 	slot = 0;
 	do
@@ -320,6 +353,66 @@
 	FORGET_VOTE(i)
 }
 
+#ifdef GONE
+/* Replica i is gone for good, if at most a minority of the latest committed membership
+ * is then gone. What is committed must remain in the log of a replica that runs. */
+inline vanish(i) {
+	members = FIRST_MEMBERS;
+	slot = 0;
+	do
+	:: slot < M ->
+		if
+		:: MEMBERS_OF(committed[slot]) != 0 -> members = MEMBERS_OF(committed[slot])
+		:: else
+		fi;
+		slot++
+	:: else -> break
+	od;
+	majorityOf();
+	count = 0;
+	slot = 0;
+	do
+	:: slot < N -> count = count + (BIT(members, slot) && RUNS(slot) && slot != i); slot++
+	:: else -> break
+	od;
+	if
+	:: BIT(members, i) && (ANY_LOSS || count >= needed) ->
+		gone = gone | (1 << i);
+		role[i] = FOLLOWER;
+		votes[i] = 0;
+		position = 0;
+		do
+		:: position < M && committed[position] != 0 ->
+			ok = 0;
+			other = 0;
+			do
+			:: other < N ->
+				ok = ok || (RUNS(other) && position < length[other] && LOG(other, position) == committed[position]);
+				other++
+			:: else -> break
+			od;
+			assert(ok);
+			position++
+		:: else -> break
+		od
+	:: else
+	fi
+}
+
+/* A replica with an empty disk starts with the ID of the one that is gone. */
+inline reuseID(i) {
+	gone = gone ^ (1 << i);
+	term[i] = 0;
+	vote[i] = 0;
+	slot = 0;
+	do
+	:: slot < M -> LOG(i, slot) = 0; slot++
+	:: else -> break
+	od;
+	length[i] = 0
+}
+#endif
+
 /* Resets the scratch variables, so that their values do not multiply the states. */
 inline forget() {
 	slot = 0; leadTerm = 0; position = 0; other = 0; members = 0; last = 0; count = 0; needed = 0; ok = 0
@@ -328,17 +421,23 @@
 proctype replica(byte i) {
 end:
 	do
-	:: atomic { role[i] != LEADER && term[i] < T && length[i] < M -> campaign(i); forget() }
-	:: atomic { role[i] == CANDIDATE -> tryLead(i); forget() }
-	:: atomic { pick(other, 0, N - 1); answerVote(i); forget() }
-	:: atomic { pick(leadTerm, 1, T); pick(position, 0, M - 1); takeEntry(i); forget() }
-	:: atomic { role[i] == LEADER -> pick(position, 1, M); tryCommit(i); forget() }
+	:: atomic { RUNS(i) && role[i] != LEADER && term[i] < T && length[i] < M -> campaign(i); forget() }
+	:: atomic { RUNS(i) && role[i] == CANDIDATE -> tryLead(i); forget() }
+	:: atomic { RUNS(i) -> pick(other, 0, N - 1); answerVote(i); forget() }
+	:: atomic { RUNS(i) -> pick(leadTerm, 1, T); pick(position, 0, M - 1); takeEntry(i); forget() }
+	:: atomic { RUNS(i) && role[i] == LEADER -> pick(position, 1, M); tryCommit(i); forget() }
 #ifdef MEMBERS
-	:: atomic { role[i] == LEADER && length[i] < M -> pick(other, 0, N - 1); changeMembers(i); forget() }
+	:: atomic { RUNS(i) && role[i] == LEADER && length[i] < M -> pick(other, 0, N - 1); changeMembers(i); forget() }
+#endif
+	:: atomic { RUNS(i) && role[i] == LEADER && length[i] < MAX_PLAIN -> appendOwn(i, ENTRY(term[i], 0)); forget() }
+#ifdef GONE
+	:: atomic { RUNS(i) -> vanish(i); forget() }
+#endif
+#ifdef GONE_RETURNS
+	:: atomic { !RUNS(i) -> reuseID(i); forget() }
 #endif
-	:: atomic { role[i] == LEADER && length[i] < M -> appendOwn(i, ENTRY(term[i], 0)); forget() }
 #ifndef NO_CRASH
-	:: atomic { role[i] != FOLLOWER || vote[i] != 0 -> crash(i); forget() }
+	:: atomic { RUNS(i) && (role[i] != FOLLOWER || vote[i] != 0) -> crash(i); forget() }
 #endif
 	od
 }
@@ -349,7 +448,7 @@
 	role[0] = LEADER;
 	slot = 0;
 	do
-	:: slot < N / 2 + 1 -> term[slot] = 1; vote[slot] = 1; slot++
+	:: slot < FIRST_MAJORITY -> term[slot] = 1; vote[slot] = 1; slot++
 	:: else -> break
 	od
 }
