Bound and spread by the requests that arrive within the age of the reports

Cause: route had two sets of constants, below and above 32 targets, for the load at which a prompt leaves its home and for the number of targets it spreads over. On 15 hosts with 9 engines, where reports are 0.2 s old, a single request that left its home went to one of eight targets and had its cache copied there.

Change: what counts is how much may have changed since the reports were made. Traffic holds their age, the mean duration of a request and the rate of requests for the prompt; all three are measured by the entry host. Refusals beside targets at capacity begin halfway from the mean to that load, as they did on small fleets.

TestChooseLocal_CoolPromptUsesFewTargets asserted that a small fleet spreads a cool prompt over five targets; it is replaced by TestChooseLocal_PromptSpreadsByArrivalsWithinReportAge, which asserts the opposite of the size: the same traffic uses as many targets at 9, 33, 112 and 204. The property test of refusals compares with the new start. The replays pass the traffic that they simulate.

--- a/admission/request.go
+++ b/admission/request.go
@@ -173,4 +173,7 @@
 	// FirstByte is the time from sending the request to the first byte of the response;
 	// 0 if none arrived.
 	FirstByte time.Duration
+	// Duration is the time from sending the request to the end of its response; 0 if it
+	// was not sent. Hosts that decide by themselves use it; owners don't get it.
+	Duration time.Duration
 }
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -250,13 +250,13 @@
 	f.selector.applyLoads(map[string]int{"e-1": 12}, 2, map[string]int{"e-1": 1})
 	one, two := f.selector.byName["e-1"], f.selector.byName["e-2"]
 	list := []*targetState{one, two}
-	inFlight, _ := one.estimateLoad(f.clock.Now(), 18, meanOthersLoad(f.clock.Now(), list))
+	inFlight, _ := one.estimateLoad(f.clock.Now(), serviceLoads{hosts: 18, mean: meanOthersLoad(f.clock.Now(), list)})
 	require.InDelta(t, 11, inFlight, 0.01)
 	f.clock.Advance(loadReportTTL * 9 / 10)
-	inFlight, _ = one.estimateLoad(f.clock.Now(), 18, meanOthersLoad(f.clock.Now(), list))
+	inFlight, _ = one.estimateLoad(f.clock.Now(), serviceLoads{hosts: 18, mean: meanOthersLoad(f.clock.Now(), list)})
 	require.InDelta(t, 6.5, inFlight, 0.6, "close to the mean of both targets")
 	one.recordLoad(f.clock.Now(), target.Load{Running: 30, Queued: 4, Slots: 8})
-	inFlight, queued := one.estimateLoad(f.clock.Now(), 18, 0)
+	inFlight, queued := one.estimateLoad(f.clock.Now(), serviceLoads{hosts: 18})
 	require.InDelta(t, 30, inFlight, 0.01)
 	require.InDelta(t, 4, queued, 0.01)
 }
--- a/entry/prefix_cache.go
+++ b/entry/prefix_cache.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math"
 	"time"
 
 	"comfreytiller.dev/admission"
@@ -10,9 +11,9 @@
 	// cachedPartTTL is how long a prompt part is expected to stay in a target's
 	// prefix cache after its last use.
 	cachedPartTTL = 20 * time.Second
-	// hotPromptWindow is the maximum time between two requests for a prompt
-	// that counts as hot.
-	hotPromptWindow = 3 * time.Second
+	// promptRateWindow is the time over which the rate of requests for a prompt
+	// is averaged.
+	promptRateWindow = 3 * time.Second
 	// maxCachedParts is the maximum number of entries in each map of the index.
 	maxCachedParts = 20_000
 )
@@ -22,25 +23,32 @@
 type prefixCacheIndex struct {
 	// lastSent is when each part was last sent to a target, by partKey.
 	lastSent map[uint64]time.Time
-	// lastRequested is when each prompt was last requested, by its key.
-	lastRequested map[uint64]time.Time
+	// requests holds the recent requests for each prompt, by its key.
+	requests map[uint64]promptRequests
+}
+
+// promptRequests is the number of requests for a prompt, reduced exponentially over
+// promptRateWindow, at the time of the last one.
+type promptRequests struct {
+	count  float64
+	lastAt time.Time
 }
 
 func newPrefixCacheIndex() *prefixCacheIndex {
-	return &prefixCacheIndex{lastSent: map[uint64]time.Time{}, lastRequested: map[uint64]time.Time{}}
+	return &prefixCacheIndex{lastSent: map[uint64]time.Time{}, requests: map[uint64]promptRequests{}}
 }
 
-// recordRequest records a request for a prompt and reports whether the prompt
-// is hot, that is whether this host received another request for it within
-// hotPromptWindow. With many hosts this holds only for a prompt with many
-// requests.
-func (p *prefixCacheIndex) recordRequest(now time.Time, key uint64) bool {
-	last, known := p.lastRequested[key]
-	if len(p.lastRequested) >= maxCachedParts {
-		clear(p.lastRequested)
+// recordRequest records a request for a prompt and returns the rate per second of
+// this host's requests for it before this one. With many hosts it is 0 unless the
+// prompt has many requests.
+func (p *prefixCacheIndex) recordRequest(now time.Time, key uint64) (rate float64) {
+	last := p.requests[key]
+	earlier := last.count * math.Exp(-float64(now.Sub(last.lastAt))/float64(promptRateWindow))
+	if len(p.requests) >= maxCachedParts {
+		clear(p.requests)
 	}
-	p.lastRequested[key] = now
-	return known && now.Sub(last) < hotPromptWindow
+	p.requests[key] = promptRequests{count: earlier + 1, lastAt: now}
+	return earlier / promptRateWindow.Seconds()
 }
 
 // partKey returns the key of a prompt part on a target.
--- a/entry/target_selector.go
+++ b/entry/target_selector.go
@@ -74,6 +74,9 @@
 	prefixCache *prefixCacheIndex
 	roster      *roster.Table
 	notices     *notice.Board
+	reports     reportClock
+	// durations holds the mean duration of requests by service.
+	durations map[string]time.Duration
 	// firstTargetSeen is when this host learned of its first target.
 	firstTargetSeen time.Time
 
@@ -84,7 +87,7 @@
 func newTargetSelector(e *Entry) *targetSelector {
 	return &targetSelector{
 		daemon: e, log: logs.ForComponent(e.Log, "Target"), clock: e.Clock, hosts: &hostCount{clock: e.Clock},
-		byName: map[string]*targetState{}, byService: map[string][]*targetState{}, throttles: map[string]*route.Throttle{}, prefixCache: newPrefixCacheIndex(), roster: roster.NewTable(),
+		byName: map[string]*targetState{}, byService: map[string][]*targetState{}, throttles: map[string]*route.Throttle{}, durations: map[string]time.Duration{}, prefixCache: newPrefixCacheIndex(), roster: roster.NewTable(),
 		notices: notice.NewBoard(), leavingNotices: e.Scope.Counter("targets_leaving_in_response"), pauseNotices: e.Scope.Counter("target_pauses"),
 	}
 }
@@ -202,6 +205,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	defer t.updateThrottles(now)
+	t.reports.record(now)
 	for name, s := range t.byName {
 		inFlight, listed := total[name]
 		others := float64(inFlight - reported[name])
@@ -229,13 +233,12 @@
 	if throttle := t.throttles[request.Service]; throttle != nil && len(request.Exclude) == 0 && !throttle.Admits(rand.Uint64()) {
 		return admission.Permit{}, t.refuseQueueFull(&request, throttle.AdmitRate())
 	}
-	hosts := t.hosts.count()
-	mean := meanOthersLoad(now, list)
+	loads := t.serviceLoads(now, request.Service, list)
 	key, tokens := t.promptKey(&request)
 	candidates := make([]route.LocalTarget, len(list))
 	available := 0
 	for i, s := range list {
-		candidates[i] = t.describeCandidate(now, s, view, service, &request, hosts, mean)
+		candidates[i] = t.describeCandidate(now, s, view, service, &request, loads)
 		if candidates[i].Availability == route.Available {
 			available++
 		}
@@ -244,15 +247,18 @@
 	if service.Kind == fleet.KindModel {
 		costs = &modelCosts
 	}
-	hot := key != 0 && t.prefixCache.recordRequest(now, key)
-	choice := route.ChooseLocal(key, rand.Uint64(), hot, tokens, candidates, costs)
+	traffic := route.Traffic{ReportAge: loads.reportAge, Duration: loads.duration}
+	if key != 0 {
+		traffic.PromptRate = t.prefixCache.recordRequest(now, key) * float64(loads.hosts)
+	}
+	choice := route.ChooseLocal(key, rand.Uint64(), traffic, tokens, candidates, costs)
 	if choice.Target == route.None {
 		if refusal := t.refusePaused(now, &request, list, candidates); refusal != nil {
 			return admission.Permit{}, refusal
 		}
 		return admission.Permit{}, t.refuse(&request, admission.RefusedNoTarget, t.explainNoTarget(view, list, candidates))
 	}
-	permit := t.grant(now, view, service, list[choice.Target], &candidates[choice.Target], &request, available, hosts)
+	permit := t.grant(now, view, service, list[choice.Target], &candidates[choice.Target], &request, available, loads.hosts)
 	if choice.Home {
 		permit.Reason = route.Home.String()
 	}
@@ -262,6 +268,14 @@
 	return permit, nil
 }
 
+// serviceLoads returns what this host knows of the requests to a service with the given
+// targets. The caller must hold t.mu.
+func (t *targetSelector) serviceLoads(now time.Time, service string, list []*targetState) serviceLoads {
+	return serviceLoads{
+		hosts: t.hosts.count(), mean: meanOthersLoad(now, list), reportAge: t.reports.age(now), duration: t.durations[service],
+	}
+}
+
 // promptKey returns the key that requests with the same shared prefix have in
 // common, and the number of tokens of that prefix.
 func (t *targetSelector) promptKey(request *admission.Request) (key uint64, tokens int) {
@@ -279,7 +293,7 @@
 
 // describeCandidate describes a target for route.ChooseLocal. The caller must
 // hold t.mu.
-func (t *targetSelector) describeCandidate(now time.Time, s *targetState, view *registry.View, service *fleet.Service, request *admission.Request, hosts int, mean float64) route.LocalTarget {
+func (t *targetSelector) describeCandidate(now time.Time, s *targetState, view *registry.View, service *fleet.Service, request *admission.Request, loads serviceLoads) route.LocalTarget {
 	local := route.LocalTarget{
 		Key:            xxhash.Sum64String(s.Name),
 		SameDomain:     s.FailureDomain == t.daemon.Settings.FailureDomain,
@@ -287,9 +301,9 @@
 		Slots:          s.Capacity,
 		RecentlyJoined: now.Sub(s.firstSeen) < newTargetPeriod && s.firstSeen.Sub(t.firstTargetSeen) > startupSlack,
 		FailureRate:    s.decayedFailureRate(now),
-		AtCapacity:     now.Before(s.atCapacityUntil) || t.isPaused(now, s) || s.isCold(now) && now.Before(t.earliestColdRequest(s, service, hosts)),
+		AtCapacity:     now.Before(s.atCapacityUntil) || t.isPaused(now, s) || s.isCold(now) && now.Before(t.earliestColdRequest(s, service, loads.hosts)),
 	}
-	local.InFlight, local.Queued = s.estimateLoad(now, hosts, mean)
+	local.InFlight, local.Queued = s.estimateLoad(now, loads)
 	if request.Prompt != nil {
 		local.CachedTokens = t.prefixCache.cachedTokens(now, local.Key, request.Prompt.Parts)
 	}
@@ -373,6 +387,9 @@
 	switch release.Outcome {
 	case admission.OutcomeDone:
 		s.recordSuccess(now)
+		if release.Duration > 0 {
+			t.durations[release.Service] = movingAverage(t.durations[release.Service], release.Duration, durationWeight)
+		}
 	case admission.OutcomeRefused:
 		s.atCapacityUntil = now.Add(atCapacityPeriod)
 	case admission.OutcomeFailed, admission.OutcomeUnreachable:
--- a/entry/target_state.go
+++ b/entry/target_state.go
@@ -103,16 +103,28 @@
 	return sum / weights
 }
 
+// serviceLoads is what this host knows of the requests to a service.
+type serviceLoads struct {
+	hosts int
+	// mean is the mean number of requests of other hosts in flight on a target.
+	mean float64
+	// reportAge is the mean age of a digest's loads, duration the mean time that a
+	// request is in flight; 0 for unknown.
+	reportAge time.Duration
+	duration  time.Duration
+}
+
 // estimateLoad estimates the requests of all hosts in flight and queued on the
-// target. As the last report ages, it is gradually replaced by mean, the mean
-// over all targets. Without any report, the other hosts are assumed to send as
-// many requests as this one.
-func (s *targetState) estimateLoad(now time.Time, hosts int, mean float64) (inFlight, queued float64) {
+// target. As the last report ages, it is gradually replaced by the mean over all
+// targets. Without any report, the other hosts are assumed to send as many requests
+// as this one.
+func (s *targetState) estimateLoad(now time.Time, loads serviceLoads) (inFlight, queued float64) {
 	others, weight := s.othersLoad(now)
-	if weight == 0 && mean == 0 {
-		return float64(s.ownInFlight) + s.ownAverage*float64(hosts-1), 0
+	if weight == 0 && loads.mean == 0 {
+		return float64(s.ownInFlight) + s.ownAverage*float64(loads.hosts-1), 0
 	}
-	return float64(s.ownInFlight) + others*weight + mean*(1-weight), s.estimateQueued(now)
+	known := others*weight + loads.mean*(1-weight)
+	return float64(s.ownInFlight) + known, s.estimateQueued(now)
 }
 
 // estimateQueued returns the target's last reported queue length, reduced as
--- a/entry/throttle.go
+++ b/entry/throttle.go
@@ -25,19 +25,18 @@
 	if table == nil {
 		return
 	}
-	hosts := t.hosts.count()
 	for name, list := range t.byService {
 		service := table.Service(name)
 		if service == nil || service.Kind != fleet.KindPlain {
 			continue
 		}
 		inFlight, slots := 0.0, 0
-		mean := meanOthersLoad(now, list)
+		loads := t.serviceLoads(now, name, list)
 		for _, s := range list {
 			if s.State != roster.Ready || view.IsOutOfService(s.Name, s.FailureDomain) || s.isAvoided(now) {
 				continue
 			}
-			estimated, _ := s.estimateLoad(now, hosts, mean)
+			estimated, _ := s.estimateLoad(now, loads)
 			inFlight += estimated
 			slots += s.Capacity
 		}
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -243,10 +243,14 @@
 	if a.response != nil {
 		a.response.Close()
 	}
-	d.gateway.Admitter.Release(admission.Release{
+	release := admission.Release{
 		RequestID: a.permit.RequestID, Service: d.Service.Name, Target: a.permit.Target,
 		Outcome: outcome, FirstByte: a.firstByte,
-	})
+	}
+	if !a.sentAt.IsZero() {
+		release.Duration = d.gateway.Clock.Since(a.sentAt)
+	}
+	d.gateway.Admitter.Release(release)
 }
 
 // abandon ends a failed attempt. A request that may still run on the target is
--- a/route/local.go
+++ b/route/local.go
@@ -58,40 +58,6 @@
 	Overload time.Duration
 }
 
-// Above largeFleetTargets targets the low bound is lower: with more hosts and targets,
-// load reports are older and more requests arrive between them.
-const (
-	largeFleetTargets   = 32
-	largeFleetLowFactor = 1.4
-	largeFleetLowExtra  = 1
-	// These replace spreadCapacity. Unless a prompt is hot, many hosts share its few
-	// requests, so that an outdated view of the load costs each host little.
-	largeFleetHotSpreadCapacity  = 48
-	largeFleetCoolSpreadCapacity = 6
-)
-
-// The low and the high bound on the requests of one target are a multiple of the mean
-// plus an offset. Between them, other targets are increasingly preferred, and prompts
-// that are cheap to transfer leave first.
-const (
-	lowFactor  = 1.6
-	lowExtra   = 1.5
-	highFactor = 2.1
-	highExtra  = 3
-)
-
-// The load above which a target slows down is a multiple of the mean plus an offset.
-// No target should have more requests than that.
-const (
-	slowdownFactor = 2
-	slowdownExtra  = 3
-)
-
-// minBoundGap is the minimum distance from the mean of the admitting targets to the
-// low bound, and from the low to the high bound, however many targets are out of
-// service.
-const minBoundGap = 1
-
 // maxOverload caps the overload, as a multiple of the distance from the low to the
 // high bound, that is charged for a target.
 const maxOverload = 2
@@ -119,13 +85,13 @@
 // the prompt's cache to another target.
 //
 // random is a random number. It spreads the requests that leave an overloaded home over
-// other targets, over more of them if the prompt is hot.
-func ChooseLocal(key, random uint64, hot bool, tokens int, targets []LocalTarget, costs *LocalCosts) LocalChoice {
+// other targets. traffic tells how much may have changed since the loads were reported.
+func ChooseLocal(key, random uint64, traffic Traffic, tokens int, targets []LocalTarget, costs *LocalCosts) LocalChoice {
 	order := newRendezvousOrder(key, targets)
 	mean := meanInFlight(targets)
-	low, high := targetBounds(mean, targets)
+	low, high := traffic.targetBounds(mean, targets)
 	if order.home != None && targets[order.home].InFlight+1 > low {
-		if at := spread(key, random, hot, low, targets); at != None {
+		if at := spread(key, random, traffic.promptArrivals(), low, targets); at != None {
 			return LocalChoice{Target: at, CacheSource: order.cacheSource(at, targets), Home: at == order.home}
 		}
 	}
@@ -143,22 +109,24 @@
 			choice = LocalChoice{Target: i, CacheSource: source, Home: i == order.home}
 		}
 	}
-	if choice.Target != None && shouldRefuse(&targets[choice.Target], random, low, mean, targets) {
+	if choice.Target != None && shouldRefuse(&targets[choice.Target], random, mean, targets) {
 		return LocalChoice{Target: None, CacheSource: None}
 	}
 	return choice
 }
 
 // shouldRefuse reports whether a request should be refused rather than sent to the
-// cheapest target, because that target already exceeds the low bound and others are at
+// cheapest target, because that target is well above the mean and others are at
 // capacity.
 //
 // This protects the last warm target among cold ones during a rolling release. The
-// refused fraction grows from 0 at the low bound to 1 at the load above which a target
-// slows down, so that hosts that know little of each other's requests do not overload
-// the target together.
-func shouldRefuse(target *LocalTarget, random uint64, low, mean float64, targets []LocalTarget) bool {
-	overload := (target.InFlight + 1 - low) / (slowdownFactor*mean + slowdownExtra - low)
+// refused fraction grows from 0, halfway from the mean to the load above which a target
+// slows down, to 1 at that load, so that hosts that know little of each other's requests
+// do not overload the target together.
+func shouldRefuse(target *LocalTarget, random uint64, mean float64, targets []LocalTarget) bool {
+	limit := slowdownLoad(mean)
+	start := (mean + limit) / 2
+	overload := (target.InFlight + 1 - start) / (limit - start)
 	if overload <= 0 {
 		return false
 	}
@@ -211,39 +179,6 @@
 	return cost
 }
 
-// loadBounds returns the low and the high bound on the requests of one target.
-func loadBounds(mean float64, targets int) (low, high float64) {
-	if targets > largeFleetTargets {
-		return largeFleetLowFactor*mean + largeFleetLowExtra, highFactor*mean + highExtra
-	}
-	return lowFactor*mean + lowExtra, highFactor*mean + highExtra
-}
-
-// targetBounds returns the bounds for the given targets. Targets that admit no new
-// requests but still run some, for example while a failure domain is out of service,
-// count in the mean by which overload is judged, and reduce the distance of the other
-// targets to their bounds. The low bound is then halfway to the load above which a
-// target slows down, since below it every additional request that leaves its home costs
-// a cache transfer.
-func targetBounds(mean float64, targets []LocalTarget) (low, high float64) {
-	low, high = loadBounds(mean, len(targets))
-	sum, count := 0.0, 0
-	for i := range targets {
-		if targets[i].Availability != Gone {
-			sum += targets[i].InFlight
-			count++
-		}
-	}
-	if count == 0 {
-		return low, high
-	}
-	meanAll := sum / float64(count)
-	lowAll, highAll := loadBounds(meanAll, len(targets))
-	lowAll = (lowAll + slowdownFactor*meanAll + slowdownExtra) / 2
-	low = min(low, max(lowAll, mean+minBoundGap))
-	return low, min(high, max(highAll, low+minBoundGap))
-}
-
 // meanInFlight returns the mean number in flight over the targets that admit new
 // requests.
 func meanInFlight(targets []LocalTarget) float64 {
--- a/route/local_test.go
+++ b/route/local_test.go
@@ -126,20 +126,33 @@
 	return r
 }
 
-// hotHostShare is the fraction of a hundred hosts that received the hot prompt in the
-// last seconds, at sixty requests per second for it.
-const hotHostShare = 0.7
+// replayTraffic is the traffic of a replay with a hot prompt, as its hosts estimate it:
+// reports are one tick old, and a tenth of the requests end in a tick.
+func replayTraffic(hotPerTick float64) Traffic {
+	return Traffic{ReportAge: replayTick, Duration: 10 * replayTick, PromptRate: hotPerTick / replayTick.Seconds()}
+}
+
+// replayTick is the time between two refreshes of the hosts' view in a replay.
+const replayTick = 400 * time.Millisecond
 
 // replayPoints has a fixed seed, so that replays are reproducible.
 var replayPoints = rand.New(rand.NewPCG(3, 4))
 
-func chooseWithHome(key uint64, tokens int, targets []LocalTarget) LocalChoice {
-	return ChooseLocal(key, replayPoints.Uint64(), key == 1 && replayPoints.Float64() < hotHostShare, tokens, targets, &testCosts)
+// chooseWithHome is the rule for a replay in which a number of requests for the hot
+// prompt arrive in each tick.
+func chooseWithHome(hotPerTick float64) chooser {
+	return func(key uint64, tokens int, targets []LocalTarget) LocalChoice {
+		traffic := replayTraffic(0)
+		if key == 1 {
+			traffic = replayTraffic(hotPerTick)
+		}
+		return ChooseLocal(key, replayPoints.Uint64(), traffic, tokens, targets, &testCosts)
+	}
 }
 
 // chooseLeastLoadedLocal is the rule without homes.
 func chooseLeastLoadedLocal(_ uint64, _ int, targets []LocalTarget) LocalChoice {
-	return ChooseLocal(0, 0, false, 0, targets, &testCosts)
+	return ChooseLocal(0, 0, replayTraffic(0), 0, targets, &testCosts)
 }
 
 // chooseHomeOnly is the rule without a load bound on the home.
@@ -149,7 +162,7 @@
 	for i := range idle {
 		idle[i].InFlight = 0
 	}
-	return ChooseLocal(key, 0, false, tokens, idle, &testCosts)
+	return ChooseLocal(key, 0, replayTraffic(0), tokens, idle, &testCosts)
 }
 
 // chooseNextInOrder is the rule without spreading: requests that leave an overloaded
@@ -157,7 +170,7 @@
 func chooseNextInOrder(key uint64, _ int, targets []LocalTarget) LocalChoice {
 	remaining := make([]LocalTarget, len(targets))
 	copy(remaining, targets)
-	bound, _ := loadBounds(meanInFlight(targets), len(targets))
+	bound, _ := replayTraffic(0).loadBounds(meanInFlight(targets))
 	for range remaining {
 		order := newRendezvousOrder(key, remaining)
 		if order.home == None {
@@ -172,7 +185,7 @@
 }
 
 func TestChooseLocal_ReturningPromptIsPrefilledOnce(t *testing.T) {
-	with, without := newLoadReplay(9).run(chooseWithHome, 0), newLoadReplay(9).run(chooseLeastLoadedLocal, 0)
+	with, without := newLoadReplay(9).run(chooseWithHome(0), 0), newLoadReplay(9).run(chooseLeastLoadedLocal, 0)
 	// One prompt in ten may be prefilled twice, if its home was overloaded when its
 	// first request arrived.
 	require.LessOrEqual(t, with.prefilled, 109*10_000, "each prompt is prefilled once in the fleet")
@@ -180,7 +193,7 @@
 }
 
 func TestChooseLocal_HotPromptDoesNotOverloadHome(t *testing.T) {
-	with, without := newLoadReplay(9).run(chooseWithHome, 0.3), newLoadReplay(9).run(chooseHomeOnly, 0.3)
+	with, without := newLoadReplay(9).run(chooseWithHome(0.3*12), 0.3), newLoadReplay(9).run(chooseHomeOnly, 0.3)
 	require.LessOrEqual(t, 100*with.overloaded, 3*with.assigned, "at most three in a hundred requests may meet an overloaded target")
 	require.Greater(t, 100*without.overloaded, 3*without.assigned, "without a bound, one target is overloaded")
 	require.Less(t, 5*with.prefilled, newLoadReplay(9).run(chooseLeastLoadedLocal, 0.3).prefilled, "requests that leave the home transfer the cached prompt instead of prefilling it")
@@ -205,7 +218,7 @@
 		}
 		return r
 	}
-	with, without := simulate(chooseWithHome), simulate(chooseNextInOrder)
+	with, without := simulate(chooseWithHome(0.27*90)), simulate(chooseNextInOrder)
 	require.LessOrEqual(t, 100*with.overloaded, 3*with.assigned, "at most three in a hundred requests may meet an overloaded target")
 	require.Greater(t, without.overloaded, 2*with.overloaded, "without spreading, targets are overloaded one after the other")
 }
@@ -220,7 +233,7 @@
 			r.targets[3*i].Availability = DomainOut
 		}
 		r.targets[1].Availability = Leaving
-		r.run(chooseWithHome, hot)
+		r.run(chooseWithHome(hot*12), hot)
 		require.LessOrEqual(t, float64(r.overloaded), 0.03*float64(r.assigned), "overloaded requests of %d assigned", r.assigned)
 		require.Zero(t, r.refused)
 		require.Less(t, 4*r.prefilled, 3600*10_000, "prompts are still cached at their homes")
@@ -231,10 +244,10 @@
 // load. The warm target must not take all the rest.
 func TestChooseLocal_LastWarmTargetIsNotOverloaded(t *testing.T) {
 	for _, hot := range []float64{0, 0.3} {
-		r := newLoadReplay(9).run(chooseWithHome, hot)
+		r := newLoadReplay(9).run(chooseWithHome(hot*12), hot)
 		require.Zero(t, r.refused, "nothing is refused while no target is cold")
 		r.coldRate, r.assigned, r.overloaded = 0.9, 0, 0
-		r.run(chooseWithHome, hot)
+		r.run(chooseWithHome(hot*12), hot)
 		require.LessOrEqual(t, float64(r.overloaded), 0.03*float64(r.assigned), "overloaded requests of %d assigned", r.assigned)
 		// The cold targets take their budget, and the last one takes its share.
 		require.Greater(t, float64(r.assigned), 0.95*300*8*0.9)
@@ -242,47 +255,63 @@
 	}
 }
 
-// In a large fleet an overloaded home has many alternatives. A prompt with few requests
-// uses only some of them, since each one needs a cache transfer; a hot prompt uses many.
-func TestChooseLocal_CoolPromptUsesFewTargets(t *testing.T) {
-	used := func(targets []LocalTarget, hot bool) int {
-		seen := map[int]bool{}
-		random := rand.New(rand.NewPCG(5, 6))
-		for range 500 {
-			seen[ChooseLocal(17, random.Uint64(), hot, 10_000, targets, &testCosts).Target] = true
+// An overloaded home has many alternatives. A prompt with few requests within the age of
+// the reports uses only some of them, since each one needs a cache transfer; one with many
+// uses as many as have room for them. The number of targets does not matter.
+func TestChooseLocal_PromptSpreadsByArrivalsWithinReportAge(t *testing.T) {
+	for _, count := range []int{9, 33, 112, 204} {
+		used := func(traffic Traffic) int {
+			targets := localTargets(count)
+			for i := range targets {
+				targets[i].InFlight = 4
+			}
+			home := ChooseLocal(17, 0, traffic, 10_000, targets, &testCosts).Target
+			targets[home].InFlight = 12
+			seen := map[int]bool{}
+			random := rand.New(rand.NewPCG(5, 6))
+			for range 500 {
+				seen[ChooseLocal(17, random.Uint64(), traffic, 10_000, targets, &testCosts).Target] = true
+			}
+			require.False(t, seen[home])
+			return len(seen)
 		}
-		return len(seen)
+		require.LessOrEqual(t, used(replayTraffic(0)), 4, count)
+		require.GreaterOrEqual(t, used(replayTraffic(24)), 6, count)
+		old := replayTraffic(1)
+		old.ReportAge *= 5
+		require.Greater(t, used(old), used(replayTraffic(1)), "older reports: %d targets", count)
 	}
-	targets := localTargets(112)
-	for i := range targets {
-		targets[i].InFlight = 4
-	}
-	home := ChooseLocal(17, 0, false, 10_000, targets, &testCosts).Target
-	targets[home].InFlight = 10
-	require.LessOrEqual(t, used(targets, false), 4)
-	require.GreaterOrEqual(t, used(targets, true), 12)
-	// A small fleet has no spare capacity to lose to an outdated view, so a cool prompt
-	// spreads over more of its targets there.
-	small := localTargets(9)
-	for i := range small {
-		small[i].InFlight = 4
-	}
-	home = ChooseLocal(17, 0, false, 10_000, small, &testCosts).Target
-	small[home].InFlight = 10
-	require.GreaterOrEqual(t, used(small, false), 5)
+}
+
+// A home is left earlier the more requests arrive within the age of the reports, and the
+// bounds do not depend on how many hosts, targets or slots there are.
+func TestLoadBounds_FollowArrivalsWithinReportAge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		mean := rapid.Float64Range(0, 90).Draw(t, "mean")
+		age := time.Duration(rapid.IntRange(0, 3000).Draw(t, "age")) * time.Millisecond
+		duration := time.Duration(rapid.IntRange(1, 9000).Draw(t, "duration")) * time.Millisecond
+		low, high := Traffic{ReportAge: age, Duration: duration}.loadBounds(mean)
+		older, _ := Traffic{ReportAge: 2 * age, Duration: duration}.loadBounds(mean)
+		require.LessOrEqual(t, older, low)
+		require.LessOrEqual(t, low, max(2*mean+3, mean+minBoundGap))
+		require.GreaterOrEqual(t, low, mean+minBoundGap)
+		require.GreaterOrEqual(t, high, low+minBoundGap)
+	})
+	fresh, _ := Traffic{Duration: time.Second}.loadBounds(10)
+	require.InDelta(t, 23, fresh, 1e-9)
 }
 
 func TestChooseLocal_LeavingTargetIsCacheSource(t *testing.T) {
 	targets := localTargets(6)
-	first := ChooseLocal(17, 0, false, 10_000, targets, &testCosts)
+	first := ChooseLocal(17, 0, replayTraffic(0), 10_000, targets, &testCosts)
 	require.True(t, first.Home)
 	require.Equal(t, None, first.CacheSource)
 	targets[first.Target].Availability = Leaving
-	next := ChooseLocal(17, 0, false, 10_000, targets, &testCosts)
+	next := ChooseLocal(17, 0, replayTraffic(0), 10_000, targets, &testCosts)
 	require.NotEqual(t, first.Target, next.Target)
 	require.Equal(t, first.Target, next.CacheSource)
 	targets[first.Target].Availability = Gone
-	require.Equal(t, None, ChooseLocal(17, 0, false, 10_000, targets, &testCosts).CacheSource)
+	require.Equal(t, None, ChooseLocal(17, 0, replayTraffic(0), 10_000, targets, &testCosts).CacheSource)
 }
 
 func TestChooseLocal_RecentlyJoinedTargetTakesNoPrompts(t *testing.T) {
@@ -291,9 +320,9 @@
 		key := rapid.Uint64Min(1).Draw(t, "key")
 		joined := rapid.IntRange(0, len(targets)-1).Draw(t, "fresh")
 		targets[joined].Availability = Gone
-		before := ChooseLocal(key, 0, false, 10_000, targets, &testCosts)
+		before := ChooseLocal(key, 0, replayTraffic(0), 10_000, targets, &testCosts)
 		targets[joined].Availability, targets[joined].RecentlyJoined = Available, true
-		require.Equal(t, before.Target, ChooseLocal(key, 0, false, 10_000, targets, &testCosts).Target)
+		require.Equal(t, before.Target, ChooseLocal(key, 0, replayTraffic(0), 10_000, targets, &testCosts).Target)
 	})
 }
 
@@ -311,17 +340,18 @@
 				Slots:          rapid.IntRange(0, 20).Draw(t, "slots"),
 			}
 		}), 0, 8).Draw(t, "targets")
-		choice := ChooseLocal(rapid.Uint64().Draw(t, "prompt"), rapid.Uint64().Draw(t, "point"), rapid.Bool().Draw(t, "hot"), 1000, targets, &testCosts)
-		withCapacity, healthy, atCapacity, belowLow := 0, 0, 0, 0
-		low, _ := targetBounds(meanInFlight(targets), targets)
+		choice := ChooseLocal(rapid.Uint64().Draw(t, "prompt"), rapid.Uint64().Draw(t, "point"), replayTraffic(rapid.Float64Range(0, 40).Draw(t, "hot")), 1000, targets, &testCosts)
+		withCapacity, healthy, atCapacity, belowStart := 0, 0, 0, 0
+		mean := meanInFlight(targets)
+		start := (mean + slowdownLoad(mean)) / 2
 		for i := range targets {
 			if targets[i].Availability == Available && targets[i].AtCapacity {
 				atCapacity++
 			}
 			if targets[i].Availability == Available && !targets[i].AtCapacity {
 				withCapacity++
-				if targets[i].InFlight+1 <= low {
-					belowLow++
+				if targets[i].InFlight+1 <= start {
+					belowStart++
 				}
 				if !targets[i].Unhealthy {
 					healthy++
@@ -329,7 +359,7 @@
 			}
 		}
 		if choice.Target == None {
-			require.True(t, withCapacity == 0 || atCapacity > 0 && belowLow < withCapacity, "a request is refused only if the cheapest target is overloaded and others are at capacity")
+			require.True(t, withCapacity == 0 || atCapacity > 0 && belowStart < withCapacity, "a request is refused only if the cheapest target is overloaded and others are at capacity")
 			return
 		}
 		require.Positive(t, withCapacity)
@@ -348,7 +378,7 @@
 func TestChooseLocal_PlainRequestsPreferSameDomain(t *testing.T) {
 	costs := LocalCosts{InFlight: 5 * time.Millisecond, Queued: 20 * time.Millisecond, CrossDomain: 5 * time.Millisecond}
 	targets := localTargets(3)
-	require.Equal(t, 0, ChooseLocal(0, 0, false, 0, targets, &costs).Target)
+	require.Equal(t, 0, ChooseLocal(0, 0, replayTraffic(0), 0, targets, &costs).Target)
 	targets[0].InFlight = 3
-	require.NotEqual(t, 0, ChooseLocal(0, 0, false, 0, targets, &costs).Target)
+	require.NotEqual(t, 0, ChooseLocal(0, 0, replayTraffic(0), 0, targets, &costs).Target)
 }
--- a/route/recently_joined_test.go
+++ b/route/recently_joined_test.go
@@ -16,7 +16,7 @@
 	}
 	home := 0
 	for key := range uint64(500) {
-		if ChooseLocal(key+1, replayPoints.Uint64(), false, 10_000, targets, &testCosts).Home {
+		if ChooseLocal(key+1, replayPoints.Uint64(), replayTraffic(0), 10_000, targets, &testCosts).Home {
 			home++
 		}
 	}
--- a/route/spread.go
+++ b/route/spread.go
@@ -3,21 +3,25 @@
 const (
 	// maxSpreadTargets is the maximum number of targets over which one prompt spreads.
 	maxSpreadTargets = 64
-	// spreadCapacity is the total free capacity to spread over: the number of requests
-	// that may arrive for one prompt before hosts receive reports of each other's
-	// requests.
-	spreadCapacity = 24
+	// minSpreadCapacity is the least total free capacity to spread over. With more, each
+	// request that leaves its home costs a cache transfer to another target; with less,
+	// a few requests that arrive together fill it.
+	minSpreadCapacity = 6
+	// spreadMargin is the free capacity to spread over, as a multiple of the requests
+	// that are expected before hosts receive reports of each other's requests.
+	spreadMargin = 2
 )
 
 // spread chooses one of the first targets in rendezvous order for a key, with a
 // probability proportional to its free capacity, the distance of its load to bound. It
-// uses as many targets as together have enough free capacity, and returns None if no
-// target has any.
+// uses as many targets as together have room for the requests with this prompt that are
+// expected to arrive within the age of the reports, and returns None if no target has
+// any.
 //
 // It is designed for a prompt that gets tens of requests per second on a hundred hosts,
 // each of which receives only a few. If all hosts chose the next target in order, or
 // the least loaded one, they would overload that target until the next load report.
-func spread(key, random uint64, hot bool, bound float64, targets []LocalTarget) int {
+func spread(key, random uint64, arrivals, bound float64, targets []LocalTarget) int {
 	var order [maxSpreadTargets]rankedCandidate
 	count := 0
 	for i := range targets {
@@ -29,13 +33,7 @@
 	}
 	var free [maxSpreadTargets]float64
 	total, used := 0.0, 0
-	capacity := float64(spreadCapacity)
-	if len(targets) > largeFleetTargets {
-		capacity = largeFleetCoolSpreadCapacity
-		if hot {
-			capacity = largeFleetHotSpreadCapacity
-		}
-	}
+	capacity := max(spreadMargin*arrivals, minSpreadCapacity)
 	for used < count && total < capacity {
 		free[used] = max(bound-targets[order[used].target].InFlight, 0)
 		total += free[used]
