Estimate the load of a target by its usual load where reports have aged away

Cause: on 141 hosts a report is 0.6 s old and a request lasts 0.3 s.

Change: the part of a report that has ended since, by the age of reports and the mean duration of requests, is replaced by the moving average of what other hosts had on that target. A target that was not known before starts with the mean.

Ruled out: cold targets and the 13 replaced ones; the overloaded target had been warm for 36 s.

TestEstimateLoad_ShortRequestsAreEstimatedByUsualLoad failed before.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -261,6 +261,29 @@
 	require.InDelta(t, 4, queued, 0.01)
 }
 
+// On many hosts a digest is older than most requests are long. The home of popular
+// prompts holds more than the mean, although one digest in two shows it idle: without
+// its usual load, hosts would send to it as to any other target. Long requests are
+// still there, so that their report counts.
+func TestEstimateLoad_ShortRequestsAreEstimatedByUsualLoad(t *testing.T) {
+	f := newFixture(t)
+	f.applyEntries(f.newRosterEntry("home", "engines", "a", 1), f.newRosterEntry("other", "engines", "a", 1))
+	for i := range 40 {
+		f.clock.Advance(500 * time.Millisecond)
+		f.selector.applyLoads(map[string]int{"home": 6 * (i % 2), "other": 1}, 1, nil)
+	}
+	f.clock.Advance(500 * time.Millisecond)
+	f.selector.applyLoads(map[string]int{"home": 0, "other": 1}, 1, nil)
+	home := f.selector.byName["home"]
+	estimate := func(duration time.Duration) float64 {
+		inFlight, _ := home.estimateLoad(f.clock.Now(), serviceLoads{hosts: 100, mean: 1, reportAge: 600 * time.Millisecond, duration: duration})
+		return inFlight
+	}
+	require.InDelta(t, 2.5, estimate(150*time.Millisecond), 0.5)
+	require.Less(t, estimate(time.Minute), 0.2)
+	require.Less(t, estimate(0), 0.2, "the duration is unknown")
+}
+
 func TestApplyRoster_RestartClearsFailures(t *testing.T) {
 	f := newFixture(t)
 	f.applyEntries(f.newRosterEntry("t-1", "treasury", "a", 1))
--- a/entry/target_selector.go
+++ b/entry/target_selector.go
@@ -212,7 +212,7 @@
 		if !listed {
 			others = mean - float64(reported[name])
 		}
-		s.othersInFlight, s.othersInFlightAt = max(others, 0), now
+		s.recordOthers(now, max(others, 0), mean)
 	}
 }
 
--- a/entry/target_state.go
+++ b/entry/target_state.go
@@ -27,6 +27,9 @@
 	atCapacityPeriod = 100 * time.Millisecond
 	// ownAveragePeriod is the time over which this host's own load is averaged.
 	ownAveragePeriod = 2 * time.Second
+	// usualLoadPeriod is the time over which the load that other hosts put on a target
+	// is averaged.
+	usualLoadPeriod = 2 * time.Second
 )
 
 // targetState is the roster entry of a target with what this host learned about
@@ -49,6 +52,8 @@
 	// by the hub.
 	othersInFlight   float64
 	othersInFlightAt time.Time
+	// usualOthers is the moving average of othersInFlight.
+	usualOthers float64
 	// consecutiveFailures is the number of failures since the last success.
 	// unreachable is set if no connection could be opened at the last failure.
 	consecutiveFailures int
@@ -103,6 +108,18 @@
 	return sum / weights
 }
 
+// recordOthers records the requests of other hosts as last reported by the hub. A
+// target that was not known before starts with the mean.
+func (s *targetState) recordOthers(now time.Time, inFlight, mean float64) {
+	if s.othersInFlightAt.IsZero() {
+		s.usualOthers = mean
+	} else {
+		weight := 1 - math.Exp(-float64(now.Sub(s.othersInFlightAt))/float64(usualLoadPeriod))
+		s.usualOthers += (inFlight - s.usualOthers) * weight
+	}
+	s.othersInFlight, s.othersInFlightAt = inFlight, now
+}
+
 // serviceLoads is what this host knows of the requests to a service.
 type serviceLoads struct {
 	hosts int
@@ -118,12 +135,25 @@
 // target. As the last report ages, it is gradually replaced by the mean over all
 // targets. Without any report, the other hosts are assumed to send as many requests
 // as this one.
+//
+// A report tells little once most of the requests in it have ended, as on hundreds of
+// hosts with requests that are shorter than the age of the reports: the home of popular
+// prompts would look like any other target in one digest and overloaded in the next. The
+// part of the report that has ended is therefore replaced by the usual load.
 func (s *targetState) estimateLoad(now time.Time, loads serviceLoads) (inFlight, queued float64) {
 	others, weight := s.othersLoad(now)
 	if weight == 0 && loads.mean == 0 {
 		return float64(s.ownInFlight) + s.ownAverage*float64(loads.hosts-1), 0
 	}
 	known := others*weight + loads.mean*(1-weight)
+	if loads.duration > 0 && !s.othersInFlightAt.IsZero() {
+		age := loads.reportAge
+		if s.lastLoadAt.After(s.othersInFlightAt) {
+			age = now.Sub(s.lastLoadAt)
+		}
+		remaining := math.Exp(-float64(age) / float64(loads.duration))
+		known = known*remaining + s.usualOthers*(1-remaining)
+	}
 	return float64(s.ownInFlight) + known, s.estimateQueued(now)
 }
 
