--- a/journal/benchmark_test.go
+++ b/ledger/benchmark_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package ledger_test
 
 import (
 	"fmt"
@@ -9,7 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"comfreytiller.dev/journal"
+	"comfreytiller.dev/ledger"
 )
 
 const recordBytes = 200
@@ -20,7 +20,7 @@
 	for _, size := range []int{1, 8, 64} {
 		b.Run(fmt.Sprintf("records=%d", size), func(b *testing.B) {
 			dir := b.TempDir()
-			log, err := journal.Open(filepath.Join(dir, "log"))
+			log, err := ledger.Open(filepath.Join(dir, "log"))
 			require.NoError(b, err)
 			defer log.Close()
 			plain, err := os.Create(filepath.Join(dir, "bare"))
@@ -32,7 +32,7 @@
 			}
 			// Each record has a header of 21 bytes on disk.
 			content := make([]byte, size*(recordBytes+21))
-			var journalTime, plainTime time.Duration
+			var ledgerTime, plainTime time.Duration
 			index := uint64(1)
 			for b.Loop() {
 				indexes := indexesFrom(index, size)
@@ -42,14 +42,14 @@
 				_, err := plain.Write(content)
 				require.NoError(b, err)
 				require.NoError(b, plain.Sync())
-				journalTime += middle.Sub(start)
+				ledgerTime += middle.Sub(start)
 				plainTime += time.Since(middle)
 				index += uint64(size)
 			}
 			b.ReportMetric(0, "ns/op")
-			b.ReportMetric(float64(journalTime.Nanoseconds())/float64(b.N), "append-ns/op")
+			b.ReportMetric(float64(ledgerTime.Nanoseconds())/float64(b.N), "append-ns/op")
 			b.ReportMetric(float64(plainTime.Nanoseconds())/float64(b.N), "bare-fsync-ns/op")
-			b.ReportMetric(float64(journalTime)/float64(plainTime), "ratio")
+			b.ReportMetric(float64(ledgerTime)/float64(plainTime), "ratio")
 		})
 	}
 }
@@ -61,7 +61,7 @@
 	for _, snapshotInterval := range []uint64{0, 10_000} {
 		b.Run(fmt.Sprintf("snapshot-every=%d", snapshotInterval), func(b *testing.B) {
 			dir := filepath.Join(b.TempDir(), "log")
-			log, err := journal.Open(dir)
+			log, err := ledger.Open(dir)
 			require.NoError(b, err)
 			records := make([][]byte, batchRecords)
 			for i := range records {
@@ -75,7 +75,7 @@
 			}
 			require.NoError(b, log.Close())
 			for b.Loop() {
-				log, err := journal.Open(dir)
+				log, err := ledger.Open(dir)
 				require.NoError(b, err)
 				_, snapshotIndex, _, indexes, _, err := log.Load()
 				require.NoError(b, err)
--- a/journal/crash_test.go
+++ b/ledger/crash_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package ledger_test
 
 import (
 	"fmt"
@@ -8,10 +8,10 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"comfreytiller.dev/journal"
+	"comfreytiller.dev/ledger"
 )
 
-// contents is the model of a journal's contents.
+// contents is the model of a ledger's contents.
 type contents struct {
 	state         string
 	snapshotIndex uint64
@@ -56,7 +56,7 @@
 	return c
 }
 
-func load(t require.TestingT, log *journal.Journal) contents {
+func load(t require.TestingT, log *ledger.Ledger) contents {
 	state, snapshotIndex, snapshot, indexes, records, err := log.Load()
 	require.NoError(t, err)
 	c := contents{state: string(state), snapshotIndex: snapshotIndex, snapshot: string(snapshot), first: snapshotIndex + 1}
@@ -86,7 +86,7 @@
 // generatedCall is a call with all contents that a crash during the call may leave
 // behind. The first element of after is the result of a successful call.
 type generatedCall struct {
-	call  func(*journal.Journal) error
+	call  func(*ledger.Ledger) error
 	after []contents
 }
 
@@ -95,11 +95,11 @@
 	case "save":
 		index := rapid.Uint64Range(max(1, c.snapshotIndex), c.last()+3).Draw(t, "snapshot index")
 		data := fmt.Sprintf("snapshot %d", callNumber)
-		call := func(log *journal.Journal) error { return log.SaveSnapshot(index, []byte(data)) }
+		call := func(log *ledger.Ledger) error { return log.SaveSnapshot(index, []byte(data)) }
 		return generatedCall{call: call, after: []contents{c.save(index, data)}}
 	case "truncate":
 		last := rapid.Uint64Range(c.snapshotIndex, c.last()).Draw(t, "truncate after")
-		call := func(log *journal.Journal) error { return log.Truncate(last) }
+		call := func(log *ledger.Ledger) error { return log.Truncate(last) }
 		return generatedCall{call: call, after: []contents{c.truncate(last)}}
 	}
 	var state string
@@ -111,7 +111,7 @@
 	for i := range rapid.IntRange(0, 4).Draw(t, "records") {
 		records = append(records, fmt.Sprintf("%d.%d%*d", callNumber, i, rapid.IntRange(0, 30).Draw(t, "pad"), 0))
 	}
-	call := func(log *journal.Journal) error {
+	call := func(log *ledger.Ledger) error {
 		var stateBytes []byte
 		if state != "" {
 			stateBytes = []byte(state)
@@ -126,7 +126,7 @@
 }
 
 // Guards against losing acknowledged records in a crash. It runs generated calls,
-// simulates a power loss at any step of one of them, and checks that the journal
+// simulates a power loss at any step of one of them, and checks that the ledger
 // contains the acknowledged records, with or without a prefix of the interrupted
 // batch.
 func TestCrashKeepsAcknowledgedRecords(t *testing.T) {
@@ -136,7 +136,7 @@
 		acknowledged := contents{first: 1, records: []string{}}
 		callNumber := 0
 		for range rapid.IntRange(1, 4).Draw(t, "restarts") {
-			log, err := journal.Open(dir, journal.WithFileSystem(files), journal.WithSegmentBytes(150))
+			log, err := ledger.Open(dir, ledger.WithFileSystem(files), ledger.WithSegmentBytes(150))
 			require.NoError(t, err)
 			require.Equal(t, acknowledged, load(t, log))
 			files.failAt = files.calls + rapid.IntRange(1, 60).Draw(t, "power loss after calls")
@@ -163,11 +163,11 @@
 // during Open, which must not change the contents.
 func reopenAfterCrash(t *rapid.T, dir string, files *memoryFileSystem) contents {
 	files.failAt = files.calls + rapid.IntRange(1, 8).Draw(t, "power loss while opening")
-	if log, err := journal.Open(dir, journal.WithFileSystem(files)); err == nil {
+	if log, err := ledger.Open(dir, ledger.WithFileSystem(files)); err == nil {
 		require.NoError(t, log.Close())
 	}
 	after := files.crash(t)
-	log, err := journal.Open(dir, journal.WithFileSystem(after))
+	log, err := ledger.Open(dir, ledger.WithFileSystem(after))
 	require.NoError(t, err)
 	defer log.Close()
 	*files = *after
@@ -180,7 +180,7 @@
 	dir := t.TempDir()
 	for step := 1; ; step++ {
 		files := newMemoryFileSystem()
-		log, err := journal.Open(dir, journal.WithFileSystem(files), journal.WithSegmentBytes(60))
+		log, err := ledger.Open(dir, ledger.WithFileSystem(files), ledger.WithSegmentBytes(60))
 		require.NoError(t, err)
 		for index := uint64(1); index <= 9; index++ {
 			require.NoError(t, log.Append([]byte("state"), []uint64{index}, [][]byte{[]byte("record of some length")}))
@@ -197,7 +197,7 @@
 			for name, node := range map[bool]map[string]*inode{false: files.cached, true: files.synced}[lostUnsynced] {
 				afterCrash.cached[name] = &inode{cached: node.synced, synced: node.synced}
 			}
-			log, err = journal.Open(dir, journal.WithFileSystem(afterCrash))
+			log, err = ledger.Open(dir, ledger.WithFileSystem(afterCrash))
 			require.NoError(t, err, "step %d", step)
 			got := load(t, log)
 			require.NoError(t, log.Close())
@@ -217,7 +217,7 @@
 // The last segment is truncated, or zeroed, from every byte on. Open must keep all
 // batches before that byte and accept new records.
 func TestTruncatedTailKeepsEarlierBatches(t *testing.T) {
-	dir, acknowledged := writtenJournal(t)
+	dir, acknowledged := writtenLedger(t)
 	name := dir + "/segment-0000000000000001"
 	whole, err := os.ReadFile(name)
 	require.NoError(t, err)
@@ -228,7 +228,7 @@
 				content = append(content, make([]byte, len(whole)-cut)...)
 			}
 			require.NoError(t, os.WriteFile(name, content, 0o600))
-			log, err := journal.Open(dir)
+			log, err := ledger.Open(dir)
 			require.NoError(t, err, "cut at %d", cut)
 			got := load(t, log)
 			want := acknowledged[0]
@@ -251,11 +251,11 @@
 	end int
 }
 
-// writtenJournal returns the directory of a closed journal with three batches, and
+// writtenLedger returns the directory of a closed ledger with three batches, and
 // the contents before the first and after each batch.
-func writtenJournal(t *testing.T) (string, []acknowledgedAt) {
+func writtenLedger(t *testing.T) (string, []acknowledgedAt) {
 	dir := t.TempDir()
-	log, err := journal.Open(dir)
+	log, err := ledger.Open(dir)
 	require.NoError(t, err)
 	c := contents{first: 1, records: []string{}}
 	acknowledged := []acknowledgedAt{{contents: c, end: 20}}
@@ -273,14 +273,14 @@
 // A crash may lose the beginning of the last write while its end reaches the disk.
 // Open must drop the whole write and not report corruption.
 func TestHoleInLastWriteDropsWrite(t *testing.T) {
-	dir, acknowledged := writtenJournal(t)
+	dir, acknowledged := writtenLedger(t)
 	name := dir + "/segment-0000000000000001"
 	content, err := os.ReadFile(name)
 	require.NoError(t, err)
 	start := acknowledged[len(acknowledged)-2].end
 	clear(content[start : start+30])
 	require.NoError(t, os.WriteFile(name, content, 0o600))
-	log, err := journal.Open(dir)
+	log, err := ledger.Open(dir)
 	require.NoError(t, err)
 	defer log.Close()
 	require.Equal(t, acknowledged[len(acknowledged)-2].contents, load(t, log))
@@ -289,7 +289,7 @@
 // A flipped bit anywhere before the last write must be reported as corruption with
 // its location, and Open must leave the file unchanged.
 func TestDamageBeforeTailIsReported(t *testing.T) {
-	dir, acknowledged := writtenJournal(t)
+	dir, acknowledged := writtenLedger(t)
 	name := dir + "/segment-0000000000000001"
 	whole, err := os.ReadFile(name)
 	require.NoError(t, err)
@@ -298,9 +298,9 @@
 			content := append([]byte{}, whole...)
 			content[offset] ^= 1 << bit
 			require.NoError(t, os.WriteFile(name, content, 0o600))
-			_, err := journal.Open(dir)
-			require.ErrorIs(t, err, journal.ErrCorrupt, "offset %d bit %d", offset, bit)
-			var corrupt *journal.CorruptError
+			_, err := ledger.Open(dir)
+			require.ErrorIs(t, err, ledger.ErrCorrupt, "offset %d bit %d", offset, bit)
+			var corrupt *ledger.CorruptError
 			require.ErrorAs(t, err, &corrupt)
 			require.Equal(t, name, corrupt.File)
 			require.LessOrEqual(t, corrupt.Offset, int64(offset))
--- a/journal/errors.go
+++ b/ledger/errors.go
@@ -1,4 +1,4 @@
-package journal
+package ledger
 
 import (
 	"fmt"
@@ -8,27 +8,27 @@
 	"github.com/go-faster/errors"
 )
 
-// Errors returned by a Journal, to be matched with errors.Is. Texts of errors that
+// Errors returned by a Ledger, to be matched with errors.Is. Texts of errors that
 // Append, Truncate and SaveSnapshot return can become part of responses to operators
 // and must not change.
 var (
-	// ErrLocked is returned when another journal has locked the directory.
-	ErrLocked = errors.New("journal directory is locked by another process")
+	// ErrLocked is returned when another ledger has locked the directory.
+	ErrLocked = errors.New("ledger directory is locked by another process")
 	// ErrCorrupt is returned when acknowledged records are damaged. The error is a
 	// *CorruptError with the file and the offset.
-	ErrCorrupt = errors.New("journal is corrupt")
+	ErrCorrupt = errors.New("ledger is corrupt")
 	// ErrDiskFull is returned when the disk is full. The call had no effect.
-	ErrDiskFull = errors.New("journal disk is full")
+	ErrDiskFull = errors.New("ledger disk is full")
 	// ErrFailed is returned when a write or fsync failed, and by every call after
-	// that. The journal has to be opened again by a new process.
-	ErrFailed = errors.New("journal has failed")
+	// that. The ledger has to be opened again by a new process.
+	ErrFailed = errors.New("ledger has failed")
 	// ErrClosed is returned after Close.
-	ErrClosed = errors.New("journal is closed")
+	ErrClosed = errors.New("ledger is closed")
 	// ErrInvalidIndex is returned when the indexes of a call do not fit the log.
-	ErrInvalidIndex = errors.New("journal index out of order")
+	ErrInvalidIndex = errors.New("ledger index out of order")
 	// ErrTooLarge is returned when a record, a state or a batch exceeds its size
 	// limit.
-	ErrTooLarge = errors.New("journal record is too large")
+	ErrTooLarge = errors.New("ledger record is too large")
 )
 
 // CorruptError reports the location of damage that a crash can't explain.
--- a/journal/example_test.go
+++ b/ledger/example_test.go
@@ -1,20 +1,20 @@
-package journal_test
+package ledger_test
 
 import (
 	"fmt"
 	"os"
 
-	"comfreytiller.dev/journal"
+	"comfreytiller.dev/ledger"
 )
 
 func Example() {
-	dir, err := os.MkdirTemp("", "journal-")
+	dir, err := os.MkdirTemp("", "ledger-")
 	if err != nil {
 		fmt.Println(err)
 		return
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	log, err := journal.Open(dir)
+	log, err := ledger.Open(dir)
 	if err != nil {
 		fmt.Println(err)
 		return
@@ -23,7 +23,7 @@
 	fmt.Println(err, log.Close())
 
 	// Acknowledged records are available after a restart.
-	log, err = journal.Open(dir)
+	log, err = ledger.Open(dir)
 	if err != nil {
 		fmt.Println(err)
 		return
--- a/journal/filesystem.go
+++ b/ledger/filesystem.go
@@ -1,4 +1,4 @@
-package journal
+package ledger
 
 import (
 	"io"
@@ -9,7 +9,7 @@
 	"github.com/go-faster/errors"
 )
 
-// FileSystem is the set of file operations that a journal uses. Names are full
+// FileSystem is the set of file operations that a ledger uses. Names are full
 // paths.
 type FileSystem interface {
 	// Create opens a file for writing and truncates it if it exists.
@@ -89,10 +89,10 @@
 // lock is released with the file's last descriptor, so a crash releases it.
 func lockDir(dir string) (*os.File, error) {
 	if err := os.MkdirAll(dir, dirMode); err != nil {
-		return nil, errors.Wrap(err, "create journal directory")
+		return nil, errors.Wrap(err, "create ledger directory")
 	}
 	if err := (osFileSystem{}).SyncDir(filepath.Dir(dir)); err != nil {
-		return nil, errors.Wrap(err, "sync parent of journal directory")
+		return nil, errors.Wrap(err, "sync parent of ledger directory")
 	}
 	f, err := os.OpenFile(filepath.Join(dir, lockName), os.O_RDWR|os.O_CREATE, fileMode)
 	if err != nil {
--- a/journal/journal.go
+++ b/ledger/ledger.go
@@ -1,4 +1,4 @@
-// Package journal keeps a replica's log and snapshots on disk.
+// Package ledger keeps a replica's log and snapshots on disk.
 //
 // The log is a series of segment files. Each record carries its length and a
 // checksum that also covers the segment's sequence number and the record's
@@ -28,12 +28,12 @@
 //
 // # Usage
 //
-//	log, err := journal.Open("data/log")
+//	log, err := ledger.Open("data/log")
 //	state, snapshotIndex, snapshot, indexes, records, err := log.Load()
 //	err = log.Append(state, []uint64{8, 9}, [][]byte{eight, nine})
 //	err = log.SaveSnapshot(9, snapshot)
 //	err = log.Close()
-package journal
+package ledger
 
 import (
 	"os"
@@ -45,11 +45,11 @@
 // defaultSegmentBytes is the size in bytes at which a segment is closed.
 const defaultSegmentBytes = 8 << 20
 
-// Journal is a write-ahead log with snapshots in one directory. It also stores a
+// Ledger is a write-ahead log with snapshots in one directory. It also stores a
 // state, a small opaque value such as a replica's term and vote, which Append
 // replaces together with the records. Its methods are safe for concurrent use and
 // run one at a time.
-type Journal struct {
+type Ledger struct {
 	mu           sync.Mutex
 	dir          string
 	files        FileSystem
@@ -70,26 +70,26 @@
 	failure error
 }
 
-// Option configures a journal for Open.
-type Option func(*Journal)
+// Option configures a ledger for Open.
+type Option func(*Ledger)
 
 // WithSegmentBytes sets the size in bytes at which a segment file is closed and
 // the next one started.
 func WithSegmentBytes(size int64) Option {
-	return func(j *Journal) { j.segmentBytes = size }
+	return func(j *Ledger) { j.segmentBytes = size }
 }
 
 // WithFileSystem replaces the operating system's file system, except for the
 // directory lock.
 func WithFileSystem(files FileSystem) Option {
-	return func(j *Journal) { j.files = files }
+	return func(j *Ledger) { j.files = files }
 }
 
 // Open locks the directory for this process, creating it if needed, recovers
-// from a crash and checks every record. It returns ErrLocked when another journal
+// from a crash and checks every record. It returns ErrLocked when another ledger
 // holds the lock and ErrCorrupt when acknowledged records are damaged.
-func Open(dir string, options ...Option) (*Journal, error) {
-	j := &Journal{dir: dir, files: osFileSystem{}, segmentBytes: defaultSegmentBytes}
+func Open(dir string, options ...Option) (*Ledger, error) {
+	j := &Ledger{dir: dir, files: osFileSystem{}, segmentBytes: defaultSegmentBytes}
 	for _, option := range options {
 		option(j)
 	}
@@ -100,7 +100,7 @@
 	j.lock = lock
 	if err := j.repair(); err != nil {
 		_ = j.Close()
-		return nil, errors.Wrapf(err, "open journal %s", dir)
+		return nil, errors.Wrapf(err, "open ledger %s", dir)
 	}
 	return j, nil
 }
@@ -112,7 +112,7 @@
 // ErrTooLarge when a size limit is exceeded, ErrDiskFull when the disk is full
 // (no part of the batch is kept) and ErrFailed after a failure that requires a
 // restart.
-func (j *Journal) Append(state []byte, indexes []uint64, records [][]byte) error {
+func (j *Ledger) Append(state []byte, indexes []uint64, records [][]byte) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.failure != nil {
@@ -143,7 +143,7 @@
 // Truncate durably drops the records after last. It is required when a snapshot
 // is installed from a leader whose log diverges from this one, because
 // SaveSnapshot keeps the records above its index.
-func (j *Journal) Truncate(last uint64) error {
+func (j *Ledger) Truncate(last uint64) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.failure != nil {
@@ -169,7 +169,7 @@
 
 // Load returns the state (nil if none was ever stored), the latest snapshot with
 // the index it covers, and the records after that index.
-func (j *Journal) Load() (state []byte, snapshotIndex uint64, snapshot []byte, indexes []uint64, records [][]byte, err error) {
+func (j *Ledger) Load() (state []byte, snapshotIndex uint64, snapshot []byte, indexes []uint64, records [][]byte, err error) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.failure != nil {
@@ -190,7 +190,7 @@
 }
 
 // Close releases the directory lock. Acknowledged records are already durable.
-func (j *Journal) Close() error {
+func (j *Ledger) Close() error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.lock == nil {
@@ -203,13 +203,13 @@
 		err = errors.Join(j.activeFile.Close(), err)
 	}
 	if err != nil {
-		return errors.Wrap(err, "close journal")
+		return errors.Wrap(err, "close ledger")
 	}
 	return nil
 }
 
 // encode returns the batch to append to the active segment.
-func (j *Journal) encode(state []byte, indexes []uint64, records [][]byte) *batch {
+func (j *Ledger) encode(state []byte, indexes []uint64, records [][]byte) *batch {
 	total := len(state)
 	for _, r := range records {
 		total += len(r)
@@ -226,7 +226,7 @@
 
 // checkBatch rejects batches that exceed a size limit, and indexes that would
 // leave a gap or replace records that a snapshot covers.
-func (j *Journal) checkBatch(state []byte, indexes []uint64, records [][]byte) error {
+func (j *Ledger) checkBatch(state []byte, indexes []uint64, records [][]byte) error {
 	if len(state) > maxRecordBytes {
 		return errors.Wrapf(ErrTooLarge, "state has %d bytes", len(state))
 	}
--- a/journal/journal_test.go
+++ b/ledger/ledger_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package ledger_test
 
 import (
 	"flag"
@@ -9,7 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"comfreytiller.dev/journal"
+	"comfreytiller.dev/ledger"
 )
 
 func TestMain(m *testing.M) {
@@ -22,17 +22,17 @@
 
 func TestReopenKeepsContents(t *testing.T) {
 	dir := t.TempDir()
-	log, err := journal.Open(dir)
+	log, err := ledger.Open(dir)
 	require.NoError(t, err)
 	require.NoError(t, log.Append([]byte("term 1"), []uint64{1, 2}, bytesOf([]string{"a", "b"})))
 	require.NoError(t, log.Append(nil, []uint64{3}, bytesOf([]string{"c"})))
 	require.NoError(t, log.Append([]byte("term 2"), nil, nil))
-	_, err = journal.Open(dir)
-	require.ErrorIs(t, err, journal.ErrLocked)
+	_, err = ledger.Open(dir)
+	require.ErrorIs(t, err, ledger.ErrLocked)
 	require.NoError(t, log.Close())
-	require.ErrorIs(t, log.Append(nil, []uint64{4}, bytesOf([]string{"d"})), journal.ErrClosed)
+	require.ErrorIs(t, log.Append(nil, []uint64{4}, bytesOf([]string{"d"})), ledger.ErrClosed)
 
-	log, err = journal.Open(dir)
+	log, err = ledger.Open(dir)
 	require.NoError(t, err)
 	defer log.Close()
 	require.Equal(t, contents{state: "term 2", first: 1, records: []string{"a", "b", "c"}}, load(t, log))
@@ -40,21 +40,21 @@
 
 func TestAppendReplacesTail(t *testing.T) {
 	dir := t.TempDir()
-	log, err := journal.Open(dir)
+	log, err := ledger.Open(dir)
 	require.NoError(t, err)
 	require.NoError(t, log.Append(nil, []uint64{1, 2, 3, 4}, bytesOf([]string{"a", "b", "c", "d"})))
 	require.NoError(t, log.Append(nil, []uint64{2}, bytesOf([]string{"B"})))
 	require.NoError(t, log.Append(nil, []uint64{3}, bytesOf([]string{"C"})))
 	require.Equal(t, []string{"a", "B", "C"}, load(t, log).records)
 	require.NoError(t, log.Close())
-	log, err = journal.Open(dir)
+	log, err = ledger.Open(dir)
 	require.NoError(t, err)
 	defer log.Close()
 	require.Equal(t, []string{"a", "B", "C"}, load(t, log).records)
 }
 
 func TestInvalidIndexesRejected(t *testing.T) {
-	log, err := journal.Open(t.TempDir())
+	log, err := ledger.Open(t.TempDir())
 	require.NoError(t, err)
 	defer log.Close()
 	require.NoError(t, log.Append(nil, []uint64{1, 2, 3}, bytesOf([]string{"a", "b", "c"})))
@@ -67,18 +67,18 @@
 		"older snapshot":       func() error { return log.SaveSnapshot(1, nil) },
 		"truncate to snapshot": func() error { return log.Truncate(1) },
 	} {
-		require.ErrorIs(t, call(), journal.ErrInvalidIndex, name)
+		require.ErrorIs(t, call(), ledger.ErrInvalidIndex, name)
 	}
 	require.Equal(t, contents{snapshotIndex: 2, snapshot: "s", first: 3, records: []string{"c"}}, load(t, log))
 }
 
 // A full disk must not lose acknowledged records or leave a part of the rejected
-// batch behind, and the journal must work again once space is available.
+// batch behind, and the ledger must work again once space is available.
 func TestDiskFullKeepsAcknowledgedRecords(t *testing.T) {
 	dir := t.TempDir()
 	for capacity := 100; capacity < 600; capacity += 7 {
 		files := newMemoryFileSystem()
-		log, err := journal.Open(dir, journal.WithFileSystem(files), journal.WithSegmentBytes(120))
+		log, err := ledger.Open(dir, ledger.WithFileSystem(files), ledger.WithSegmentBytes(120))
 		require.NoError(t, err)
 		files.capacity = capacity
 		acknowledged := contents{first: 1, records: []string{}}
@@ -90,15 +90,15 @@
 				acknowledged = acknowledged.append("s", acknowledged.last()+1, []string{record})
 			}
 		}
-		require.ErrorIs(t, appendErr, journal.ErrDiskFull)
-		require.ErrorIs(t, log.SaveSnapshot(1, make([]byte, 700)), journal.ErrDiskFull)
+		require.ErrorIs(t, appendErr, ledger.ErrDiskFull)
+		require.ErrorIs(t, log.SaveSnapshot(1, make([]byte, 700)), ledger.ErrDiskFull)
 		require.Equal(t, acknowledged, load(t, log))
 
 		files.capacity = 0
 		require.NoError(t, log.Append(nil, []uint64{acknowledged.last() + 1}, bytesOf([]string{"after"})))
 		acknowledged = acknowledged.append("", acknowledged.last()+1, []string{"after"})
 		require.NoError(t, log.Close())
-		log, err = journal.Open(dir, journal.WithFileSystem(files))
+		log, err = ledger.Open(dir, ledger.WithFileSystem(files))
 		require.NoError(t, err)
 		require.Equal(t, acknowledged, load(t, log))
 		require.NoError(t, log.Close())
@@ -108,22 +108,22 @@
 // After a failed fsync, the page cache may hold pages that are marked clean but never
 // reached the disk, so later calls must fail without another attempt to write.
 func TestFailedSyncFailsLaterCalls(t *testing.T) {
-	for name, call := range map[string]func(*journal.Journal) error{
-		"append":   func(log *journal.Journal) error { return log.Append(nil, []uint64{2}, bytesOf([]string{"b"})) },
-		"snapshot": func(log *journal.Journal) error { return log.SaveSnapshot(1, []byte("s")) },
-		"truncate": func(log *journal.Journal) error { return log.Truncate(0) },
+	for name, call := range map[string]func(*ledger.Ledger) error{
+		"append":   func(log *ledger.Ledger) error { return log.Append(nil, []uint64{2}, bytesOf([]string{"b"})) },
+		"snapshot": func(log *ledger.Ledger) error { return log.SaveSnapshot(1, []byte("s")) },
+		"truncate": func(log *ledger.Ledger) error { return log.Truncate(0) },
 	} {
 		files := newMemoryFileSystem()
-		log, err := journal.Open(t.TempDir(), journal.WithFileSystem(files))
+		log, err := ledger.Open(t.TempDir(), ledger.WithFileSystem(files))
 		require.NoError(t, err)
 		require.NoError(t, log.Append(nil, []uint64{1}, bytesOf([]string{"a"})))
 		files.failSync = 1
-		require.ErrorIs(t, call(log), journal.ErrFailed, name)
+		require.ErrorIs(t, call(log), ledger.ErrFailed, name)
 		syncs, calls := files.syncs, files.calls
-		require.ErrorIs(t, log.Append(nil, []uint64{2}, bytesOf([]string{"b"})), journal.ErrFailed, name)
-		require.ErrorIs(t, log.SaveSnapshot(1, nil), journal.ErrFailed, name)
-		require.ErrorIs(t, log.Truncate(0), journal.ErrFailed, name)
-		require.Equal(t, []int{syncs, calls}, []int{files.syncs, files.calls}, "a failed journal must not access the disk")
+		require.ErrorIs(t, log.Append(nil, []uint64{2}, bytesOf([]string{"b"})), ledger.ErrFailed, name)
+		require.ErrorIs(t, log.SaveSnapshot(1, nil), ledger.ErrFailed, name)
+		require.ErrorIs(t, log.Truncate(0), ledger.ErrFailed, name)
+		require.Equal(t, []int{syncs, calls}, []int{files.syncs, files.calls}, "a failed ledger must not access the disk")
 		require.NoError(t, log.Close())
 	}
 }
@@ -133,12 +133,12 @@
 func TestOpenSyncsRecoveredRecords(t *testing.T) {
 	dir := t.TempDir()
 	files := newMemoryFileSystem()
-	log, err := journal.Open(dir, journal.WithFileSystem(files))
+	log, err := ledger.Open(dir, ledger.WithFileSystem(files))
 	require.NoError(t, err)
 	files.failSync = 1
-	require.ErrorIs(t, log.Append(nil, []uint64{1}, bytesOf([]string{"a"})), journal.ErrFailed)
+	require.ErrorIs(t, log.Append(nil, []uint64{1}, bytesOf([]string{"a"})), ledger.ErrFailed)
 	require.NoError(t, log.Close())
-	log, err = journal.Open(dir, journal.WithFileSystem(files))
+	log, err = ledger.Open(dir, ledger.WithFileSystem(files))
 	require.NoError(t, err)
 	require.Equal(t, []string{"a"}, load(t, log).records)
 	require.NoError(t, log.Close())
@@ -149,7 +149,7 @@
 
 func TestOpen_MissingSegmentIsCorrupt(t *testing.T) {
 	dir := t.TempDir()
-	log, err := journal.Open(dir, journal.WithSegmentBytes(50))
+	log, err := ledger.Open(dir, ledger.WithSegmentBytes(50))
 	require.NoError(t, err)
 	for index := uint64(1); index <= 9; index++ {
 		require.NoError(t, log.Append(nil, []uint64{index}, bytesOf([]string{"a record that fills a segment"})))
@@ -159,15 +159,15 @@
 		content, err := os.ReadFile(dir + "/" + name)
 		require.NoError(t, err)
 		require.NoError(t, os.Remove(dir+"/"+name))
-		_, err = journal.Open(dir)
-		require.ErrorIs(t, err, journal.ErrCorrupt, name)
+		_, err = ledger.Open(dir)
+		require.ErrorIs(t, err, ledger.ErrCorrupt, name)
 		require.NoError(t, os.WriteFile(dir+"/"+name, content, 0o600))
 	}
 }
 
 func TestOpen_DamagedSnapshotIsCorrupt(t *testing.T) {
 	dir := t.TempDir()
-	log, err := journal.Open(dir)
+	log, err := ledger.Open(dir)
 	require.NoError(t, err)
 	require.NoError(t, log.SaveSnapshot(5, []byte("snapshot")))
 	require.NoError(t, log.Close())
@@ -180,13 +180,13 @@
 		content := append([]byte{}, whole...)
 		content[offset] ^= 4
 		require.NoError(t, os.WriteFile(name, content, 0o600))
-		_, err = journal.Open(dir)
-		require.ErrorIs(t, err, journal.ErrCorrupt, "offset %d", offset)
+		_, err = ledger.Open(dir)
+		require.ErrorIs(t, err, ledger.ErrCorrupt, "offset %d", offset)
 		require.True(t, strings.Contains(err.Error(), name))
 		require.FileExists(t, older, "a failed Open must not change the directory")
 	}
 	require.NoError(t, os.WriteFile(name, whole, 0o600))
-	log, err = journal.Open(dir)
+	log, err = ledger.Open(dir)
 	require.NoError(t, err)
 	require.NoError(t, log.Close())
 	require.NoFileExists(t, older)
@@ -196,7 +196,7 @@
 func TestSnapshotsBoundDiskUsage(t *testing.T) {
 	dir := t.TempDir()
 	files := newMemoryFileSystem()
-	log, err := journal.Open(dir, journal.WithFileSystem(files), journal.WithSegmentBytes(4<<10))
+	log, err := ledger.Open(dir, ledger.WithFileSystem(files), ledger.WithSegmentBytes(4<<10))
 	require.NoError(t, err)
 	defer log.Close()
 	snapshot := make([]byte, 2<<10)
--- a/journal/memory_test.go
+++ b/ledger/memory_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package ledger_test
 
 import (
 	"io/fs"
@@ -10,7 +10,7 @@
 	"github.com/go-faster/errors"
 	"pgregory.net/rapid"
 
-	"comfreytiller.dev/journal"
+	"comfreytiller.dev/ledger"
 )
 
 var errInjected = errors.New("injected failure")
@@ -62,13 +62,13 @@
 	return nil
 }
 
-func (m *memoryFileSystem) Create(name string) (journal.File, error) {
+func (m *memoryFileSystem) Create(name string) (ledger.File, error) {
 	node := &inode{}
 	err := m.changeDir(func(names map[string]*inode) { names[name] = node })
 	return &memoryFile{files: m, inode: node}, err
 }
 
-func (m *memoryFileSystem) Open(name string) (journal.File, error) {
+func (m *memoryFileSystem) Open(name string) (ledger.File, error) {
 	node, ok := m.cached[name]
 	if !ok {
 		return nil, fs.ErrNotExist
--- a/journal/recovery.go
+++ b/ledger/recovery.go
@@ -1,4 +1,4 @@
-package journal
+package ledger
 
 import (
 	"bytes"
@@ -18,7 +18,7 @@
 
 // repair checks the latest snapshot and all segments before it removes partially
 // written files, so a directory that fails the checks is left unchanged.
-func (j *Journal) repair() error {
+func (j *Ledger) repair() error {
 	names, err := j.files.List(j.dir)
 	if err != nil {
 		return errors.Wrap(err, "list directory")
@@ -45,7 +45,7 @@
 	return j.openActive()
 }
 
-// classifyNames groups the files of the journal by kind and ignores other names.
+// classifyNames groups the files of the ledger by kind and ignores other names.
 func classifyNames(names []string) dirFiles {
 	var all dirFiles
 	for _, name := range names {
@@ -70,7 +70,7 @@
 }
 
 // removeLeftoverFiles removes temporary files and all snapshots except the latest.
-func (j *Journal) removeLeftoverFiles(all *dirFiles) error {
+func (j *Ledger) removeLeftoverFiles(all *dirFiles) error {
 	names := slices.Clone(all.temporary)
 	for _, index := range all.snapshots {
 		if index != j.snapshotIndex {
@@ -86,7 +86,7 @@
 }
 
 // checkSegments checks all segments and makes the last one the active segment.
-func (j *Journal) checkSegments(sequences []uint64) error {
+func (j *Ledger) checkSegments(sequences []uint64) error {
 	r := newReplay(j.snapshotIndex, false)
 	for i, sequence := range sequences {
 		if i > 0 && sequence != sequences[i-1]+1 {
@@ -111,7 +111,7 @@
 // openActive truncates an incomplete write at the end of the active segment and
 // rewrites the rest: after a failed fsync, the page cache may hold pages that are
 // marked clean but never reached the disk.
-func (j *Journal) openActive() error {
+func (j *Ledger) openActive() error {
 	path := j.path(segmentName(j.active.sequence))
 	content, err := j.files.ReadFile(path)
 	if err != nil {
@@ -140,7 +140,7 @@
 
 // replaySegment applies the records of a segment to r. An incomplete write is
 // accepted at the end of the last segment and is corruption anywhere else.
-func (j *Journal) replaySegment(r *replay, sequence uint64, last bool) (segment, error) {
+func (j *Ledger) replaySegment(r *replay, sequence uint64, last bool) (segment, error) {
 	path := j.path(segmentName(sequence))
 	data, err := j.files.ReadFile(path)
 	if err != nil {
--- a/journal/recovery_test.go
+++ b/ledger/recovery_test.go
@@ -1,4 +1,4 @@
-package journal
+package ledger
 
 import (
 	"testing"
--- a/journal/segment.go
+++ b/ledger/segment.go
@@ -1,4 +1,4 @@
-package journal
+package ledger
 
 import (
 	"encoding/binary"
@@ -32,7 +32,7 @@
 	return fmt.Sprintf(segmentFormat, sequence)
 }
 
-func (j *Journal) path(name string) string {
+func (j *Ledger) path(name string) string {
 	return filepath.Join(j.dir, name)
 }
 
@@ -43,8 +43,8 @@
 }
 
 // write appends the batch to the active segment and syncs it. A full disk leaves
-// the segment unchanged; any other failure puts the journal into the failed state.
-func (j *Journal) write(b *batch) error {
+// the segment unchanged; any other failure puts the ledger into the failed state.
+func (j *Ledger) write(b *batch) error {
 	if _, err := j.activeFile.WriteAt(b.bytes, b.start); err != nil {
 		return j.undoWrite(err)
 	}
@@ -56,7 +56,7 @@
 }
 
 // undoWrite truncates the part of a batch that a failed write left behind.
-func (j *Journal) undoWrite(cause error) error {
+func (j *Ledger) undoWrite(cause error) error {
 	if !isDiskFull(cause) {
 		return j.fail(errors.Wrap(cause, "write segment"))
 	}
@@ -66,17 +66,17 @@
 	return errors.Wrapf(ErrDiskFull, "write %s: %v", segmentName(j.active.sequence), cause)
 }
 
-// fail puts the journal into the failed state. The page cache may hold pages that
+// fail puts the ledger into the failed state. The page cache may hold pages that
 // are marked clean but never reached the disk, so neither a second fsync nor a
 // later write can be trusted.
-func (j *Journal) fail(cause error) error {
+func (j *Ledger) fail(cause error) error {
 	j.failure = errors.Wrapf(ErrFailed, "%v", cause)
 	return j.failure
 }
 
 // rotateIfNeeded starts the next segment once the active one has reached the
 // segment size.
-func (j *Journal) rotateIfNeeded() error {
+func (j *Ledger) rotateIfNeeded() error {
 	if j.active.size < j.segmentBytes {
 		return nil
 	}
@@ -85,7 +85,7 @@
 
 // rotate starts the next segment. The file is renamed to its final name only after
 // its header is durable, so a segment never has a partial header.
-func (j *Journal) rotate() error {
+func (j *Ledger) rotate() error {
 	sequence := j.active.sequence + 1
 	content := segmentHeader(sequence)
 	if j.state != nil {
@@ -111,7 +111,7 @@
 
 // writeFileAtomically writes a temporary file and renames it to name. On a full disk
 // it returns ErrDiskFull, and an existing file of that name stays unchanged.
-func (j *Journal) writeFileAtomically(name string, parts ...[]byte) error {
+func (j *Ledger) writeFileAtomically(name string, parts ...[]byte) error {
 	temporary := j.path(name + temporarySuffix)
 	if err := j.writeTemporaryFile(temporary, parts); err != nil {
 		return err
@@ -126,7 +126,7 @@
 }
 
 // writeTemporaryFile writes and syncs the parts to the temporary file.
-func (j *Journal) writeTemporaryFile(temporary string, parts [][]byte) error {
+func (j *Ledger) writeTemporaryFile(temporary string, parts [][]byte) error {
 	f, err := j.files.Create(temporary)
 	if err != nil {
 		return j.failUnlessDiskFull(err, "create file")
@@ -148,8 +148,8 @@
 }
 
 // failUnlessDiskFull returns ErrDiskFull if the operation failed because the disk is
-// full. Otherwise it puts the journal into the failed state.
-func (j *Journal) failUnlessDiskFull(cause error, operation string) error {
+// full. Otherwise it puts the ledger into the failed state.
+func (j *Ledger) failUnlessDiskFull(cause error, operation string) error {
 	if isDiskFull(cause) {
 		return errors.Wrapf(ErrDiskFull, "%s: %v", operation, cause)
 	}
@@ -158,7 +158,7 @@
 
 // removeCoveredSegments removes the oldest segments whose records the snapshot
 // covers. A failed removal is retried after the next snapshot.
-func (j *Journal) removeCoveredSegments() {
+func (j *Ledger) removeCoveredSegments() {
 	for len(j.sealed) > 0 && j.sealed[0].maxIndex <= j.snapshotIndex {
 		if err := j.files.Remove(j.path(segmentName(j.sealed[0].sequence))); err != nil {
 			return
--- a/journal/snapshot.go
+++ b/ledger/snapshot.go
@@ -1,4 +1,4 @@
-package journal
+package ledger
 
 import (
 	"encoding/binary"
@@ -25,7 +25,7 @@
 // durable. It returns ErrInvalidIndex if index is 0 or below the current
 // snapshot's. On a full disk it returns ErrDiskFull and keeps the old snapshot and
 // all records.
-func (j *Journal) SaveSnapshot(index uint64, data []byte) error {
+func (j *Ledger) SaveSnapshot(index uint64, data []byte) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.failure != nil {
@@ -57,7 +57,7 @@
 }
 
 // readSnapshot returns the data of the snapshot at index, or nil for index 0.
-func (j *Journal) readSnapshot(index uint64) ([]byte, error) {
+func (j *Ledger) readSnapshot(index uint64) ([]byte, error) {
 	if index == 0 {
 		return nil, nil
 	}
--- a/quorum/journal_test.go
+++ b/quorum/ledger_test.go
@@ -9,10 +9,10 @@
 	"github.com/stretchr/testify/require"
 )
 
-// memoryJournal is a strict Journal in memory. writesLeft is the number of
+// memoryLedger is a strict Ledger in memory. writesLeft is the number of
 // writes that still succeed; later ones fail without an effect, as after a
 // crash. A negative value sets no limit.
-type memoryJournal struct {
+type memoryLedger struct {
 	state         []byte
 	snapshotIndex uint64
 	snapshot      []byte
@@ -26,9 +26,9 @@
 	errGap   = errors.New("records are not contiguous")
 )
 
-func newMemoryJournal() *memoryJournal { return &memoryJournal{writesLeft: -1} }
+func newMemoryLedger() *memoryLedger { return &memoryLedger{writesLeft: -1} }
 
-func (j *memoryJournal) countWrite() error {
+func (j *memoryLedger) countWrite() error {
 	if j.writesLeft == 0 {
 		return errCrash
 	}
@@ -38,7 +38,7 @@
 	return nil
 }
 
-func (j *memoryJournal) Append(state []byte, indexes []uint64, records [][]byte) error {
+func (j *memoryLedger) Append(state []byte, indexes []uint64, records [][]byte) error {
 	if err := j.countWrite(); err != nil {
 		return err
 	}
@@ -62,7 +62,7 @@
 	return nil
 }
 
-func (j *memoryJournal) SaveSnapshot(index uint64, data []byte) error {
+func (j *memoryLedger) SaveSnapshot(index uint64, data []byte) error {
 	if err := j.countWrite(); err != nil {
 		return err
 	}
@@ -73,11 +73,11 @@
 	return nil
 }
 
-func (j *memoryJournal) Load() ([]byte, uint64, []byte, []uint64, [][]byte, error) {
+func (j *memoryLedger) Load() ([]byte, uint64, []byte, []uint64, [][]byte, error) {
 	return j.state, j.snapshotIndex, j.snapshot, slices.Clone(j.indexes), slices.Clone(j.records), nil
 }
 
-func (j *memoryJournal) Close() error { return nil }
+func (j *memoryLedger) Close() error { return nil }
 
 func makeEntries(term uint64, indexes ...uint64) []Entry {
 	var entries []Entry
@@ -87,8 +87,8 @@
 	return entries
 }
 
-func TestJournalStorageReplacesTail(t *testing.T) {
-	s := NewJournalStorage(newMemoryJournal())
+func TestLedgerStorageReplacesTail(t *testing.T) {
+	s := NewLedgerStorage(newMemoryLedger())
 	state := HardState{Cluster: "c", ID: "a", Host: "h", Term: 2, Vote: "b", Commit: 1}
 	require.NoError(t, s.Save(state, makeEntries(1, 1, 2, 3)))
 	require.NoError(t, s.Save(state, makeEntries(2, 2)))
@@ -98,10 +98,10 @@
 	require.Equal(t, append(makeEntries(1, 1), makeEntries(2, 2)...), entries)
 }
 
-func TestJournalStorageSnapshotKeepsMatchingTail(t *testing.T) {
+func TestLedgerStorageSnapshotKeepsMatchingTail(t *testing.T) {
 	members := []Member{{ID: "a", Voter: true}}
 	for _, reload := range []bool{false, true} {
-		s := NewJournalStorage(newMemoryJournal())
+		s := NewLedgerStorage(newMemoryLedger())
 		state := HardState{ID: "a", Host: "h", Term: 2}
 		require.NoError(t, s.Save(state, append(makeEntries(1, 1, 2), makeEntries(2, 3, 4)...)))
 		if reload {
@@ -119,11 +119,11 @@
 // A snapshot that conflicts with the stored entries drops the entries from its
 // index on, also if the host crashes between the two writes. The earlier
 // entries are kept until the snapshot is durable.
-func TestJournalStorageSnapshotDropsConflictingTail(t *testing.T) {
+func TestLedgerStorageSnapshotDropsConflictingTail(t *testing.T) {
 	snapshot := Snapshot{Index: 3, Term: 5, Members: []Member{{ID: "a", Voter: true}}}
 	for writes := range 3 {
-		j := newMemoryJournal()
-		s := NewJournalStorage(j)
+		j := newMemoryLedger()
+		s := NewLedgerStorage(j)
 		require.NoError(t, s.Save(HardState{ID: "a", Host: "h", Term: 2}, makeEntries(1, 1, 2, 3, 4)))
 		j.writesLeft = writes
 		err := s.SaveSnapshot(snapshot)
@@ -146,9 +146,9 @@
 	}
 }
 
-func TestJournalStorageRejectsGaps(t *testing.T) {
-	j := newMemoryJournal()
-	s := NewJournalStorage(j)
+func TestLedgerStorageRejectsGaps(t *testing.T) {
+	j := newMemoryLedger()
+	s := NewLedgerStorage(j)
 	require.NoError(t, s.Save(HardState{ID: "a", Host: "h"}, makeEntries(1, 1, 2, 3)))
 	j.indexes = slices.Delete(j.indexes, 1, 2)
 	j.records = slices.Delete(j.records, 1, 2)
--- a/quorum/journalstorage.go
+++ b/quorum/ledgerstorage.go
@@ -6,8 +6,8 @@
 	"github.com/go-faster/errors"
 )
 
-// Journal is the write-ahead log on disk that a JournalStorage uses.
-type Journal interface {
+// Ledger is the write-ahead log on disk that a LedgerStorage uses.
+type Ledger interface {
 	// Append writes a state, or keeps the stored one if it is nil, and records
 	// with contiguous indexes. If the first index is not above the last stored
 	// one, the records from that index on are dropped first. Everything is
@@ -22,28 +22,28 @@
 	Close() error
 }
 
-// JournalStorage is a Storage that uses a Journal.
-type JournalStorage struct {
-	journal Journal
-	terms   termRuns
+// LedgerStorage is a Storage that uses a Ledger.
+type LedgerStorage struct {
+	ledger Ledger
+	terms  termRuns
 }
 
-// NewJournalStorage returns a storage that uses the journal. The caller closes
-// the journal.
-func NewJournalStorage(journal Journal) *JournalStorage {
-	return &JournalStorage{journal: journal}
+// NewLedgerStorage returns a storage that uses the ledger. The caller closes
+// the ledger.
+func NewLedgerStorage(ledger Ledger) *LedgerStorage {
+	return &LedgerStorage{ledger: ledger}
 }
 
 // Save implements Storage.
-func (s *JournalStorage) Save(state HardState, entries []Entry) error {
+func (s *LedgerStorage) Save(state HardState, entries []Entry) error {
 	indexes := make([]uint64, len(entries))
 	records := make([][]byte, len(entries))
 	for i := range entries {
 		indexes[i] = entries[i].Index
 		records[i] = EncodeEntry(entries[i])
 	}
-	if err := s.journal.Append(EncodeHardState(state), indexes, records); err != nil {
-		return errors.Wrap(err, "append to the journal")
+	if err := s.ledger.Append(EncodeHardState(state), indexes, records); err != nil {
+		return errors.Wrap(err, "append to the ledger")
 	}
 	for i := range entries {
 		s.terms.add(entries[i].Index, entries[i].Term)
@@ -54,31 +54,31 @@
 // SaveSnapshot implements Storage. If the entry at the snapshot's index
 // conflicts with the snapshot, an empty record first replaces that entry and the
 // later ones: they are certainly not committed, whereas earlier ones may be.
-func (s *JournalStorage) SaveSnapshot(snapshot Snapshot) error {
+func (s *LedgerStorage) SaveSnapshot(snapshot Snapshot) error {
 	term, held := s.terms.term(snapshot.Index)
 	conflict := held && term != snapshot.Term
 	if conflict {
-		if err := s.journal.Append(nil, []uint64{snapshot.Index}, [][]byte{{}}); err != nil {
-			return errors.Wrap(err, "cut the journal")
+		if err := s.ledger.Append(nil, []uint64{snapshot.Index}, [][]byte{{}}); err != nil {
+			return errors.Wrap(err, "cut the ledger")
 		}
 		s.terms.truncate(snapshot.Index)
 	}
-	if err := s.journal.SaveSnapshot(snapshot.Index, EncodeSnapshot(snapshot)); err != nil {
-		return errors.Wrap(err, "save a snapshot in the journal")
+	if err := s.ledger.SaveSnapshot(snapshot.Index, EncodeSnapshot(snapshot)); err != nil {
+		return errors.Wrap(err, "save a snapshot in the ledger")
 	}
 	s.terms.compact(snapshot.Index)
 	return nil
 }
 
 // Load implements Storage. It returns ErrCorrupt for invalid records.
-func (s *JournalStorage) Load() (HardState, Snapshot, []Entry, error) {
+func (s *LedgerStorage) Load() (HardState, Snapshot, []Entry, error) {
 	var (
 		state    HardState
 		snapshot Snapshot
 	)
-	stateData, snapshotIndex, snapshotData, indexes, records, err := s.journal.Load()
+	stateData, snapshotIndex, snapshotData, indexes, records, err := s.ledger.Load()
 	if err != nil {
-		return state, snapshot, nil, errors.Wrap(err, "load journal")
+		return state, snapshot, nil, errors.Wrap(err, "load ledger")
 	}
 	if len(stateData) > 0 {
 		if state, err = DecodeHardState(stateData); err != nil {
--- a/quorum/quorum.go
+++ b/quorum/quorum.go
@@ -11,7 +11,7 @@
 // member. Every other host starts with an empty storage, generates an ID with its
 // first write, and waits until it is added:
 //
-//	storage := quorum.NewJournalStorage(journal)
+//	storage := quorum.NewLedgerStorage(ledger)
 //	if first {
 //		member := quorum.Member{ID: quorum.NewID(), Host: host, Address: address, Voter: true}
 //		err = quorum.Bootstrap(storage, quorum.NewID(), host, []quorum.Member{member})
--- a/quorum/replica_test.go
+++ b/quorum/replica_test.go
@@ -161,12 +161,12 @@
 }
 
 func TestIncompleteBootstrapCanBeRepeated(t *testing.T) {
-	journal := newMemoryJournal()
-	journal.writesLeft = 1
-	storage := NewJournalStorage(journal)
+	ledger := newMemoryLedger()
+	ledger.writesLeft = 1
+	storage := NewLedgerStorage(ledger)
 	members := []Member{{ID: "a", Host: "h1", Voter: true}}
 	require.ErrorIs(t, Bootstrap(storage, "cluster", "h1", members), errCrash)
-	journal.writesLeft = -1
+	ledger.writesLeft = -1
 	_, err := Start(Config{Host: "h1"}, storage, nil, &listMachine{})
 	require.ErrorIs(t, err, ErrCorrupt)
 	require.NoError(t, Bootstrap(storage, "cluster", "h1", members))
--- a/quorum/restart_test.go
+++ b/quorum/restart_test.go
@@ -11,8 +11,8 @@
 func TestCrashDuringSnapshotInstall(t *testing.T) {
 	members := []Member{{ID: "a", Voter: true}, {ID: "b", Voter: true}}
 	for writes := range 4 {
-		j := newMemoryJournal()
-		storage := NewJournalStorage(j)
+		j := newMemoryLedger()
+		storage := NewLedgerStorage(j)
 		state := HardState{Cluster: "c", ID: "a", Host: "h", Term: 2, Commit: 1}
 		require.NoError(t, storage.Save(state, makeEntries(1, 1, 2, 3, 4)))
 		state.Term, state.Commit = 5, 3
--- a/quorum/sim_test.go
+++ b/quorum/sim_test.go
@@ -24,8 +24,8 @@
 // simNode is a host with a disk and, while it runs, a node.
 type simNode struct {
 	host    string
-	journal *memoryJournal
-	storage *JournalStorage
+	ledger  *memoryLedger
+	storage *LedgerStorage
 	node    *Node
 	machine versionedValue
 	group   int
@@ -112,8 +112,8 @@
 
 // formatDisk replaces the host's disk with an empty one.
 func (s *sim) formatDisk(n *simNode) {
-	n.journal = newMemoryJournal()
-	n.storage = NewJournalStorage(n.journal)
+	n.ledger = newMemoryLedger()
+	n.storage = NewLedgerStorage(n.ledger)
 }
 
 // startFreshNode starts a node with an empty disk and a new ID. The ID comes
@@ -127,7 +127,7 @@
 
 // startNode starts a node with the contents of the host's disk.
 func (s *sim) startNode(n *simNode) {
-	n.journal.writesLeft = -1
+	n.ledger.writesLeft = -1
 	state, snapshot, entries, err := loadOrCreateIdentity(n.storage, "", n.host)
 	require.NoError(s.t, err)
 	config := s.config
@@ -169,7 +169,7 @@
 func (s *sim) process(n *simNode) {
 	for n.node != nil && n.node.HasReady() {
 		if s.chance(s.faults.Crash) {
-			n.journal.writesLeft = s.random.IntN(4)
+			n.ledger.writesLeft = s.random.IntN(4)
 		}
 		s.checkRole(n)
 		ready := n.node.Ready()
--- a/quorum/simsteps_test.go
+++ b/quorum/simsteps_test.go
@@ -159,7 +159,7 @@
 	s.faults = simFaults{}
 	for _, n := range s.nodes {
 		n.group = 0
-		n.journal.writesLeft = -1
+		n.ledger.writesLeft = -1
 		if n.node == nil {
 			s.startNode(n)
 		}
--- a/state/state.go
+++ b/state/state.go
@@ -1,4 +1,4 @@
-// Package state runs a host's replica of the replicated state: its journal, its
+// Package state runs a host's replica of the replicated state: its ledger, its
 // membership in the quorum and the messages between the replicas.
 //
 // # Usage
@@ -17,7 +17,7 @@
 	"github.com/sirupsen/logrus"
 
 	"comfreytiller.dev/common/logs"
-	"comfreytiller.dev/journal"
+	"comfreytiller.dev/ledger"
 	"comfreytiller.dev/peer"
 	"comfreytiller.dev/quorum"
 	"comfreytiller.dev/registry"
@@ -35,7 +35,7 @@
 	Host string
 	// Address is the peer address of this host.
 	Address string
-	// DataDir is the directory of the journal.
+	// DataDir is the directory of the ledger.
 	DataDir string
 	Node    *peer.Node
 	Clock   clockwork.Clock
@@ -57,12 +57,12 @@
 	Machine *registry.Machine
 	Quorum  *quorum.Replica
 
-	log     *logrus.Logger
-	clock   clockwork.Clock
-	journal *journal.Journal
+	log    *logrus.Logger
+	clock  clockwork.Clock
+	ledger *ledger.Ledger
 }
 
-// Open opens the journal and starts the replica. The error wraps
+// Open opens the ledger and starts the replica. The error wraps
 // ErrClusterExists if Bootstrap is set and a cluster exists; see also
 // IsStorageNotEmpty.
 func Open(config Config) (*Replica, error) {
@@ -70,12 +70,12 @@
 		config.Machine = registry.NewMachine()
 	}
 	r := &Replica{Machine: config.Machine, log: config.Log, clock: config.Clock}
-	opened, err := journal.Open(config.DataDir)
+	opened, err := ledger.Open(config.DataDir)
 	if err != nil {
-		return nil, errors.Wrapf(err, "open journal in %s", config.DataDir)
+		return nil, errors.Wrapf(err, "open ledger in %s", config.DataDir)
 	}
-	r.journal = opened
-	storage := quorum.NewJournalStorage(opened)
+	r.ledger = opened
+	storage := quorum.NewLedgerStorage(opened)
 	if config.Bootstrap {
 		if err := bootstrap(&config, storage); err != nil {
 			return nil, errors.Join(err, opened.Close())
@@ -239,10 +239,10 @@
 	}
 }
 
-// Close stops the replica and closes its journal.
+// Close stops the replica and closes its ledger.
 func (r *Replica) Close() {
 	r.Quorum.Stop()
-	if err := r.journal.Close(); err != nil {
-		r.log.Warnf("Failed to close the journal cleanly: %v.", err)
+	if err := r.ledger.Close(); err != nil {
+		r.log.Warnf("Failed to close the ledger cleanly: %v.", err)
 	}
 }
