Elect a leader at once after a restart of all voters whose disks are not lost

Cause: after the loss of all processes the voters elect a leader at once only if every voter grants it, which shows that none of them is a leader whose leadership is still confirmed. Two of five hosts had lost their disks too and came back with new identities: the old ones never answer, so the others waited out the election timeout.

Change: a join request from a voter's address under another ID proves that the voter's process has ended and its disk is gone. The hub reports it to the quorum, and the grants of lost voters are not needed any more. A leader that still lives is no lost voter and grants nothing. Forwarded requests prove nothing, since they may be older than the sender's present replica. The votes still need a majority of all.

Ruled out: a shorter election timeout, which restarts and pauses would break.

Tests: TestSimultaneousRestartWithLostDisksElectsImmediately fails if lost voters still count, TestRestartedFollowersWithLostDisksWaitForIsolatedLeader if a majority is enough; the simulation of quorum reports each lost disk to all nodes.

--- a/hub/hub_test.go
+++ b/hub/hub_test.go
@@ -310,3 +310,25 @@
 	status.Members = []quorum.MemberStatus{member("x", "h-a", 5), member("a", "h-a", 0)}
 	require.Equal(t, "x", SurplusVoter(status, 1, ""), "the leader is never removed")
 }
+
+// A join request from a voter's address under another ID proves that the voter's process
+// has ended and its disk is gone. One from another address proves nothing.
+func TestLostVoters_AnotherReplicaUsesTheirAddress(t *testing.T) {
+	member := func(id, address string, voter bool) quorum.MemberStatus {
+		return quorum.MemberStatus{Member: quorum.Member{ID: id, Host: "h-" + id, Address: address, Voter: voter}}
+	}
+	status := quorum.Status{Members: []quorum.MemberStatus{
+		member("a", "10.0.0.1:1", true), member("b", "10.0.0.2:1", true), member("c", "10.0.0.3:1", false),
+	}}
+	for _, test := range []struct {
+		id, address string
+		want        []string
+	}{
+		{"n", "10.0.0.2:1", []string{"b"}},
+		{"b", "10.0.0.2:1", nil},
+		{"n", "10.0.0.9:1", nil},
+		{"n", "10.0.0.3:1", nil},
+	} {
+		require.Equal(t, test.want, LostVoters(status, peer.JoinRequest{ID: test.id, Address: test.address}), test)
+	}
+}
--- a/hub/membership.go
+++ b/hub/membership.go
@@ -40,6 +40,8 @@
 	configuredReplicas []string
 	// joinRequests are the replicas that request membership, by ID.
 	joinRequests map[string]joinRequest
+	// lostVoters are the IDs of the voters that were reported as lost.
+	lostVoters map[string]bool
 	// leaderSince is when this replica became leader; zero on a follower. The
 	// silence of a voter is measured from then on. It is not guarded by mu,
 	// since only run uses it.
@@ -53,7 +55,7 @@
 }
 
 func newMembershipManager(h *Hub) *membershipManager {
-	return &membershipManager{hub: h, configuredReplicas: h.Settings.StateReplicas, joinRequests: map[string]joinRequest{}}
+	return &membershipManager{hub: h, configuredReplicas: h.Settings.StateReplicas, joinRequests: map[string]joinRequest{}, lostVoters: map[string]bool{}}
 }
 
 // setConfiguredReplicas replaces the configured addresses of the state
@@ -67,6 +69,7 @@
 // recordJoin records a join request. The sender may not know the leader, so a
 // follower forwards the request once.
 func (m *membershipManager) recordJoin(request peer.JoinRequest) {
+	m.reportLostVoters(request)
 	leader := m.hub.replica.LeaderAddress()
 	if !request.Forwarded && leader != "" && leader != m.hub.Settings.Peers {
 		request.Forwarded = true
@@ -78,6 +81,27 @@
 	m.joinRequests[request.ID] = joinRequest{JoinRequest: request, receivedAt: m.hub.Clock.Now()}
 }
 
+// reportLostVoters reports the voters that a join request proves to be lost: a replica
+// with another ID uses their address, so their process has ended and their disk is gone.
+// A forwarded request may be older than the sender's present replica.
+func (m *membershipManager) reportLostVoters(request peer.JoinRequest) {
+	if request.Forwarded {
+		return
+	}
+	for _, id := range LostVoters(m.hub.replica.Quorum.Status(), request) {
+		m.mu.Lock()
+		known := m.lostVoters[id]
+		m.lostVoters[id] = true
+		m.mu.Unlock()
+		if known {
+			continue
+		}
+		m.hub.log.WithFields(map[string]any{"Replica": id, "Address": request.Address, "Host": request.Host, "Successor": request.ID}).
+			Infof("Voter %s is lost: another replica uses its address.", id)
+		m.hub.replica.Quorum.ReportLost(id)
+	}
+}
+
 // run requests membership for this replica and, on the leader, changes the
 // membership.
 func (m *membershipManager) run(ctx context.Context) {
--- a/hub/membership_plan.go
+++ b/hub/membership_plan.go
@@ -1,6 +1,7 @@
 package hub
 
 import (
+	"comfreytiller.dev/peer"
 	"comfreytiller.dev/quorum"
 )
 
@@ -61,6 +62,19 @@
 	return MembershipChange{Step: StepAddLearner}
 }
 
+// LostVoters returns the IDs of the voters whose address the sender of a join request
+// uses under another ID. An address belongs to one process, and a replica keeps its ID
+// as long as its disk, so these voters never respond again.
+func LostVoters(status quorum.Status, request peer.JoinRequest) []string {
+	var lost []string
+	for _, member := range status.Members {
+		if member.Voter && member.Address == request.Address && member.ID != request.ID {
+			lost = append(lost, member.ID)
+		}
+	}
+	return lost
+}
+
 // SurplusVoter returns the ID of a voter to remove: one whose host has another
 // voter with a later contact, or a lost one if there are more than the desired
 // number of voters. This completes a replacement that was interrupted after the
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -41,10 +41,11 @@
 // startupCampaignRound returns the round of a campaign that a node starts
 // before it may treat the absence of leader messages as the loss of the leader,
 // because it may have answered a leader just before its restart. If every voter
-// has just started and none has had contact with a leader, no leadership can
-// still be confirmed, and they can elect a leader immediately. The votes
-// themselves then need only a majority: a voter that has contact with a leader
-// in the meantime ignores the request. The round is 0 for any other campaign.
+// whose disk is not lost has just started and none has had contact with a
+// leader, no leadership can still be confirmed: a leader would be one of these
+// voters. They can elect a leader immediately. The votes themselves then need
+// only a majority: a voter that has contact with a leader in the meantime
+// ignores the request. The round is 0 for any other campaign.
 func (n *Node) startupCampaignRound(role Role) uint64 {
 	if !n.noLeaderSinceStart || !n.leaderLeaseActive() {
 		return 0
@@ -58,10 +59,17 @@
 
 // requiredGrants returns the number of grants that a campaign needs.
 func (n *Node) requiredGrants() int {
-	if n.role == PreCandidate && n.noLeaderSinceStart && n.leaderLeaseActive() {
-		return voterCount(n.log.members())
+	needed := majority(n.log.members())
+	if n.role != PreCandidate || !n.noLeaderSinceStart || !n.leaderLeaseActive() {
+		return needed
 	}
-	return majority(n.log.members())
+	present := 0
+	for _, m := range n.log.members() {
+		if m.Voter && !n.lostVoters[m.ID] {
+			present++
+		}
+	}
+	return max(present, needed)
 }
 
 // tallyVotes starts the next phase of the campaign if enough voters granted it,
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -94,6 +94,8 @@
 	// campaigns of that time.
 	noLeaderSinceStart bool
 	startupRound       uint64
+	// lostVoters are the IDs of voters that never respond again.
+	lostVoters map[string]bool
 	// elapsedTicks counts up to timeoutTicks; on a leader, up to the next check
 	// of its quorum.
 	elapsedTicks        int
@@ -228,6 +230,16 @@
 	}
 }
 
+// ReportLost reports that the replica with the ID never responds again, because its disk
+// is gone. A node that has not had contact with a leader since its start needs no grant
+// of it to elect a leader before the election timeout.
+func (n *Node) ReportLost(id string) {
+	if n.lostVoters == nil {
+		n.lostVoters = map[string]bool{}
+	}
+	n.lostVoters[id] = true
+}
+
 // Step handles a message. Messages to other replicas or from other clusters are
 // dropped.
 func (n *Node) Step(m Message) {
--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -62,6 +62,7 @@
 	queueBytes  int
 	newBarriers []*barrier
 	newWaiters  []*conditionWaiter
+	newLost     []string
 	published   published
 
 	// writeResult receives the outcome of the write in progress.
@@ -156,6 +157,16 @@
 	r.signal()
 }
 
+// ReportLost reports that the replica with the ID never responds again, because its disk
+// is gone. After a restart of all others they then elect a leader without waiting for
+// the election timeout.
+func (r *Replica) ReportLost(id string) {
+	r.mu.Lock()
+	r.newLost = append(r.newLost, id)
+	r.mu.Unlock()
+	r.signal()
+}
+
 // messageSize returns the approximate size of the message in memory.
 func messageSize(m *Message) int {
 	const overhead = 256
@@ -230,6 +241,9 @@
 	}
 	// A single replica sends no message that would record its heartbeat round.
 	r.rounds.record(r.node.HeartbeatRound(), now)
+	for _, id := range batch.lost {
+		r.node.ReportLost(id)
+	}
 	for _, m := range batch.messages {
 		if findMember(r.node.Members(), m.From) >= 0 {
 			r.lastContact[m.From] = now
@@ -276,13 +290,14 @@
 	proposals []*proposal
 	barriers  []*barrier
 	waiters   []*conditionWaiter
+	lost      []string
 }
 
 func (r *Replica) takeBatch() batch {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	b := batch{messages: r.inbox, proposals: r.queue, barriers: r.newBarriers, waiters: r.newWaiters}
-	r.inbox, r.inboxBytes, r.queue, r.newBarriers, r.newWaiters = nil, 0, nil, nil, nil
+	b := batch{messages: r.inbox, proposals: r.queue, barriers: r.newBarriers, waiters: r.newWaiters, lost: r.newLost}
+	r.inbox, r.inboxBytes, r.queue, r.newBarriers, r.newWaiters, r.newLost = nil, 0, nil, nil, nil, nil
 	return b
 }
 
--- a/quorum/restartall_test.go
+++ b/quorum/restartall_test.go
@@ -76,3 +76,81 @@
 		})
 	}
 }
+
+// All replicas are killed at once and two of five lose their disks. Once the others know
+// that these never respond again, they must elect a leader without waiting for an
+// election timeout; before that, one of them might be a leader on the far side of a
+// partition.
+func TestSimultaneousRestartWithLostDisksElectsImmediately(t *testing.T) {
+	for _, reported := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newTestCluster(t, Config{Node: NodeConfig{Seed: 1}})
+			all := c.bootstrap(5)
+			time.Sleep(3 * time.Second)
+			lost := []string{all[3].Status().ID, all[4].Status().ID}
+			c.stopAll()
+			all = all[:0]
+			for _, host := range []string{"h1", "h2", "h3"} {
+				all = append(all, c.start(host))
+				time.Sleep(5 * time.Millisecond)
+			}
+			defer c.stopAll()
+			if reported {
+				for _, r := range all {
+					r.ReportLost(lost[0])
+					r.ReportLost(lost[1])
+				}
+			}
+			started := time.Now()
+			for confirmedLeaders(all) == 0 && time.Since(started) < 10*time.Second {
+				time.Sleep(10 * time.Millisecond)
+			}
+			require.Equal(t, 1, confirmedLeaders(all))
+			if reported {
+				require.Less(t, time.Since(started), DefaultElectionTicks*DefaultTickInterval/2)
+			} else {
+				require.GreaterOrEqual(t, time.Since(started), (DefaultElectionTicks-1)*DefaultTickInterval)
+			}
+		})
+	}
+}
+
+// The leader of five is isolated while one follower loses its disk and the others
+// restart. They know of the lost one, but the isolated leader may still be confirmed, so
+// that they must wait for it.
+func TestRestartedFollowersWithLostDisksWaitForIsolatedLeader(t *testing.T) {
+	for seed := range 10 {
+		synctest.Test(t, func(t *testing.T) {
+			c := newTestCluster(t, Config{Node: NodeConfig{Seed: uint64(seed)*1000 + 1}})
+			all := c.bootstrap(5)
+			defer c.stopAll()
+			time.Sleep(3*time.Second + time.Duration(seed)*7*time.Millisecond)
+			leader := confirmedLeader(all)
+			require.NotNil(t, leader)
+			c.isolate(leader.Status().ID, true)
+			running, lost := []*Replica{leader}, ""
+			for _, r := range all {
+				if r == leader {
+					continue
+				}
+				host := r.Status().Host
+				r.Stop()
+				if lost == "" {
+					lost = r.Status().ID
+					continue
+				}
+				running = append(running, c.start(host))
+			}
+			for _, r := range running[1:] {
+				r.ReportLost(lost)
+			}
+			for range 300 {
+				time.Sleep(10 * time.Millisecond)
+				require.LessOrEqual(t, confirmedLeaders(running), 1)
+			}
+			next := confirmedLeader(running)
+			require.NotNil(t, next)
+			require.NotEqual(t, leader, next)
+		})
+	}
+}
--- a/quorum/sim_test.go
+++ b/quorum/sim_test.go
@@ -80,6 +80,8 @@
 	firstAppliedTerm map[uint64]uint64
 	// members is the last committed membership.
 	members memberSet
+	// lost are the IDs of the replicas that have lost their disks.
+	lost []string
 }
 
 func newSim(t require.TestingT, seed uint64, size int, faults simFaults) *sim {
@@ -119,6 +121,14 @@
 // startFreshNode starts a node with an empty disk and a new ID. The ID comes
 // from a counter, so that a seed always produces the same run.
 func (s *sim) startFreshNode(n *simNode) {
+	state, _, _, err := n.storage.Load()
+	require.NoError(s.t, err)
+	s.lost = append(s.lost, state.ID)
+	for _, other := range s.nodes {
+		if other.node != nil {
+			other.node.ReportLost(state.ID)
+		}
+	}
 	s.formatDisk(n)
 	s.nextID++
 	require.NoError(s.t, n.storage.Save(HardState{ID: fmt.Sprintf("%s-%d", n.host, s.nextID), Host: n.host}, nil))
@@ -133,6 +143,9 @@
 	config := s.config
 	config.Seed = s.random.Uint64()
 	n.node = NewNode(config, state, snapshot, entries)
+	for _, id := range s.lost {
+		n.node.ReportLost(id)
+	}
 	n.machine = versionedValue{}
 	n.restore(snapshot)
 	n.writes, n.reads = map[uint64]*simOp{}, map[uint64]*simOp{}
