Keep the distance of a bound to the variance of the requests that were replaced

Cause: the low bound kept 2.75 standard deviations of all arrivals within the age of the reports.

Change: the variance is the mean times the part of the requests that has ended within the age, which approaches the mean.

--- a/route/bounds.go
+++ b/route/bounds.go
@@ -52,18 +52,19 @@
 // bound.
 //
 // It is designed for hosts that choose at the same time by reports that are a fraction
-// of a second old: the more requests arrive at a target within that age, the further
-// its load may be from the report. That number is the mean number in flight times the
-// age over the duration of a request, whatever the number of hosts, targets and slots.
-// The low bound keeps that distance from the load above which a target slows down.
+// of a second old: the more of the requests in a report have ended and been replaced by
+// others, the further the load of a target may be from it. With independent arrivals, the
+// variance of the load is then the mean times that part, whatever the number of hosts,
+// targets and slots. The low bound keeps that distance from the load above which a target
+// slows down.
 func (t Traffic) loadBounds(mean float64) (low, high float64) {
 	duration := t.Duration
 	if duration <= 0 {
 		duration = defaultDuration
 	}
-	arrivals := mean * float64(t.ReportAge) / float64(duration)
+	replaced := 1 - math.Exp(-float64(t.ReportAge)/float64(duration))
 	limit := slowdownLoad(mean)
-	low = max(limit-overloadQuantile*math.Sqrt(arrivals), mean+minBoundGap)
+	low = max(limit-overloadQuantile*math.Sqrt(mean*replaced), mean+minBoundGap)
 	return low, max(limit, low+minBoundGap)
 }
 
