--- a/quorum/restartall_test.go
+++ b/quorum/restartall_test.go
@@ -50,33 +50,50 @@
 func TestRestartedFollowersWaitForIsolatedLeader(t *testing.T) {
 	for seed := range 20 {
 		synctest.Test(t, func(t *testing.T) {
-			c := newTestCluster(t, Config{Node: NodeConfig{Seed: uint64(seed)*1000 + 1}})
-			all := c.bootstrap(3)
-			defer c.stopAll()
-			time.Sleep(3*time.Second + time.Duration(seed)*7*time.Millisecond)
-			leader := confirmedLeader(all)
-			require.NotNil(t, leader)
-			c.isolate(leader.Status().ID, true)
-			running := []*Replica{leader}
-			for _, r := range all {
-				if r == leader {
-					continue
-				}
-				host := r.Status().Host
-				r.Stop()
-				running = append(running, c.start(host))
-			}
-			for range 300 {
-				time.Sleep(10 * time.Millisecond)
-				require.LessOrEqual(t, confirmedLeaders(running), 1)
-			}
-			next := confirmedLeader(running)
-			require.NotNil(t, next)
-			require.NotEqual(t, leader, next)
+			restartFollowersOfIsolatedLeader(t, uint64(seed), 3, 0)
 		})
 	}
 }
 
+// restartFollowersOfIsolatedLeader isolates the leader of a cluster, stops its followers
+// and restarts all but the given number of them, which lose their disks. It requires
+// that there are never two confirmed leaders, and another one in the end.
+func restartFollowersOfIsolatedLeader(t *testing.T, seed uint64, size, lost int) {
+	t.Helper()
+	c := newTestCluster(t, Config{Node: NodeConfig{Seed: seed*1000 + 1}})
+	all := c.bootstrap(size)
+	defer c.stopAll()
+	time.Sleep(3*time.Second + time.Duration(seed)*7*time.Millisecond)
+	leader := confirmedLeader(all)
+	require.NotNil(t, leader)
+	c.isolate(leader.Status().ID, true)
+	running, lostIDs := []*Replica{leader}, []string{}
+	for _, r := range all {
+		if r == leader {
+			continue
+		}
+		status := r.Status()
+		r.Stop()
+		if len(lostIDs) < lost {
+			lostIDs = append(lostIDs, status.ID)
+			continue
+		}
+		running = append(running, c.start(status.Host))
+	}
+	for _, r := range running[1:] {
+		for _, id := range lostIDs {
+			r.ReportLost(id)
+		}
+	}
+	for range 300 {
+		time.Sleep(10 * time.Millisecond)
+		require.LessOrEqual(t, confirmedLeaders(running), 1)
+	}
+	next := confirmedLeader(running)
+	require.NotNil(t, next)
+	require.NotEqual(t, leader, next)
+}
+
 // All replicas are killed at once and two of five lose their disks. Once the others know
 // that these never respond again, they must elect a leader without waiting for an
 // election timeout; before that, one of them might be a leader on the far side of a
@@ -121,36 +138,7 @@
 func TestRestartedFollowersWithLostDisksWaitForIsolatedLeader(t *testing.T) {
 	for seed := range 10 {
 		synctest.Test(t, func(t *testing.T) {
-			c := newTestCluster(t, Config{Node: NodeConfig{Seed: uint64(seed)*1000 + 1}})
-			all := c.bootstrap(5)
-			defer c.stopAll()
-			time.Sleep(3*time.Second + time.Duration(seed)*7*time.Millisecond)
-			leader := confirmedLeader(all)
-			require.NotNil(t, leader)
-			c.isolate(leader.Status().ID, true)
-			running, lost := []*Replica{leader}, ""
-			for _, r := range all {
-				if r == leader {
-					continue
-				}
-				host := r.Status().Host
-				r.Stop()
-				if lost == "" {
-					lost = r.Status().ID
-					continue
-				}
-				running = append(running, c.start(host))
-			}
-			for _, r := range running[1:] {
-				r.ReportLost(lost)
-			}
-			for range 300 {
-				time.Sleep(10 * time.Millisecond)
-				require.LessOrEqual(t, confirmedLeaders(running), 1)
-			}
-			next := confirmedLeader(running)
-			require.NotNil(t, next)
-			require.NotEqual(t, leader, next)
+			restartFollowersOfIsolatedLeader(t, uint64(seed), 5, 1)
 		})
 	}
 }
