Publish a replica's membership as soon as its log holds it

A follower's status, from which a hub counts the voters before it accepts a change, was up to a tick old. A hub that had already returned the configuration with a linearizable read still refused the next change with "the cluster has too few voters yet".

Change: the status follows a change of the membership at once, as it follows one of the leadership.

Ruled out: a removed voter; the members of the leader were complete when the test got its first acknowledgement.

The cluster of the hub's tests took ports that outgoing connections may take before the hub listens.

--- a/hub/hub_test.go
+++ b/hub/hub_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"testing"
 	"time"
@@ -14,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/valyala/fasthttp"
 
+	"comfreytiller.dev/comfreytiller/integration/daemons"
 	"comfreytiller.dev/comfreytiller/protocol"
 	"comfreytiller.dev/common/logs"
 	"comfreytiller.dev/fleet"
@@ -45,11 +45,8 @@
 func newCluster(t *testing.T, size int) *cluster {
 	c := &cluster{t: t, hubs: make([]*Hub, size), stops: make([]func(), size)}
 	for range size {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		c.addresses = append(c.addresses, listener.Addr().String())
+		c.addresses = append(c.addresses, daemons.FreeAddress(t))
 		c.dataDirs = append(c.dataDirs, t.TempDir())
-		require.NoError(t, listener.Close())
 	}
 	for i := range size {
 		c.start(i, true)
--- a/quorum/replica_test.go
+++ b/quorum/replica_test.go
@@ -58,6 +58,21 @@
 	})
 }
 
+// A caller that has read up to a membership change on some replica decides by
+// the members in that replica's status; it can't wait for the next tick.
+func TestStatusHoldsMembersOnceBarrierReturns(t *testing.T) {
+	runCluster(t, Config{}, func(c *testCluster) {
+		c.bootstrap(3)
+		leader := c.waitForLeader()
+		joining := c.start("h4")
+		require.NoError(t, leader.AddLearner(contextWithTimeout(time.Second), memberOf(joining)))
+		for _, r := range c.otherReplicas(leader) {
+			require.NoError(t, r.Barrier(contextWithTimeout(time.Second)))
+			require.Len(t, r.Status().Members, 4)
+		}
+	})
+}
+
 func TestPartitionedLeaderStepsDown(t *testing.T) {
 	runCluster(t, Config{}, func(c *testCluster) {
 		c.bootstrap(3)
--- a/quorum/status.go
+++ b/quorum/status.go
@@ -6,6 +6,7 @@
 )
 
 // Status is a replica's view of itself and its cluster, at most one tick old.
+// Role, Term, Leader and the IDs, addresses and votes of Members are current.
 type Status struct {
 	ID            string
 	Cluster       string
@@ -68,7 +69,7 @@
 }
 
 // publishLeadership makes the leadership visible to callers, and also the
-// status if the leadership changed.
+// status if the leadership or the membership changed.
 func (r *Replica) publishLeadership() {
 	isLeader := r.node.Role() == Leader && r.storageError == nil
 	var confirmedAt time.Time
@@ -91,10 +92,15 @@
 		p.pendingChanges = append(p.pendingChanges, p.leadership)
 	}
 	current := p.leadership
+	membersChanged := !slices.EqualFunc(p.status.Members, r.node.Members(), func(published MemberStatus, m Member) bool {
+		return published.Member == m
+	})
 	r.mu.Unlock()
+	if changed || membersChanged {
+		r.publishStatus()
+	}
 	if changed {
 		r.logger.Infof("Leadership changed: term %d, leader %q, this replica leads: %t.", current.Term, current.Leader, current.IsLeader)
-		r.publishStatus()
 		r.signalChange()
 	}
 }
