Send load digests as often as the hub's own hosts allow

A hub computed the interval between two digests, 3 ms a host, from all 141 hosts of the fleet, though four fifths of them watch other hubs: 423 ms instead of 100, for the reports of hosts, the exchange between hubs and the digests alike. With hundreds of hosts, it would be a second each.

Change: the interval counts the hosts that watch this hub. A hub that serves the hosts of lost ones as well slows down as before. The new test fails with the count of all hosts (423 ms).

--- a/hub/gossip.go
+++ b/hub/gossip.go
@@ -82,7 +82,7 @@
 	var last time.Time
 	ticks.Every(ctx, g.hub.Clock, loadInterval, func(context.Context) {
 		now := g.hub.Clock.Now()
-		if now.Sub(last) < digestInterval(g.hub.watchers.count())-loadInterval/2 {
+		if now.Sub(last) < g.hub.digestInterval()-loadInterval/2 {
 			return
 		}
 		own := g.hub.loads.hostTotals()
--- a/hub/loads.go
+++ b/hub/loads.go
@@ -119,11 +119,13 @@
 	return listed, mean
 }
 
-// digestInterval returns the interval between two digests to one host. It grows
-// with the number of hosts.
-func digestInterval(hosts int) time.Duration {
+// digestInterval returns the interval between two digests to one host. It grows with the
+// number of hosts that watch this hub, since their digests share its link. Hosts that
+// watch other hubs do not count: the larger the fleet, the later the requests that hosts
+// send to one target would be reported.
+func (h *Hub) digestInterval() time.Duration {
 	const perHost = 3 * time.Millisecond
-	return max(loadInterval, time.Duration(hosts)*perHost)
+	return max(loadInterval, time.Duration(len(h.watchers.localHosts()))*perHost)
 }
 
 // addReports adds the reports that have not expired to total and deletes the
--- a/hub/loads_test.go
+++ b/hub/loads_test.go
@@ -53,3 +53,30 @@
 		}
 	})
 }
+
+// The hosts of one hub share its link. On a fleet of hundreds of hosts with several hubs,
+// a digest as seldom as one hub could send to all of them is outdated: a target may get
+// ten requests more before a report shows them.
+func TestDigestInterval_IsThatOfTheHostsOfTheHub(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	h := &Hub{Dependencies: Dependencies{Clock: clock}, watchers: newWatchers(clock)}
+	clock.Advance(hostCountDelay)
+	watch := func(from, to int) (names []string) {
+		for i := range to - from {
+			names = append(names, fmt.Sprint("e-", from+i))
+		}
+		return names
+	}
+	for _, host := range watch(0, 28) {
+		h.watchers.recordWatch(host, 1)
+	}
+	h.watchers.recordRemote(watch(28, 141))
+	require.Equal(t, 141, h.watchers.count())
+	require.Equal(t, loadInterval, h.digestInterval())
+	for _, host := range watch(28, 141) {
+		h.watchers.recordWatch(host, 1)
+	}
+	require.Greater(t, h.digestInterval(), 4*loadInterval, "the hub serves the hosts of lost ones")
+	clock.Advance(watcherTTL + time.Millisecond)
+	require.Equal(t, loadInterval, h.digestInterval())
+}
--- a/hub/watchers.go
+++ b/hub/watchers.go
@@ -150,7 +150,7 @@
 func (h *Hub) awaitChanges(m peer.WatchRequest) {
 	wait := min(m.MaxWait, maxLongPollWait)
 	if len(m.Loads) > 0 || h.loads.hasLoad() {
-		wait = min(wait, digestInterval(h.watchers.count()))
+		wait = min(wait, h.digestInterval())
 	}
 	timer := h.Clock.NewTimer(wait)
 	defer timer.Stop()
