List the loads farthest from the mean in digests of fleets of any size

Cause: a digest listed all loads of a fleet with up to 24 targets, with a mean of 0, and only the outliers of a larger one. At 25 targets a host lost most of what it knew at 24, and on small fleets a target that joined began with a usual load of 0, though its first reports miss what others have just sent. Targets that leave and still run requests were never listed on large fleets.

Change: every digest has the mean of the ready targets and lists the 24 loads farthest from it, and all other outliers. A target without an earlier report starts with the mean of its own service, not with that of all.

Tests that failed before: SelectOutliers on small fleets (no mean, idle targets missing), a new target's usual load (4 instead of 8.5).

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -284,6 +284,22 @@
 	require.Less(t, estimate(0), 0.2, "the duration is unknown")
 }
 
+// A target that this host learned of a moment ago is not believed to be idle: its first
+// reports miss most of the requests that other hosts have just sent to it. Its service
+// tells how many to expect; other services may hold more or fewer.
+func TestApplyLoads_NewTargetStartsWithMeanOfItsService(t *testing.T) {
+	f := newFixture(t)
+	f.applyEntries(f.newRosterEntry("e-1", "engines", "a", 1), f.newRosterEntry("e-2", "engines", "a", 1), f.newRosterEntry("t-1", "treasury", "a", 1))
+	loads := map[string]int{"e-1": 8, "e-2": 10, "t-1": 2}
+	f.selector.applyLoads(loads, 6.7, map[string]int{"e-1": 1})
+	f.clock.Advance(100 * time.Millisecond)
+	f.applyEntries(f.newRosterEntry("e-3", "engines", "a", 1), f.newRosterEntry("t-2", "treasury", "a", 1))
+	loads["e-3"], loads["t-2"] = 0, 0
+	f.selector.applyLoads(loads, 4, map[string]int{"e-1": 1})
+	require.InDelta(t, 8.5, f.selector.byName["e-3"].usualOthers, 0.01)
+	require.InDelta(t, 2, f.selector.byName["t-2"].usualOthers, 0.01)
+}
+
 func TestApplyRoster_RestartClearsFailures(t *testing.T) {
 	f := newFixture(t)
 	f.applyEntries(f.newRosterEntry("t-1", "treasury", "a", 1))
--- a/entry/target_selector.go
+++ b/entry/target_selector.go
@@ -206,14 +206,40 @@
 	defer t.mu.Unlock()
 	defer t.updateThrottles(now)
 	t.reports.record(now)
-	for name, s := range t.byName {
-		inFlight, listed := total[name]
-		others := float64(inFlight - reported[name])
-		if !listed {
-			others = mean - float64(reported[name])
+	others := make(map[string]float64, len(t.byName))
+	for name := range t.byName {
+		load := mean
+		if inFlight, listed := total[name]; listed {
+			load = float64(inFlight)
+		}
+		others[name] = max(load-float64(reported[name]), 0)
+	}
+	for _, list := range t.byService {
+		usual := meanKnownLoad(list, others)
+		for _, s := range list {
+			s.recordOthers(now, others[s.Name], usual)
+		}
+	}
+}
+
+// meanKnownLoad returns the mean of the given loads over the targets with an earlier
+// report; over all targets if none has one.
+func meanKnownLoad(list []*targetState, loads map[string]float64) float64 {
+	var known, all []float64
+	for _, s := range list {
+		all = append(all, loads[s.Name])
+		if !s.othersInFlightAt.IsZero() {
+			known = append(known, loads[s.Name])
 		}
-		s.recordOthers(now, max(others, 0), mean)
 	}
+	if len(known) == 0 {
+		known = all
+	}
+	sum := 0.0
+	for _, load := range known {
+		sum += load
+	}
+	return sum / float64(max(len(known), 1))
 }
 
 // Acquire implements gateway.Admitter. It decides without waiting.
--- a/entry/target_state.go
+++ b/entry/target_state.go
@@ -108,11 +108,11 @@
 	return sum / weights
 }
 
-// recordOthers records the requests of other hosts as last reported by the hub. A
-// target that was not known before starts with the mean.
-func (s *targetState) recordOthers(now time.Time, inFlight, mean float64) {
+// recordOthers records the requests of other hosts as last reported by the hub. expected
+// is what a target without an earlier report starts with as its usual load.
+func (s *targetState) recordOthers(now time.Time, inFlight, expected float64) {
 	if s.othersInFlightAt.IsZero() {
-		s.usualOthers = mean
+		s.usualOthers = expected
 	} else {
 		weight := 1 - math.Exp(-float64(now.Sub(s.othersInFlightAt))/float64(usualLoadPeriod))
 		s.usualOthers += (inFlight - s.usualOthers) * weight
--- a/hub/loads.go
+++ b/hub/loads.go
@@ -1,7 +1,10 @@
 package hub
 
 import (
+	"cmp"
 	"maps"
+	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -62,11 +65,16 @@
 	return total
 }
 
-// hasLoad reports whether the last digest contains any load.
+// hasLoad reports whether any requests are in flight according to the last digest.
 func (l *loadTracker) hasLoad() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.digestLoads) > 0 || l.digestMean > 0
+	for _, inFlight := range l.digestLoads {
+		if inFlight > 0 {
+			return true
+		}
+	}
+	return l.digestMean > 0
 }
 
 // digest returns the digest of all hosts' loads that is sent to hosts. Calls
@@ -85,35 +93,40 @@
 	return l.digestLoads, l.digestMean
 }
 
-// A digest lists the targets whose load is far above or below the mean: more
-// than outlierMargin requests above highOutlierFactor times the mean, or below
-// lowOutlierFactor times the mean. A host needs to know which targets to avoid
-// and which ones have capacity. Digests of fleets with at most
-// maxCompleteDigestTargets targets list all of them.
+// A digest lists the minListedTargets targets whose loads are farthest from the mean, and
+// all others whose load is far above or below it: more than outlierMargin requests above
+// highOutlierFactor times the mean, or below lowOutlierFactor times the mean. A host
+// needs to know which targets to avoid and which ones have capacity.
 const (
-	highOutlierFactor        = 1.25
-	lowOutlierFactor         = 0.75
-	outlierMargin            = 1
-	maxCompleteDigestTargets = 24
+	highOutlierFactor = 1.25
+	lowOutlierFactor  = 0.75
+	outlierMargin     = 1
+	minListedTargets  = 24
 )
 
-// selectOutliers selects the loads that differ much from the mean. This keeps
-// digests small, as a hub sends them over its slow link to hundreds of hosts a
-// few times a second. A target that is missing from total is idle.
-func selectOutliers(total map[string]int, targets []string) (listed map[string]int, mean float64) {
-	if len(targets) <= maxCompleteDigestTargets {
-		return total, 0
+// selectOutliers selects the loads that differ most from the mean. This keeps digests
+// small, as a hub sends them over its slow link to hundreds of hosts a few times a
+// second. A target that is missing from total is idle. mean is that of the ready targets;
+// others that still run requests are listed like them.
+func selectOutliers(total map[string]int, ready []string) (listed map[string]int, mean float64) {
+	loads := make(map[string]int, len(ready))
+	for _, target := range ready {
+		loads[target] = total[target]
+		mean += float64(total[target]) / float64(len(ready))
 	}
-	sum := 0
-	for _, inFlight := range total {
-		sum += inFlight
-	}
-	mean = float64(sum) / float64(len(targets))
+	maps.Copy(loads, total)
+	distance := func(target string) float64 { return math.Abs(float64(loads[target]) - mean) }
+	ordered := slices.SortedFunc(maps.Keys(loads), func(a, b string) int {
+		return cmp.Or(cmp.Compare(distance(b), distance(a)), cmp.Compare(a, b))
+	})
 	listed = map[string]int{}
-	for _, target := range targets {
-		inFlight := float64(total[target])
-		if inFlight > highOutlierFactor*mean+outlierMargin || inFlight < lowOutlierFactor*mean-outlierMargin {
-			listed[target] = total[target]
+	for i, target := range ordered {
+		load := float64(loads[target])
+		if load == mean {
+			continue
+		}
+		if i < minListedTargets || load > highOutlierFactor*mean+outlierMargin || load < lowOutlierFactor*mean-outlierMargin {
+			listed[target] = loads[target]
 		}
 	}
 	return listed, mean
--- a/hub/loads_test.go
+++ b/hub/loads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -30,13 +31,13 @@
 }
 
 // The loads that hosts derive from a digest are close to the actual loads of
-// all targets, including idle ones. The digest of a large fleet lists few
-// targets.
+// all targets, including idle ones, and exact for the ones farthest from the mean. The
+// digest of a large fleet lists few targets; that of a small one lists all.
 func TestSelectOutliers_DigestIsCloseToActualLoads(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		total := map[string]int{}
 		var targets []string
-		for i := range rapid.IntRange(maxCompleteDigestTargets+1, 150).Draw(t, "targets") {
+		for i := range rapid.IntRange(1, 150).Draw(t, "targets") {
 			name := fmt.Sprint("t-", i)
 			targets = append(targets, name)
 			if running := rapid.IntRange(0, 12).Draw(t, "running"); running > 0 {
@@ -44,16 +45,40 @@
 			}
 		}
 		listed, mean := selectOutliers(total, targets)
+		nearest := math.Inf(1)
+		if len(listed) < minListedTargets {
+			nearest = 0
+		}
+		for name, running := range listed {
+			require.Equal(t, total[name], running)
+			nearest = min(nearest, math.Abs(float64(running)-mean))
+		}
 		for _, name := range targets {
-			derived := mean
-			if running, found := listed[name]; found {
-				derived = float64(running)
+			if _, found := listed[name]; !found {
+				require.InDelta(t, float64(total[name]), mean, min(nearest, mean/4+outlierMargin)+0.01)
 			}
-			require.InDelta(t, float64(total[name]), derived, mean/4+outlierMargin+0.01)
 		}
 	})
 }
 
+// Hosts start with the mean for a target that they learn of, and a target that leaves
+// still runs requests.
+func TestSelectOutliers_SmallAndLargeFleetsAlike(t *testing.T) {
+	for _, count := range []int{3, 24, 25, 200} {
+		total := map[string]int{"leaving": 9}
+		var ready []string
+		for i := range count {
+			name := fmt.Sprint("t-", i)
+			ready, total[name] = append(ready, name), 4+i%2
+		}
+		total["t-1"] = 0
+		listed, mean := selectOutliers(total, ready)
+		require.InDelta(t, 4.5, mean, 2, "%d targets", count)
+		require.Contains(t, listed, "t-1", "an idle target among %d", count)
+		require.Equal(t, 9, listed["leaving"], "%d targets", count)
+	}
+}
+
 // The hosts of one hub share its link. On a fleet of hundreds of hosts with several hubs,
 // a digest as seldom as one hub could send to all of them is outdated: a target may get
 // ten requests more before a report shows them.
