Send loads with a reply to a host only when its next digest is due

Cause: each reply of a hub carried a digest of all loads, also one that was sent because a target had changed. While hundreds of targets are replaced, a hub replies to all its hosts up to thirty times a second, and the digests took most of its link. Sending digests more often made that worse.

Change: a reply carries loads if the host had none for the interval; it says so otherwise, and the host keeps what it knows. The new tests fail when either side is taken out.

Not the whole cause: in a traced run 631 polls of hosts were abandoned after a second while the reply was on its way.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -13,6 +13,7 @@
 	"comfreytiller.dev/admission"
 	"comfreytiller.dev/common/logs"
 	"comfreytiller.dev/fleet"
+	"comfreytiller.dev/peer"
 	"comfreytiller.dev/registry"
 	"comfreytiller.dev/settings"
 	"comfreytiller.dev/target"
@@ -300,6 +301,19 @@
 	require.InDelta(t, 2, f.selector.byName["t-2"].usualOthers, 0.01)
 }
 
+// A reply without loads changes nothing in what the host knows of them.
+func TestApplyResponse_WithoutLoadsKeepsLoads(t *testing.T) {
+	f := newFixture(t)
+	watcher := newHubWatcher(f.daemon)
+	entries := []roster.Entry{f.newRosterEntry("e-1", "engines", "a", 1)}
+	require.NoError(t, watcher.applyResponse(peer.WatchResponse{Entries: entries, Loads: map[string]int{"e-1": 7}, MeanLoad: 7}, nil))
+	f.clock.Advance(10 * time.Millisecond)
+	reportAge := f.selector.reports.age(f.clock.Now())
+	require.NoError(t, watcher.applyResponse(peer.WatchResponse{WithoutLoads: true}, nil))
+	require.InDelta(t, 7, f.selector.byName["e-1"].othersInFlight, 0)
+	require.Equal(t, reportAge, f.selector.reports.age(f.clock.Now()))
+}
+
 func TestApplyRoster_RestartClearsFailures(t *testing.T) {
 	f := newFixture(t)
 	f.applyEntries(f.newRosterEntry("t-1", "treasury", "a", 1))
--- a/entry/hub_watcher.go
+++ b/entry/hub_watcher.go
@@ -182,7 +182,9 @@
 		}
 	}
 	w.daemon.selector.applyRoster(response.Entries, response.WatcherCount)
-	w.daemon.selector.applyLoads(response.Loads, response.MeanLoad, reportedLoads)
+	if !response.WithoutLoads {
+		w.daemon.selector.applyLoads(response.Loads, response.MeanLoad, reportedLoads)
+	}
 	w.rosterSource, w.rosterVersion = response.RosterSource, response.RosterVersion
 	if len(response.ReplicaAddresses) > 0 {
 		w.mu.Lock()
--- a/hub/loads_test.go
+++ b/hub/loads_test.go
@@ -9,6 +9,9 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"comfreytiller.dev/peer"
+	"comfreytiller.dev/target/roster"
 )
 
 func TestLoadTracker_AddsHostsAndHubs(t *testing.T) {
@@ -105,3 +108,29 @@
 	clock.Advance(watcherTTL + time.Millisecond)
 	require.Equal(t, loadInterval, h.digestInterval())
 }
+
+// A release changes a target every few milliseconds, and each change is sent to the
+// hosts at once. Digests of the loads keep their interval.
+func TestAddDigest_FrequentRepliesDoNotRepeatLoads(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	h := &Hub{Dependencies: Dependencies{Clock: clock}, watchers: newWatchers(clock), loads: newLoadTracker(clock), roster: roster.NewTable()}
+	h.loads.recordHost("e-1", map[string]int{"t": 3})
+	digests := map[string]int{}
+	const replies, replyInterval = 400, 10 * time.Millisecond
+	for range replies {
+		for _, host := range []string{"e-1", "e-2"} {
+			h.watchers.recordWatch(host, 1)
+			h.loads.recordHost(host, map[string]int{"t": 3})
+			var response peer.WatchResponse
+			h.addDigest(host, &response)
+			if !response.WithoutLoads {
+				require.NotEmpty(t, response.Loads)
+				digests[host]++
+			}
+		}
+		clock.Advance(replyInterval)
+	}
+	want := int(replies * replyInterval / h.digestInterval())
+	require.Equal(t, map[string]int{"e-1": want, "e-2": want}, digests)
+	require.LessOrEqual(t, h.watchers.untilDigest("new", h.digestInterval()), time.Duration(0), "a host that comes from another hub needs one at once")
+}
--- a/hub/watchers.go
+++ b/hub/watchers.go
@@ -38,10 +38,12 @@
 	// revisions are the state revisions that the hosts had at their last poll
 	// here.
 	revisions map[string]uint64
+	// digestAt is when the hosts were last sent a digest of the loads here.
+	digestAt map[string]time.Time
 }
 
 func newWatchers(clock clockwork.Clock) *watchers {
-	return &watchers{clock: clock, started: clock.Now(), localSeen: map[string]time.Time{}, remoteSeen: map[string]time.Time{}, revisions: map[string]uint64{}}
+	return &watchers{clock: clock, started: clock.Now(), localSeen: map[string]time.Time{}, remoteSeen: map[string]time.Time{}, revisions: map[string]uint64{}, digestAt: map[string]time.Time{}}
 }
 
 // recordWatch records a poll of a host and the state revision that it has.
@@ -52,6 +54,21 @@
 	w.revisions[host] = revision
 }
 
+// untilDigest returns the time until the host is due for the next digest; zero or less
+// if it is now.
+func (w *watchers) untilDigest(host string, interval time.Duration) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.digestAt[host].Add(interval).Sub(w.clock.Now())
+}
+
+// recordDigest records that the host is sent a digest now.
+func (w *watchers) recordDigest(host string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.digestAt[host] = w.clock.Now()
+}
+
 // anyBehind reports whether a host that polled here recently lacks the
 // revision.
 func (w *watchers) anyBehind(revision uint64) bool {
@@ -85,6 +102,7 @@
 		if now.Sub(at) > watcherTTL {
 			delete(w.localSeen, host)
 			delete(w.revisions, host)
+			delete(w.digestAt, host)
 			continue
 		}
 		hosts = append(hosts, host)
@@ -140,17 +158,29 @@
 	if h.replica.Machine.View().Revision > m.Revision {
 		response.Delta = h.replica.Machine.EncodedDeltaSince(m.Revision, m.FleetVersion)
 	}
-	response.Loads, response.MeanLoad = h.loads.digest(h.roster.ReadyNames)
+	h.addDigest(m.Host, &response)
 	response.Entries, response.RosterVersion = h.roster.ChangedSince(m.RosterVersion)
 	reply(response)
 }
 
+// addDigest adds a digest of the loads to a reply, unless the host had one a moment ago.
+// While targets come and go, replies with changes are far more frequent than digests,
+// which would use up the hub's link if they came with each of them.
+func (h *Hub) addDigest(host string, response *peer.WatchResponse) {
+	if h.watchers.untilDigest(host, h.digestInterval()) > 0 {
+		response.WithoutLoads = true
+		return
+	}
+	h.watchers.recordDigest(host)
+	response.Loads, response.MeanLoad = h.loads.digest(h.roster.ReadyNames)
+}
+
 // awaitChanges returns when there are changes for the host, or when its wait is
 // over.
 func (h *Hub) awaitChanges(m peer.WatchRequest) {
 	wait := min(m.MaxWait, maxLongPollWait)
 	if len(m.Loads) > 0 || h.loads.hasLoad() {
-		wait = min(wait, h.digestInterval())
+		wait = min(wait, max(h.watchers.untilDigest(m.Host, h.digestInterval()), 0))
 	}
 	timer := h.Clock.NewTimer(wait)
 	defer timer.Stop()
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -62,7 +62,7 @@
 		WatchRequest{Host: "h", Revision: 1, FleetVersion: 2, RosterSource: 3, RosterVersion: 4, MaxWait: time.Second, Loads: map[string]int{"t": 3}},
 		WatchResponse{
 			QuorumConfirmed: true, Delta: []byte{1}, RosterSource: 2, RosterVersion: 3, Entries: []roster.Entry{{State: roster.Gone, LastSeen: epoch}},
-			WatcherCount: 4, ReplicaAddresses: []string{"a"}, Loads: map[string]int{"t": 3}, MeanLoad: 1.5,
+			WatcherCount: 4, ReplicaAddresses: []string{"a"}, Loads: map[string]int{"t": 3}, MeanLoad: 1.5, WithoutLoads: true,
 		},
 		JoinRequest{ID: "i", Host: "h", Address: "a", Forwarded: true},
 		Ack{},
--- a/peer/codec_watch.go
+++ b/peer/codec_watch.go
@@ -25,7 +25,7 @@
 		wire.Body = &peerpb.Frame_Watched{Watched: &peerpb.Watched{
 			Current: m.QuorumConfirmed, Delta: m.Delta, Source: m.RosterSource, Roster: m.RosterVersion,
 			Entries: entriesToWire(m.Entries, now), Hosts: int32(m.WatcherCount), Replicas: m.ReplicaAddresses,
-			Loads: loadsToWire(m.Loads), MeanLoad: m.MeanLoad,
+			Loads: loadsToWire(m.Loads), MeanLoad: m.MeanLoad, WithoutLoads: m.WithoutLoads,
 		}}
 	case JoinRequest:
 		wire.Body = &peerpb.Frame_Join{Join: &peerpb.Join{Id: m.ID, Host: m.Host, Address: m.Address, Passed: m.Forwarded}}
@@ -47,7 +47,7 @@
 		return WatchResponse{
 			QuorumConfirmed: w.Current, Delta: w.Delta, RosterSource: w.Source, RosterVersion: w.Roster,
 			Entries: entriesFromWire(w.Entries, now), WatcherCount: int(w.Hosts), ReplicaAddresses: w.Replicas,
-			Loads: loadsFromWire(w.Loads), MeanLoad: w.MeanLoad,
+			Loads: loadsFromWire(w.Loads), MeanLoad: w.MeanLoad, WithoutLoads: w.WithoutLoads,
 		}
 	case *peerpb.Frame_Join:
 		return JoinRequest{ID: b.Join.Id, Host: b.Join.Host, Address: b.Join.Address, Forwarded: b.Join.Passed}
--- a/peer/message.go
+++ b/peer/message.go
@@ -234,6 +234,9 @@
 	// load is far from MeanLoad. MeanLoad applies to all other targets.
 	Loads    map[string]int
 	MeanLoad float64
+	// WithoutLoads is set if the replica sent loads to the host a moment ago. Loads
+	// and MeanLoad are then empty and say nothing.
+	WithoutLoads bool
 }
 
 // JoinRequest asks the state leader to add a replica to the cluster, or to
