--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -285,7 +285,7 @@
 	require.Less(t, estimate(0), 0.2, "the duration is unknown")
 }
 
-// A target that this host learned of a moment ago is not believed to be idle: its first
+// A target that this host learned of a moment ago does not count as idle: its first
 // reports miss most of the requests that other hosts have just sent to it. Its service
 // tells how many to expect; other services may hold more or fewer.
 func TestApplyLoads_NewTargetStartsWithMeanOfItsService(t *testing.T) {
