Log why a failed request does not go on elsewhere

A stream that was cut and a request that was answered with a failure told neither which limit kept them from another target nor how long the target had been silent, so that a cut stream could not be told from a lost target.

A failed attempt after which nothing is sent has a line now with the reason (attempts, retry budget, deadline, caller gone, not retryable, not resumable, no permit) and the silence of the target. gateway_not_retried counts by reason, gateway_silent_attempts the attempts that were given up for silence. Decisions are as before.

TestLog_ReasonWhyRequestDoesNotGoOn and TestMetrics_AttemptsGivenUpForSilence cover them; the tests of gateway, target, entry, platform and standin pass, as do those of gateway, target and entry with the race detector.

--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -51,6 +51,9 @@
 	errorResponse *attempt
 	// target is the target of the last attempt.
 	target string
+	// lastDataAt is when the last attempt was sent, or when data of its response was
+	// last read; zero before the first attempt.
+	lastDataAt time.Time
 	// lastEventID is the ID of the last event that the caller has received.
 	lastEventID string
 	// reservedBytes is the memory that is reserved for responses.
@@ -148,7 +151,7 @@
 	if err != nil {
 		return err
 	}
-	a.response = response
+	a.response, d.lastDataAt = response, d.gateway.Clock.Now()
 	if response.Header().NotExecuted {
 		d.maybeSent = maybeSentBefore
 		d.possibleRuns--
@@ -167,10 +170,20 @@
 	if err != nil && !a.emptyStream {
 		return err
 	}
-	a.firstByte = d.gateway.Clock.Since(a.sentAt)
+	d.lastDataAt = d.gateway.Clock.Now()
+	a.firstByte = d.lastDataAt.Sub(a.sentAt)
 	return nil
 }
 
+// silence returns how long the target of the last attempt has sent nothing; 0 before
+// the first attempt.
+func (d *dispatcher) silence() time.Duration {
+	if d.lastDataAt.IsZero() {
+		return 0
+	}
+	return d.gateway.Clock.Since(d.lastDataAt)
+}
+
 // reportResponse passes on what a target says of itself in a response, or in one that
 // violates the protocol.
 func (d *dispatcher) reportResponse(a *attempt, response target.Response, err error) {
@@ -213,7 +226,7 @@
 	if err := d.ctx.Err(); err != nil {
 		return err
 	}
-	a.sentAt = now
+	a.sentAt, d.lastDataAt = now, now
 	d.maybeSent = true
 	d.possibleRuns++
 	return nil
@@ -260,6 +273,9 @@
 		return
 	}
 	a.permitReleased = true
+	if errors.Is(err, target.ErrTimeout) {
+		d.gateway.metrics.silentAttempts.Inc(1)
+	}
 	d.gateway.logFailedAttempt(d, a, err)
 	outcome := d.outcome(a, err)
 	if !d.shouldCancel(a, err) {
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -20,6 +20,26 @@
 		Warnf("Request %s of chat %q failed on %s.", d.ID, d.Chat, a.permit.Target)
 }
 
+// logNotRetried logs why a request whose attempt failed is not sent again.
+func (g *Gateway) logNotRetried(d *dispatcher, obstacle retryObstacle, err error) {
+	g.metrics.countNotRetried(obstacle)
+	g.retryEntry(d, obstacle, err).Warnf("Request %s is not sent again after its failure on %s.", d.ID, d.target)
+}
+
+// logNotResumed logs why a stream that failed after some events is not resumed.
+func (g *Gateway) logNotResumed(d *dispatcher, events int, obstacle retryObstacle, err error) {
+	g.metrics.countNotRetried(obstacle)
+	g.retryEntry(d, obstacle, err).WithField("Events", events).
+		Warnf("Stream of request %s is not resumed after its failure on %s.", d.ID, d.target)
+}
+
+func (g *Gateway) retryEntry(d *dispatcher, obstacle retryObstacle, err error) *logrus.Entry {
+	return g.log.WithError(err).WithFields(logrus.Fields{
+		"Request": d.CallerID, "Service": d.Service.Name, "Call": d.Call.Name, "Target": d.target, "Reason": obstacle,
+		"Attempts": d.attempts, "Runs": d.possibleRuns, "Silence": d.silence(), "Time": g.Clock.Since(d.Started),
+	})
+}
+
 // logRefusedRequest logs a request that was refused when it was parsed or because
 // of a drain.
 func (g *Gateway) logRefusedRequest(r *Request, f *Failure) {
--- a/gateway/log_test.go
+++ b/gateway/log_test.go
@@ -80,3 +80,46 @@
 	require.Equal(t, int64(3), counters["attempts+"])
 	require.Len(t, f.scope.Snapshot().Histograms(), 1)
 }
+
+// A caller's stream or request ended without a response and no line told why it had not
+// gone on at another target.
+func TestLog_ReasonWhyRequestDoesNotGoOn(t *testing.T) {
+	cut := standin.Fault{Kind: standin.FaultConnectionClosed, AfterEvents: 2, Count: 1}
+	cases := []struct {
+		name, path, reason, line string
+		fault                    standin.Fault
+		options                  []Option
+		tokens                   int
+	}{
+		{"stream without budget", "Reviews/Draft", "RetryBudget", "is not resumed after its failure on engine-1.", cut, []Option{WithStrictRetryBudget()}, 0},
+		{"stream without resumes", "Reviews/Draft", "Attempts", "is not resumed after its failure on engine-1.", cut, []Option{func(s *settings) { s.maxResumes = 0 }}, 5},
+		{"request without attempts", "Reviews/Status", "Attempts", "is not sent again after its failure on engine-1.", standin.Fault{Kind: standin.FaultError, Count: 1}, []Option{WithRetries(1, 0)}, 5},
+		{"request without budget", "Reviews/Status", "RetryBudget", "is not sent again after its failure on engine-1.", standin.Fault{Kind: standin.FaultError, Count: 1}, nil, 0},
+		{"call that runs once", "Reviews/File", "NotRetryable", "is not resumed after its failure on engine-1.", cut, nil, 5},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(t, test.options...)
+			var out lockedBuffer
+			logger, err := logs.New(&out, "info", "text")
+			require.NoError(t, err)
+			f.gateway.log = logs.ForComponent(logger, "Route")
+			f.addEngine(standin.EngineSettings{Name: "engine-1"}).Inject(test.fault)
+			f.setRetryTokens("Reviews", test.tokens)
+			_, _ = readBody(f.post(test.path, draftBody))
+			text := strings.Join(out.lines(), "\n")
+			require.Contains(t, text, test.line)
+			require.Contains(t, text, "Reason="+test.reason)
+			require.Contains(t, text, "Silence=")
+			require.Equal(t, int64(1), f.scope.Snapshot().Counters()["not_retried+reason="+test.reason].Value())
+		})
+	}
+}
+
+func TestMetrics_AttemptsGivenUpForSilence(t *testing.T) {
+	f := newFixture(t)
+	f.setTargetTimeout(shortTargetTimeout)
+	f.addPlain("treasury-1").Inject(standin.Fault{Kind: standin.FaultNoResponse, Count: 1})
+	f.postAndRead("Treasury/Balance", `{}`)
+	require.Equal(t, int64(1), f.counterValue("silent_attempts"))
+}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -19,6 +19,7 @@
 	resumedStreams  tally.Counter
 	duplicateEvents tally.Counter
 	attempts        tally.Counter
+	silentAttempts  tally.Counter
 	inFlight        tally.Gauge
 	firstByte       tally.Histogram
 }
@@ -35,7 +36,8 @@
 		warm: chatCounter("Warm"), cold: chatCounter("Cold"),
 		retries: scope.Counter("retries"), resumedStreams: scope.Counter("resumed_streams"),
 		duplicateEvents: scope.Counter("repeated_events"), attempts: scope.Counter("attempts"),
-		inFlight: scope.Gauge("in_flight"), firstByte: scope.Histogram("first_byte", firstByteBuckets),
+		silentAttempts: scope.Counter("silent_attempts"),
+		inFlight:       scope.Gauge("in_flight"), firstByte: scope.Histogram("first_byte", firstByteBuckets),
 	}
 }
 
@@ -44,6 +46,12 @@
 	m.scope.Tagged(map[string]string{"outcome": string(f.Code)}).Counter("requests").Inc(1)
 }
 
+// countNotRetried counts a failed attempt after which the request did not go on
+// elsewhere, by the obstacle.
+func (m *metrics) countNotRetried(obstacle retryObstacle) {
+	m.scope.Tagged(map[string]string{"reason": string(obstacle)}).Counter("not_retried").Inc(1)
+}
+
 // countChat counts a response in a chat by whether the prefix cache was warm.
 func (m *metrics) countChat(warm bool) {
 	if warm {
--- a/gateway/retry.go
+++ b/gateway/retry.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 
+	"comfreytiller.dev/admission"
 	"comfreytiller.dev/target"
 	"github.com/go-faster/errors"
 )
@@ -30,25 +31,89 @@
 	}
 }
 
+// retryObstacle is why a request does not go on at another target.
+type retryObstacle string
+
+// Obstacles. They are values of a log field and of a metric's tag.
+const (
+	noObstacle retryObstacle = ""
+	// obstacleDeadline: the deadline has passed, or comes before the end of the backoff.
+	obstacleDeadline   retryObstacle = "Deadline"
+	obstacleCallerGone retryObstacle = "CallerGone"
+	// obstacleNotRetryable: the call may have run and must not run again, or was not
+	// sent because a check failed.
+	obstacleNotRetryable retryObstacle = "NotRetryable"
+	// obstacleNotResumable: the target does not resume streams.
+	obstacleNotResumable retryObstacle = "NotResumable"
+	obstacleAttempts     retryObstacle = "Attempts"
+	obstacleRetryBudget  retryObstacle = "RetryBudget"
+	// obstacleNoPermit: no target has admitted the request.
+	obstacleNoPermit retryObstacle = "NoPermit"
+)
+
 // prepareRetry reports whether another attempt is allowed, after waiting for
 // the backoff.
 func (d *dispatcher) prepareRetry(err error) bool {
+	obstacle := d.retryObstacleAfter(err)
+	if obstacle == noObstacle {
+		return true
+	}
+	if d.maybeSent || !isRefusal(err) {
+		d.gateway.logNotRetried(d, obstacle, err)
+	}
+	return false
+}
+
+// retryObstacleAfter returns what prevents another attempt after err. It charges the
+// retry and waits for the backoff.
+func (d *dispatcher) retryObstacleAfter(err error) retryObstacle {
 	if d.ctx.Err() != nil {
-		return false
+		return d.endObstacle()
 	}
 	if errors.Is(err, ErrPermitExpired) {
 		d.expiredPermits++
-		return d.expiredPermits < maxExpiredPermits
+		if d.expiredPermits >= maxExpiredPermits {
+			return obstacleAttempts
+		}
+		return noObstacle
+	}
+	if isRefusal(err) {
+		return obstacleNoPermit
 	}
 	if !d.retryable(err) {
-		return false
+		return obstacleNotRetryable
 	}
 	d.failedAttempts++
-	if d.failedAttempts >= d.gateway.settings.maxAttempts || d.MaxAttempts > 0 && d.possibleRuns >= d.MaxAttempts || !d.chargeRetry(err) {
-		return false
+	if d.failedAttempts >= d.gateway.settings.maxAttempts || !d.hasRunLeft() {
+		return obstacleAttempts
+	}
+	if !d.chargeRetry(err) {
+		return obstacleRetryBudget
 	}
 	d.gateway.metrics.retries.Inc(1)
-	return d.backOff()
+	if !d.backOff() {
+		return d.endObstacle()
+	}
+	return noObstacle
+}
+
+// endObstacle returns why the request has ended.
+func (d *dispatcher) endObstacle() retryObstacle {
+	if d.callerCtx.Err() != nil {
+		return obstacleCallerGone
+	}
+	return obstacleDeadline
+}
+
+// hasRunLeft reports whether another target may run the request.
+func (d *dispatcher) hasRunLeft() bool {
+	return d.MaxAttempts <= 0 || d.possibleRuns < d.MaxAttempts
+}
+
+// isRefusal reports whether err is a refused permit.
+func isRefusal(err error) bool {
+	var refusal *admission.Refusal
+	return errors.As(err, &refusal)
 }
 
 // chargeRetry charges a retry to the budget and reports whether it is allowed.
--- a/gateway/stream_relay.go
+++ b/gateway/stream_relay.go
@@ -91,7 +91,11 @@
 // already been read.
 func (r *streamRelay) readEvent() (target.Event, error) {
 	if r.firstEventRead {
-		return r.attempt.response.Next()
+		event, err := r.attempt.response.Next()
+		if err == nil {
+			r.lastDataAt = r.gateway.Clock.Now()
+		}
+		return event, err
 	}
 	r.firstEventRead = true
 	if r.attempt.emptyStream {
@@ -105,16 +109,31 @@
 // target fails, all of its streams must move, and there are only as many as it
 // was serving.
 func (r *streamRelay) resume(cause error) bool {
-	if !r.Call.Idempotent || !r.attempt.permit.SupportsResume || r.ctx.Err() != nil {
-		return false
+	obstacle := r.resumeObstacle(cause)
+	if obstacle == noObstacle {
+		return true
 	}
-	if r.MaxAttempts > 0 && r.possibleRuns >= r.MaxAttempts {
-		return false
+	r.gateway.logNotResumed(r.dispatcher, r.nextOffset, obstacle, cause)
+	return false
+}
+
+// resumeObstacle resumes the stream and returns noObstacle, or returns what prevents
+// it.
+func (r *streamRelay) resumeObstacle(cause error) retryObstacle {
+	switch {
+	case r.ctx.Err() != nil:
+		return r.endObstacle()
+	case !r.Call.Idempotent:
+		return obstacleNotRetryable
+	case !r.attempt.permit.SupportsResume:
+		return obstacleNotResumable
+	case !r.hasRunLeft():
+		return obstacleAttempts
 	}
 	cutTarget := r.attempt.permit.Target
 	r.abandonFailed(cause)
 	if r.gateway.settings.strictRetryBudget && !r.gateway.RetryBudget.TakeRetry(r.Service.Name) {
-		return false
+		return obstacleRetryBudget
 	}
 	for r.resumes < r.gateway.settings.maxResumes {
 		r.resumes++
@@ -122,13 +141,22 @@
 		if err == nil {
 			r.attempt, r.firstEventRead = a, false
 			r.gateway.metrics.resumedStreams.Inc(1)
-			return true
+			return noObstacle
 		}
-		if r.ctx.Err() != nil || !r.retryable(err) || !r.chargeResume(err, cutTarget) || !r.backOff() {
-			return false
+		switch {
+		case r.ctx.Err() != nil:
+			return r.endObstacle()
+		case isRefusal(err):
+			return obstacleNoPermit
+		case !r.retryable(err):
+			return obstacleNotRetryable
+		case !r.chargeResume(err, cutTarget):
+			return obstacleRetryBudget
+		case !r.backOff():
+			return r.endObstacle()
 		}
 	}
-	return false
+	return obstacleAttempts
 }
 
 // chargeResume charges another resume to the retry budget and reports whether it
