--- a/standin/engine_run.go
+++ b/standin/engine_run.go
@@ -136,6 +136,10 @@
 		case <-r.engine.done:
 		}
 		return errStreamStopped
+	case FaultPaused:
+		if r.nextOffset == r.fault.AfterEvents && !r.wait(r.fault.Delay) {
+			return errStreamStopped
+		}
 	}
 	return nil
 }
@@ -181,7 +185,12 @@
 			return true
 		}
 	}
-	timer := r.engine.clock.NewTimer(wait)
+	return r.wait(wait)
+}
+
+// wait waits for d. It returns false if the run was canceled or the engine closed.
+func (r *engineRun) wait(d time.Duration) bool {
+	timer := r.engine.clock.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.Chan():
--- a/standin/engine_test.go
+++ b/standin/engine_test.go
@@ -408,3 +408,29 @@
 	require.ErrorIs(t, err, os.ErrDeadlineExceeded, "the dropped connection must stay open")
 	require.NotContains(t, string(rest), "HTTP/")
 }
+
+// A paused stream that never went on, or lost events, would make the tests of silent
+// targets pass or fail for the wrong reason.
+func TestEngine_PausedStreamGoesOn(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	engine, err := NewEngine(clock, EngineSettings{Name: "engine-1"})
+	require.NoError(t, err)
+	t.Cleanup(engine.Close)
+	engine.Inject(Fault{Kind: FaultPaused, AfterEvents: 2, Delay: time.Second, Count: 1})
+	response, err := newClient(t).Send(context.Background(), draftCall(engine, "r-1"))
+	require.NoError(t, err)
+	defer response.Close()
+	for range 2 {
+		_, err := response.Next()
+		require.NoError(t, err)
+	}
+	require.NoError(t, clock.BlockUntilContext(t.Context(), 1))
+	require.False(t, response.EventBuffered())
+	clock.Advance(time.Second)
+	for range defaultTokenCount - 2 {
+		_, err := response.Next()
+		require.NoError(t, err)
+	}
+	_, err = response.Next()
+	require.ErrorIs(t, err, io.EOF)
+}
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -30,6 +30,9 @@
 	// FaultStalled stops the stream after AfterEvents events and keeps the
 	// connection open.
 	FaultStalled FaultKind = "Stalled"
+	// FaultPaused sends nothing for Delay after AfterEvents events of a stream and then
+	// goes on.
+	FaultPaused FaultKind = "Paused"
 	// FaultError responds with status 500.
 	FaultError FaultKind = "Error"
 	// FaultRefused responds with status 503 without executing the request. If Delay is
@@ -59,8 +62,8 @@
 	Count int
 	// AfterEvents is the number of events that a stream sends before the fault.
 	AfterEvents int
-	// Delay is the additional delay of FaultDelayed, the pause of FaultRefused and the
-	// interval of FaultDrip.
+	// Delay is the additional delay of FaultDelayed, the pause of FaultPaused and
+	// FaultRefused, and the interval of FaultDrip.
 	Delay time.Duration
 }
 
