Read input that has arrived before a silent target is given up

When a process had no processor for a while, the timer of a watchdog could fire before the data was read that had arrived in the meantime; the watchdog closed the connection, and the response in the socket's buffer was lost.

The watchdog of a connection to a target interrupts the read now and doesn't close the connection. The reader looks for pending input first and extends the timeout once if there is some; a target that sends without end is still bounded. A timer that fires between two operations no longer ends the one that follows.

That the incident came about in this way is not shown.

--- a/target/conn/conn_test.go
+++ b/target/conn/conn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -48,6 +49,27 @@
 	require.Empty(t, c.closes)
 }
 
+// A read watchdog that closed its connection would lose data that has arrived.
+func TestReadWatchdog_InterruptsAndCanBeReset(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	local, remote := connPair(t)
+	watchdog := NewReadWatchdog(clock, local)
+	watchdog.Arm(time.Second)
+	clock.Advance(time.Second)
+	buffer := make([]byte, 1)
+	_, err := local.Read(buffer)
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	require.True(t, watchdog.Expired())
+
+	watchdog.Reset()
+	require.False(t, watchdog.Expired())
+	require.NoError(t, local.SetReadDeadline(time.Time{}))
+	_, err = remote.Write([]byte("x"))
+	require.NoError(t, err)
+	_, err = local.Read(buffer)
+	require.NoError(t, err)
+}
+
 // connPair returns both ends of a TCP connection.
 func connPair(t *testing.T) (net.Conn, net.Conn) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/target/conn/watchdog.go
+++ b/target/conn/watchdog.go
@@ -12,17 +12,19 @@
 
 import (
 	"io"
+	"net"
 	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 )
 
-// Watchdog closes a connection when an operation on it exceeds its timeout. After
-// that, the watchdog can't be armed and the connection must not be used again.
+// Watchdog closes a connection, or interrupts reads of it, when an operation on it
+// exceeds its timeout. After that, the watchdog can't be armed until Reset, and a closed
+// connection must not be used again.
 type Watchdog struct {
 	clock  clockwork.Clock
-	closer io.Closer
+	expire func()
 
 	mu       sync.Mutex
 	timer    clockwork.Timer
@@ -33,7 +35,14 @@
 
 // NewWatchdog returns a disarmed watchdog that closes closer.
 func NewWatchdog(clock clockwork.Clock, closer io.Closer) *Watchdog {
-	return &Watchdog{clock: clock, closer: closer}
+	return &Watchdog{clock: clock, expire: func() { _ = closer.Close() }}
+}
+
+// NewReadWatchdog returns a disarmed watchdog that interrupts reads of c: they return
+// os.ErrDeadlineExceeded until the read deadline of c is set again.
+func NewReadWatchdog(clock clockwork.Clock, c net.Conn) *Watchdog {
+	// The deadline of a closed connection can't be set, and its reads have ended.
+	return &Watchdog{clock: clock, expire: func() { _ = c.SetReadDeadline(time.Unix(1, 0)) }}
 }
 
 // Arm starts the timeout of the next operation. A timeout of 0 or less disarms the
@@ -54,8 +63,7 @@
 	w.timer.Reset(timeout)
 }
 
-// Disarm ends the operation. The watchdog does not close the connection until it is
-// armed again.
+// Disarm ends the operation. The watchdog does not expire until it is armed again.
 func (w *Watchdog) Disarm() {
 	w.mu.Lock()
 	w.armed = false
@@ -72,7 +80,15 @@
 	}
 }
 
-// Expired reports whether the watchdog has closed the connection.
+// Reset disarms a watchdog that has expired and makes it usable again. Its interrupt may
+// still follow.
+func (w *Watchdog) Reset() {
+	w.mu.Lock()
+	w.armed, w.expired = false, false
+	w.mu.Unlock()
+}
+
+// Expired reports whether the timeout of an operation has passed since the last Reset.
 func (w *Watchdog) Expired() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -95,5 +111,5 @@
 	w.armed = false
 	w.expired = true
 	w.mu.Unlock()
-	_ = w.closer.Close()
+	w.expire()
 }
--- a/target/web/pool.go
+++ b/target/web/pool.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"net"
+	"os"
 	"sync"
 	"time"
 
 	"comfreytiller.dev/target/conn"
+	"github.com/go-faster/errors"
 	"github.com/jonboulle/clockwork"
 )
 
@@ -19,6 +21,11 @@
 	watchdog  *conn.Watchdog
 	reused    bool
 	idleSince time.Time
+
+	// timeout limits the current operation. extended is set once it was extended
+	// because input was pending when it passed.
+	timeout  time.Duration
+	extended bool
 }
 
 // Buffer sizes of a connection.
@@ -28,12 +35,51 @@
 )
 
 func newTargetConn(clock clockwork.Clock, c net.Conn, address string) *targetConn {
-	return &targetConn{
+	t := &targetConn{
 		Conn: c, address: address,
-		reader:   bufio.NewReaderSize(c, readBufferBytes),
 		writer:   bufio.NewWriterSize(c, writeBufferBytes),
-		watchdog: conn.NewWatchdog(clock, c),
+		watchdog: conn.NewReadWatchdog(clock, c),
 	}
+	t.reader = bufio.NewReaderSize(t, readBufferBytes)
+	return t
+}
+
+// arm starts the timeout of the next operation; 0 sets none.
+func (c *targetConn) arm(timeout time.Duration) {
+	c.timeout, c.extended = timeout, false
+	// The timer of the operation before may have fired too late to end it.
+	c.watchdog.Reset()
+	c.watchdog.Arm(timeout)
+}
+
+// Read reads data of the target. It returns os.ErrDeadlineExceeded if the timeout of the
+// operation has passed and no input is pending.
+func (c *targetConn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.continueReading() {
+			return n, err
+		}
+	}
+}
+
+// continueReading reports whether an interrupted read goes on. The input of a process
+// that had no processor for a while may have arrived before its timer fired. The timeout
+// of an operation is extended once, so that a target that sends without end ends it.
+func (c *targetConn) continueReading() bool {
+	// An error means that the connection is closed, and the next read returns it. A
+	// read deadline would make the check for input fail.
+	_ = c.SetReadDeadline(time.Time{})
+	if !c.watchdog.Expired() {
+		return true
+	}
+	if c.extended || conn.IsIdle(c.Conn) {
+		return false
+	}
+	c.extended = true
+	c.watchdog.Reset()
+	c.watchdog.Arm(c.timeout)
+	return true
 }
 
 func (c *targetConn) discard() {
--- a/target/web/response.go
+++ b/target/web/response.go
@@ -146,7 +146,7 @@
 			}
 			body = grown
 		}
-		r.conn.watchdog.Arm(r.call.GapTimeout)
+		r.conn.arm(r.call.GapTimeout)
 		n, err := r.body.Read(body[len(body):cap(body)])
 		r.conn.watchdog.Disarm()
 		body = body[:len(body)+n]
@@ -192,7 +192,7 @@
 		r.bodyComplete = true
 		return nil
 	}
-	r.conn.watchdog.Arm(r.call.GapTimeout)
+	r.conn.arm(r.call.GapTimeout)
 	line, err := r.conn.reader.ReadSlice('\n')
 	r.conn.watchdog.Disarm()
 	if err != nil {
@@ -213,7 +213,7 @@
 		return target.Event{}, errors.Wrap(target.ErrMalformedResponse, "not an event stream")
 	}
 	if r.firstEventRequested {
-		r.conn.watchdog.Arm(r.call.GapTimeout)
+		r.conn.arm(r.call.GapTimeout)
 	}
 	r.firstEventRequested = true
 	event, err := r.events.Next()
