Give a silent target up only when the request can move

A target may send nothing for a second and go on. On routes whose requests may be repeated, the connection was closed after the first-byte or gap timeout, and only then the attempts of the route, the retry budget and the other targets were asked. If one of them said no, a sound stream was cut, and a request that would have been answered got 502.

target.Call.MayGiveUp is asked by the reading goroutine when the timeout has passed, so that no state is shared with a timer. The gateway agrees only with an attempt left, a retry taken from the budget and a permit for another target in hand; the move uses both and is charged once. Otherwise the call waits on, asks again four times in each further timeout, and ends at its deadline. A reserved retry stays with the request, at most one; an unused permit is released. Streams that fail for other causes are abandoned after the budget is asked, too. Timeouts that operators set for a service stay limits (Request.TimeoutsMoveOnly is set by routes alone), as do those of calls that run at most once.

Streams leave a silent target after 0.625 of their callers' patience, the longest of 2 s, four times the objective and eight times the pause, also before the first event. It was twice the pause, at least 0.7 s, and four times the objective, at least 0.5 s, before the first event. Calls without a stream keep their first-byte timeout. Weighed: a longer timeout alone, which still cuts streams that can't go on elsewhere.

--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -56,6 +56,13 @@
 	lastDataAt time.Time
 	// lastEventID is the ID of the last event that the caller has received.
 	lastEventID string
+	// relaying is set once a response is being relayed as a stream, which continues at
+	// its offset on another target.
+	relaying bool
+	// retryReserved is set while a retry was taken from the budget and not used.
+	retryReserved bool
+	// reserved is the permit of the next attempt; nil if it must be acquired.
+	reserved *reservedPermit
 	// reservedBytes is the memory that is reserved for responses.
 	reservedBytes int
 }
@@ -74,6 +81,9 @@
 	// isErrorResponse is set if body is the complete response of a target that
 	// failed.
 	isErrorResponse bool
+	// awaited is set once the timeout of the silent target has passed and the attempt
+	// goes on.
+	awaited bool
 	// permitReleased is set once the permit is released or its release is
 	// scheduled.
 	permitReleased bool
@@ -87,8 +97,7 @@
 // sendAttempt acquires a permit and sends the request once. It returns at the
 // first event of a stream, or when a non-streaming response is complete.
 func (d *dispatcher) sendAttempt(ctx context.Context, offset int, newConnection bool) (*attempt, error) {
-	requestedAt := d.gateway.Clock.Now()
-	permit, err := d.acquirePermit()
+	permit, requestedAt, err := d.nextPermit()
 	if err != nil {
 		return nil, err
 	}
@@ -144,6 +153,9 @@
 	call := d.targetCall(a, offset, newConnection)
 	maybeSentBefore := d.maybeSent
 	call.ReserveBody = d.reserveBody
+	if d.TimeoutsMoveOnly && d.Call.Idempotent {
+		call.MayGiveUp = func() bool { return d.mayGiveUp(a) }
+	}
 	call.BeforeSend = func() error { return d.checkBeforeSend(a, requestedAt) }
 	d.gateway.metrics.attempts.Inc(1)
 	response, err := d.gateway.Sender.Send(ctx, call)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -81,6 +81,7 @@
 	x.cancelCaller()
 	x.cancelDispatch()
 	x.releaseBody()
+	x.releaseReservedPermit()
 	x.gateway.tracker.end()
 	x.gateway.metrics.inFlight.Update(float64(x.gateway.tracker.inFlight()))
 }
@@ -117,6 +118,7 @@
 
 // writeStream relays an event stream. The exchange is closed with the stream.
 func (x *exchange) writeStream(ctx *fasthttp.RequestCtx, a *attempt, recorder *streamRecorder) {
+	x.relaying = true
 	x.gateway.Codec.WriteHeader(ctx, x.Request, a.response.Header(), a.permit)
 	x.gateway.closeIfDraining(ctx)
 	ctx.SetBodyStream(&streamRelay{exchange: x, attempt: a, recorder: recorder}, -1)
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -40,6 +40,15 @@
 	})
 }
 
+// logAwaitedTarget logs why a request goes on to wait for a silent target.
+func (g *Gateway) logAwaitedTarget(d *dispatcher, a *attempt, obstacle retryObstacle) {
+	g.metrics.awaitedAttempts.Inc(1)
+	g.log.WithFields(logrus.Fields{
+		"Request": d.CallerID, "Service": d.Service.Name, "Call": d.Call.Name, "Target": a.permit.Target, "Reason": obstacle,
+		"Attempts": d.attempts, "Runs": d.possibleRuns, "Silence": d.silence(), "Time": g.Clock.Since(d.Started),
+	}).Infof("Request %s waits on for %s, which is silent.", d.ID, a.permit.Target)
+}
+
 // logRefusedRequest logs a request that was refused when it was parsed or because
 // of a drain.
 func (g *Gateway) logRefusedRequest(r *Request, f *Failure) {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -20,6 +20,7 @@
 	duplicateEvents tally.Counter
 	attempts        tally.Counter
 	silentAttempts  tally.Counter
+	awaitedAttempts tally.Counter
 	inFlight        tally.Gauge
 	firstByte       tally.Histogram
 }
@@ -36,8 +37,8 @@
 		warm: chatCounter("Warm"), cold: chatCounter("Cold"),
 		retries: scope.Counter("retries"), resumedStreams: scope.Counter("resumed_streams"),
 		duplicateEvents: scope.Counter("repeated_events"), attempts: scope.Counter("attempts"),
-		silentAttempts: scope.Counter("silent_attempts"),
-		inFlight:       scope.Gauge("in_flight"), firstByte: scope.Histogram("first_byte", firstByteBuckets),
+		silentAttempts: scope.Counter("silent_attempts"), awaitedAttempts: scope.Counter("awaited_attempts"),
+		inFlight: scope.Gauge("in_flight"), firstByte: scope.Histogram("first_byte", firstByteBuckets),
 	}
 }
 
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -35,6 +35,10 @@
 	// MaxAttempts is the maximum number of targets that may run the request; 0
 	// for the limit of the gateway.
 	MaxAttempts int
+	// TimeoutsMoveOnly is set if the first-byte and gap timeouts of Service only move an
+	// idempotent request to another target. A request that can't move waits for its
+	// target until the deadline.
+	TimeoutsMoveOnly bool
 	// FirstByteObjective is the time to first byte that the caller expects; 0
 	// if unknown.
 	FirstByteObjective time.Duration
--- a/gateway/retry.go
+++ b/gateway/retry.go
@@ -128,7 +128,7 @@
 	if isReusedConnectionError(err) && !d.gateway.settings.strictRetryBudget {
 		return true
 	}
-	return d.gateway.RetryBudget.TakeRetry(d.Service.Name)
+	return d.takeRetry()
 }
 
 func isReusedConnectionError(err error) bool {
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -8,13 +8,25 @@
 	"github.com/valyala/fasthttp"
 )
 
-// Target timeouts of a route whose requests may be retried, and their minimums.
-// The first-byte timeout is timeoutFactor times the objective of the route, the
-// gap timeout half of timeoutFactor times its expected maximum pause.
+// Callers abandon a stream after a gap of minCallerPatience, patiencePerObjective times
+// the objective or patiencePerPause times the maximum pause of its route, whichever is
+// longest. This holds before the first event, too.
+const (
+	minCallerPatience    = 2 * time.Second
+	patiencePerObjective = 4
+	patiencePerPause     = 8
+)
+
+// maxSilenceShare is the share of the callers' patience after which a stream leaves a
+// silent target, so that the rest is left for the next one. A sound target may be silent
+// for about a second.
+const maxSilenceShare = 0.625
+
+// The first-byte timeout of a call without a stream is timeoutFactor times the objective
+// of its route, at least minFirstByteTimeout.
 const (
 	timeoutFactor       = 4
 	minFirstByteTimeout = 500 * time.Millisecond
-	minGapTimeout       = 700 * time.Millisecond
 )
 
 // deadlineMargin is reserved for the way back to the caller, so that it
@@ -65,7 +77,7 @@
 		Name: route.Name, Idempotent: route.Retryable(), Priority: callPriority(priority),
 		Stream: route.Kind == fleet.RouteStream, StopsWithCaller: route.Kind == fleet.RouteStream,
 	}
-	r.Service.Timeouts = routeTimeouts(route)
+	r.Service.Timeouts, r.TimeoutsMoveOnly = routeTimeouts(route), true
 	r.setRouteDeadline(query.CallerTimeout)
 	return nil
 }
@@ -86,17 +98,29 @@
 }
 
 // routeTimeouts shortens the first-byte and gap timeouts only if the request
-// can be retried on another target; otherwise an earlier timeout gains nothing.
+// can be retried on another target; otherwise an earlier timeout gains nothing. They
+// only move the request, see Request.TimeoutsMoveOnly.
 func routeTimeouts(route *fleet.Route) fleet.Timeouts {
 	timeouts := fleet.Timeouts{FirstByte: route.Timeout, Gap: route.Timeout, Total: route.Timeout}
 	if !route.Retryable() || route.Attempts < 2 {
 		return timeouts
 	}
+	firstByte := max(timeoutFactor*route.Objective, minFirstByteTimeout)
+	if route.Kind == fleet.RouteStream {
+		firstByte = maxSilence(route)
+	}
 	if route.Objective > 0 {
-		timeouts.FirstByte = min(max(timeoutFactor*route.Objective, minFirstByteTimeout), route.Timeout)
+		timeouts.FirstByte = min(firstByte, route.Timeout)
 	}
 	if route.Pause > 0 {
-		timeouts.Gap = min(max(timeoutFactor/2*route.Pause, minGapTimeout), route.Timeout)
+		timeouts.Gap = min(maxSilence(route), route.Timeout)
 	}
 	return timeouts
 }
+
+// maxSilence returns how long a target of a stream may send nothing before the stream
+// moves to another one.
+func maxSilence(route *fleet.Route) time.Duration {
+	patience := max(minCallerPatience, patiencePerObjective*route.Objective, patiencePerPause*route.Pause)
+	return time.Duration(maxSilenceShare * float64(patience))
+}
--- a/gateway/stream_relay.go
+++ b/gateway/stream_relay.go
@@ -131,10 +131,10 @@
 		return obstacleAttempts
 	}
 	cutTarget := r.attempt.permit.Target
-	r.abandonFailed(cause)
-	if r.gateway.settings.strictRetryBudget && !r.gateway.RetryBudget.TakeRetry(r.Service.Name) {
+	if r.gateway.settings.strictRetryBudget && !r.takeRetry() {
 		return obstacleRetryBudget
 	}
+	r.abandonFailed(cause)
 	for r.resumes < r.gateway.settings.maxResumes {
 		r.resumes++
 		a, err := r.sendAttempt(r.ctx, r.nextOffset, true)
@@ -171,7 +171,7 @@
 	if errors.Is(err, target.ErrTruncated) && r.target == cutTarget && !r.gateway.settings.strictRetryBudget {
 		return true
 	}
-	return r.gateway.RetryBudget.TakeRetry(r.Service.Name)
+	return r.takeRetry()
 }
 
 // abandonFailed abandons the failed attempt. A target whose connection was cut
--- a/target/call.go
+++ b/target/call.go
@@ -14,7 +14,8 @@
 	ErrUnreachable = errors.New("target unreachable")
 	// ErrNotSent: a check before sending failed, so the call was not sent.
 	ErrNotSent = errors.New("call not sent")
-	// ErrTimeout: no data arrived within FirstByteTimeout or GapTimeout.
+	// ErrTimeout: no data arrived within FirstByteTimeout or GapTimeout, and the call may
+	// be given up.
 	ErrTimeout = errors.New("target silent")
 	// ErrTruncated: the response ended before its end mark or its announced length.
 	ErrTruncated = errors.New("answer cut")
@@ -74,6 +75,11 @@
 	// data within it; 0 means no limit.
 	FirstByteTimeout time.Duration
 	GapTimeout       time.Duration
+	// MayGiveUp is asked when one of these timeouts has passed. If it returns false, the
+	// call waits on and asks again after a part of the timeout. If it returns true, the
+	// call fails with ErrTimeout, as it always does if MayGiveUp is nil. It is called by
+	// the goroutine that uses the Sender or the Response.
+	MayGiveUp func() bool
 	// BeforeSend is called after the last step that may block and before the
 	// first byte is sent. If it returns an error, the call is not sent.
 	BeforeSend func() error
--- a/target/web/client.go
+++ b/target/web/client.go
@@ -144,6 +144,7 @@
 func (c *Client) roundTrip(ctx context.Context, conn *targetConn, request *fasthttp.Request, call target.Call, dialect Dialect) (*Response, error) {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	response := &Response{client: c, conn: conn, call: call, stopCancelWatch: stop, ctx: ctx, dialect: dialect}
+	conn.mayGiveUp = call.MayGiveUp
 	conn.arm(call.FirstByteTimeout)
 	if err := response.start(request); err != nil {
 		response.Close()
--- a/target/web/pending_input_test.go
+++ b/target/web/pending_input_test.go
@@ -90,3 +90,40 @@
 	require.ErrorIs(t, <-read, os.ErrDeadlineExceeded)
 	require.True(t, c.watchdog.Expired())
 }
+
+// A call that can't go on elsewhere would lose its response to a target that is silent for
+// a while.
+func TestTargetConn_WaitsOnUntilCallMayBeGivenUp(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	c, remote := targetConnPair(t, clock)
+	mayGiveUp, asked := false, make(chan struct{}, 1)
+	c.mayGiveUp = func() bool {
+		asked <- struct{}{}
+		return mayGiveUp
+	}
+	c.arm(time.Second)
+	read := make(chan error, 1)
+	readByte := func() {
+		_, err := c.reader.ReadByte()
+		read <- err
+	}
+	go readByte()
+	clock.Advance(time.Second)
+	<-asked
+	for range 2 {
+		require.NoError(t, clock.BlockUntilContext(t.Context(), 1))
+		clock.Advance(time.Second / giveUpChecksPerTimeout)
+		<-asked
+	}
+	_, err := remote.Write([]byte("x"))
+	require.NoError(t, err)
+	require.NoError(t, <-read, "the data of a target that goes on is read")
+
+	c.arm(time.Second)
+	mayGiveUp = true
+	go readByte()
+	clock.Advance(time.Second)
+	<-asked
+	require.ErrorIs(t, <-read, os.ErrDeadlineExceeded)
+	require.True(t, c.watchdog.Expired())
+}
--- a/target/web/pool.go
+++ b/target/web/pool.go
@@ -26,8 +26,14 @@
 	// because input was pending when it passed.
 	timeout  time.Duration
 	extended bool
+	// mayGiveUp is MayGiveUp of the current call.
+	mayGiveUp func() bool
 }
 
+// giveUpChecksPerTimeout is how often within another timeout a call that waits on asks
+// whether it may be given up.
+const giveUpChecksPerTimeout = 4
+
 // Buffer sizes of a connection.
 const (
 	readBufferBytes  = 8 << 10
@@ -53,7 +59,7 @@
 }
 
 // Read reads data of the target. It returns os.ErrDeadlineExceeded if the timeout of the
-// operation has passed and no input is pending.
+// operation has passed, no input is pending and the call may be given up.
 func (c *targetConn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
@@ -73,12 +79,17 @@
 	if !c.watchdog.Expired() {
 		return true
 	}
-	if c.extended || conn.IsIdle(c.Conn) {
+	if !c.extended && !conn.IsIdle(c.Conn) {
+		c.extended = true
+		c.watchdog.Reset()
+		c.watchdog.Arm(c.timeout)
+		return true
+	}
+	if c.mayGiveUp == nil || c.mayGiveUp() {
 		return false
 	}
-	c.extended = true
 	c.watchdog.Reset()
-	c.watchdog.Arm(c.timeout)
+	c.watchdog.Arm(c.timeout / giveUpChecksPerTimeout)
 	return true
 }
 
@@ -132,6 +143,7 @@
 // put stores a connection whose response was received completely.
 func (p *pool) put(c *targetConn) {
 	c.watchdog.Disarm()
+	c.mayGiveUp = nil
 	if c.watchdog.Expired() || c.reader.Buffered() > 0 || p.maxIdleTime <= 0 {
 		c.discard()
 		return
