Finish requests under the configuration that they arrived under

Cause: an entry host looked up the service of each attempt in the configuration in force. A request that had arrived before its service left the configuration was refused with UnknownService when it needed another attempt: a stream that its target cut ended incomplete instead of being resumed, and a retry ended with the failure of the first target. By the code, a first attempt that met the new configuration got status 404 on a route that both configurations have.

Change: a permit request carries the service of the configuration under which the request arrived (admission.Request.ServiceConfig), and an entry host uses it when the service is not in the configuration in force. The role Whole is unchanged: an owner still refuses a service that it does not know.

--- a/admission/request.go
+++ b/admission/request.go
@@ -1,6 +1,10 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"comfreytiller.dev/fleet"
+)
 
 // Request asks for a permit to run one call on one target of a service.
 type Request struct {
@@ -24,8 +28,12 @@
 	// its caller expects; 0 for unknown.
 	Started   time.Time
 	Objective time.Duration
-	// Prompt describes the work for an engine; nil for unknown. Prompt, Started and
-	// Objective are not sent to the owner of a service on another host.
+	// ServiceConfig is the service in the fleet configuration under which the request
+	// arrived; nil for unknown. A request that has arrived may still run on the targets
+	// of a service that has left the configuration since.
+	ServiceConfig *fleet.Service
+	// Prompt describes the work for an engine; nil for unknown. Prompt, Started,
+	// Objective and ServiceConfig are not sent to the owner of a service on another host.
 	Prompt *Prompt
 }
 
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -104,6 +104,33 @@
 	require.NotNil(t, refusal)
 }
 
+// A request that arrived before its service left the configuration is still sent to a
+// target of that service, within the limits that it arrived under.
+func TestAcquire_ServiceRemovedSinceArrival(t *testing.T) {
+	f := newFixture(t)
+	f.selector.hosts.record(1)
+	cold := f.newRosterEntry("e-2", "engines", "b", 1)
+	cold.WarmUpRemaining = 10 * time.Second
+	f.applyEntries(f.newRosterEntry("e-1", "engines", "a", 1), cold)
+	f.clock.Advance(time.Second)
+	arrived := f.view.Fleet.Services[0]
+	without := *f.view
+	without.FleetVersion, without.Fleet = 2, &fleet.Fleet{Services: f.view.Fleet.Services[1:]}
+	f.daemon.view.replace(&without)
+
+	request := admission.Request{ID: "r", Service: arrived.Name, ServiceConfig: &arrived, Exclude: []string{"e-1"}}
+	permit, err := f.selector.Acquire(t.Context(), request)
+	require.NoError(t, err)
+	require.Equal(t, "e-2", permit.Target)
+	_, err = f.selector.Acquire(t.Context(), request)
+	refusal := &admission.Refusal{}
+	require.ErrorAs(t, err, &refusal)
+	require.Equal(t, admission.RefusedNoTarget, refusal.Code, "the cold target has its request")
+
+	_, refusal = f.acquire(t, "r", arrived.Name)
+	require.Equal(t, admission.RefusedUnknownService, refusal.Code)
+}
+
 // An unreachable target is avoided until it responds, but still used when no
 // other target is left.
 func TestAcquire_UnreachableTargetIsLastResort(t *testing.T) {
--- a/entry/target_selector.go
+++ b/entry/target_selector.go
@@ -244,15 +244,19 @@
 
 // Acquire implements gateway.Admitter. It decides without waiting.
 func (t *targetSelector) Acquire(_ context.Context, request admission.Request) (admission.Permit, error) {
-	view := t.daemon.view.latest()
-	if view == nil {
+	current := t.daemon.view.current.Load()
+	if current == nil {
 		return admission.Permit{}, t.refuse(&request, admission.RefusedNoTarget, "no fleet is in force yet")
 	}
+	view := current.View
 	now := t.clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	list := t.byService[request.Service]
-	service := t.daemon.view.Table().Service(request.Service)
+	service := current.service(request.Service)
+	if service == nil {
+		service = request.ServiceConfig
+	}
 	if service == nil {
 		return admission.Permit{}, t.refuse(&request, admission.RefusedUnknownService, "no service "+request.Service)
 	}
--- a/entry/view.go
+++ b/entry/view.go
@@ -19,6 +19,15 @@
 	table *fleet.Table
 }
 
+// service returns the service with the given name; nil if it is not in the fleet
+// configuration.
+func (v *indexedView) service(name string) *fleet.Service {
+	if v.table == nil {
+		return nil
+	}
+	return v.table.Service(name)
+}
+
 func newStateView() *stateView { return &stateView{} }
 
 // replace replaces the view in force.
