Reserve blocks of ports for test processes

Cause: two test processes that run at the same time could hand out the same ports.

Change: a process takes blocks of 250 ports and keeps a listener on the first port of each while it runs.

Whether failures of test clusters that were seen once before came about in this way is not shown.

--- a/integration/daemons/daemons.go
+++ b/integration/daemons/daemons.go
@@ -15,7 +15,6 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 
@@ -64,25 +63,65 @@
 
 // firstPort and lastPort limit the ports of FreeAddress. They are below the ephemeral
 // port range of the system, from which an outgoing connection could take a port before
-// the daemon listens on it.
+// the daemon listens on it. They are divided into blocks of blockPorts.
 const (
-	firstPort = 10_000
-	lastPort  = 30_000
+	firstPort  = 10_000
+	lastPort   = 30_000
+	blockPorts = 250
 )
 
-// nextPort is the next port to try. It starts at a value that depends on the process
-// ID, so that concurrent test processes use different ports.
-var nextPort = func() *atomic.Int64 {
-	var port atomic.Int64
-	port.Store(int64(firstPort + os.Getpid()*97%(lastPort-firstPort)))
-	return &port
-}()
+// portBlock is a range of ports that belongs to one test process. A daemon that is
+// restarted, or one that still calls a daemon of an ended test, would otherwise meet the
+// daemons of another process.
+type portBlock struct {
+	// owner listens on the first port of the block until the process ends.
+	owner net.Listener
+	first int
+	used  int
+}
+
+// reserveBlock reserves a block that no other process has reserved.
+func reserveBlock() (*portBlock, error) {
+	const blocks = (lastPort - firstPort) / blockPorts
+	for i := range blocks {
+		first := firstPort + (os.Getpid()+i)%blocks*blockPorts
+		owner, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first))
+		if err == nil {
+			return &portBlock{owner: owner, first: first}, nil
+		}
+	}
+	return nil, fmt.Errorf("all %d blocks of ports are reserved", blocks)
+}
+
+// ports are the blocks of this process. Only the last one has unused ports.
+var ports struct {
+	sync.Mutex
+	blocks []*portBlock
+}
+
+// nextPort returns a port that no test of any process has got before.
+func nextPort() (int, error) {
+	ports.Lock()
+	defer ports.Unlock()
+	if len(ports.blocks) == 0 || ports.blocks[len(ports.blocks)-1].used == blockPorts-1 {
+		block, err := reserveBlock()
+		if err != nil {
+			return 0, err
+		}
+		ports.blocks = append(ports.blocks, block)
+	}
+	block := ports.blocks[len(ports.blocks)-1]
+	block.used++
+	return block.first + block.used, nil
+}
 
-// FreeAddress returns a loopback address that no socket listens on.
+// FreeAddress returns a loopback address that no socket listens on, and that no other
+// test gets while this process runs.
 func FreeAddress(t testing.TB) string {
 	t.Helper()
-	for range lastPort - firstPort {
-		port := firstPort + (nextPort.Add(1)-firstPort)%(lastPort-firstPort)
+	for {
+		port, err := nextPort()
+		require.NoError(t, err)
 		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
 			continue
@@ -91,8 +130,6 @@
 		require.NoError(t, listener.Close())
 		return address
 	}
-	require.Fail(t, "no free port")
-	return ""
 }
 
 // Daemon is a running comfreytillerd.
