--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -51,8 +51,18 @@
 	errorResponse *attempt
 	// target is the target of the last attempt.
 	target string
+	// lastDataAt is when the last attempt was sent, or when data of its response was
+	// last read; zero before the first attempt.
+	lastDataAt time.Time
 	// lastEventID is the ID of the last event that the caller has received.
 	lastEventID string
+	// relaying is set once a response is being relayed as a stream, which continues at
+	// its offset on another target.
+	relaying bool
+	// retryReserved is set while a retry was taken from the budget and not used.
+	retryReserved bool
+	// reserved is the permit of the next attempt; nil if it must be acquired.
+	reserved *reservedPermit
 	// reservedBytes is the memory that is reserved for responses.
 	reservedBytes int
 }
@@ -71,6 +81,9 @@
 	// isErrorResponse is set if body is the complete response of a target that
 	// failed.
 	isErrorResponse bool
+	// awaited is set once the timeout of the silent target has passed and the attempt
+	// goes on.
+	awaited bool
 	// permitReleased is set once the permit is released or its release is
 	// scheduled.
 	permitReleased bool
@@ -84,8 +97,7 @@
 // sendAttempt acquires a permit and sends the request once. It returns at the
 // first event of a stream, or when a non-streaming response is complete.
 func (d *dispatcher) sendAttempt(ctx context.Context, offset int, newConnection bool) (*attempt, error) {
-	requestedAt := d.gateway.Clock.Now()
-	permit, err := d.acquirePermit()
+	permit, requestedAt, err := d.nextPermit()
 	if err != nil {
 		return nil, err
 	}
@@ -132,6 +144,7 @@
 		ID: d.ID + "." + strconv.Itoa(d.attempts), Host: d.gateway.Host, Service: d.Service.Name,
 		Workspace: d.Workspace, Chat: d.Chat, Priority: d.Call.Priority, Deadline: d.Deadline,
 		Exclude: slices.Clone(d.excludedTargets), Prompt: d.Prompt, Objective: d.FirstByteObjective, Started: d.Started,
+		ServiceConfig: &d.Service,
 	}
 }
 
@@ -141,6 +154,9 @@
 	call := d.targetCall(a, offset, newConnection)
 	maybeSentBefore := d.maybeSent
 	call.ReserveBody = d.reserveBody
+	if d.TimeoutsMoveOnly && d.Call.Idempotent {
+		call.MayGiveUp = func() bool { return d.mayGiveUp(a) }
+	}
 	call.BeforeSend = func() error { return d.checkBeforeSend(a, requestedAt) }
 	d.gateway.metrics.attempts.Inc(1)
 	response, err := d.gateway.Sender.Send(ctx, call)
@@ -148,7 +164,7 @@
 	if err != nil {
 		return err
 	}
-	a.response = response
+	a.response, d.lastDataAt = response, d.gateway.Clock.Now()
 	if response.Header().NotExecuted {
 		d.maybeSent = maybeSentBefore
 		d.possibleRuns--
@@ -167,10 +183,20 @@
 	if err != nil && !a.emptyStream {
 		return err
 	}
-	a.firstByte = d.gateway.Clock.Since(a.sentAt)
+	d.lastDataAt = d.gateway.Clock.Now()
+	a.firstByte = d.lastDataAt.Sub(a.sentAt)
 	return nil
 }
 
+// silence returns how long the target of the last attempt has sent nothing; 0 before
+// the first attempt.
+func (d *dispatcher) silence() time.Duration {
+	if d.lastDataAt.IsZero() {
+		return 0
+	}
+	return d.gateway.Clock.Since(d.lastDataAt)
+}
+
 // reportResponse passes on what a target says of itself in a response, or in one that
 // violates the protocol.
 func (d *dispatcher) reportResponse(a *attempt, response target.Response, err error) {
@@ -213,7 +239,7 @@
 	if err := d.ctx.Err(); err != nil {
 		return err
 	}
-	a.sentAt = now
+	a.sentAt, d.lastDataAt = now, now
 	d.maybeSent = true
 	d.possibleRuns++
 	return nil
@@ -260,6 +286,9 @@
 		return
 	}
 	a.permitReleased = true
+	if errors.Is(err, target.ErrTimeout) {
+		d.gateway.metrics.silentAttempts.Inc(1)
+	}
 	d.gateway.logFailedAttempt(d, a, err)
 	outcome := d.outcome(a, err)
 	if !d.shouldCancel(a, err) {
