Name the shared prompt parts in the line of a failed attempt

Change: the line of a failed attempt has the field SharedParts with the parts of the prompt that other requests may share, all but the last, in hexadecimal, at most 16. Lines of complete responses don't change.

Result: TestLog_FailedAttemptNamesSharedPromptParts checks the bound and both lines; go test ./gateway ./platform passes.

--- a/gateway/log.go
+++ b/gateway/log.go
@@ -1,9 +1,16 @@
 package gateway
 
 import (
+	"strconv"
+	"strings"
+
+	"comfreytiller.dev/admission"
 	"github.com/sirupsen/logrus"
 )
 
+// maxLoggedPromptParts is the maximum number of prompt parts in a log line.
+const maxLoggedPromptParts = 16
+
 // logCompleted logs a routing decision whose response was complete.
 func (g *Gateway) logCompleted(d *dispatcher, a *attempt, warm bool) {
 	g.metrics.firstByte.RecordDuration(a.firstByte)
@@ -14,10 +21,31 @@
 		Infof("Request %s of chat %q ran on %s.", d.ID, d.Chat, a.permit.Target)
 }
 
-// logFailedAttempt logs a routing decision whose attempt failed.
+// logFailedAttempt logs a routing decision whose attempt failed, with the prompt parts
+// that relate it to failures of other requests.
 func (g *Gateway) logFailedAttempt(d *dispatcher, a *attempt, err error) {
-	g.decisionEntry(d, a).WithError(err).
-		Warnf("Request %s of chat %q failed on %s.", d.ID, d.Chat, a.permit.Target)
+	entry := g.decisionEntry(d, a).WithError(err)
+	if parts := sharedPromptParts(d.Prompt); parts != "" {
+		entry = entry.WithField("SharedParts", parts)
+	}
+	entry.Warnf("Request %s of chat %q failed on %s.", d.ID, d.Chat, a.permit.Target)
+}
+
+// sharedPromptParts returns the keys of the prompt parts that other requests may share,
+// which are all but the last, in hexadecimal and separated by commas. It returns the
+// first maxLoggedPromptParts of them, and "" if there are none.
+func sharedPromptParts(prompt *admission.Prompt) string {
+	if prompt == nil || len(prompt.Parts) < 2 {
+		return ""
+	}
+	var text strings.Builder
+	for i, part := range prompt.Parts[:min(len(prompt.Parts)-1, maxLoggedPromptParts)] {
+		if i > 0 {
+			text.WriteByte(',')
+		}
+		text.WriteString(strconv.FormatUint(part.Key, 16))
+	}
+	return text.String()
 }
 
 // logRefusedRequest logs a request that was refused when it was parsed or because
--- a/gateway/log_test.go
+++ b/gateway/log_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bytes"
+	"math"
 	"strings"
 	"sync"
 	"testing"
 
+	"comfreytiller.dev/admission"
 	"comfreytiller.dev/common/logs"
 	"comfreytiller.dev/standin"
+	"comfreytiller.dev/target"
 	"github.com/stretchr/testify/require"
 )
 
@@ -50,6 +53,36 @@
 	}
 }
 
+// Guards against a failed attempt whose log line does not relate it to other failures by
+// what their prompts have in common, and against lines that grow with the prompt.
+func TestLog_FailedAttemptNamesSharedPromptParts(t *testing.T) {
+	require.Empty(t, sharedPromptParts(nil))
+	prompt := &admission.Prompt{Parts: []admission.PromptPart{{Key: 0x5c1e07a2}}}
+	require.Empty(t, sharedPromptParts(prompt), "the last part belongs to the request")
+	prompt.Parts = append(prompt.Parts, admission.PromptPart{Key: 0x91bd3f06}, admission.PromptPart{Key: 0xe4402b7d})
+	require.Equal(t, "5c1e07a2,91bd3f06", sharedPromptParts(prompt))
+	for range 100 {
+		prompt.Parts = append(prompt.Parts, admission.PromptPart{Key: math.MaxUint64})
+	}
+	require.Equal(t, maxLoggedPromptParts, strings.Count(sharedPromptParts(prompt), ",")+1)
+	require.LessOrEqual(t, len(sharedPromptParts(prompt)), maxLoggedPromptParts*len("ffffffffffffffff,"))
+
+	f := newFixture(t)
+	var out lockedBuffer
+	logger, err := logs.New(&out, "info", "text")
+	require.NoError(t, err)
+	f.gateway.log = logs.ForComponent(logger, "Route")
+	d := &dispatcher{gateway: f.gateway, Request: &Request{Prompt: &admission.Prompt{
+		Parts: []admission.PromptPart{{Key: 0x5c1e07a2}, {Key: 0x91bd3f06}, {Key: 0xe4402b7d}},
+	}}}
+	f.gateway.logFailedAttempt(d, &attempt{}, target.ErrTruncated)
+	f.gateway.logCompleted(d, &attempt{}, false)
+	lines := out.lines()
+	require.Len(t, lines, 2)
+	require.Contains(t, lines[0], `SharedParts="5c1e07a2,91bd3f06"`)
+	require.NotContains(t, lines[1], "SharedParts", "complete responses need no relation")
+}
+
 func TestLog_FailedRequest(t *testing.T) {
 	f := newFixture(t)
 	var out lockedBuffer
