Quarantine prompt parts that crash targets

Cause: each host takes each crash for a fault of that target; it sees one request with the part now and then, and nobody relates the crashes to what the prompts have in common.

Change: a host that loses a connection before the response began checks whether the target still accepts connections. If not, it reports the shared parts of the prompt with its next poll. Hubs pass reports on, count independent crashes by part and start again when a request with the part succeeds. Three put the part in quarantine for ten minutes; the likeliest cause explains its crashes, so that the parts of requests that waited beside it are not blamed. Hosts refuse its requests as not run, and tell hubs that have restarted. The decisions are pure and in admission/quarantine; the way without them is the baseline of the replay.

--- /dev/null
+++ b/admission/quarantine/replay_test.go
@@ -0,0 +1,296 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"comfreytiller.dev/admission"
+)
+
+const (
+	replayTick     = 10 * time.Millisecond
+	replayDuration = 60 * time.Second
+	// poisonStart is when requests with the crashing part begin to come.
+	poisonStart = 10 * time.Second
+	// pollInterval is the longest time for which a hub holds the poll of a host, which
+	// carries its report, and hubDelay the time that a report takes to the other hubs. A
+	// new quarantine ends the polls at once.
+	pollInterval = 500 * time.Millisecond
+	hubDelay     = 100 * time.Millisecond
+	// restartTime is how long a target that crashed is down.
+	restartTime = 3 * time.Second
+	// contactTime is the time in which all hosts must know of a crash, and
+	// maxLateRequests the number of requests with the part that may be sent later.
+	contactTime     = 3 * time.Second
+	maxLateRequests = 3
+	crashingPart    = uint64(666)
+)
+
+// replay is a load in which some requests crash their target, while targets crash for
+// other reasons and reset connections.
+type replay struct {
+	random  *rand.Rand
+	now     time.Time
+	observe bool
+	// poisonRate and soundRate are the numbers of requests per second.
+	poisonRate, soundRate float64
+	hosts                 []*Observer
+	hubs                  []*Board
+	targets               []*replayTarget
+	mail                  []replayMail
+	lastOwnPart           uint64
+
+	poisonCrashes   []time.Time
+	latePoison      int
+	soundRequests   int
+	soundRefused    int
+	poisonCompleted int
+}
+
+type replayTarget struct {
+	incarnation uint64
+	downUntil   time.Time
+	running     []replayRun
+}
+
+type replayRun struct {
+	host                  int
+	prompt                *admission.Prompt
+	isPoison              bool
+	sentAt, begins, ended time.Time
+}
+
+// replayMail is a message that arrives at a time.
+type replayMail struct {
+	at      time.Time
+	deliver func()
+}
+
+func newReplay(seed uint64, hosts, targets int, soundRate, poisonRate float64, observe bool) *replay {
+	r := &replay{random: rand.New(rand.NewPCG(seed, 1)), now: epoch, observe: observe, soundRate: soundRate, poisonRate: poisonRate}
+	for range hosts {
+		r.hosts = append(r.hosts, NewObserver())
+	}
+	for range 5 {
+		r.hubs = append(r.hubs, NewBoard())
+	}
+	for range targets {
+		r.targets = append(r.targets, &replayTarget{incarnation: 1})
+	}
+	return r
+}
+
+// run plays the load.
+func (r *replay) run() {
+	for tick := 0; r.now.Sub(epoch) < replayDuration; tick++ {
+		r.now = epoch.Add(time.Duration(tick) * replayTick)
+		r.deliver()
+		for range r.arrivals(r.soundRate) {
+			r.send(false)
+		}
+		if r.now.Sub(epoch) >= poisonStart {
+			for range r.arrivals(r.poisonRate) {
+				r.send(true)
+			}
+		}
+		for i := range r.targets {
+			r.serve(i)
+		}
+		if r.random.Float64() < replayTick.Seconds()/7 {
+			r.crash(r.random.IntN(len(r.targets)))
+		}
+		if r.random.Float64() < replayTick.Seconds()/10 {
+			r.resetConnections()
+		}
+		for i, hub := range r.hubs {
+			if len(hub.Update(r.now)) > 0 && r.observe {
+				r.wakeHosts(i)
+			}
+		}
+		for i, host := range r.hosts {
+			if (tick+i)%int(pollInterval/replayTick) == 0 && r.observe {
+				r.poll(host, r.hubs[i%len(r.hubs)])
+			}
+		}
+	}
+}
+
+// arrivals returns the number of requests in this tick.
+func (r *replay) arrivals(rate float64) int {
+	mean := rate * replayTick.Seconds()
+	count := int(mean)
+	if r.random.Float64() < mean-float64(count) {
+		count++
+	}
+	return count
+}
+
+// send sends a request through a random host. Three kinds of requests have a first part
+// each, their workspaces and subjects further ones; requests that crash their target
+// differ from the others only in the subject.
+func (r *replay) send(isPoison bool) {
+	r.lastOwnPart++
+	kind := uint64(r.random.IntN(3))
+	subject := 1000 + uint64(400*r.random.Float64()*r.random.Float64())
+	if isPoison {
+		kind, subject = 2, crashingPart
+	}
+	prompt := promptOf(kind, 10+uint64(r.random.IntN(10)), subject, 1_000_000+r.lastOwnPart)
+	host := r.random.IntN(len(r.hosts))
+	if !isPoison {
+		r.soundRequests++
+	}
+	if _, found := r.hosts[host].Quarantined(r.now, prompt); found {
+		if !isPoison {
+			r.soundRefused++
+		}
+		return
+	}
+	target := r.targets[r.random.IntN(len(r.targets))]
+	if r.now.Before(target.downUntil) {
+		return
+	}
+	if isPoison && len(r.poisonCrashes) >= 5 && r.now.Sub(r.poisonCrashes[4]) > contactTime {
+		r.latePoison++
+	}
+	begins := r.now.Add(time.Duration(20+r.random.IntN(280)) * time.Millisecond)
+	target.running = append(target.running, replayRun{
+		host: host, prompt: prompt, isPoison: isPoison, sentAt: r.now, begins: begins,
+		ended: begins.Add(time.Duration(50+r.random.IntN(1500)) * time.Millisecond),
+	})
+}
+
+// serve completes the runs of a target that have ended, or crashes it.
+func (r *replay) serve(index int) {
+	target := r.targets[index]
+	for _, run := range target.running {
+		if run.isPoison && !run.begins.After(r.now) {
+			r.poisonCrashes = append(r.poisonCrashes, r.now)
+			r.crash(index)
+			return
+		}
+	}
+	target.running = slices.DeleteFunc(target.running, func(run replayRun) bool {
+		if run.ended.After(r.now) {
+			return false
+		}
+		r.hosts[run.host].RecordSuccess(r.now, run.prompt, run.sentAt)
+		return true
+	})
+}
+
+func (r *replay) crash(index int) {
+	target := r.targets[index]
+	if r.now.Before(target.downUntil) {
+		return
+	}
+	r.lose(index, true)
+	target.incarnation++
+	target.downUntil = r.now.Add(restartTime)
+}
+
+// resetConnections resets the connections of half of the targets, which go on serving.
+func (r *replay) resetConnections() {
+	for index := range r.targets {
+		if r.random.IntN(2) == 0 {
+			r.lose(index, false)
+		}
+	}
+}
+
+// lose ends all runs of a target.
+func (r *replay) lose(index int, isDown bool) {
+	target := r.targets[index]
+	for _, run := range target.running {
+		lost := Lost{Prompt: run.prompt, Target: fmt.Sprint(index), Incarnation: target.incarnation, SentAt: run.sentAt, LostAt: r.now}
+		if run.begins.Before(r.now) {
+			lost.FirstByte = run.begins.Sub(run.sentAt)
+		}
+		host := r.hosts[run.host]
+		if host.RecordLost(lost) {
+			at := r.now
+			r.post(2*replayTick, func() { host.RecordCheck(at.Add(2*replayTick), lost.Target, lost.Incarnation, isDown) })
+		}
+	}
+	target.running = nil
+}
+
+// poll sends the report of a host to its hub and the parts back.
+func (r *replay) poll(host *Observer, hub *Board) {
+	report := host.TakeReport()
+	r.post(replayTick, func() {
+		hub.Record(r.now, report)
+		for _, other := range r.hubs {
+			if other != hub && !report.IsEmpty() {
+				r.post(hubDelay, func() { other.Record(r.now, report) })
+			}
+		}
+		parts, version := hub.Parts()
+		r.post(replayTick, func() { host.Apply(r.now, parts, version) })
+	})
+}
+
+// wakeHosts ends the polls of the hosts of a hub.
+func (r *replay) wakeHosts(hub int) {
+	for i, host := range r.hosts {
+		if i%len(r.hubs) == hub {
+			r.poll(host, r.hubs[hub])
+		}
+	}
+}
+
+func (r *replay) post(delay time.Duration, deliver func()) {
+	r.mail = append(r.mail, replayMail{r.now.Add(delay), deliver})
+}
+
+func (r *replay) deliver() {
+	due := r.mail
+	r.mail = nil
+	for _, mail := range due {
+		if mail.at.After(r.now) {
+			r.mail = append(r.mail, mail)
+			continue
+		}
+		mail.deliver()
+	}
+}
+
+// Requests with one part crash every target that begins to respond to them, and come to
+// any host, while other targets crash and connections are reset. The part must be in
+// quarantine on all hosts soon after the fifth crash, and no sound request may be refused.
+// Without the exchange of reports, the requests go on crashing targets.
+func TestReplay_CrashingPartIsQuarantinedAndOthersAreServed(t *testing.T) {
+	for _, load := range []struct {
+		name                  string
+		seeds                 uint64
+		hosts, targets        int
+		soundRate, poisonRate float64
+	}{
+		{"few targets", 10, 18, 9, 100, 3},
+		{"many crashes a second", 10, 18, 18, 180, 20},
+		{"rare crashes", 10, 18, 9, 100, 0.6},
+		{"many hosts", 1, 300, 200, 1200, 8},
+	} {
+		t.Run(load.name, func(t *testing.T) {
+			baselineLate, baselineCrashes := 0, 0
+			for seed := range load.seeds {
+				r := newReplay(seed, load.hosts, load.targets, load.soundRate, load.poisonRate, true)
+				r.run()
+				require.LessOrEqual(t, r.latePoison, maxLateRequests, "seed %d", seed)
+				require.Zero(t, r.soundRefused, "seed %d: of %d sound requests", seed, r.soundRequests)
+				baseline := newReplay(seed, load.hosts, load.targets, load.soundRate, load.poisonRate, false)
+				baseline.run()
+				baselineLate += baseline.latePoison
+				baselineCrashes += len(baseline.poisonCrashes) - len(r.poisonCrashes)
+			}
+			require.Greater(t, baselineLate, 10*maxLateRequests, "without reports, requests go on reaching targets")
+			require.Positive(t, baselineCrashes)
+			t.Logf("without reports: %d requests with the part reached targets too late, %d more targets crashed", baselineLate, baselineCrashes)
+		})
+	}
+}
--- a/admission/request.go
+++ b/admission/request.go
@@ -133,6 +133,9 @@
 	RefusedNotOwner RefusalCode = "NotOwner"
 	// RefusedDependency: a service that this one depends on is unavailable.
 	RefusedDependency RefusalCode = "Dependency"
+	// RefusedQuarantined: the prompt has a part in quarantine, since requests with it
+	// crashed targets.
+	RefusedQuarantined RefusalCode = "Quarantined"
 	// RefusedCancelled: the requesting host cancelled the request.
 	RefusedCancelled RefusalCode = "Cancelled"
 )
@@ -181,7 +184,17 @@
 	// FirstByte is the time from sending the request to the first byte of the response;
 	// 0 if none arrived.
 	FirstByte time.Duration
+	// Hosts that decide by themselves use the fields below; owners don't get them.
+
 	// Duration is the time from sending the request to the end of its response; 0 if it
-	// was not sent. Hosts that decide by themselves use it; owners don't get it.
+	// was not sent.
 	Duration time.Duration
+	// Incarnation is that of the target.
+	Incarnation uint64
+	// Prompt is that of the request; nil for unknown.
+	Prompt *Prompt
+	// Succeeded is set if the response was complete and reported success, ConnectionLost
+	// if the target closed the connection before the response was complete.
+	Succeeded      bool
+	ConnectionLost bool
 }
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -38,6 +38,7 @@
 		},
 		view: newStateView(),
 	}
+	f.daemon.prompts = newPromptGuard(f.daemon)
 	f.selector = newTargetSelector(f.daemon)
 	f.daemon.selector = f.selector
 	f.view = &registry.View{
--- /dev/null
+++ b/entry/prompt_guard_test.go
@@ -0,0 +1,113 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"comfreytiller.dev/admission"
+	"comfreytiller.dev/admission/quarantine"
+	"comfreytiller.dev/comfreytiller/protocol"
+	"comfreytiller.dev/peer"
+)
+
+// probeSender answers probes of targets.
+type probeSender struct {
+	protocol.Sender
+	err    error
+	probed chan string
+}
+
+func (s *probeSender) Probe(_ context.Context, address string) error {
+	s.probed <- address
+	return s.err
+}
+
+func samplePrompt(keys ...uint64) *admission.Prompt {
+	prompt := &admission.Prompt{}
+	for _, key := range keys {
+		prompt.Parts = append(prompt.Parts, admission.PromptPart{Key: key, Tokens: 10})
+	}
+	return prompt
+}
+
+func (f *fixture) awaitReport(t testing.TB) quarantine.Report {
+	var report quarantine.Report
+	require.Eventually(t, func() bool {
+		report = f.daemon.prompts.observer.TakeReport()
+		return !report.IsEmpty()
+	}, 10*time.Second, time.Millisecond)
+	return report
+}
+
+// The prompt of a request whose target crashed before its response is reported; the
+// requests that were lost with a single connection are not.
+func TestRelease_CrashBeforeResponseIsReported(t *testing.T) {
+	f := newFixture(t)
+	sender := &probeSender{probed: make(chan string, 1)}
+	f.daemon.prompts.sender = sender
+	f.applyEntries(f.newRosterEntry("e-1", "engines", "a", 1), f.newRosterEntry("e-2", "engines", "a", 1))
+	for _, test := range []struct {
+		name string
+		err  error
+	}{{"the target accepts connections", nil}, {"the target is down", errors.New("connection refused")}} {
+		sender.err = test.err
+		permit, refusal := f.acquire(t, test.name, "engines")
+		require.Nil(t, refusal)
+		f.selector.Release(admission.Release{
+			RequestID: permit.RequestID, Service: permit.Service, Target: permit.Target, Incarnation: permit.Incarnation, Outcome: admission.OutcomeFailed,
+			Duration: 50 * time.Millisecond, Prompt: samplePrompt(1, 2, 3), ConnectionLost: true,
+		})
+		require.Equal(t, permit.Address, <-sender.probed)
+		f.clock.Advance(time.Minute)
+	}
+	report := f.awaitReport(t)
+	require.Len(t, report.Crashes, 2)
+	require.Equal(t, []uint64{1, 2}, []uint64{report.Crashes[0].Part, report.Crashes[1].Part})
+}
+
+// A request with a part in quarantine is refused without being sent, with the time until
+// the quarantine ends. Requests that share its other parts are served.
+func TestAcquire_PromptPartInQuarantineIsRefused(t *testing.T) {
+	f := newFixture(t)
+	f.applyEntries(f.newRosterEntry("e-1", "engines", "a", 1))
+	now := f.clock.Now()
+	response := peer.WatchResponse{PartsVersion: 3, PromptParts: []quarantine.Part{
+		{Key: 2, Crashes: 3, FirstAt: now.Add(-3 * time.Second), LastAt: now, Until: now.Add(time.Minute)},
+		{Key: 1, Crashes: 2, FirstAt: now.Add(-3 * time.Second), LastAt: now},
+	}}
+	require.NoError(t, newHubWatcher(f.daemon).applyResponse(response, nil))
+	acquire := func(prompt *admission.Prompt, exclude ...string) error {
+		_, err := f.selector.Acquire(t.Context(), admission.Request{ID: "r", Service: "engines", Prompt: prompt, Exclude: exclude})
+		return err
+	}
+	for _, exclude := range [][]string{nil, {"e-2"}} {
+		var refusal *admission.Refusal
+		require.ErrorAs(t, acquire(samplePrompt(1, 2, 9), exclude...), &refusal, "a repeat is refused, too")
+		require.Equal(t, admission.RefusedQuarantined, refusal.Code)
+		require.Equal(t, time.Minute, refusal.RetryAfter)
+	}
+	require.NoError(t, acquire(samplePrompt(1, 9)))
+	require.NoError(t, acquire(samplePrompt(9, 2)), "the last part belongs to the request")
+	require.NoError(t, acquire(nil))
+	f.clock.Advance(time.Minute)
+	require.NoError(t, acquire(samplePrompt(1, 2, 9)))
+}
+
+// Another hub may not know of a part in quarantine. The host keeps it, and tells the hub
+// with its next poll, even if the versions of the two lists are equal.
+func TestApplyResponse_QuarantineSurvivesChangeOfHub(t *testing.T) {
+	f := newFixture(t)
+	now := f.clock.Now()
+	watcher := newHubWatcher(f.daemon)
+	part := quarantine.Part{Key: 2, Crashes: 3, FirstAt: now, LastAt: now, Until: now.Add(time.Minute)}
+	require.NoError(t, watcher.applyResponse(peer.WatchResponse{RosterSource: 1, PartsVersion: 3, PromptParts: []quarantine.Part{part}}, nil))
+	require.NoError(t, watcher.applyResponse(peer.WatchResponse{RosterSource: 1, PartsVersion: 3}, nil))
+	require.Empty(t, f.daemon.prompts.observer.Unlisted(now))
+	require.NoError(t, watcher.applyResponse(peer.WatchResponse{RosterSource: 2, PartsVersion: 3}, nil))
+	require.Equal(t, []quarantine.Part{part}, f.daemon.prompts.observer.Unlisted(now))
+	require.Error(t, f.daemon.prompts.check(now, &admission.Request{Prompt: samplePrompt(2, 9)}))
+}
--- a/entry/target_selector.go
+++ b/entry/target_selector.go
@@ -250,6 +250,9 @@
 	}
 	view := current.View
 	now := t.clock.Now()
+	if err := t.daemon.prompts.check(now, &request); err != nil {
+		return admission.Permit{}, err
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	list := t.byService[request.Service]
@@ -413,6 +416,7 @@
 	if s == nil {
 		return
 	}
+	t.daemon.prompts.record(now, &release, s.Address)
 	s.adjustInFlight(now, -1)
 	switch release.Outcome {
 	case admission.OutcomeDone:
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -84,11 +84,20 @@
 	// awaited is set once the timeout of the silent target has passed and the attempt
 	// goes on.
 	awaited bool
+	// connectionLost is set if the target closed the connection before the response was
+	// complete.
+	connectionLost bool
 	// permitReleased is set once the permit is released or its release is
 	// scheduled.
 	permitReleased bool
 }
 
+// isSuccess reports whether the target reported success and responded with more than an
+// empty stream.
+func (a *attempt) isSuccess() bool {
+	return a.response != nil && a.response.Header().Status < fasthttp.StatusMultipleChoices && !a.emptyStream
+}
+
 func (g *Gateway) newDispatcher(callerCtx context.Context, r *Request) *dispatcher {
 	ctx, cancel := clockwork.WithDeadline(callerCtx, g.Clock, r.Deadline)
 	return &dispatcher{Request: r, lastEventID: r.LastEventID, gateway: g, ctx: ctx, cancel: cancel, callerCtx: callerCtx}
@@ -271,7 +280,8 @@
 	}
 	release := admission.Release{
 		RequestID: a.permit.RequestID, Service: d.Service.Name, Target: a.permit.Target,
-		Outcome: outcome, FirstByte: a.firstByte,
+		Outcome: outcome, FirstByte: a.firstByte, Incarnation: a.permit.Incarnation, Prompt: d.Prompt,
+		Succeeded: outcome == admission.OutcomeDone && a.isSuccess(), ConnectionLost: a.connectionLost,
 	}
 	if !a.sentAt.IsZero() {
 		release.Duration = d.gateway.Clock.Since(a.sentAt)
@@ -289,6 +299,7 @@
 	if errors.Is(err, target.ErrTimeout) {
 		d.gateway.metrics.silentAttempts.Inc(1)
 	}
+	a.connectionLost = errors.Is(err, target.ErrTruncated)
 	d.gateway.logFailedAttempt(d, a, err)
 	outcome := d.outcome(a, err)
 	if !d.shouldCancel(a, err) {
--- a/hub/gossip.go
+++ b/hub/gossip.go
@@ -65,7 +65,9 @@
 			pending[name] = true
 		}
 		g.mu.Unlock()
-		message := peer.RosterUpdate{Host: g.hub.Settings.Host, Watchers: g.hub.watchers.localHosts()}
+		message := peer.RosterUpdate{
+			Host: g.hub.Settings.Host, Watchers: g.hub.watchers.localHosts(), Quarantined: g.hub.prompts.Quarantined(g.hub.Clock.Now()),
+		}
 		for name := range pending {
 			if entry, found := g.hub.roster.Get(name); found {
 				message.Entries = append(message.Entries, entry)
@@ -111,6 +113,7 @@
 		}
 	}
 	g.hub.watchers.recordRemote(m.Watchers)
+	g.hub.mergePromptReport(m.Host, m.PromptReport, m.Quarantined)
 	if len(m.Loads) > 0 {
 		g.hub.loads.recordHub(m.Host, m.Loads)
 	}
--- a/hub/watchers.go
+++ b/hub/watchers.go
@@ -139,6 +139,7 @@
 func (h *Hub) handleWatch(m peer.WatchRequest, reply peer.Reply) {
 	h.watchers.recordWatch(m.Host, m.Revision)
 	h.loads.recordHost(m.Host, m.Loads)
+	h.recordPromptReport(m.Host, m.PromptReport, m.Quarantined)
 	startedAt := h.Clock.Now()
 	if !h.contact.await(min(m.MaxWait, maxLongPollWait)) {
 		// The host will poll another hub. After an outage of all hosts,
@@ -148,7 +149,7 @@
 		return
 	}
 	if m.RosterSource != h.rosterSource {
-		m.RosterVersion = 0
+		m.RosterVersion, m.PartsVersion = 0, 0
 	}
 	m.MaxWait -= h.Clock.Since(startedAt)
 	h.awaitChanges(m)
@@ -159,6 +160,10 @@
 		response.Delta = h.replica.Machine.EncodedDeltaSince(m.Revision, m.FleetVersion)
 	}
 	h.addDigest(m.Host, &response)
+	parts, version := h.prompts.Parts()
+	if response.PartsVersion = version; version != m.PartsVersion {
+		response.PromptParts = parts
+	}
 	response.Entries, response.RosterVersion = h.roster.ChangedSince(m.RosterVersion)
 	reply(response)
 }
@@ -187,11 +192,13 @@
 	for {
 		changed := h.replica.Machine.Changed()
 		version, tableChanged := h.roster.Version()
-		if h.replica.Machine.View().Revision > m.Revision || version > m.RosterVersion {
+		partsVersion, partsPublished := h.prompts.UrgentVersion()
+		if h.replica.Machine.View().Revision > m.Revision || version > m.RosterVersion || partsVersion > m.PartsVersion {
 			return
 		}
 		select {
 		case <-changed:
+		case <-partsPublished:
 		case <-tableChanged:
 			// Changes of targets come in bursts.
 			h.coalesceChanges(timer)
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"comfreytiller.dev/admission"
+	"comfreytiller.dev/admission/quarantine"
 	"comfreytiller.dev/target"
 	"comfreytiller.dev/target/roster"
 )
@@ -49,6 +50,22 @@
 	})
 }
 
+// samplePromptReport returns a report with every field set.
+func samplePromptReport() quarantine.Report {
+	return quarantine.Report{
+		Crashes:   []quarantine.Crash{{Part: 1, Depth: 2, Target: "t", Incarnation: 7, SentAt: epoch.Add(-time.Second), CrashedAt: epoch}},
+		Successes: []quarantine.Success{{Part: 2, SentAt: epoch.Add(-time.Second)}},
+	}
+}
+
+// samplePromptParts returns a part in quarantine and one that was cleared.
+func samplePromptParts() []quarantine.Part {
+	return []quarantine.Part{
+		{Key: 1, Crashes: 3, FirstAt: epoch.Add(-time.Minute), LastAt: epoch.Add(-time.Second), Until: epoch.Add(time.Minute)},
+		{Key: 2, FirstAt: epoch.Add(-time.Minute), LastAt: epoch.Add(-time.Second), ClearedAt: epoch.Add(-time.Second)},
+	}
+}
+
 // sampleMessages returns messages of every type with every field set.
 func sampleMessages() []Message {
 	sampleStamp := target.Stamp{Incarnation: 7, Sequence: 9}
@@ -58,11 +75,12 @@
 		RosterUpdate{Host: "h", Entries: []roster.Entry{{
 			Announcement: target.Announcement{Name: "t", Stamp: sampleStamp, Service: "s", Capacity: 4}, State: roster.Leaving,
 			WarmUpRemaining: time.Second, LastSeen: epoch.Add(-time.Second), Silent: true,
-		}}, Watchers: []string{"e"}, Loads: map[string]int{"t": 3}},
-		WatchRequest{Host: "h", Revision: 1, FleetVersion: 2, RosterSource: 3, RosterVersion: 4, MaxWait: time.Second, Loads: map[string]int{"t": 3}},
+		}}, Watchers: []string{"e"}, Loads: map[string]int{"t": 3}, PromptReport: samplePromptReport(), Quarantined: samplePromptParts()},
+		WatchRequest{Host: "h", Revision: 1, FleetVersion: 2, RosterSource: 3, RosterVersion: 4, MaxWait: time.Second, Loads: map[string]int{"t": 3}, PromptReport: samplePromptReport(), PartsVersion: 5, Quarantined: samplePromptParts()},
 		WatchResponse{
 			QuorumConfirmed: true, Delta: []byte{1}, RosterSource: 2, RosterVersion: 3, Entries: []roster.Entry{{State: roster.Gone, LastSeen: epoch}},
 			WatcherCount: 4, ReplicaAddresses: []string{"a"}, Loads: map[string]int{"t": 3}, MeanLoad: 1.5, WithoutLoads: true,
+			PartsVersion: 5, PromptParts: samplePromptParts(),
 		},
 		JoinRequest{ID: "i", Host: "h", Address: "a", Forwarded: true},
 		Ack{},
--- a/peer/message.go
+++ b/peer/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"comfreytiller.dev/admission"
+	"comfreytiller.dev/admission/quarantine"
 	"comfreytiller.dev/target"
 	"comfreytiller.dev/target/roster"
 )
@@ -199,6 +200,10 @@
 	// Loads are the requests in flight from these hosts by target; nil if not
 	// reported.
 	Loads map[string]int
+	// PromptReport is what hosts reported to this replica about prompt parts, and
+	// Quarantined are the parts in quarantine.
+	PromptReport quarantine.Report
+	Quarantined  []quarantine.Part
 }
 
 // WatchRequest asks a state replica for changes since the requesting host's view.
@@ -214,6 +219,13 @@
 	MaxWait time.Duration
 	// Loads are the host's own requests in flight by target.
 	Loads map[string]int
+	// PromptReport is what the host learned about prompt parts since its last request.
+	PromptReport quarantine.Report
+	// PartsVersion is the version of the list of prompt parts that the host has from
+	// RosterSource.
+	PartsVersion uint64
+	// Quarantined are parts in quarantine that RosterSource did not list.
+	Quarantined []quarantine.Part
 }
 
 // WatchResponse is the reply to a WatchRequest.
@@ -237,6 +249,10 @@
 	// WithoutLoads is set if the replica sent loads to the host a moment ago. Loads
 	// and MeanLoad are then empty and say nothing.
 	WithoutLoads bool
+	// PartsVersion is the version of the replica's list of prompt parts; 0 if it reports
+	// none. PromptParts is the list; it is empty if the host has that version.
+	PartsVersion uint64
+	PromptParts  []quarantine.Part
 }
 
 // JoinRequest asks the state leader to add a replica to the cluster, or to
