Keep the resumes of a stream within the attempts of its route

A cut stream was checked against the attempts of its route before its first resume only. When that attempt failed before an event, the stream was sent again until the limit of the gateway: three targets ran a request whose route allows two.

Each resume is checked now. TestStream_ResumesStayWithinAttemptsOfRoute got a whole stream from a third attempt before and sees two attempts now.

--- a/gateway/silent_target_test.go
+++ b/gateway/silent_target_test.go
@@ -249,3 +249,16 @@
 		}
 	}
 }
+
+// A stream whose second attempt failed before an event was sent a third time, although its
+// route allows two.
+func TestStream_ResumesStayWithinAttemptsOfRoute(t *testing.T) {
+	f := newRouteFixture(t, 5, WithStrictRetryBudget())
+	f.addEngine(standin.EngineSettings{Name: "engine-1"}).Inject(standin.Fault{Kind: standin.FaultConnectionClosed, AfterEvents: 3})
+	f.addEngine(standin.EngineSettings{Name: "engine-2"}).Inject(standin.Fault{Kind: standin.FaultConnectionClosed})
+	third := f.addEngine(standin.EngineSettings{Name: "engine-3"})
+	_, err := readBody(f.post("opinion/1", draftBody))
+	require.Error(t, err)
+	require.Equal(t, int64(2), f.counterValue("attempts"))
+	require.Zero(t, third.Stats().Resumed)
+}
--- a/gateway/stream_relay.go
+++ b/gateway/stream_relay.go
@@ -150,6 +150,8 @@
 			return obstacleNoPermit
 		case !r.retryable(err):
 			return obstacleNotRetryable
+		case !r.hasRunLeft():
+			return obstacleAttempts
 		case !r.chargeResume(err, cutTarget):
 			return obstacleRetryBudget
 		case !r.backOff():
