Count data of a frame on its way as received

A connection between hosts that owes a reply is probed after 0.5 s without a frame and closed 0.7 s later. A frame counted once it was whole, and the reply to the probe comes after the frame that is on its way. A reply that needs more than 1.2 s on a slow link therefore cost the connection and every call on it, though its data arrived all the while.

Data counts as it arrives. TestConn_ReceivingLargeFrameIsKept, with a frame whose bytes come every 249 ms, failed before and passes now; the tests of peer pass with the race detector too, and those of hub, host, session, entry, platform, gateway, target and standin pass. How often it happens on a deployment was not measured.

--- a/peer/conn.go
+++ b/peer/conn.go
@@ -29,9 +29,9 @@
 	mu         sync.Mutex
 	lastCallID uint64
 	pending    map[uint64]chan Message
-	// lastReceived is when the last frame arrived. callPendingSince is the time
+	// lastReceived is when the last data arrived. callPendingSince is the time
 	// from which at least one call has been pending. unconfirmedSince is when the
-	// first message that expects no reply was sent after the last received frame.
+	// first message that expects no reply was sent after the last received data.
 	// probeSentAt is when the unanswered ping was sent. The last three are zero if
 	// there is no such call, message or ping.
 	lastReceived     time.Time
@@ -154,7 +154,7 @@
 }
 
 func (c *Conn) readLoop() {
-	reader := bufio.NewReader(c.netConn)
+	reader := bufio.NewReader(receiptReader{c})
 	for {
 		data, err := readFrame(reader)
 		if err != nil {
@@ -164,12 +164,24 @@
 		if err != nil {
 			return
 		}
-		c.recordReceived()
 		c.dispatch(f)
 	}
 }
 
-// recordReceived records that a frame has arrived, which confirms that the
+// receiptReader reads from a connection and records when data arrives. A large frame
+// takes seconds on a slow link, and no other frame overtakes it.
+type receiptReader struct{ conn *Conn }
+
+// Read implements io.Reader.
+func (r receiptReader) Read(p []byte) (int, error) {
+	n, err := r.conn.netConn.Read(p)
+	if n > 0 {
+		r.conn.recordReceived()
+	}
+	return n, err //nolint:wrapcheck // It is the connection's own error.
+}
+
+// recordReceived records that data has arrived, which confirms that the
 // connection works.
 func (c *Conn) recordReceived() {
 	c.mu.Lock()
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"net"
 	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -165,6 +167,31 @@
 	require.True(t, conn.checkLiveness(clock.Now()))
 }
 
+// A reply that needs seconds on a slow link must not cost the connection: only whole frames
+// counted as received, and the reply to the probe comes after the frame that is on its way.
+func TestConn_ReceivingLargeFrameIsKept(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	clientConn, serverConn := net.Pipe()
+	defer serverConn.Close()
+	conn := newConn("b", clientConn, clock, nil)
+	replies := make(chan Message, 1)
+	call, err := conn.registerCall(replies)
+	require.NoError(t, err)
+	go conn.readLoop()
+	data, err := encodeFrame(frame{callID: call, isReply: true, message: Failure{Message: strings.Repeat("x", 100)}}, clock.Now())
+	require.NoError(t, err)
+	_, err = serverConn.Write(binary.AppendUvarint(nil, uint64(len(data))))
+	require.NoError(t, err)
+	for _, part := range data {
+		clock.Advance(probeInterval/2 - time.Millisecond)
+		// The write returns when the byte is read, so that the one before is recorded.
+		_, err := serverConn.Write([]byte{part})
+		require.NoError(t, err)
+		require.False(t, conn.checkLiveness(clock.Now()), "data arrives")
+	}
+	require.NotNil(t, <-replies)
+}
+
 func TestConn_IdleIsClosedAfterIdleTimeout(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	conn := newConn("b", nil, clock, nil)
