Test that resumes of a stream stay within its attempts

Cause: streamRelay.resume checks how many targets may have run the request only before its loop. If the target that resumes the stream fails before an event, the next one gets it, beyond the route's attempts. Found by TestCrashingPromptPart_IsKeptFromTargets, where five attempts of requests that may run on two engines ran on three in two runs; engines that end meanwhile are outside the limit, but other failures take the same way.

Result on this code: the third target gets the request (3 permits, 2 expected).

--- a/gateway/failover_test.go
+++ b/gateway/failover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -13,6 +14,7 @@
 
 	"comfreytiller.dev/standin"
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
 )
 
 // addBlackhole inserts a proxy in front of the last added target. The proxy can
@@ -127,6 +129,38 @@
 	require.Equal(t, int64(streams), completed.Load())
 }
 
+// attemptsCodec limits the number of targets that may run a request.
+type attemptsCodec struct {
+	Codec
+	maxAttempts int
+}
+
+// ParseRequest implements Codec.
+func (c attemptsCodec) ParseRequest(ctx *fasthttp.RequestCtx, r *Request) *Failure {
+	r.MaxAttempts = c.maxAttempts
+	return c.Codec.ParseRequest(ctx, r)
+}
+
+// A stream fails midway, and the target that resumes it fails before an event. Guards
+// against a resume on more targets than may run the request, which spreads a request that
+// crashes its targets.
+func TestStream_ResumesStayWithinMaxAttempts(t *testing.T) {
+	f := newFixture(t)
+	f.gateway.Codec = attemptsCodec{Codec: f.gateway.Codec, maxAttempts: 2}
+	engines := make([]*standin.Engine, 3)
+	for i := range engines {
+		engines[i] = f.addEngine(standin.EngineSettings{Name: fmt.Sprint("engine-", i+1)})
+	}
+	f.setRetryTokens("Reviews", 5)
+	// A mismatch excludes its target from the next attempts, unlike a cut connection.
+	engines[0].Inject(standin.Fault{Kind: standin.FaultRequestMismatch, AfterEvents: 4, Count: 1})
+	engines[1].Inject(standin.Fault{Kind: standin.FaultConnectionClosed, Count: 1})
+	text, err := readBody(f.post("Reviews/Draft", draftBody))
+	require.Equal(t, 2, f.admitter.grants(), "two targets may run the request")
+	require.Error(t, err, "the connection closes without the last chunk")
+	require.Equal(t, expectedTokens(draftBody, 4), parseStream(t, text).tokens)
+}
+
 // The engine fails before the first event of any request. Retries stay within
 // the budget, and the remaining callers receive a failure.
 func TestStreams_FailOverBeforeFirstEventIsLimitedByRetryBudget(t *testing.T) {
