Test the timeouts of pipelined requests

Cause: the timeouts of the configuration for headers and idle connections must not limit the read of a body. The test of that covered the first request of a connection only.

Change: a test with a second request whose header arrives with the first one, in part or as a whole, and whose body takes longer than both timeouts.

--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"comfreytiller.dev/fleet"
 	"comfreytiller.dev/standin"
 	"github.com/stretchr/testify/require"
 )
@@ -199,6 +200,61 @@
 	require.Equal(t, http.StatusOK, response.StatusCode)
 }
 
+// Neither the header timeout nor the idle timeout of the fleet configuration must apply to
+// the body of a request whose header, or a part of it, arrives with the request before.
+func TestCallerTimeouts_DoNotLimitBodyOfPipelinedRequest(t *testing.T) {
+	header := fmt.Sprintf("POST "+PathServices+"Reviews/Status HTTP/1.1\r\nHost: h\r\nComfreytiller-Workspace: Students\r\nContent-Length: %d\r\n\r\n", len(draftBody))
+	cases := []struct {
+		name string
+		// split is the number of bytes of the second header that arrive with the first
+		// request.
+		split int
+	}{
+		{"part of the header", len(header) / 2},
+		{"whole header", len(header)},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			config := exampleFleet()
+			config.Requests = fleet.RequestLimits{HeaderTime: 200 * time.Millisecond, IdleTime: 200 * time.Millisecond}
+			f := newFixtureWithFleet(t, config)
+			f.addEngine(standin.EngineSettings{Name: "engine-1"})
+			connection, err := net.Dial("tcp", f.address)
+			require.NoError(t, err)
+			defer connection.Close()
+			require.NoError(t, connection.SetDeadline(time.Now().Add(testTimeout)))
+			reader := bufio.NewReader(connection)
+			requireServed := func() {
+				response, err := http.ReadResponse(reader, nil)
+				require.NoError(t, err)
+				text, err := readBody(response)
+				require.NoError(t, err)
+				require.Equal(t, http.StatusOK, response.StatusCode, text)
+			}
+			_, err = io.WriteString(connection, header+draftBody+header[:test.split])
+			require.NoError(t, err)
+			if test.split < len(header) {
+				requireServed()
+			}
+			_, err = io.WriteString(connection, header[test.split:]+draftBody[:1])
+			require.NoError(t, err)
+
+			// The timeouts have passed once a later connection is timed out.
+			response, err := http.ReadResponse(bufio.NewReader(f.sendPartialHeader()), nil)
+			require.NoError(t, err)
+			_, err = readBody(response)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusRequestTimeout, response.StatusCode)
+			_, err = io.WriteString(connection, draftBody[1:])
+			require.NoError(t, err)
+			if test.split == len(header) {
+				requireServed()
+			}
+			requireServed()
+		})
+	}
+}
+
 func TestIdleTime_ClosesIdleConnection(t *testing.T) {
 	config := exampleFleet()
 	config.Requests.IdleTime = 200 * time.Millisecond
