Tell read deadlines of callers' connections apart by their order

Cause: callerConn took the phase of a read deadline from what had been read and written since the last response. The server reads ahead, so that a part of the next header may arrive with the request before: the first read after the response then belongs to the rest of the header, and the header timeout of the configuration was set for the body. A caller that took longer for the body got status 408.

Change: the server sets deadlines in a fixed order, header and body of the first request, then wait, header and body of each further one. callerConn follows that order.

--- a/gateway/caller_conn.go
+++ b/gateway/caller_conn.go
@@ -23,18 +23,26 @@
 	// readTimeouts returns the read timeout of a header and the timeout of an
 	// idle connection; 0 keeps the server's own.
 	readTimeouts func() (header, idle time.Duration)
-	// awaitingRequest is set from the write of a response until the first byte
-	// of the next request. headerDeadlineSet is set once the deadline for the
-	// header of that request is set. Both are used only by the server's
-	// goroutine.
-	awaitingRequest   bool
-	headerDeadlineSet bool
+	// nextDeadline is what the next read deadline is for. It is used only by the
+	// server's goroutine.
+	nextDeadline readDeadline
 
 	mu          sync.Mutex
 	hasBuffered bool
 	buffered    byte
 }
 
+// readDeadline is what the HTTP server sets a read deadline for.
+type readDeadline int
+
+// The server sets the deadlines in this order: for the header and the body of the first
+// request, then for the wait, the header and the body of each further one.
+const (
+	headerDeadline readDeadline = iota
+	bodyDeadline
+	idleDeadline
+)
+
 func newCallerConn(clock clockwork.Clock, c net.Conn, writeTimeout time.Duration, release func()) *callerConn {
 	return &callerConn{
 		Conn: c, clock: clock, writeGuard: conn.NewWatchdog(clock, c), writeTimeout: writeTimeout, release: release,
@@ -45,16 +53,18 @@
 // SetReadDeadline implements net.Conn. The HTTP server calls it to limit the
 // wait for a request, then the read of its header, and then the read of its
 // body. The limits of the first two come from the fleet configuration, which can
-// change while the server runs.
+// change while the server runs. What has been read or written can't tell the calls
+// apart, because the next request may have arrived with the one before.
 func (c *callerConn) SetReadDeadline(deadline time.Time) error {
 	header, idle := c.readTimeouts()
 	limit := time.Duration(0)
-	switch {
-	case deadline.IsZero():
-	case c.awaitingRequest:
-		limit, c.headerDeadlineSet = idle, false
-	case !c.headerDeadlineSet:
-		limit, c.headerDeadlineSet = header, true
+	switch c.nextDeadline {
+	case headerDeadline:
+		limit, c.nextDeadline = header, bodyDeadline
+	case bodyDeadline:
+		c.nextDeadline = idleDeadline
+	case idleDeadline:
+		limit, c.nextDeadline = idle, headerDeadline
 	}
 	if limit > 0 {
 		deadline = c.clock.Now().Add(limit)
@@ -69,22 +79,16 @@
 	if c.hasBuffered && len(p) > 0 {
 		p[0] = c.buffered
 		c.hasBuffered = false
-		c.awaitingRequest = false
 		c.mu.Unlock()
 		return 1, nil
 	}
 	c.mu.Unlock()
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.awaitingRequest = false
-	}
-	return n, err
+	return c.Conn.Read(p)
 }
 
 // Write writes within the write timeout. The connection of a caller that does
 // not read within that time is closed.
 func (c *callerConn) Write(p []byte) (int, error) {
-	c.awaitingRequest, c.headerDeadlineSet = true, false
 	c.writeGuard.Arm(c.writeTimeout)
 	n, err := c.Conn.Write(p)
 	c.writeGuard.Disarm()
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -109,11 +109,11 @@
 // WithMaxStoredBytes limits the size of a response that is stored with a claim.
 func WithMaxStoredBytes(n int) Option { return func(s *settings) { s.maxStoredBytes = n } }
 
-// WithReadTimeout limits the time to read a request.
+// WithReadTimeout limits the time to read a request. It must be positive.
 func WithReadTimeout(d time.Duration) Option { return func(s *settings) { s.readTimeout = d } }
 
 // WithIdleTimeout limits the time that a connection may stay open without a
-// request.
+// request. It must be positive.
 func WithIdleTimeout(d time.Duration) Option { return func(s *settings) { s.idleTimeout = d } }
 
 // WithWriteTimeout limits the time that a write to a caller may block.
