Wait when the system has no resources for another connection

Cause: the listener of a gateway passed every error of Accept on to the HTTP server, which ends on it. On an entry host the daemon ended with it, and with the daemon all requests in flight.

Change: after a lack of descriptors or memory the listener logs that a connection waits, and accepts again 50 ms later until it works. Other errors still end the server.

--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -2,8 +2,10 @@
 
 import (
 	"net"
+	"slices"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -12,6 +14,14 @@
 // refuseTimeout limits the time to refuse a connection that exceeds the limit.
 const refuseTimeout = time.Second
 
+// acceptRetryDelay is the pause after a connection could not be accepted for want of a
+// resource.
+const acceptRetryDelay = 50 * time.Millisecond
+
+// resourceErrors are the errors of Accept after which a later connection may be accepted,
+// once others have been closed.
+var resourceErrors = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM}
+
 // callerListener limits the number of connections and wraps each one in a
 // callerConn.
 type callerListener struct {
@@ -26,12 +36,13 @@
 	return &callerListener{Listener: inner, gateway: g}
 }
 
-// Accept returns the next connection within the limit.
+// Accept returns the next connection within the limit. It waits while the system has no
+// resources for another connection, since an error would end the server.
 func (l *callerListener) Accept() (net.Conn, error) {
 	for {
-		c, err := l.Listener.Accept()
+		c, err := l.acceptNext()
 		if err != nil {
-			return nil, errors.Wrap(err, "accept connection")
+			return nil, err
 		}
 		if l.connections.Add(1) > int64(l.gateway.settings.maxConnections) {
 			l.connections.Add(-1)
@@ -45,6 +56,25 @@
 	}
 }
 
+// acceptNext returns the next connection.
+func (l *callerListener) acceptNext() (net.Conn, error) {
+	for failures := 0; ; failures++ {
+		c, err := l.Listener.Accept()
+		if err == nil {
+			return c, nil
+		}
+		isResourceError := slices.ContainsFunc(resourceErrors, func(known error) bool { return errors.Is(err, known) })
+		if !isResourceError {
+			return nil, errors.Wrap(err, "accept connection")
+		}
+		if failures == 0 {
+			l.gateway.log.WithField("Connections", l.connections.Load()).
+				Warnf("Connection from a caller could not be accepted and waits: %v.", err)
+		}
+		<-l.gateway.Clock.After(acceptRetryDelay)
+	}
+}
+
 // refuseConnection responds to a connection that exceeds the limit and closes
 // it.
 func (g *Gateway) refuseConnection(c net.Conn) {
