Let stand-ins end responses with their connection

Stand-in targets framed every response, so that nothing played a response with neither a length nor chunks. FaultCloseDelimited sends one from the engine and the plain service, ended by a close, a half-close or a reset, after a silence or after some of its events.

--- a/standin/engine.go
+++ b/standin/engine.go
@@ -197,6 +197,12 @@
 		e.writeNonStreamingResponse(ctx, r)
 		return
 	}
+	if r.fault.Kind == FaultCloseDelimited {
+		text, err := r.readEvents()
+		e.endRun(r, err == nil)
+		e.respondCloseDelimited(ctx, fasthttp.StatusOK, "text/event-stream", text, r.fault)
+		return
+	}
 	ctx.Response.Header.Set(web.HeaderRequestID, r.responseRequestID())
 	e.setNotices(&ctx.Response.Header)
 	ctx.SetContentType("text/event-stream")
--- a/standin/engine_run.go
+++ b/standin/engine_run.go
@@ -192,6 +192,24 @@
 	return false
 }
 
+// readEvents returns the text of the whole stream, or that of the events before the
+// fault and errStreamStopped.
+func (r *engineRun) readEvents() ([]byte, error) {
+	var text []byte
+	for {
+		if r.fault.AfterEvents > 0 && r.nextOffset >= r.fault.AfterEvents {
+			return text, errStreamStopped
+		}
+		if err := r.fillPending(); err != nil {
+			if errors.Is(err, io.EOF) {
+				err = nil
+			}
+			return text, err
+		}
+		text = append(text, r.pending...)
+	}
+}
+
 // Close ends the run. The HTTP server calls it when the response has been written
 // or its connection is closed.
 func (r *engineRun) Close() error {
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -50,6 +50,10 @@
 	FaultEndlessEventLines FaultKind = "EndlessEventLines"
 	// FaultDrip sends one byte of the body after each Delay.
 	FaultDrip FaultKind = "Drip"
+	// FaultCloseDelimited sends a response with neither a length nor chunked encoding,
+	// which is silent for Delay in its middle and whose connection ends with Ending. A
+	// stream ends after AfterEvents events; 0 for all.
+	FaultCloseDelimited FaultKind = "CloseDelimited"
 )
 
 // Fault describes how responses fail.
@@ -59,9 +63,11 @@
 	Count int
 	// AfterEvents is the number of events that a stream sends before the fault.
 	AfterEvents int
-	// Delay is the additional delay of FaultDelayed, the pause of FaultRefused and the
-	// interval of FaultDrip.
+	// Delay is the additional delay of FaultDelayed, the pause of FaultRefused, the
+	// interval of FaultDrip and the silence of FaultCloseDelimited.
 	Delay time.Duration
+	// Ending is how the connection of FaultCloseDelimited ends.
+	Ending Ending
 }
 
 // faultQueue contains the faults of the next responses.
--- a/standin/server.go
+++ b/standin/server.go
@@ -128,7 +128,7 @@
 // respond sends a non-streaming response, modified by fault.
 func (s *server) respond(ctx *fasthttp.RequestCtx, status int, body []byte, fault Fault) {
 	id := string(ctx.Request.Header.Peek(web.HeaderRequestID))
-	if s.respondEndless(ctx, body, fault) {
+	if s.respondEndless(ctx, body, fault) || s.respondCloseDelimited(ctx, status, "application/json", body, fault) {
 		return
 	}
 	s.setNotices(&ctx.Response.Header)
