Take a stream without a length and without events for truncated

A response that ends with its connection is whole after an orderly end, and so was a 200 stream whose target crashed before its first event. A stream from its beginning has at least one event, so that such an end tells of a crash: the request is sent elsewhere where the route allows that, or fails with a result that is unknown, and the target is charged a failure. The rest of a resumed stream may be empty, as may a stream that chunks or a length delimit, or one with an error status; they stay whole.

--- a/target/web/response.go
+++ b/target/web/response.go
@@ -231,11 +231,15 @@
 }
 
 // finishStream checks that the body of a complete stream also ended according to
-// its framing.
+// its framing. A successful stream from its beginning has at least one event, so that
+// one which the end of the connection delimits is truncated without any.
 func (r *Response) finishStream() error {
 	if r.chunked {
 		return r.finishBody(0)
 	}
+	if r.contentLength < 0 && r.header.Status < fasthttp.StatusMultipleChoices && r.call.LastEventID == "" && r.events.End().Events == 0 {
+		return errors.Wrap(target.ErrTruncated, "connection closed before the first event")
+	}
 	if limited, ok := r.body.(*io.LimitedReader); ok && limited.N > 0 {
 		return errors.Wrapf(target.ErrTruncated, "%d bytes missing", limited.N)
 	}
