Skip interim responses before the response of a target

The header of an interim response, as 100 or 103, was taken for that of the response, so that a sound response failed, or the caller got the interim status and nothing after it. Up to eight are skipped within the time for the first byte; more, or a switch to another protocol, is no valid response.

--- a/target/web/response.go
+++ b/target/web/response.go
@@ -49,8 +49,8 @@
 		r.writeFailed = true
 	}
 	var header fasthttp.ResponseHeader
-	if err := header.Read(r.conn.reader); err != nil {
-		return r.classifyError(err)
+	if err := r.readHeader(&header); err != nil {
+		return err
 	}
 	parsed, err := r.dialect.ParseHeader(&header, &r.call)
 	r.header = parsed
@@ -67,6 +67,25 @@
 	return r.initBody(length, header.ConnectionClose())
 }
 
+// maxInterimResponses is the maximum number of interim responses before the response.
+const maxInterimResponses = 8
+
+// readHeader reads the header of the response and skips the interim responses before it.
+func (r *Response) readHeader(header *fasthttp.ResponseHeader) error {
+	for range maxInterimResponses + 1 {
+		if err := header.Read(r.conn.reader); err != nil {
+			return r.classifyError(err)
+		}
+		switch status := header.StatusCode(); {
+		case status >= fasthttp.StatusOK:
+			return nil
+		case status < fasthttp.StatusContinue, status == fasthttp.StatusSwitchingProtocols:
+			return errors.Wrapf(target.ErrMalformedResponse, "status %d", status)
+		}
+	}
+	return errors.Wrap(target.ErrMalformedResponse, "too many interim responses")
+}
+
 // maxSyncBodyBytes is the maximum length of a body that is written before the
 // response is read. It fits into the smallest socket buffers.
 const maxSyncBodyBytes = 4 << 10
