Continue a stream only with a stream of the same status

A plain response to the rest of a stream, as 404, was relayed as an event without content. It cleared the ID of the last event, so that a third attempt got the stream from its beginning and the caller all events twice. Such a response now fails the attempt, without a failure of its target, and the next one resumes at the event that the caller has.

--- a/gateway/stream_relay.go
+++ b/gateway/stream_relay.go
@@ -118,7 +118,7 @@
 	}
 	for r.resumes < r.gateway.settings.maxResumes {
 		r.resumes++
-		a, err := r.sendAttempt(r.ctx, r.nextOffset, true)
+		a, err := r.sendRest()
 		if err == nil {
 			r.attempt, r.firstEventRead = a, false
 			r.gateway.metrics.resumedStreams.Inc(1)
@@ -131,6 +131,23 @@
 	return false
 }
 
+// sendRest makes one attempt to continue the stream. A response of another kind or
+// status than that of the stream is no part of it.
+func (r *streamRelay) sendRest() (*attempt, error) {
+	a, err := r.sendAttempt(r.ctx, r.nextOffset, true)
+	if err != nil {
+		return nil, err
+	}
+	header := a.response.Header()
+	if header.Stream && header.Status == r.attempt.response.Header().Status {
+		return a, nil
+	}
+	err = errors.Wrapf(target.ErrMalformedResponse, "status %d, stream %t, for the rest of a stream", header.Status, header.Stream)
+	r.excludeTarget(a, err)
+	r.finish(a, admission.OutcomeDone)
+	return nil, err
+}
+
 // chargeResume charges another resume to the retry budget and reports whether it
 // is allowed. It is free after a failure with the same cause as the original
 // cut: a target is unreachable or, unless the budget is strict, the target that
