--- a/target/web/response.go
+++ b/target/web/response.go
@@ -49,8 +49,8 @@
 		r.writeFailed = true
 	}
 	var header fasthttp.ResponseHeader
-	if err := header.Read(r.conn.reader); err != nil {
-		return r.classifyError(err)
+	if err := r.readHeader(&header); err != nil {
+		return err
 	}
 	parsed, err := r.dialect.ParseHeader(&header, &r.call)
 	r.header = parsed
@@ -67,6 +67,25 @@
 	return r.initBody(length, header.ConnectionClose())
 }
 
+// maxInterimResponses is the maximum number of interim responses before the response.
+const maxInterimResponses = 8
+
+// readHeader reads the header of the response and skips the interim responses before it.
+func (r *Response) readHeader(header *fasthttp.ResponseHeader) error {
+	for range maxInterimResponses + 1 {
+		if err := header.Read(r.conn.reader); err != nil {
+			return r.classifyError(err)
+		}
+		switch status := header.StatusCode(); {
+		case status >= fasthttp.StatusOK:
+			return nil
+		case status < fasthttp.StatusContinue, status == fasthttp.StatusSwitchingProtocols:
+			return errors.Wrapf(target.ErrMalformedResponse, "status %d", status)
+		}
+	}
+	return errors.Wrap(target.ErrMalformedResponse, "too many interim responses")
+}
+
 // maxSyncBodyBytes is the maximum length of a body that is written before the
 // response is read. It fits into the smallest socket buffers.
 const maxSyncBodyBytes = 4 << 10
@@ -231,11 +250,15 @@
 }
 
 // finishStream checks that the body of a complete stream also ended according to
-// its framing.
+// its framing. A successful stream from its beginning has at least one event, so that
+// one which the end of the connection delimits is truncated without any.
 func (r *Response) finishStream() error {
 	if r.chunked {
 		return r.finishBody(0)
 	}
+	if r.contentLength < 0 && r.header.Status < fasthttp.StatusMultipleChoices && r.call.LastEventID == "" && r.events.End().Events == 0 {
+		return errors.Wrap(target.ErrTruncated, "connection closed before the first event")
+	}
 	if limited, ok := r.body.(*io.LimitedReader); ok && limited.N > 0 {
 		return errors.Wrapf(target.ErrTruncated, "%d bytes missing", limited.N)
 	}
