Test each obstacle to moving a request and what a move reserves

Cause: of the obstacles that keep a request at its silent target, only the budget and the missing permit were tested alone. The tests stayed green when the attempts of the route or of the host, the support for resumes of the current target, the end of the request or the time limit of a reservation were left out, and when a closed exchange kept its reserved permit.

Change: a table of the obstacles, a test of the time limit and one of the closed exchange. A retry that was reserved for a request that could not move, or whose caller left, stays taken from the budget.

--- /dev/null
+++ b/gateway/move_test.go
@@ -0,0 +1,99 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"comfreytiller.dev/admission"
+	"comfreytiller.dev/fleet"
+	"comfreytiller.dev/standin"
+	"github.com/stretchr/testify/require"
+)
+
+// newMoveFixture returns a dispatcher of a stream that its first target runs, with another
+// target and with three retries in the budget.
+func newMoveFixture(callerCtx context.Context, t *testing.T) (f *fixture, d *dispatcher, current *attempt) {
+	f = newRouteFixture(t, 3, WithStrictRetryBudget())
+	f.addTarget("engine-1", "127.0.0.1:1")
+	f.addTarget("engine-2", "127.0.0.1:1")
+	d = f.gateway.newDispatcher(callerCtx, &Request{
+		Service: fleet.Service{Name: "Reviews"}, Call: fleet.Call{Idempotent: true}, MaxAttempts: 2, Deadline: time.Now().Add(time.Minute),
+	})
+	t.Cleanup(d.cancel)
+	d.relaying, d.possibleRuns = true, 1
+	return f, d, &attempt{permit: f.admitter.permits[0]}
+}
+
+// A sound target was given up for a move that an obstacle prevents afterwards. Each obstacle
+// alone must keep the request where it is, without a permit in its name.
+func TestMoveObstacle_EachAloneKeepsTheTarget(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(f *fixture, d *dispatcher, current *attempt)
+		want   retryObstacle
+	}{
+		{"none", func(*fixture, *dispatcher, *attempt) {}, noObstacle},
+		{"target without resumes", func(_ *fixture, _ *dispatcher, current *attempt) { current.permit.SupportsResume = false }, obstacleNotResumable},
+		{"attempts of the route", func(_ *fixture, d *dispatcher, _ *attempt) { d.possibleRuns = 2 }, obstacleAttempts},
+		{"resumes of the host", func(_ *fixture, d *dispatcher, _ *attempt) { d.resumes = defaultMaxResumes }, obstacleAttempts},
+		{"attempts of the host", func(_ *fixture, d *dispatcher, _ *attempt) {
+			d.relaying, d.failedAttempts = false, defaultMaxAttempts-1
+		}, obstacleAttempts},
+		{"deadline", func(_ *fixture, d *dispatcher, _ *attempt) { d.cancel() }, obstacleDeadline},
+		{"budget", func(f *fixture, _ *dispatcher, _ *attempt) { f.setRetryTokens("Reviews", 0) }, obstacleRetryBudget},
+		{"no other target", func(f *fixture, _ *dispatcher, _ *attempt) { f.admitter.permits = f.admitter.permits[:1] }, obstacleNoPermit},
+		{"owner that does not answer", func(f *fixture, _ *dispatcher, _ *attempt) { f.admitter.blockAcquire = true }, obstacleNoPermit},
+		{"other target without resumes", func(f *fixture, _ *dispatcher, _ *attempt) {
+			f.admitter.permits[1].SupportsResume = false
+		}, obstacleNotResumable},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			f, d, current := newMoveFixture(t.Context(), t)
+			test.change(f, d, current)
+			require.Equal(t, test.want, d.moveObstacle(current))
+			if test.want != noObstacle {
+				require.Nil(t, d.reserved)
+			}
+		})
+	}
+}
+
+// An owner that does not answer holds up the events of the target, which may have gone on.
+func TestMoveObstacle_OwnerIsAwaitedBriefly(t *testing.T) {
+	const maxEventDelay = 120 * time.Millisecond
+	require.Less(t, reservationTimeout, maxEventDelay)
+	f, d, current := newMoveFixture(t.Context(), t)
+	f.admitter.blockAcquire = true
+	started := time.Now()
+	require.Equal(t, obstacleNoPermit, d.moveObstacle(current))
+	require.Less(t, time.Since(started), 10*reservationTimeout)
+}
+
+// A caller that leaves between the reservation and the next attempt must not leave a permit
+// behind that its target counts as a request.
+func TestExchange_CloseReleasesReservedPermit(t *testing.T) {
+	callerCtx, cancelCaller := context.WithCancel(t.Context())
+	f, d, current := newMoveFixture(callerCtx, t)
+	require.True(t, f.gateway.tracker.tryBegin())
+	x := &exchange{dispatcher: d, cancelCaller: cancelCaller, stopWatch: func() {}, cancelDispatch: func() {}}
+	require.True(t, d.mayGiveUp(current))
+	cancelCaller()
+	x.close()
+	require.Equal(t, []admission.Outcome{admission.OutcomeUnsent}, f.admitter.outcomes())
+	require.Equal(t, 3, f.retriesLeft("Reviews"), "the retry was not used")
+}
+
+// A retry that was reserved for a stream that could not move was lost, so that streams of
+// silent targets used up the budget although nothing was sent again.
+func TestSilentTarget_RetryIsReturnedWithoutAnotherTarget(t *testing.T) {
+	t.Parallel()
+	f := newRouteFixture(t, 1, WithStrictRetryBudget())
+	f.addPlain("treasury-1").Inject(standin.Fault{Kind: standin.FaultDelayed, Delay: soundSilence, Count: 1})
+	status, _ := f.postAndRead("lookup/1", `{}`)
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, int64(1), f.counterValue("awaited_attempts"))
+	require.Equal(t, 1, f.retriesLeft("Treasury"))
+}
