Return reserved retries that are not used

Cause: a retry is reserved before a silent target is given up, and stayed reserved when no other target admitted the request, when the target went on, or when the caller left. Nothing was sent again, but the budget was smaller by one for each such request, and requests whose targets fail later found it empty.

Change: a reservation without a permit, or one that is left when the exchange closes, returns its retry (RetryBudget.ReturnRetry). A budget never holds more than its burst.

The tests of gateway, target and entry pass. With the race detector, one run failed in TestRetries_LimitedToShareOfTrafficIfAllTargetsFail, whose path has no reservation; it passed in 15 more runs.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -383,6 +383,26 @@
 	require.InDelta(t, burstFraction*126, taken, 1, "a single host can use the whole burst at once")
 }
 
+// A retry that was not used is available again, but never more than the burst.
+func TestRetryBudget_ReturnedRetryIsAvailableWithinBurst(t *testing.T) {
+	limits := settings.Retries{Share: 0.2, Extra: 10, Window: 10 * time.Second}
+	budget := newRetryBudget(limits, func() int { return 1 }, clockwork.NewFakeClock())
+	take := func() (taken int) {
+		for budget.TakeRetry("s") {
+			taken++
+		}
+		return taken
+	}
+	burst := take()
+	require.Equal(t, 4, burst)
+	budget.ReturnRetry("s")
+	require.Equal(t, 1, take())
+	for range 2 * burst {
+		budget.ReturnRetry("s")
+	}
+	require.Equal(t, burst, take())
+}
+
 // A plain service with full queues admits a share of the requests and spreads
 // the retry delays of the others.
 func TestThrottle_FullServiceAdmitsShare(t *testing.T) {
--- a/entry/retry_budget.go
+++ b/entry/retry_budget.go
@@ -75,3 +75,11 @@
 	bucket.tokens--
 	return true
 }
+
+// ReturnRetry implements gateway.RetryBudget.
+func (b *retryBudget) ReturnRetry(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	bucket, capacity := b.bucketFor(service)
+	bucket.tokens = min(bucket.tokens+1, capacity)
+}
--- a/gateway/dependencies.go
+++ b/gateway/dependencies.go
@@ -46,6 +46,8 @@
 	RecordRequest(service string)
 	// TakeRetry consumes one retry and reports whether one was available.
 	TakeRetry(service string) bool
+	// ReturnRetry returns a retry that was taken and not used.
+	ReturnRetry(service string)
 }
 
 // Admitter grants permits to send requests to targets. The implementation of
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -82,6 +82,7 @@
 	x.cancelDispatch()
 	x.releaseBody()
 	x.releaseReservedPermit()
+	x.returnReservedRetry()
 	x.gateway.tracker.end()
 	x.gateway.metrics.inFlight.Update(float64(x.gateway.tracker.inFlight()))
 }
--- a/gateway/give_up.go
+++ b/gateway/give_up.go
@@ -47,7 +47,11 @@
 	case !d.reserveRetry():
 		return obstacleRetryBudget
 	}
-	return d.reservePermit(a.permit.Target)
+	obstacle := d.reservePermit(a.permit.Target)
+	if obstacle != noObstacle {
+		d.returnReservedRetry()
+	}
+	return obstacle
 }
 
 // hasAttemptLeft reports whether the limits of the gateway allow an attempt after the
@@ -60,7 +64,7 @@
 }
 
 // reserveRetry takes a retry from the budget that takeRetry uses later. A request
-// reserves at most one, which it keeps if the target goes on.
+// reserves at most one.
 func (d *dispatcher) reserveRetry() bool {
 	if d.relaying && d.resumes == 0 && !d.gateway.settings.strictRetryBudget {
 		return true
@@ -71,6 +75,14 @@
 	return d.retryReserved
 }
 
+// returnReservedRetry returns a reserved retry that was not used to the budget.
+func (d *dispatcher) returnReservedRetry() {
+	if d.retryReserved {
+		d.retryReserved = false
+		d.gateway.RetryBudget.ReturnRetry(d.Service.Name)
+	}
+}
+
 // takeRetry takes the reserved retry, or one from the budget. It returns false if there
 // is none.
 func (d *dispatcher) takeRetry() bool {
--- a/gateway/retry_budget.go
+++ b/gateway/retry_budget.go
@@ -36,6 +36,13 @@
 	return true
 }
 
+// returnRetry adds the tokens of a retry that was not used.
+func (b *tokenBucket) returnRetry() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = min(b.tokens+retryCost, maxTokens)
+}
+
 // serviceBudgets holds one bucket per service, so that a failing service does
 // not use up the retries of the others.
 type serviceBudgets struct {
@@ -54,6 +61,9 @@
 // TakeRetry implements RetryBudget.
 func (b *serviceBudgets) TakeRetry(service string) bool { return b.forService(service).takeRetry() }
 
+// ReturnRetry implements RetryBudget.
+func (b *serviceBudgets) ReturnRetry(service string) { b.forService(service).returnRetry() }
+
 // forService returns the bucket of the service.
 func (b *serviceBudgets) forService(service string) *tokenBucket {
 	b.mu.Lock()
