Write requests with long headers beside the read of the response

Cause: a request whose body has at most 4 KiB was written before the first read, however long its header was. The timeout of a target interrupts reads only since silent targets are awaited; before, it closed the connection and ended the write as well. A target that reads nothing thus held such a request until its deadline, or without end where there is none.

Change: header and body together decide whether a request is written concurrently.

--- a/target/web/blocked_write_test.go
+++ b/target/web/blocked_write_test.go
@@ -24,7 +24,7 @@
 	defer client.Close()
 	request := fasthttp.AcquireRequest()
 	request.SetRequestURI("http://target/")
-	request.Header.Set("X-Long", strings.Repeat("x", 2*maxSyncBodyBytes))
+	request.Header.Set("X-Long", strings.Repeat("x", 2*maxSyncRequestBytes))
 	call := target.Call{Address: "target", FirstByteTimeout: time.Second}
 	ended := make(chan error, 1)
 	go func() {
--- a/target/web/response.go
+++ b/target/web/response.go
@@ -39,10 +39,11 @@
 	writeFailed bool
 }
 
-// start writes the request and reads the response header. A long body is written
-// concurrently, since a target may respond before it has read the whole body.
+// start writes the request and reads the response header. A long request is written
+// concurrently, since a target may respond before it has read the whole request, and the
+// timeout of one that reads nothing interrupts only reads.
 func (r *Response) start(request *fasthttp.Request) error {
-	if len(request.Body()) > maxSyncBodyBytes {
+	if len(request.Header.Header())+len(request.Body()) > maxSyncRequestBytes {
 		r.writeResult = make(chan error, 1)
 		go func() { r.writeResult <- r.writeRequest(request) }()
 	} else if err := r.writeRequest(request); err != nil {
@@ -67,9 +68,9 @@
 	return r.initBody(length, header.ConnectionClose())
 }
 
-// maxSyncBodyBytes is the maximum length of a body that is written before the
+// maxSyncRequestBytes is the maximum length of a request that is written before the
 // response is read. It fits into the smallest socket buffers.
-const maxSyncBodyBytes = 4 << 10
+const maxSyncRequestBytes = 4 << 10
 
 // writeRequest writes the request and releases it to its pool.
 func (r *Response) writeRequest(request *fasthttp.Request) error {
