Check the attempts of the route before each attempt to resume a stream

The limit was checked before the first attempt to resume a broken stream, but not before those that follow when that one breaks off before an event, so that a stream ran four times where its route allows three. Every further attempt asks now, as retries do.

TestResume_WithinAttemptsOfRoute failed before and passes. go test ./gateway ./target/... ./platform ./standin and the race detector on gateway and target: passed.

--- a/gateway/retry.go
+++ b/gateway/retry.go
@@ -44,13 +44,19 @@
 		return false
 	}
 	d.failedAttempts++
-	if d.failedAttempts >= d.gateway.settings.maxAttempts || d.MaxAttempts > 0 && d.possibleRuns >= d.MaxAttempts || !d.chargeRetry(err) {
+	if d.failedAttempts >= d.gateway.settings.maxAttempts || d.attemptsExhausted() || !d.chargeRetry(err) {
 		return false
 	}
 	d.gateway.metrics.retries.Inc(1)
 	return d.backOff()
 }
 
+// attemptsExhausted reports whether the request may have run as often as its route
+// allows.
+func (d *dispatcher) attemptsExhausted() bool {
+	return d.MaxAttempts > 0 && d.possibleRuns >= d.MaxAttempts
+}
+
 // chargeRetry charges a retry to the budget and reports whether it is allowed.
 // The failure of a reused connection is free: the pool has then dropped the
 // connections to the target and the next attempt opens a new one, so the number
--- a/gateway/stream_relay.go
+++ b/gateway/stream_relay.go
@@ -108,7 +108,7 @@
 	if !r.Call.Idempotent || !r.attempt.permit.SupportsResume || r.ctx.Err() != nil {
 		return false
 	}
-	if r.MaxAttempts > 0 && r.possibleRuns >= r.MaxAttempts {
+	if r.attemptsExhausted() {
 		return false
 	}
 	cutTarget := r.attempt.permit.Target
@@ -124,7 +124,7 @@
 			r.gateway.metrics.resumedStreams.Inc(1)
 			return true
 		}
-		if r.ctx.Err() != nil || !r.retryable(err) || !r.chargeResume(err, cutTarget) || !r.backOff() {
+		if r.ctx.Err() != nil || !r.retryable(err) || r.attemptsExhausted() || !r.chargeResume(err, cutTarget) || !r.backOff() {
 			return false
 		}
 	}
