Count a whole stream without a body as served

The HTTP server closes the body of a response to HEAD, or with status 204 or 304, without reading it, and a stream that is closed before its end counts as cancelled by its caller. One that has ended without an event is finished first.

--- a/gateway/stream_relay.go
+++ b/gateway/stream_relay.go
@@ -207,6 +207,10 @@
 		return nil
 	}
 	r.closed = true
+	// The HTTP server doesn't read the body of a response that has none.
+	if r.err == nil && r.attempt.emptyStream && !r.firstEventRead {
+		r.fill(0)
+	}
 	for r.err == nil && !r.Call.Idempotent && !r.Call.StopsWithCaller {
 		r.fill(0)
 	}
