Test outcomes and attempts of requests that leave a silent target

Cause: a caller that leaves a target which has been silent past its timeout releases the permit as Cancelled. With an empty retry budget the request was not given up before, so that no failure of the target is counted and it goes on to get requests. Besides, the runs of a resumed stream are compared with the attempts of its route before the first resume only.

Change: tests of both. Two more for changes of the code that no test of the module noticed: an operation that starts after a late timer has no timeout of its own, and a permit request without the service that the request arrived under.

--- a/gateway/move_test.go
+++ b/gateway/move_test.go
@@ -97,3 +97,52 @@
 	require.Equal(t, int64(1), f.counterValue("awaited_attempts"))
 	require.Equal(t, 1, f.retriesLeft("Treasury"))
 }
+
+// Callers leave a target that stays silent before their deadline. Where the budget is empty the
+// target was then not counted as failed, and went on to get requests.
+func TestSilentTarget_CallerThatLeavesIsFailureOfTarget(t *testing.T) {
+	t.Parallel()
+	f := newRouteFixture(t, 0, WithStrictRetryBudget())
+	f.addEngine(standin.EngineSettings{Name: "engine-1"}).Inject(standin.Fault{Kind: standin.FaultStalled, AfterEvents: 3, Count: 1})
+	ctx, leave := context.WithCancel(t.Context())
+	defer leave()
+	response, err := f.tryPost(ctx, "opinion/1", draftBody)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	eventually(t, func() bool { return f.counterValue("awaited_attempts") == 1 }, "the target is silent")
+	leave()
+	eventually(t, func() bool { return len(f.admitter.outcomes()) == 1 }, "the permit is released")
+	require.Equal(t, []admission.Outcome{admission.OutcomeFailed}, f.admitter.outcomes())
+}
+
+// A caller that leaves a target that has gone on is no failure of the target.
+func TestSilentTarget_CallerThatLeavesLaterIsNoFailureOfTarget(t *testing.T) {
+	callerCtx, leave := context.WithCancel(t.Context())
+	f, d, current := newMoveFixture(callerCtx, t)
+	d.Service.Timeouts = fleet.Timeouts{FirstByte: time.Second, Gap: time.Second}
+	current.awaited, current.sentAt, d.lastDataAt = true, d.gateway.Clock.Now(), d.gateway.Clock.Now()
+	leave()
+	d.abandon(current, errCallerGone)
+	eventually(t, func() bool { return len(f.admitter.outcomes()) == 1 }, "the permit is released")
+	require.Equal(t, []admission.Outcome{admission.OutcomeCancelled}, f.admitter.outcomes())
+}
+
+// A stream that left a silent target and failed at the next one ran a third time on a route of
+// two attempts: its runs were counted before the first resume only.
+func TestResume_FailedResumesCountTowardsAttemptsOfRoute(t *testing.T) {
+	t.Parallel()
+	f := newRouteFixture(t, 5, WithStrictRetryBudget())
+	f.addEngine(standin.EngineSettings{Name: "engine-1"}).Inject(standin.Fault{Kind: standin.FaultStalled, AfterEvents: 3, Count: 1})
+	f.addEngine(standin.EngineSettings{Name: "engine-2"}).Inject(standin.Fault{Kind: standin.FaultError, Count: 1})
+	f.addEngine(standin.EngineSettings{Name: "engine-3"})
+	_, _ = readBody(f.post("opinion/1", draftBody))
+	require.Equal(t, int64(2), f.counterValue("attempts"))
+}
+
+// A permit is requested with the service of the configuration under which the request arrived,
+// which may have left the configuration in force.
+func TestAdmissionRequest_CarriesServiceOfArrival(t *testing.T) {
+	_, d, _ := newMoveFixture(t.Context(), t)
+	d.Service.Timeouts.Total = time.Hour
+	require.Equal(t, &d.Service, d.admissionRequest().ServiceConfig)
+}
--- a/target/web/pending_input_test.go
+++ b/target/web/pending_input_test.go
@@ -66,6 +66,7 @@
 	clock.Advance(time.Second)
 	require.Eventually(t, c.watchdog.Expired, 10*time.Second, time.Millisecond)
 	c.arm(time.Second)
+	require.False(t, c.watchdog.Expired(), "the next operation has a timeout of its own")
 	require.NoError(t, c.SetReadDeadline(time.Unix(1, 0)))
 	read := make(chan error, 1)
 	go func() {
