Count a silent target as failed when its caller leaves

Cause: a request that can't move waits for a silent target. Callers leave before their deadline, and the permit was then released as Cancelled, which says nothing of the target. While the retry budget is empty, no failure of a lost target was counted, and it went on to get requests. Before silent targets were awaited, each of their timeouts counted as a failure.

Change: the outcome is Failed if the target was awaited and has sent nothing for its timeout. Until the caller leaves or the deadline passes nothing is counted, as before this commit.

The tests of gateway, target and entry pass.

--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -318,7 +318,7 @@
 // with.
 func (d *dispatcher) outcome(a *attempt, err error) admission.Outcome {
 	switch {
-	case d.callerCtx.Err() != nil:
+	case d.callerCtx.Err() != nil && !d.isSilent(a):
 		return admission.OutcomeCancelled
 	case errors.Is(err, target.ErrNotSent):
 		return admission.OutcomeUnsent
--- a/gateway/give_up.go
+++ b/gateway/give_up.go
@@ -34,6 +34,16 @@
 	return false
 }
 
+// isSilent reports whether the target of a, which is the last attempt, has sent nothing for
+// its timeout and was awaited.
+func (d *dispatcher) isSilent(a *attempt) bool {
+	timeout := d.Service.Timeouts.FirstByte
+	if d.relaying {
+		timeout = d.Service.Timeouts.Gap
+	}
+	return a.awaited && d.silence() >= timeout
+}
+
 // moveObstacle returns what prevents the request from going on at another target than
 // that of a. Without an obstacle, the retry and the permit are reserved.
 func (d *dispatcher) moveObstacle(a *attempt) retryObstacle {
