Use a closed port that no other test process can take

Cause: closedPort gave back a port of the ephemeral range, from which listeners of other test processes get theirs. TestRetries_LimitedToShareOfTrafficIfAllTargetsFail failed in two of five runs with the race detector beside other tests (502 for 503); printed, all three wrong answers of a repeated run came from servers of other test processes on that port.

Change: the port is 1, where nothing listens, which is checked at each use.

--- a/gateway/at_most_once_test.go
+++ b/gateway/at_most_once_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -105,12 +106,13 @@
 	}
 }
 
-// closedPort returns an address on which nothing listens.
+// closedPort returns an address on which nothing listens. Its port is out of the range
+// from which listeners of other tests get theirs.
 func closedPort(t testing.TB) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	require.NoError(t, listener.Close())
-	return listener.Addr().String()
+	const address = "127.0.0.1:1"
+	_, err := net.Dial("tcp", address)
+	require.ErrorIs(t, err, syscall.ECONNREFUSED)
+	return address
 }
 
 func TestAtMostOnce_UnreachableTargetIsRetried(t *testing.T) {
