Log the rate limit that a target names in its responses

Logs could not tell whether hosts get the limit at all, when each of them does, and what it does then. No decision uses it yet.

--- a/entry/notices.go
+++ b/entry/notices.go
@@ -33,6 +33,13 @@
 	if header.RetryAfterProblem != "" {
 		t.log.WithFields(fields).Warnf("Target %s sent an unusual Retry-After: %s.", permit.Target, header.RetryAfterProblem)
 	}
+	if header.RateLimitProblem != "" {
+		t.log.WithFields(fields).Warnf("Target %s sent an unusual rate limit: %s.", permit.Target, header.RateLimitProblem)
+	}
+	if s != nil && s.Incarnation == permit.Incarnation && s.recordRateLimit(header.RateLimit) {
+		fields["PerSecond"], fields["OwnInFlight"] = s.ownRateLimit, s.ownInFlight
+		t.log.WithFields(fields).Infof("Target %s changed the rate limit that it names.", permit.Target)
+	}
 	if news.Leaving {
 		t.leavingNotices.Inc(1)
 		t.log.WithFields(fields).Infof("Target %s says in a response that it is leaving.", permit.Target)
--- a/entry/target_selector.go
+++ b/entry/target_selector.go
@@ -134,7 +134,7 @@
 	case s == nil && entry.State == roster.Gone:
 		return
 	case s == nil || s.Incarnation != entry.Incarnation:
-		added := &targetState{Entry: entry, firstSeen: now, coldSince: now}
+		added := &targetState{Entry: entry, firstSeen: now, coldSince: now, ownRateLimit: noRateLimit}
 		if s != nil {
 			added.ownInFlight = s.ownInFlight
 		}
--- a/entry/target_state.go
+++ b/entry/target_state.go
@@ -27,6 +27,8 @@
 	atCapacityPeriod = 100 * time.Millisecond
 	// ownAveragePeriod is the time over which this host's own load is averaged.
 	ownAveragePeriod = 2 * time.Second
+	// noRateLimit stands for a target that names no rate limit.
+	noRateLimit = -1
 	// usualLoadPeriod is the time over which the load that other hosts put on a target
 	// is averaged.
 	usualLoadPeriod = 2 * time.Second
@@ -65,6 +67,9 @@
 	// nextColdRequestAt is when this host may send the next request to the
 	// target while it is cold.
 	nextColdRequestAt time.Time
+	// ownRateLimit is the rate limit in the target's last response to this host, in
+	// requests per second; -1 if it named none.
+	ownRateLimit float64
 	// coldSince is when this host learned that the target is cold.
 	coldSince time.Time
 }
@@ -172,6 +177,18 @@
 	s.lastLoad, s.lastLoadAt, s.ownAtLastLoad = load, now, s.ownInFlight
 }
 
+// recordRateLimit records the rate limit in a response, nil for none, and reports whether
+// it differs from the one before.
+func (s *targetState) recordRateLimit(limit *float64) bool {
+	named := float64(noRateLimit)
+	if limit != nil {
+		named = *limit
+	}
+	changed := named != s.ownRateLimit
+	s.ownRateLimit = named
+	return changed
+}
+
 // recordSuccess records a response.
 func (s *targetState) recordSuccess(now time.Time) {
 	s.consecutiveFailures, s.unreachable, s.backoffUntil = 0, false, time.Time{}
--- a/target/call.go
+++ b/target/call.go
@@ -146,6 +146,11 @@
 	// if it was used as it is.
 	RetryAfter        time.Duration
 	RetryAfterProblem string
+	// RateLimit is the number of requests per second that the target takes from all
+	// hosts together; nil if the response names no limit. RateLimitProblem is why the
+	// target's value was ignored or bounded; empty if it was used as it is.
+	RateLimit        *float64
+	RateLimitProblem string
 }
 
 // Load is the load that a target reports in a response.
--- a/target/web/retry_after.go
+++ b/target/web/retry_after.go
@@ -36,7 +36,7 @@
 		problems = append(problems, fmt.Sprintf("%d values, the longest one is used", len(values)))
 	}
 	for _, value := range values {
-		seconds, ok := parseSeconds(strings.TrimSpace(value))
+		seconds, ok := parseDecimal(strings.TrimSpace(value))
 		if !ok {
 			problems = append(problems, fmt.Sprintf("%.40q is not a number of seconds", value))
 			continue
@@ -50,12 +50,12 @@
 	return pause, strings.Join(problems, "; ")
 }
 
-// parseSeconds parses a decimal number without sign or exponent.
-func parseSeconds(text string) (seconds float64, ok bool) {
+// parseDecimal parses a decimal number without sign or exponent.
+func parseDecimal(text string) (number float64, ok bool) {
 	if text == "" || strings.Trim(text, "0123456789.") != "" {
 		return 0, false
 	}
 	// A number out of range is parsed as infinity, which the caller bounds.
-	seconds, err := strconv.ParseFloat(text, 64)
-	return seconds, err == nil || seconds > 0
+	number, err := strconv.ParseFloat(text, 64)
+	return number, err == nil || number > 0
 }
