--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -28,10 +28,13 @@
 	view     *registry.View
 }
 
-func newFixture(t testing.TB) *fixture {
+func newFixture(t testing.TB) *fixture { return newFixtureWithClock(t, clockwork.NewFakeClock()) }
+
+// newFixtureWithClock returns a host that shares its clock with others.
+func newFixtureWithClock(t testing.TB, clock *clockwork.FakeClock) *fixture {
 	log, err := logs.New(io.Discard, "info", "json")
 	require.NoError(t, err)
-	f := &fixture{clock: clockwork.NewFakeClock()}
+	f := &fixture{clock: clock}
 	f.daemon = &Entry{
 		Dependencies: Dependencies{
 			Settings: &settings.Settings{Host: "e-1", FailureDomain: "a"}, Clock: f.clock, Log: log, Scope: tally.NewTestScope("", nil),
--- /dev/null
+++ b/entry/rate_limit_test.go
@@ -0,0 +1,173 @@
+package entry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"comfreytiller.dev/admission"
+	"comfreytiller.dev/target"
+)
+
+// What the requests of all hosts to a target with a rate limit must stay below, in any
+// window: a multiple of what the limit allows, and some more. A host counts from a while
+// after it has received the limit.
+const (
+	limitWindow    = 4 * time.Second
+	limitFactor    = 1.5
+	limitExtra     = 5
+	limitReaction  = 500 * time.Millisecond
+	replayDuration = 400 * time.Millisecond
+)
+
+// limitReplay sends the requests of many hosts to a service, one of whose targets names a
+// rate limit.
+type limitReplay struct {
+	t       *testing.T
+	clock   *clockwork.FakeClock
+	random  *rand.Rand
+	hosts   []*fixture
+	limited string
+	// limit is the rate limit that the target names now; 0 for none.
+	limit float64
+	// toldAt is when each host received the limit first.
+	toldAt map[*fixture]time.Time
+	// arrivals are those at the limited target from hosts that count, limits the limits at
+	// these times.
+	arrivals []time.Time
+	limits   []float64
+	// all counts the arrivals at all targets, refused the requests without a target.
+	all     map[string]int
+	refused int
+	running []runningRequest
+}
+
+type runningRequest struct {
+	host   *fixture
+	permit admission.Permit
+	endsAt time.Time
+}
+
+func newLimitReplay(t *testing.T, hosts int, targets ...string) *limitReplay {
+	r := &limitReplay{
+		t: t, clock: clockwork.NewFakeClock(), random: rand.New(rand.NewPCG(11, uint64(hosts))), limited: targets[0],
+		toldAt: map[*fixture]time.Time{}, all: map[string]int{},
+	}
+	for i := range hosts {
+		r.hosts = append(r.hosts, r.newHost(i, hosts, targets))
+	}
+	return r
+}
+
+func (r *limitReplay) newHost(i, hosts int, targets []string) *fixture {
+	f := newFixtureWithClock(r.t, r.clock)
+	f.daemon.Settings.Host = fmt.Sprint("e-", i)
+	f.selector.hosts.record(hosts)
+	for _, name := range targets {
+		f.applyEntries(f.newRosterEntry(name, "engines", "a", 1))
+	}
+	return f
+}
+
+// run sends a number of requests a second of the whole fleet for a time.
+func (r *limitReplay) run(perSecond float64, duration time.Duration) {
+	const step = 10 * time.Millisecond
+	for range int(duration / step) {
+		r.clock.Advance(step)
+		now := r.clock.Now()
+		r.finish(now)
+		for range int(perSecond*step.Seconds() + r.random.Float64()) {
+			r.send(now, r.hosts[r.random.IntN(len(r.hosts))])
+		}
+	}
+}
+
+func (r *limitReplay) send(now time.Time, f *fixture) {
+	prompt := &admission.Prompt{Parts: []admission.PromptPart{{Key: r.random.Uint64N(60) + 1, Tokens: 2000}, {Key: r.random.Uint64(), Tokens: 100}}}
+	permit, err := f.selector.Acquire(r.t.Context(), admission.Request{ID: "r", Service: "engines", Prompt: prompt})
+	if err != nil {
+		r.refused++
+		return
+	}
+	r.all[permit.Target]++
+	header := target.ResponseHeader{Status: 200}
+	if permit.Target == r.limited {
+		told, known := r.toldAt[f]
+		if known && now.Sub(told) >= limitReaction {
+			r.arrivals, r.limits = append(r.arrivals, now), append(r.limits, r.limit)
+			r.check(now)
+		}
+		if r.limit > 0 {
+			header.RateLimit = &r.limit
+			if !known {
+				r.toldAt[f] = now
+			}
+		}
+	}
+	f.selector.recordResponse(permit, header)
+	r.running = append(r.running, runningRequest{f, permit, now.Add(replayDuration)})
+}
+
+// check requires that the window that ends now holds no more requests than the limits
+// named in it allow.
+func (r *limitReplay) check(now time.Time) {
+	count, highest := 0, 0.0
+	for i := len(r.arrivals) - 1; i >= 0 && now.Sub(r.arrivals[i]) < limitWindow; i-- {
+		if r.limits[i] == 0 {
+			return
+		}
+		count, highest = count+1, max(highest, r.limits[i])
+	}
+	allowed := limitFactor*highest*limitWindow.Seconds() + limitExtra
+	require.LessOrEqual(r.t, float64(count), allowed, "requests in a window of a limit of %v a second", highest)
+}
+
+func (r *limitReplay) finish(now time.Time) {
+	for len(r.running) > 0 && !r.running[0].endsAt.After(now) {
+		r.running[0].host.release(r.running[0].permit, admission.OutcomeDone)
+		r.running = r.running[1:]
+	}
+}
+
+// A target names a rate limit for all hosts together, which get it one after the other in
+// its responses and none of which knows what the others send. However many hosts there
+// are, and while no hub tells them anything, their requests stay within the limit, and the
+// other targets get the rest.
+func TestTargetRateLimit_HostsTogetherStayBelowIt(t *testing.T) {
+	for _, hosts := range []int{3, 18, 300} {
+		for _, perSecond := range []float64{40, 150} {
+			t.Run(fmt.Sprintf("%d hosts, %v requests a second", hosts, perSecond), func(t *testing.T) {
+				r := newLimitReplay(t, hosts, "t-1", "t-2", "t-3")
+				r.run(perSecond, 5*time.Second)
+				r.limit = 5
+				r.run(perSecond, 40*time.Second)
+				r.limit = 2.5
+				r.run(perSecond, 40*time.Second)
+				require.Zero(t, r.refused, "the other targets take the rest")
+				require.Positive(t, r.all["t-1"])
+			})
+		}
+	}
+}
+
+// All targets of a service name a limit, and the requests come in bursts. A host that
+// sent nothing for a while must not catch up with it.
+func TestTargetRateLimit_BurstAfterALullStaysBelowIt(t *testing.T) {
+	for _, hosts := range []int{3, 18, 300} {
+		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
+			r := newLimitReplay(t, hosts, "t-1")
+			r.limit = 6
+			r.run(100, 20*time.Second)
+			for range 5 {
+				r.run(0, 20*time.Second)
+				before := r.all["t-1"]
+				r.run(400, 5*time.Second)
+				require.Greater(t, r.all["t-1"], before, "the target gets requests")
+			}
+		})
+	}
+}
