Share a target's rate limit among all hosts

Callers' engines that named a limit got 7 to 11 requests a second where they take 3.6 to 6.8. Cause: a limit of one target for the whole fleet had no place in the design. Nothing read it, and no host could have held it, since each gets it at another time (0.05 to 12 s after the limit began) and none knows what the others send. The class: a promise about the sum over all hosts, decided by each of them.

Change: target/ratelimit gives each host an equal share, as slots at a fixed interval that expire, so that hosts don't catch up together after a lull; the share leaves room for chance among independent hosts. Hosts report a change of a limit with their next poll, hubs keep it with the target's roster entry, and the latest response wins; without hubs, hosts go on with what they know. Slots move in proportion when the limit changes. The other targets take the rest: the last ones without a limit may use half of their slots freely, a limited target is no reason to refuse, and prompts beyond a limit have one home without one.

Before: TestTargetRateLimit_HostsTogetherStayBelowIt 36 of 35 in the first windows with 3, 18 and 300 hosts, TestTargetRateLimit_HoldsForAllHostsTogether 536 of 17. After: all pass.

--- a/entry/hub_watcher.go
+++ b/entry/hub_watcher.go
@@ -146,7 +146,7 @@
 // wait is over. Otherwise a hub that is not the current one replies at once.
 func (w *hubWatcher) poll(ctx context.Context, address string, waitForMajority bool) error {
 	view := w.daemon.view.latest()
-	request := peer.WatchRequest{Host: w.daemon.Settings.Host, RosterSource: w.rosterSource, RosterVersion: w.rosterVersion, MaxWait: longPollMaxWait, Loads: w.daemon.selector.ownLoads()}
+	request := peer.WatchRequest{Host: w.daemon.Settings.Host, RosterSource: w.rosterSource, RosterVersion: w.rosterVersion, MaxWait: longPollMaxWait, Loads: w.daemon.selector.ownLoads(), RateLimits: w.daemon.selector.rateLimitReports()}
 	prompts := w.daemon.prompts.observer
 	request.PartsVersion, request.Quarantined = prompts.Version(), prompts.Unlisted(w.clock.Now())
 	if view != nil {
--- a/entry/notices.go
+++ b/entry/notices.go
@@ -9,6 +9,7 @@
 	"comfreytiller.dev/admission"
 	"comfreytiller.dev/route"
 	"comfreytiller.dev/target"
+	"comfreytiller.dev/target/ratelimit"
 )
 
 // recordResponse records what a target says of itself in a response: its load, that it
@@ -36,9 +37,8 @@
 	if header.RateLimitProblem != "" {
 		t.log.WithFields(fields).Warnf("Target %s sent an unusual rate limit: %s.", permit.Target, header.RateLimitProblem)
 	}
-	if s != nil && s.Incarnation == permit.Incarnation && s.recordRateLimit(header.RateLimit) {
-		fields["PerSecond"], fields["OwnInFlight"] = s.ownRateLimit, s.ownInFlight
-		t.log.WithFields(fields).Infof("Target %s changed the rate limit that it names.", permit.Target)
+	if s != nil && s.Incarnation == permit.Incarnation {
+		t.applyRateLimit(now, s, ratelimit.New(now, header.RateLimit), permit.RequestID)
 	}
 	if news.Leaving {
 		t.leavingNotices.Inc(1)
--- a/entry/rate_limit_test.go
+++ b/entry/rate_limit_test.go
@@ -11,6 +11,8 @@
 
 	"comfreytiller.dev/admission"
 	"comfreytiller.dev/target"
+	"comfreytiller.dev/target/ratelimit"
+	"comfreytiller.dev/target/roster"
 )
 
 // What the requests of all hosts to a target with a rate limit must stay below, in any
@@ -171,3 +173,90 @@
 		})
 	}
 }
+
+// exchangeReports passes the reports of all hosts to a hub's table, and its entries to all
+// hosts.
+func (r *limitReplay) exchangeReports(hub *roster.Table) {
+	now := r.clock.Now()
+	for _, f := range r.hosts {
+		for _, report := range f.selector.rateLimitReports() {
+			hub.RecordRateLimit(now, report)
+		}
+	}
+	entries, _ := hub.ChangedSince(0)
+	for _, f := range r.hosts {
+		f.applyEntries(entries...)
+	}
+}
+
+func newHubTable(f *fixture, targets ...string) *roster.Table {
+	hub := roster.NewTable()
+	for _, name := range targets {
+		hub.Merge(f.clock.Now(), f.newRosterEntry(name, "engines", "a", 1))
+	}
+	return hub
+}
+
+// What the responses to one host tell of a limit, its figure and its end, is known to all
+// hosts once they have polled the hubs, also to those that start later, and a hub that has
+// lost it gets it back from the hosts.
+func TestTargetRateLimit_HubsTellWhatOneHostLearned(t *testing.T) {
+	r := newLimitReplay(t, 20, "t-1", "t-2")
+	hub := newHubTable(r.hosts[0], "t-1", "t-2")
+	limitAt := func(f *fixture) ratelimit.Limit { return f.selector.byName["t-1"].limit }
+	tell := func(f *fixture, limit *float64) {
+		r.clock.Advance(time.Second)
+		permit := admission.Permit{Target: "t-1", Incarnation: 1, Service: "engines"}
+		f.selector.recordResponse(permit, target.ResponseHeader{Status: 200, RateLimit: limit})
+	}
+	five, seven := 5.0, 7.0
+	tell(r.hosts[3], &five)
+	require.False(t, limitAt(r.hosts[4]).IsLimited)
+	r.exchangeReports(hub)
+	for _, f := range r.hosts {
+		require.InDelta(t, five, limitAt(f).PerSecond, 0)
+		require.Empty(t, f.selector.rateLimitReports(), "nothing is left to report")
+	}
+
+	hub = newHubTable(r.hosts[0], "t-1", "t-2")
+	entries, _ := hub.ChangedSince(0)
+	r.hosts[0].applyEntries(entries...)
+	require.True(t, limitAt(r.hosts[0]).IsLimited, "a hub that restarted does not know better")
+	r.exchangeReports(hub)
+	started := r.newHost(20, 20, []string{"t-1", "t-2"})
+	r.hosts = append(r.hosts, started)
+	r.exchangeReports(hub)
+	require.InDelta(t, five, limitAt(started).PerSecond, 0)
+
+	tell(r.hosts[5], &seven)
+	r.exchangeReports(hub)
+	require.InDelta(t, seven, limitAt(r.hosts[6]).PerSecond, 0)
+	tell(r.hosts[6], nil)
+	r.exchangeReports(hub)
+	for _, f := range r.hosts {
+		require.False(t, limitAt(f).IsLimited)
+	}
+
+	// The next start of the target has named no limit, and a late response of the former
+	// one doesn't tell it.
+	tell(r.hosts[7], &five)
+	restarted := r.hosts[7].newRosterEntry("t-1", "engines", "a", 1)
+	restarted.Incarnation = 2
+	r.hosts[7].applyEntries(restarted)
+	tell(r.hosts[7], &five)
+	require.False(t, limitAt(r.hosts[7]).IsLimited)
+}
+
+// While the queues of a plain service's targets with a limit stay empty, those of the
+// others fill up. The share of admitted requests must follow from what is left.
+func TestUpdateThrottles_LimitedTargetsOfferFewSlots(t *testing.T) {
+	f := newFixture(t)
+	f.applyEntries(f.newRosterEntry("t-1", "treasury", "a", 1), f.newRosterEntry("t-2", "treasury", "a", 1))
+	one, two := 1.0, f.selector.byName["t-2"]
+	f.selector.recordResponse(admission.Permit{Target: "t-1", Incarnation: 1, Service: "treasury"}, target.ResponseHeader{Status: 200, RateLimit: &one})
+	f.selector.durations["treasury"] = 50 * time.Millisecond
+	require.Equal(t, 1, f.selector.byName["t-1"].usableSlots(50*time.Millisecond))
+	require.Equal(t, two.Capacity, two.usableSlots(50*time.Millisecond))
+	f.selector.applyLoads(map[string]int{"t-1": 0, "t-2": 3 * two.Capacity}, 0, nil)
+	require.Less(t, f.selector.throttles["treasury"].AdmitRate(), 1.0)
+}
--- a/entry/target_selector.go
+++ b/entry/target_selector.go
@@ -75,8 +75,10 @@
 	roster      *roster.Table
 	notices     *notice.Board
 	reports     reportClock
-	// durations holds the mean duration of requests by service.
+	// durations holds the mean duration of requests by service, demand the rate of
+	// requests of this host.
 	durations map[string]time.Duration
+	demand    map[string]*demandRate
 	// firstTargetSeen is when this host learned of its first target.
 	firstTargetSeen time.Time
 
@@ -87,7 +89,7 @@
 func newTargetSelector(e *Entry) *targetSelector {
 	return &targetSelector{
 		daemon: e, log: logs.ForComponent(e.Log, "Target"), clock: e.Clock, hosts: &hostCount{clock: e.Clock},
-		byName: map[string]*targetState{}, byService: map[string][]*targetState{}, throttles: map[string]*route.Throttle{}, durations: map[string]time.Duration{}, prefixCache: newPrefixCacheIndex(), roster: roster.NewTable(),
+		byName: map[string]*targetState{}, byService: map[string][]*targetState{}, throttles: map[string]*route.Throttle{}, durations: map[string]time.Duration{}, demand: map[string]*demandRate{}, prefixCache: newPrefixCacheIndex(), roster: roster.NewTable(),
 		notices: notice.NewBoard(), leavingNotices: e.Scope.Counter("targets_leaving_in_response"), pauseNotices: e.Scope.Counter("target_pauses"),
 	}
 }
@@ -125,6 +127,7 @@
 		t.updateTarget(now, entry)
 	}
 	t.rebuildIndex()
+	t.applyRateLimits(now, entries)
 }
 
 // updateTarget applies one entry of the roster. The caller must hold t.mu.
@@ -134,7 +137,7 @@
 	case s == nil && entry.State == roster.Gone:
 		return
 	case s == nil || s.Incarnation != entry.Incarnation:
-		added := &targetState{Entry: entry, firstSeen: now, coldSince: now, ownRateLimit: noRateLimit}
+		added := &targetState{Entry: entry, firstSeen: now, coldSince: now}
 		if s != nil {
 			added.ownInFlight = s.ownInFlight
 		}
@@ -266,6 +269,7 @@
 	if throttle := t.throttles[request.Service]; throttle != nil && len(request.Exclude) == 0 && !throttle.Admits(rand.Uint64()) {
 		return admission.Permit{}, t.refuseQueueFull(&request, throttle.AdmitRate())
 	}
+	t.recordDemand(now, request.Service)
 	loads := t.serviceLoads(now, request.Service, list)
 	key, tokens := t.promptKey(&request)
 	candidates := make([]route.LocalTarget, len(list))
@@ -291,7 +295,7 @@
 		}
 		return admission.Permit{}, t.refuse(&request, admission.RefusedNoTarget, t.explainNoTarget(view, list, candidates))
 	}
-	permit := t.grant(now, view, service, list[choice.Target], &candidates[choice.Target], &request, available, loads.hosts)
+	permit := t.grant(now, view, service, list[choice.Target], &candidates[choice.Target], &request, available, loads)
 	if choice.Home {
 		permit.Reason = route.Home.String()
 	}
@@ -306,6 +310,7 @@
 func (t *targetSelector) serviceLoads(now time.Time, service string, list []*targetState) serviceLoads {
 	return serviceLoads{
 		hosts: t.hosts.count(), mean: meanOthersLoad(now, list), reportAge: t.reports.age(now), duration: t.durations[service],
+		demand: t.demand[service].perSecond(now),
 	}
 }
 
@@ -334,7 +339,8 @@
 		Slots:          s.Capacity,
 		RecentlyJoined: now.Sub(s.firstSeen) < newTargetPeriod && s.firstSeen.Sub(t.firstTargetSeen) > startupSlack,
 		FailureRate:    s.decayedFailureRate(now),
-		AtCapacity:     now.Before(s.atCapacityUntil) || t.isPaused(now, s) || s.isCold(now) && now.Before(t.earliestColdRequest(s, service, loads.hosts)),
+		RateLimited:    s.limit.IsLimited,
+		AtCapacity:     now.Before(s.atCapacityUntil) || !s.hasSlot(now, loads) || t.isPaused(now, s) || s.isCold(now) && now.Before(t.earliestColdRequest(s, service, loads.hosts)),
 	}
 	local.InFlight, local.Queued = s.estimateLoad(now, loads)
 	if request.Prompt != nil {
@@ -356,11 +362,12 @@
 // grant counts a request as in flight on a target and returns its permit.
 // available is the number of candidates that it was chosen from. The caller
 // must hold t.mu.
-func (t *targetSelector) grant(now time.Time, view *registry.View, service *fleet.Service, s *targetState, local *route.LocalTarget, request *admission.Request, available, hosts int) admission.Permit {
+func (t *targetSelector) grant(now time.Time, view *registry.View, service *fleet.Service, s *targetState, local *route.LocalTarget, request *admission.Request, available int, loads serviceLoads) admission.Permit {
 	cold := s.isCold(now)
 	if cold {
-		s.nextColdRequestAt = now.Add(coldRequestInterval(service, hosts))
+		s.nextColdRequestAt = now.Add(coldRequestInterval(service, loads.hosts))
 	}
+	s.useSlot(now, loads)
 	s.adjustInFlight(now, 1)
 	if request.Prompt != nil {
 		t.prefixCache.recordSent(now, local.Key, request.Prompt.Parts)
--- a/entry/target_state.go
+++ b/entry/target_state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"comfreytiller.dev/target"
+	"comfreytiller.dev/target/ratelimit"
 	"comfreytiller.dev/target/roster"
 )
 
@@ -27,8 +28,6 @@
 	atCapacityPeriod = 100 * time.Millisecond
 	// ownAveragePeriod is the time over which this host's own load is averaged.
 	ownAveragePeriod = 2 * time.Second
-	// noRateLimit stands for a target that names no rate limit.
-	noRateLimit = -1
 	// usualLoadPeriod is the time over which the load that other hosts put on a target
 	// is averaged.
 	usualLoadPeriod = 2 * time.Second
@@ -67,9 +66,11 @@
 	// nextColdRequestAt is when this host may send the next request to the
 	// target while it is cold.
 	nextColdRequestAt time.Time
-	// ownRateLimit is the rate limit in the target's last response to this host, in
-	// requests per second; -1 if it named none.
-	ownRateLimit float64
+	// limit is the latest rate limit of the target that this host knows of, and hubLimit
+	// the one that its hub knows. slots is the host's share of it; nil if there is none.
+	limit    ratelimit.Limit
+	hubLimit ratelimit.Limit
+	slots    *ratelimit.Schedule
 	// coldSince is when this host learned that the target is cold.
 	coldSince time.Time
 }
@@ -134,6 +135,8 @@
 	// request is in flight; 0 for unknown.
 	reportAge time.Duration
 	duration  time.Duration
+	// demand is the number of requests of this host per second.
+	demand float64
 }
 
 // estimateLoad estimates the requests of all hosts in flight and queued on the
@@ -177,18 +180,6 @@
 	s.lastLoad, s.lastLoadAt, s.ownAtLastLoad = load, now, s.ownInFlight
 }
 
-// recordRateLimit records the rate limit in a response, nil for none, and reports whether
-// it differs from the one before.
-func (s *targetState) recordRateLimit(limit *float64) bool {
-	named := float64(noRateLimit)
-	if limit != nil {
-		named = *limit
-	}
-	changed := named != s.ownRateLimit
-	s.ownRateLimit = named
-	return changed
-}
-
 // recordSuccess records a response.
 func (s *targetState) recordSuccess(now time.Time) {
 	s.consecutiveFailures, s.unreachable, s.backoffUntil = 0, false, time.Time{}
--- a/hub/gossip.go
+++ b/hub/gossip.go
@@ -51,6 +51,13 @@
 	}
 }
 
+// recordChange records a change of a target that is resent with the refreshes.
+func (g *gossip) recordChange(name string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.changedAt[name] = g.hub.Clock.Now()
+}
+
 // runRefresh sends the refreshes until ctx ends.
 func (g *gossip) runRefresh(ctx context.Context) {
 	ticks.Every(ctx, g.hub.Clock, refreshInterval, func(context.Context) {
--- a/hub/watchers.go
+++ b/hub/watchers.go
@@ -140,6 +140,7 @@
 	h.watchers.recordWatch(m.Host, m.Revision)
 	h.loads.recordHost(m.Host, m.Loads)
 	h.recordPromptReport(m.Host, m.PromptReport, m.Quarantined)
+	h.recordRateLimits(m.Host, m.RateLimits)
 	startedAt := h.Clock.Now()
 	if !h.contact.await(min(m.MaxWait, maxLongPollWait)) {
 		// The host will poll another hub. After an outage of all hosts,
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -13,6 +13,7 @@
 	"comfreytiller.dev/admission"
 	"comfreytiller.dev/admission/quarantine"
 	"comfreytiller.dev/target"
+	"comfreytiller.dev/target/ratelimit"
 	"comfreytiller.dev/target/roster"
 )
 
@@ -75,8 +76,15 @@
 		RosterUpdate{Host: "h", Entries: []roster.Entry{{
 			Announcement: target.Announcement{Name: "t", Stamp: sampleStamp, Service: "s", Capacity: 4}, State: roster.Leaving,
 			WarmUpRemaining: time.Second, LastSeen: epoch.Add(-time.Second), Silent: true,
+			RateLimit: ratelimit.Limit{IsLimited: true, PerSecond: 4.25, SaidAt: epoch.Add(-time.Second)},
 		}}, Watchers: []string{"e"}, Loads: map[string]int{"t": 3}, PromptReport: samplePromptReport(), Quarantined: samplePromptParts()},
-		WatchRequest{Host: "h", Revision: 1, FleetVersion: 2, RosterSource: 3, RosterVersion: 4, MaxWait: time.Second, Loads: map[string]int{"t": 3}, PromptReport: samplePromptReport(), PartsVersion: 5, Quarantined: samplePromptParts()},
+		WatchRequest{
+			Host: "h", Revision: 1, FleetVersion: 2, RosterSource: 3, RosterVersion: 4, MaxWait: time.Second, Loads: map[string]int{"t": 3}, PromptReport: samplePromptReport(), PartsVersion: 5, Quarantined: samplePromptParts(),
+			RateLimits: []ratelimit.Report{
+				{Target: "t", Incarnation: 7, Limit: ratelimit.Limit{SaidAt: epoch.Add(-time.Second)}},
+				{Target: "u", Incarnation: 8, Limit: ratelimit.Limit{IsLimited: true, PerSecond: 0.5, SaidAt: epoch}},
+			},
+		},
 		WatchResponse{
 			QuorumConfirmed: true, Delta: []byte{1}, RosterSource: 2, RosterVersion: 3, Entries: []roster.Entry{{State: roster.Gone, LastSeen: epoch}},
 			WatcherCount: 4, ReplicaAddresses: []string{"a"}, Loads: map[string]int{"t": 3}, MeanLoad: 1.5, WithoutLoads: true,
--- a/peer/codec_watch.go
+++ b/peer/codec_watch.go
@@ -21,6 +21,7 @@
 			Host: m.Host, Revision: m.Revision, FleetVersion: m.FleetVersion,
 			Source: m.RosterSource, Roster: m.RosterVersion, Wait: int64(m.MaxWait), Loads: loadsToWire(m.Loads),
 			Evidence: promptReportToWire(m.PromptReport, now), Parts: m.PartsVersion, Quarantined: promptPartsToWire(m.Quarantined, now),
+			RateLimits: rateLimitReportsToWire(m.RateLimits, now),
 		}}
 	case WatchResponse:
 		wire.Body = &peerpb.Frame_Watched{Watched: &peerpb.Watched{
@@ -47,6 +48,7 @@
 			Host: w.Host, Revision: w.Revision, FleetVersion: w.FleetVersion,
 			RosterSource: w.Source, RosterVersion: w.Roster, MaxWait: time.Duration(w.Wait), Loads: loadsFromWire(w.Loads),
 			PromptReport: promptReportFromWire(w.Evidence, now), PartsVersion: w.Parts, Quarantined: promptPartsFromWire(w.Quarantined, now),
+			RateLimits: rateLimitReportsFromWire(w.RateLimits, now),
 		}
 	case *peerpb.Frame_Watched:
 		w := b.Watched
@@ -70,6 +72,7 @@
 		wire = append(wire, &peerpb.RosterEntry{
 			Announcement: AnnouncementToWire(entry.Announcement), State: string(entry.State),
 			WarmUp: int64(entry.WarmUpRemaining), Age: int64(now.Sub(entry.LastSeen)), Silent: entry.Silent,
+			RateLimit: rateLimitToWire(entry.RateLimit, now),
 		})
 	}
 	return wire
@@ -84,6 +87,7 @@
 		entries = append(entries, roster.Entry{
 			Announcement: AnnouncementFromWire(w.Announcement), State: roster.State(w.State),
 			WarmUpRemaining: time.Duration(w.WarmUp), LastSeen: now.Add(-time.Duration(w.Age)), Silent: w.Silent,
+			RateLimit: rateLimitFromWire(w.RateLimit, now),
 		})
 	}
 	return entries
--- a/peer/message.go
+++ b/peer/message.go
@@ -6,6 +6,7 @@
 	"comfreytiller.dev/admission"
 	"comfreytiller.dev/admission/quarantine"
 	"comfreytiller.dev/target"
+	"comfreytiller.dev/target/ratelimit"
 	"comfreytiller.dev/target/roster"
 )
 
@@ -226,6 +227,8 @@
 	PartsVersion uint64
 	// Quarantined are parts in quarantine that RosterSource did not list.
 	Quarantined []quarantine.Part
+	// RateLimits are those that differ from what RosterSource told of their targets.
+	RateLimits []ratelimit.Report
 }
 
 // WatchResponse is the reply to a WatchRequest.
--- a/route/bounds.go
+++ b/route/bounds.go
@@ -23,6 +23,11 @@
 	// low bound, and from the low to the high bound, however many targets are out of
 	// service.
 	minBoundGap = 1
+	// freelyUsedSlots and mostUsedSlots are the low and the high bound on a target beside
+	// others with a rate limit, as fractions of its slots. The more slots are in use, the
+	// longer each request takes.
+	freelyUsedSlots = 0.5
+	mostUsedSlots   = 0.75
 	// defaultDuration is assumed until a request has ended.
 	defaultDuration = 500 * time.Millisecond
 )
@@ -90,5 +95,34 @@
 	lowAll, highAll := t.loadBounds(meanAll)
 	lowAll = (lowAll + slowdownLoad(meanAll)) / 2
 	low = min(low, max(lowAll, mean+minBoundGap))
-	return low, min(high, max(highAll, low+minBoundGap))
+	high = min(high, max(highAll, low+minBoundGap))
+	if slots := slotsBesideLimits(targets); slots > 0 {
+		low = max(low, freelyUsedSlots*slots)
+		high = max(high, mostUsedSlots*slots, low+minBoundGap)
+	}
+	return low, high
+}
+
+// slotsBesideLimits returns the mean number of slots of the targets without a rate limit
+// while others have one; 0 if none has one, or for unknown.
+//
+// It is designed for a service most of whose targets name a limit below their usual load.
+// The others get a multiple of the mean then, and can take it as long as they have slots:
+// bounds by the mean would copy their prompts to one target after the other.
+func slotsBesideLimits(targets []LocalTarget) float64 {
+	slots, unlimited, limited := 0, 0, 0
+	for i := range targets {
+		switch {
+		case targets[i].Availability != Available:
+		case targets[i].RateLimited:
+			limited++
+		case targets[i].Slots > 0:
+			slots += targets[i].Slots
+			unlimited++
+		}
+	}
+	if limited == 0 || unlimited == 0 {
+		return 0
+	}
+	return float64(slots) / float64(unlimited)
 }
--- a/route/local.go
+++ b/route/local.go
@@ -17,6 +17,9 @@
 	// AtCapacity is set if this host has used up its share of a target that is warming
 	// up, or if the target has just refused a request.
 	AtCapacity bool
+	// RateLimited is set for a target that names a rate limit. AtCapacity is then set while
+	// this host has used up its share of that.
+	RateLimited bool
 	// Unhealthy is set after failures, until the target responds again.
 	Unhealthy bool
 	// RecentlyJoined is set for a target that joined a short time ago and has cached
@@ -88,7 +91,7 @@
 // other targets. traffic tells how much may have changed since the loads were reported.
 func ChooseLocal(key, random uint64, traffic Traffic, tokens int, targets []LocalTarget, costs *LocalCosts) LocalChoice {
 	order := newRendezvousOrder(key, targets)
-	mean := meanInFlight(targets)
+	mean, meanUnlimited := meanInFlight(targets)
 	low, high := traffic.targetBounds(mean, targets)
 	if order.home != None && targets[order.home].InFlight+1 > low {
 		if at := spread(key, random, traffic.promptArrivals(), low, targets); at != None {
@@ -109,7 +112,7 @@
 			choice = LocalChoice{Target: i, CacheSource: source, Home: i == order.home}
 		}
 	}
-	if choice.Target != None && shouldRefuse(&targets[choice.Target], random, mean, targets) {
+	if choice.Target != None && shouldRefuse(&targets[choice.Target], random, meanUnlimited, targets) {
 		return LocalChoice{Target: None, CacheSource: None}
 	}
 	return choice
@@ -117,7 +120,8 @@
 
 // shouldRefuse reports whether a request should be refused rather than sent to the
 // cheapest target, because that target is well above the mean and others are at
-// capacity.
+// capacity. Targets with a rate limit do not count: they never take more, and the others
+// take the rest.
 //
 // This protects the last warm target among cold ones during a rolling release. The
 // refused fraction grows from 0, halfway from the mean to the load above which a target
@@ -130,7 +134,7 @@
 	if overload <= 0 {
 		return false
 	}
-	if !slices.ContainsFunc(targets, func(t LocalTarget) bool { return t.Availability == Available && t.AtCapacity }) {
+	if !slices.ContainsFunc(targets, func(t LocalTarget) bool { return t.Availability == Available && t.AtCapacity && !t.RateLimited }) {
 		return false
 	}
 	// The low bits of random select the target in spread.
@@ -180,18 +184,30 @@
 }
 
 // meanInFlight returns the mean number in flight over the targets that admit new
-// requests.
-func meanInFlight(targets []LocalTarget) float64 {
-	sum, count := 0.0, 0
+// requests, and over those of them without a rate limit; the former again if each has one.
+func meanInFlight(targets []LocalTarget) (mean, unlimited float64) {
+	sum, count, unlimitedSum, unlimitedCount := 0.0, 0, 0.0, 0
 	for i := range targets {
-		if targets[i].Availability == Available {
-			sum += targets[i].InFlight
-			count++
+		if targets[i].Availability != Available {
+			continue
+		}
+		sum += targets[i].InFlight
+		count++
+		if !targets[i].RateLimited {
+			unlimitedSum += targets[i].InFlight
+			unlimitedCount++
 		}
 	}
-	return sum / float64(max(count, 1))
+	mean = sum / float64(max(count, 1))
+	if unlimitedCount == 0 {
+		return mean, mean
+	}
+	return mean, unlimitedSum / float64(unlimitedCount)
 }
 
+// hasNoSlot reports whether this host has used up its share of the target's rate limit.
+func (t *LocalTarget) hasNoSlot() bool { return t.RateLimited && t.AtCapacity }
+
 // rendezvousOrder holds the first targets in rendezvous order for a key.
 type rendezvousOrder struct {
 	// first and second are the first two of all targets that may have cached the
@@ -205,7 +221,9 @@
 // newRendezvousOrder finds the first targets in rendezvous order for a key; a key of 0
 // has none. A recently joined target is no home while there are others: each prompt that
 // moves to it needs a cache transfer, and it receives the overflow of the other targets
-// anyway.
+// anyway. The prompts of a target with a rate limit have a second home for the requests
+// beyond it, one without a limit if there is any: with others, whose slots open and close,
+// a prompt would be copied to one after the other.
 func newRendezvousOrder(key uint64, targets []LocalTarget) rendezvousOrder {
 	order := rendezvousOrder{first: None, second: None, home: None}
 	if key == 0 {
@@ -216,7 +234,8 @@
 		target := &targets[i]
 		hasEstablished = hasEstablished || target.Availability == Available && !target.RecentlyJoined && !target.Unhealthy
 	}
-	var firstScore, secondScore, homeScore uint64
+	var firstScore, secondScore uint64
+	preferred, unlimited, withSlot := topTarget{at: None}, topTarget{at: None}, topTarget{at: None}
 	for i := range targets {
 		target := &targets[i]
 		if target.Unhealthy || target.Availability == Gone || hasEstablished && target.RecentlyJoined {
@@ -230,13 +249,40 @@
 		case order.second == None || score > secondScore:
 			order.second, secondScore = i, score
 		}
-		if target.Availability == Available && (order.home == None || score > homeScore) {
-			order.home, homeScore = i, score
+		if target.Availability != Available {
+			continue
+		}
+		preferred.offer(i, score)
+		if !target.RateLimited {
+			unlimited.offer(i, score)
+		}
+		if !target.hasNoSlot() {
+			withSlot.offer(i, score)
 		}
 	}
+	switch {
+	case preferred.at != None && !targets[preferred.at].hasNoSlot():
+		order.home = preferred.at
+	case unlimited.at != None:
+		order.home = unlimited.at
+	default:
+		order.home = withSlot.at
+	}
 	return order
 }
 
+// topTarget is the target with the highest score of those that were offered.
+type topTarget struct {
+	at    int
+	score uint64
+}
+
+func (t *topTarget) offer(i int, score uint64) {
+	if t.at == None || score > t.score {
+		t.at, t.score = i, score
+	}
+}
+
 // cacheSource returns the target from which target i can get the cached prompt: the
 // home, or the target that was the home before the set of targets changed.
 func (r *rendezvousOrder) cacheSource(i int, targets []LocalTarget) int {
--- a/route/local_test.go
+++ b/route/local_test.go
@@ -170,7 +170,7 @@
 func chooseNextInOrder(key uint64, _ int, targets []LocalTarget) LocalChoice {
 	remaining := make([]LocalTarget, len(targets))
 	copy(remaining, targets)
-	bound, _ := replayTraffic(0).loadBounds(meanInFlight(targets))
+	bound, _ := replayTraffic(0).loadBounds(meanOfAll(targets))
 	for range remaining {
 		order := newRendezvousOrder(key, remaining)
 		if order.home == None {
@@ -184,6 +184,12 @@
 	return LocalChoice{Target: 0, CacheSource: None}
 }
 
+// meanOfAll returns the mean number in flight over the targets that admit new requests.
+func meanOfAll(targets []LocalTarget) float64 {
+	mean, _ := meanInFlight(targets)
+	return mean
+}
+
 func TestChooseLocal_ReturningPromptIsPrefilledOnce(t *testing.T) {
 	with, without := newLoadReplay(9).run(chooseWithHome(0), 0), newLoadReplay(9).run(chooseLeastLoadedLocal, 0)
 	// One prompt in ten may be prefilled twice, if its home was overloaded when its
@@ -342,7 +348,7 @@
 		}), 0, 8).Draw(t, "targets")
 		choice := ChooseLocal(rapid.Uint64().Draw(t, "prompt"), rapid.Uint64().Draw(t, "point"), replayTraffic(rapid.Float64Range(0, 40).Draw(t, "hot")), 1000, targets, &testCosts)
 		withCapacity, healthy, atCapacity, belowStart := 0, 0, 0, 0
-		mean := meanInFlight(targets)
+		mean := meanOfAll(targets)
 		start := (mean + slowdownLoad(mean)) / 2
 		for i := range targets {
 			if targets[i].Availability == Available && targets[i].AtCapacity {
--- a/target/roster/roster.go
+++ b/target/roster/roster.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"comfreytiller.dev/target"
+	"comfreytiller.dev/target/ratelimit"
 )
 
 // State is the state that a target last announced.
@@ -65,6 +66,9 @@
 	// Silent is set once the target has sent nothing for several announcement
 	// intervals.
 	Silent bool
+	// RateLimit is what hosts learned last of the target's rate limit. Announcements do
+	// not tell it.
+	RateLimit ratelimit.Limit
 }
 
 // ColdUntil returns when the warm-up that the target announced ends.
@@ -74,6 +78,8 @@
 type record struct {
 	Entry
 	version uint64
+	// limitChangedAt is when a host's report last changed the rate limit.
+	limitChangedAt time.Time
 }
 
 // Table holds the entries of the targets by name. It is safe for concurrent
@@ -99,8 +105,11 @@
 		entry.LastSeen = now
 	}
 	current := t.byName[entry.Name]
+	if current != nil && current.Incarnation == entry.Incarnation {
+		entry.RateLimit = current.RateLimit.Latest(entry.RateLimit)
+	}
 	if current != nil && !supersedes(&entry, &current.Entry) {
-		return false
+		return current.Incarnation == entry.Incarnation && t.setRateLimit(current, entry.RateLimit)
 	}
 	if t.addressTaken(&entry) {
 		return false
@@ -130,13 +139,14 @@
 
 // hasChanged reports whether two entries differ in more than the time of the
 // announcement: in state, address, kind, service, model, failure domain, version,
-// capacity, silence or the end of the warm-up.
+// capacity, silence, rate limit or the end of the warm-up.
 func hasChanged(a, b *Entry) bool {
 	const warmUpSlack = 500 * time.Millisecond
 	drift := a.ColdUntil().Sub(b.ColdUntil())
 	warmUpMoved := (a.WarmUpRemaining > 0 || b.WarmUpRemaining > 0) && (drift > warmUpSlack || drift < -warmUpSlack)
 	return a.State != b.State || a.Address != b.Address || a.Service != b.Service || a.FailureDomain != b.FailureDomain ||
-		a.Kind != b.Kind || a.Model != b.Model || a.Version != b.Version || a.Capacity != b.Capacity || a.Silent != b.Silent || warmUpMoved
+		a.Kind != b.Kind || a.Model != b.Model || a.Version != b.Version || a.Capacity != b.Capacity || a.Silent != b.Silent || warmUpMoved ||
+		a.RateLimit.Differs(b.RateLimit)
 }
 
 // addressTaken reports whether a target that started later holds the address. A
@@ -167,6 +177,51 @@
 	t.changed = make(chan struct{})
 }
 
+// RecordRateLimit records what a host knows of the rate limit of a target, and reports
+// whether it is a change. A change that follows another one at once is ignored, so that a
+// target whose responses contradict each other does not occupy all hosts; the host reports
+// it again.
+func (t *Table) RecordRateLimit(now time.Time, report ratelimit.Report) bool {
+	const minChangeInterval = 300 * time.Millisecond
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	current := t.byName[report.Target]
+	if current == nil || current.Incarnation != report.Incarnation {
+		return false
+	}
+	latest := current.RateLimit.Latest(report.Limit)
+	isRefuted := latest == current.RateLimit && report.Limit.Differs(latest)
+	if !isRefuted && !latest.Differs(current.RateLimit) {
+		current.RateLimit = latest
+		return false
+	}
+	if now.Sub(current.limitChangedAt) < minChangeInterval {
+		return false
+	}
+	if isRefuted {
+		// The host lacks what another one learned later.
+		t.put(current.Entry)
+		t.byName[report.Target].limitChangedAt = now
+		return false
+	}
+	t.setRateLimit(current, latest)
+	t.byName[report.Target].limitChangedAt = now
+	return true
+}
+
+// setRateLimit sets the rate limit of a target and reports whether it is a change. The
+// caller must hold t.mu.
+func (t *Table) setRateLimit(current *record, limit ratelimit.Limit) bool {
+	if !limit.Differs(current.RateLimit) {
+		current.RateLimit = limit
+		return false
+	}
+	changed := current.Entry
+	changed.RateLimit = limit
+	t.put(changed)
+	return true
+}
+
 // MarkGone records that a target has left and returns its entry. found is false
 // if the target is not in the table.
 func (t *Table) MarkGone(now time.Time, name string) (entry Entry, found bool) {
--- a/target/roster/roster_test.go
+++ b/target/roster/roster_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"comfreytiller.dev/target"
+	"comfreytiller.dev/target/ratelimit"
 )
 
 var baseTime = time.Unix(1_000_000, 0)
@@ -125,3 +126,61 @@
 		}
 	})
 }
+
+// limitAt returns a rate limit that a target named some seconds after baseTime.
+func limitAt(seconds int, perSecond float64) ratelimit.Limit {
+	return ratelimit.New(baseTime.Add(time.Duration(seconds)*time.Second), &perSecond)
+}
+
+// Announcements don't tell the rate limit of a target, so that it must outlast them, and
+// it must reach the other hubs and the hosts with the entry.
+func TestMerge_RateLimitOutlastsAnnouncements(t *testing.T) {
+	table, other := NewTable(), NewTable()
+	table.Merge(baseTime, newEntry("a", "x", 1, 1, Ready))
+	other.Merge(baseTime, newEntry("a", "x", 1, 1, Ready))
+	require.True(t, table.RecordRateLimit(baseTime, ratelimit.Report{Target: "a", Incarnation: 1, Limit: limitAt(1, 5)}))
+	require.False(t, table.RecordRateLimit(baseTime, ratelimit.Report{Target: "a", Incarnation: 1, Limit: limitAt(2, 5.01)}), "nearly the same")
+	require.False(t, table.RecordRateLimit(baseTime, ratelimit.Report{Target: "a", Incarnation: 2, Limit: limitAt(3, 9)}), "of another start")
+	require.False(t, table.RecordRateLimit(baseTime, ratelimit.Report{Target: "b", Incarnation: 1, Limit: limitAt(3, 9)}))
+	require.False(t, table.Merge(baseTime, newEntry("a", "x", 1, 2, Ready)))
+	entry, _ := table.Get("a")
+	require.True(t, entry.RateLimit.IsLimited)
+
+	require.True(t, other.Merge(baseTime, entry), "a later announcement with a limit")
+	require.False(t, other.Merge(baseTime, entry))
+	received, _ := other.Get("a")
+	require.Equal(t, entry.RateLimit, received.RateLimit)
+	entry.RateLimit = ratelimit.New(baseTime.Add(4*time.Second), nil)
+	require.True(t, other.Merge(baseTime, entry), "the same announcement, and the end of the limit")
+	require.False(t, other.Merge(baseTime, received), "delayed")
+	received, _ = other.Get("a")
+	require.False(t, received.RateLimit.IsLimited)
+
+	require.True(t, table.Merge(baseTime, newEntry("a", "y", 2, 1, Ready)))
+	entry, _ = table.Get("a")
+	require.False(t, entry.RateLimit.IsLimited, "a new start has named no limit")
+}
+
+// A host that missed what another one learned later must get it, although nothing has
+// changed since; and a target whose responses contradict each other must not occupy all
+// hosts with changes.
+func TestRecordRateLimit_RefutedReportAndContradictions(t *testing.T) {
+	table := NewTable()
+	table.Merge(baseTime, newEntry("a", "x", 1, 1, Ready))
+	record := func(at time.Duration, limit ratelimit.Limit) bool {
+		return table.RecordRateLimit(baseTime.Add(at), ratelimit.Report{Target: "a", Incarnation: 1, Limit: limit})
+	}
+	require.True(t, record(0, limitAt(5, 5)))
+	version, _ := table.Version()
+	require.False(t, record(time.Second, ratelimit.New(baseTime.Add(3*time.Second), nil)))
+	entries, next := table.ChangedSince(version)
+	require.Len(t, entries, 1, "the host gets the limit")
+	require.True(t, entries[0].RateLimit.IsLimited)
+
+	for i := range 20 {
+		record(2*time.Second, limitAt(6+i, float64(10*(i%2))))
+	}
+	version, _ = table.Version()
+	require.LessOrEqual(t, version-next, uint64(1))
+	require.True(t, record(3*time.Second, limitAt(60, 33)), "reported again")
+}
