Log a key of the content of each request

Logs could not tell whether two attempts that crashed targets carry the same request: callers choose new ids, and a line named route and workspace only. Each decision has ContentKey now, a hash of method, path, workspace, chat and body.

--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -31,6 +31,8 @@
 	cancel context.CancelFunc
 	// callerCtx ends when the caller disconnects.
 	callerCtx context.Context
+	// key is the request's contentKey.
+	key uint64
 
 	excludedTargets []string
 	// attempts counts the permit requests, failedAttempts the failed attempts
@@ -100,7 +102,10 @@
 
 func (g *Gateway) newDispatcher(callerCtx context.Context, r *Request) *dispatcher {
 	ctx, cancel := clockwork.WithDeadline(callerCtx, g.Clock, r.Deadline)
-	return &dispatcher{Request: r, lastEventID: r.LastEventID, gateway: g, ctx: ctx, cancel: cancel, callerCtx: callerCtx}
+	return &dispatcher{
+		Request: r, lastEventID: r.LastEventID, gateway: g, ctx: ctx, cancel: cancel, callerCtx: callerCtx,
+		key: r.contentKey(),
+	}
 }
 
 // sendAttempt acquires a permit and sends the request once. It returns at the
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -106,6 +106,7 @@
 		"Request": d.CallerID, "Target": a.permit.Target, "Workspace": d.Workspace, "Service": d.Service.Name, "Call": d.Call.Name,
 		"Believed": a.permit.Warm, "Reason": a.permit.Reason, "Attempt": d.attempts,
 		"FirstByte": a.firstByte, "Waited": a.permit.Waited, "Time": g.Clock.Since(d.Started),
+		"ContentKey": strconv.FormatUint(d.key, 16),
 	}
 	if in := a.permit.Inputs; in != nil {
 		fields["FleetVersion"], fields["Candidates"], fields["Running"], fields["Queued"] = in.FleetVersion, in.Candidates, in.InFlight, in.Queued
