--- a/admission/quarantine/board.go
+++ b/admission/quarantine/board.go
@@ -8,14 +8,14 @@
 	"time"
 )
 
-// Board counts the crashes by part on a hub. It is safe for concurrent use.
+// Board counts the crashes by subject on a hub. It is safe for concurrent use.
 type Board struct {
-	mu    sync.Mutex
-	parts map[uint64]*boardPart
-	// explained holds the crashes that parts in quarantine caused.
+	mu       sync.Mutex
+	suspects map[Subject]*boardSuspect
+	// explained holds the crashes that suspects in quarantine caused.
 	explained map[startedTarget]bool
 	// published is the list for hosts, and version increases with each change of it.
-	published   []Part
+	published   []Suspect
 	publishedAt time.Time
 	version     uint64
 	// hasUrgentChange is set if a quarantine has changed that is not published yet.
@@ -26,27 +26,35 @@
 	urgentPublished chan struct{}
 }
 
-// boardPart is a part with the crashes of targets under requests with it.
-type boardPart struct {
-	Part
+// boardSuspect is a suspect with the crashes of targets under requests with its subject.
+type boardSuspect struct {
+	Suspect
 	depth int
-	// total is the number of crashes that are counted or not independent of those.
-	total   int
-	crashes map[startedTarget]*targetCrash
-	// isReleased is set once the part has left its quarantine because of a success.
+	// total is the number of crashes that are counted or not independent of those, inTurn
+	// that of the crashes of which each came under a request that was sent after the one
+	// before, and secondAt the time of the second crash of total.
+	total    int
+	inTurn   int
+	secondAt time.Time
+	crashes  map[startedTarget]*targetCrash
+	// isKnownSound is set if a request succeeded before the first crash.
+	isKnownSound bool
+	// isReleased is set once the suspect has left its quarantine because of a success.
 	isReleased bool
 }
 
-// targetCrash is the crash of a target as reported for one part.
+// targetCrash is the crash of a target as reported for one subject.
 type targetCrash struct {
 	sentAt    time.Time
 	crashedAt time.Time
-	// isExplained is set if a part in quarantine caused the crash.
+	// reports is the number of requests that were reported as lost.
+	reports int
+	// isExplained is set if a subject in quarantine caused the crash.
 	isExplained bool
 }
 
-func newBoardPart(part Part) *boardPart {
-	return &boardPart{Part: part, crashes: map[startedTarget]*targetCrash{}}
+func newBoardSuspect(suspect Suspect) *boardSuspect {
+	return &boardSuspect{Suspect: suspect, crashes: map[startedTarget]*targetCrash{}}
 }
 
 // count counts the crashes that are independent of each other. Reports arrive in another
@@ -55,23 +63,80 @@
 // The requests that were in flight at a crash may have been sent to several targets that
 // crash in turn for other reasons. Only a request that was sent after the last counted
 // crash tells more.
-func (p *boardPart) count() {
-	p.Crashes, p.total = 0, 0
+func (s *boardSuspect) count() {
+	s.Crashes, s.total, s.inTurn, s.secondAt = 0, 0, 0, time.Time{}
+	var last time.Time
 	byTime := func(a, b *targetCrash) int { return a.crashedAt.Compare(b.crashedAt) }
-	for _, crash := range slices.SortedFunc(maps.Values(p.crashes), byTime) {
-		if crash.isExplained || !crash.crashedAt.After(p.ClearedAt) {
+	for _, crash := range slices.SortedFunc(maps.Values(s.crashes), byTime) {
+		if crash.isExplained || !crash.crashedAt.After(s.ClearedAt) {
 			continue
 		}
-		p.total++
+		s.total++
+		if s.total == 2 {
+			s.secondAt = crash.crashedAt
+		}
+		if s.inTurn == 0 || !crash.sentAt.Before(last) {
+			s.inTurn++
+			last = crash.crashedAt
+		}
 		switch {
-		case p.Crashes == 0:
-			p.FirstAt = crash.crashedAt
-		case crash.sentAt.Before(p.LastAt), crash.crashedAt.Sub(p.LastAt) < minCrashInterval:
+		case s.Crashes == 0:
+			s.FirstAt = crash.crashedAt
+		case crash.sentAt.Before(s.LastAt), crash.crashedAt.Sub(s.LastAt) < minCrashInterval:
 			continue
 		}
-		p.Crashes++
-		p.LastAt = crash.crashedAt
+		s.Crashes++
+		s.LastAt = crash.crashedAt
+	}
+}
+
+// isCause reports whether the crashes are enough to put the suspect in quarantine. most is
+// the largest number of crashes of a suspect that is not in quarantine.
+func (s *boardSuspect) isCause(now time.Time, most int) bool {
+	if s.IsRequest {
+		return s.isCrashingRequest(now)
+	}
+	return s.Crashes >= maxCrashes && 2*s.total >= most && now.Sub(s.FirstAt) >= minSuspicion
+}
+
+// isCrashingRequest is isCause for the content of a request.
+//
+// Repeats of a request that crashes targets come to all targets of a service at once, so
+// that they crash within a moment, and again when they are back; crashes with some time
+// between them come too late. Other requests have a content of their own. One that was in
+// flight at all the crashes, too, is one that repeats as often, and such a request has
+// succeeded shortly before the first.
+func (s *boardSuspect) isCrashingRequest(now time.Time) bool {
+	if s.total < maxCrashes || now.Sub(s.secondAt) < minSuspicion {
+		return false
 	}
+	return s.Crashes >= maxCrashes || s.inTurn > 1 && !s.isKnownSound
+}
+
+// isContainedIn reports whether another suspect was in flight at all crashes of this one
+// and at more.
+func (s *boardSuspect) isContainedIn(other *boardSuspect) bool {
+	if other.total <= s.total {
+		return false
+	}
+	for target, crash := range s.crashes {
+		if crash.isExplained || !crash.crashedAt.After(s.ClearedAt) {
+			continue
+		}
+		if otherCrash := other.crashes[target]; otherCrash == nil || otherCrash.isExplained || !otherCrash.crashedAt.After(other.ClearedAt) {
+			return false
+		}
+	}
+	return true
+}
+
+// reports returns the number of requests that were lost at the crashes.
+func (s *boardSuspect) reports() int {
+	sum := 0
+	for _, crash := range s.crashes {
+		sum += crash.reports
+	}
+	return sum
 }
 
 // startedTarget is one incarnation of a target.
@@ -82,7 +147,7 @@
 
 // NewBoard returns an empty board.
 func NewBoard() *Board {
-	return &Board{parts: map[uint64]*boardPart{}, explained: map[startedTarget]bool{}, version: 1, urgentPublished: make(chan struct{})}
+	return &Board{suspects: map[Subject]*boardSuspect{}, explained: map[startedTarget]bool{}, version: 1, urgentPublished: make(chan struct{})}
 }
 
 // Record records a report.
@@ -98,24 +163,24 @@
 	}
 }
 
-// Update forgets the parts that need not be remembered any more, and puts in quarantine
+// Update forgets the suspects that need not be remembered any more, and puts in quarantine
 // those that reached the limit of crashes. It returns the latter, and publishes the list
 // for hosts. It is called several times a second.
 //
-// The part that is the likeliest cause goes first and explains its crashes: they are no
-// longer counted for the parts of other requests that waited on the same targets.
-func (b *Board) Update(now time.Time) []Part {
+// The suspect that is the likeliest cause goes first and explains its crashes: they are no
+// longer counted for the suspects of other requests that waited on the same targets.
+func (b *Board) Update(now time.Time) []Suspect {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.removeExpired(now)
-	var added []Part
-	for part := b.likeliestCause(now); part != nil; part = b.likeliestCause(now) {
-		part.Until = now.Add(quarantinePeriod)
-		for target := range part.crashes {
-			b.explain(part, target)
+	var added []Suspect
+	for suspect := b.likeliestCause(now); suspect != nil; suspect = b.likeliestCause(now) {
+		suspect.Until = now.Add(quarantinePeriod)
+		for target := range suspect.crashes {
+			b.explain(suspect, target)
 		}
 		b.hasUrgentChange = true
-		added = append(added, part.Part)
+		added = append(added, suspect.Suspect)
 	}
 	b.publish(now)
 	return added
@@ -140,157 +205,195 @@
 	}
 }
 
-// selectPublished selects the parts that hosts need to know: those in quarantine or
-// released from it, and the ones that are suspected of the most crashes. When many
-// targets are lost at once, hundreds of parts are suspected of one crash, and their list
-// would use up the links of hubs. The caller must hold b.mu.
-func (b *Board) selectPublished() []Part {
-	var list []Part
-	var suspected []*boardPart
-	for _, part := range b.parts {
+// selectPublished selects the suspects that hosts need to know: those in quarantine or
+// released from it, and the ones with the most crashes. When many targets are lost at once,
+// hundreds of subjects are suspected of one crash, and their list would use up the links of
+// hubs. Requests are listed from their second crash, before which they are no candidates.
+// The caller must hold b.mu.
+func (b *Board) selectPublished() []Suspect {
+	var list []Suspect
+	var parts, requests []*boardSuspect
+	for _, suspect := range b.suspects {
 		switch {
-		case !part.Until.IsZero() || part.isReleased:
-			list = append(list, part.Part)
-		case part.Crashes > 0:
-			suspected = append(suspected, part)
+		case !suspect.Until.IsZero() || suspect.isReleased:
+			list = append(list, suspect.Suspect)
+		case suspect.IsRequest && suspect.total > 1:
+			requests = append(requests, suspect)
+		case !suspect.IsRequest && suspect.Crashes > 0:
+			parts = append(parts, suspect)
 		}
 	}
-	slices.SortFunc(suspected, func(a, b *boardPart) int {
-		return cmp.Or(cmp.Compare(b.Crashes, a.Crashes), cmp.Compare(b.total, a.total), cmp.Compare(a.Key, b.Key))
-	})
-	for _, part := range suspected[:min(len(suspected), maxPublishedSuspects)] {
-		list = append(list, part.Part)
+	for _, group := range []struct {
+		suspects []*boardSuspect
+		most     int
+	}{{parts, maxPublishedParts}, {requests, maxPublishedRequests}} {
+		slices.SortFunc(group.suspects, func(a, b *boardSuspect) int {
+			return cmp.Or(cmp.Compare(b.Crashes, a.Crashes), cmp.Compare(b.total, a.total), compareKeys(a.Suspect, b.Suspect))
+		})
+		for _, suspect := range group.suspects[:min(len(group.suspects), group.most)] {
+			list = append(list, suspect.Suspect)
+		}
 	}
 	slices.SortFunc(list, compareKeys)
 	return list
 }
 
-// likeliestCause returns the part that is to be put in quarantine next; nil if there is
+// likeliestCause returns the suspect that is to be put in quarantine next; nil if there is
 // none. The caller must hold b.mu.
 //
 // The parts before the cause in its prompts have at least as many crashes, unless a
 // request without the cause succeeded. So the deepest part goes first, unless it has far
-// fewer crashes than another one.
-func (b *Board) likeliestCause(now time.Time) *boardPart {
+// fewer crashes than another one, and the content of a request before its parts, unless
+// one of these was in flight at more crashes.
+func (b *Board) likeliestCause(now time.Time) *boardSuspect {
 	most := 0
-	for _, part := range b.parts {
-		if part.Until.IsZero() {
-			most = max(most, part.total)
+	for _, suspect := range b.suspects {
+		if suspect.Until.IsZero() {
+			most = max(most, suspect.total)
 		}
 	}
-	var likeliest *boardPart
-	for _, part := range b.parts {
-		if !part.Until.IsZero() || part.Crashes < maxCrashes || 2*part.total < most || now.Sub(part.FirstAt) < minSuspicion {
+	var likeliest *boardSuspect
+	for _, suspect := range b.suspects {
+		if !suspect.Until.IsZero() || !suspect.isCause(now, most) || suspect.IsRequest && b.hasWiderPart(suspect) {
 			continue
 		}
-		if likeliest == nil || compareLikelihood(part, likeliest) > 0 {
-			likeliest = part
+		if likeliest == nil || compareLikelihood(suspect, likeliest) > 0 {
+			likeliest = suspect
 		}
 	}
 	return likeliest
 }
 
-// compareLikelihood compares parts by depth, then by crashes.
-func compareLikelihood(a, b *boardPart) int {
-	return cmp.Or(cmp.Compare(a.depth, b.depth), cmp.Compare(a.total, b.total), cmp.Compare(a.Key, b.Key))
+// hasWiderPart reports whether a suspected prompt part was in flight at all crashes of a
+// request and at more. The caller must hold b.mu.
+func (b *Board) hasWiderPart(request *boardSuspect) bool {
+	for _, suspect := range b.suspects {
+		if !suspect.IsRequest && suspect.Until.IsZero() && request.isContainedIn(suspect) {
+			return true
+		}
+	}
+	return false
+}
+
+// compareLikelihood compares suspects: requests before parts, then by depth, by crashes and
+// by the requests that were lost at them.
+func compareLikelihood(a, b *boardSuspect) int {
+	isRequest := func(s *boardSuspect) int {
+		if s.IsRequest {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Or(
+		cmp.Compare(isRequest(a), isRequest(b)), cmp.Compare(a.depth, b.depth), cmp.Compare(a.total, b.total),
+		cmp.Compare(a.reports(), b.reports()), cmp.Compare(a.Key, b.Key),
+	)
 }
 
-// explain stops counting the crash of a target for all parts but the one that caused it.
+// explain stops counting the crash of a target for all suspects but the one that caused it.
 // The caller must hold b.mu.
-func (b *Board) explain(cause *boardPart, target startedTarget) {
+func (b *Board) explain(cause *boardSuspect, target startedTarget) {
 	b.explained[target] = true
-	for _, part := range b.parts {
-		if crash := part.crashes[target]; part != cause && crash != nil && !crash.isExplained && part.Until.IsZero() {
+	for _, suspect := range b.suspects {
+		if crash := suspect.crashes[target]; suspect != cause && crash != nil && !crash.isExplained && suspect.Until.IsZero() {
 			crash.isExplained = true
-			part.count()
+			suspect.count()
 		}
 	}
 }
 
-// recordCrash records the crash of a target under a request with a part. The caller must
+// recordCrash records the crash of a target under a request with a subject. The caller must
 // hold b.mu.
 func (b *Board) recordCrash(now time.Time, crash Crash) {
 	target := startedTarget{crash.Target, crash.Incarnation}
-	part := b.parts[crash.Part]
-	if part == nil {
+	suspect := b.suspects[crash.Subject]
+	if suspect == nil {
 		b.removeExcess()
-		part = newBoardPart(Part{Key: crash.Part})
-		b.parts[crash.Part] = part
+		suspect = newBoardSuspect(Suspect{Subject: crash.Subject})
+		b.suspects[crash.Subject] = suspect
 	}
-	part.depth = max(part.depth, crash.Depth)
-	if known := part.crashes[target]; known != nil {
+	if !crash.Subject.IsRequest {
+		suspect.depth = max(suspect.depth, crash.Depth)
+	}
+	if known := suspect.crashes[target]; known != nil {
+		known.reports++
 		if crash.SentAt.After(known.sentAt) {
 			known.sentAt = crash.SentAt
+			suspect.count()
 		}
 		return
 	}
-	part.crashes[target] = &targetCrash{sentAt: crash.SentAt, crashedAt: crash.CrashedAt, isExplained: b.explained[target]}
-	if part.IsQuarantined(now) {
-		b.explain(part, target)
+	suspect.crashes[target] = &targetCrash{sentAt: crash.SentAt, crashedAt: crash.CrashedAt, reports: 1, isExplained: b.explained[target]}
+	if suspect.IsQuarantined(now) {
+		b.explain(suspect, target)
 		return
 	}
-	part.count()
+	suspect.count()
 }
 
-// recordSuccess clears a part if a request with it that was sent after its first crash
-// succeeded. The caller must hold b.mu.
+// recordSuccess clears a suspect if a request with it that was sent after its first crash
+// succeeded. A request that succeeded before is known as sound. The caller must hold b.mu.
 func (b *Board) recordSuccess(success Success) {
-	part := b.parts[success.Part]
-	if part == nil || part.Crashes == 0 || !success.SentAt.After(part.FirstAt) || !success.SentAt.After(part.ClearedAt) {
+	suspect := b.suspects[success.Subject]
+	if suspect == nil || suspect.Crashes == 0 {
+		return
+	}
+	suspect.isKnownSound = true
+	if !success.SentAt.After(suspect.FirstAt) || !success.SentAt.After(suspect.ClearedAt) {
 		return
 	}
-	if !part.Until.IsZero() {
-		part.Until, part.isReleased, b.hasUrgentChange = time.Time{}, true, true
+	if !suspect.Until.IsZero() {
+		suspect.Until, suspect.isReleased, b.hasUrgentChange = time.Time{}, true, true
 	}
-	part.ClearedAt = success.SentAt
-	part.count()
+	suspect.ClearedAt = success.SentAt
+	suspect.count()
 }
 
-// Merge adds the parts that another hub or a host has in quarantine, and returns those
+// Merge adds the suspects that another hub or a host has in quarantine, and returns those
 // that were not in quarantine here.
-func (b *Board) Merge(now time.Time, parts []Part) []Part {
+func (b *Board) Merge(now time.Time, suspects []Suspect) []Suspect {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var added []Part
-	for _, part := range parts {
-		known := b.parts[part.Key]
+	var added []Suspect
+	for _, suspect := range suspects {
+		known := b.suspects[suspect.Subject]
 		if known == nil {
-			known = newBoardPart(Part{Key: part.Key})
+			known = newBoardSuspect(Suspect{Subject: suspect.Subject})
 		}
-		if !part.IsQuarantined(now) || known.IsQuarantined(now) || part.FirstAt.Before(known.ClearedAt) {
+		if !suspect.IsQuarantined(now) || known.IsQuarantined(now) || suspect.FirstAt.Before(known.ClearedAt) {
 			continue
 		}
-		known.Part = part
-		b.parts[part.Key] = known
+		known.Suspect = suspect
+		b.suspects[suspect.Subject] = known
 		for target := range known.crashes {
 			b.explain(known, target)
 		}
 		b.hasUrgentChange = true
-		added = append(added, part)
+		added = append(added, suspect)
 	}
 	b.publish(now)
 	return added
 }
 
-// Parts returns the published list, in the order of the keys, and its version.
-func (b *Board) Parts() ([]Part, uint64) {
+// Suspects returns the published list, in the order of the keys, and its version.
+func (b *Board) Suspects() ([]Suspect, uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.published, b.version
 }
 
-// Quarantined returns the parts in quarantine, in the order of their keys.
-func (b *Board) Quarantined(now time.Time) []Part {
+// Quarantined returns the suspects in quarantine, in the order of their keys.
+func (b *Board) Quarantined(now time.Time) []Suspect {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var parts []Part
-	for _, part := range b.parts {
-		if part.IsQuarantined(now) {
-			parts = append(parts, part.Part)
+	var suspects []Suspect
+	for _, suspect := range b.suspects {
+		if suspect.IsQuarantined(now) {
+			suspects = append(suspects, suspect.Suspect)
 		}
 	}
-	slices.SortFunc(parts, compareKeys)
-	return parts
+	slices.SortFunc(suspects, compareKeys)
+	return suspects
 }
 
 // UrgentVersion returns the version of the last list with a change of a quarantine, and a
@@ -301,29 +404,38 @@
 	return b.urgentVersion, b.urgentPublished
 }
 
-// removeExpired removes the parts that need not be remembered. The caller must hold b.mu.
+// removeExpired removes the suspects that need not be remembered. The caller must hold b.mu.
 func (b *Board) removeExpired(now time.Time) {
-	maps.DeleteFunc(b.parts, func(_ uint64, p *boardPart) bool { return p.hasExpired(now) })
-	if len(b.parts) == 0 {
+	maps.DeleteFunc(b.suspects, func(_ Subject, p *boardSuspect) bool { return p.hasExpired(now) })
+	if len(b.suspects) == 0 {
 		clear(b.explained)
 	}
 }
 
-// removeExcess makes room for a part by dropping a suspected one. The caller must hold
+// removeExcess makes room for a suspect by dropping a suspected one. The caller must hold
 // b.mu.
 func (b *Board) removeExcess() {
-	if len(b.parts) < maxParts {
+	if len(b.suspects) < maxSuspects {
 		return
 	}
-	var oldest *boardPart
-	for _, part := range b.parts {
-		if part.Until.IsZero() && (oldest == nil || part.LastAt.Before(oldest.LastAt)) {
-			oldest = part
+	var oldest *boardSuspect
+	for _, suspect := range b.suspects {
+		if suspect.Until.IsZero() && (oldest == nil || suspect.LastAt.Before(oldest.LastAt)) {
+			oldest = suspect
 		}
 	}
 	if oldest != nil {
-		delete(b.parts, oldest.Key)
+		delete(b.suspects, oldest.Subject)
 	}
 }
 
-func compareKeys(a, b Part) int { return cmp.Compare(a.Key, b.Key) }
+// compareKeys orders parts before requests, each by their keys.
+func compareKeys(a, b Suspect) int {
+	if a.IsRequest != b.IsRequest {
+		if b.IsRequest {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(a.Key, b.Key)
+}
--- a/admission/quarantine/board_test.go
+++ b/admission/quarantine/board_test.go
@@ -16,13 +16,13 @@
 
 // crash returns the crash of an incarnation of a target under a request with the part.
 func crash(part uint64, target string, sentAt, crashedAt float64) Crash {
-	return Crash{Part: part, Target: target, Incarnation: 1, SentAt: at(sentAt), CrashedAt: at(crashedAt)}
+	return Crash{Subject: PromptPart(part), Target: target, Incarnation: 1, SentAt: at(sentAt), CrashedAt: at(crashedAt)}
 }
 
 func crashes(crashes ...Crash) Report { return Report{Crashes: crashes} }
 
 // record records a report and returns the parts that are then put in quarantine.
-func record(b *Board, now time.Time, report Report) []Part {
+func record(b *Board, now time.Time, report Report) []Suspect {
 	b.Record(now, report)
 	return b.Update(now)
 }
@@ -63,7 +63,7 @@
 	for _, target := range []string{"a", "b", "c", "d"} {
 		record(b, at(1), crashes(crash(7, target, 0.9, 1)))
 	}
-	require.Equal(t, 1, b.parts[7].Crashes)
+	require.Equal(t, 1, b.suspects[PromptPart(7)].Crashes)
 }
 
 // Several requests with the part wait on one target, and several hosts report its crash.
@@ -71,15 +71,15 @@
 	b := NewBoard()
 	record(b, at(1), crashes(crash(7, "a", 0.5, 1), crash(7, "a", 0.6, 1)))
 	record(b, at(2), crashes(crash(7, "a", 1.1, 1.2)))
-	require.Equal(t, 1, b.parts[7].Crashes)
+	require.Equal(t, 1, b.suspects[PromptPart(7)].Crashes)
 }
 
 func TestBoard_SuccessAfterFirstCrashClearsPart(t *testing.T) {
 	b := NewBoard()
 	record(b, at(2), crashes(crash(7, "a", 0.5, 1), crash(7, "b", 1.5, 2)))
-	record(b, at(3), Report{Successes: []Success{{Part: 7, SentAt: at(0.9)}}})
-	require.Equal(t, 2, b.parts[7].Crashes, "the request was sent before the first crash")
-	record(b, at(4), Report{Successes: []Success{{Part: 7, SentAt: at(1.1)}}})
+	record(b, at(3), Report{Successes: []Success{{Subject: PromptPart(7), SentAt: at(0.9)}}})
+	require.Equal(t, 2, b.suspects[PromptPart(7)].Crashes, "the request was sent before the first crash")
+	record(b, at(4), Report{Successes: []Success{{Subject: PromptPart(7), SentAt: at(1.1)}}})
 	require.Empty(t, record(b, at(5), crashes(crash(7, "c", 4.5, 5))), "crashes are counted anew")
 }
 
@@ -90,7 +90,7 @@
 	quarantined := b.Quarantined(at(3))
 	require.Len(t, quarantined, 1)
 	version, changed := b.UrgentVersion()
-	record(b, at(4), Report{Successes: []Success{{Part: 7, SentAt: at(2)}}})
+	record(b, at(4), Report{Successes: []Success{{Subject: PromptPart(7), SentAt: at(2)}}})
 	require.Empty(t, quarantinedKeys(b, at(4)))
 	<-changed
 	next, _ := b.UrgentVersion()
@@ -113,17 +113,17 @@
 	require.Len(t, added, 1)
 	require.Equal(t, uint64(7), added[0].Key)
 	b.Record(at(5), crashes(crash(9, "e", 4.7, 5), crash(7, "e", 4.6, 5)))
-	require.Zero(t, b.parts[8].Crashes)
-	require.Zero(t, b.parts[9].Crashes)
+	require.Zero(t, b.suspects[PromptPart(8)].Crashes)
+	require.Zero(t, b.suspects[PromptPart(9)].Crashes)
 }
 
 // The version changes with the list, at most twice a second unless a quarantine changes.
 func TestBoard_PublishesChanges(t *testing.T) {
 	b := NewBoard()
-	_, last := b.Parts()
+	_, last := b.Suspects()
 	expect := func(changed bool, keys ...uint64) {
 		t.Helper()
-		parts, version := b.Parts()
+		parts, version := b.Suspects()
 		var listed []uint64
 		for _, part := range parts {
 			listed = append(listed, part.Key)
@@ -146,7 +146,7 @@
 	expect(true, 7, 8)
 	b.Update(at(3))
 	expect(true, 7, 8)
-	record(b, at(3.1), Report{Successes: []Success{{Part: 7, SentAt: at(2)}}})
+	record(b, at(3.1), Report{Successes: []Success{{Subject: PromptPart(7), SentAt: at(2)}}})
 	expect(true, 7, 8)
 	b.Update(at(4).Add(suspicionTTL + time.Second))
 	expect(true)
@@ -154,20 +154,20 @@
 
 func TestBoard_ListOfSuspectsIsLimited(t *testing.T) {
 	b := NewBoard()
-	for key := range uint64(10 * maxPublishedSuspects) {
+	for key := range uint64(10 * maxPublishedParts) {
 		record(b, at(1), crashes(crash(key, "a", 0.5, 1)))
 	}
-	record(b, at(2), crashes(crash(maxPublishedSuspects+1, "b", 1.5, 2)))
-	parts, _ := b.Parts()
-	require.Len(t, parts, maxPublishedSuspects)
-	require.Equal(t, uint64(maxPublishedSuspects+1), parts[maxPublishedSuspects-1].Key, "the part with the most crashes is listed")
+	record(b, at(2), crashes(crash(maxPublishedParts+1, "b", 1.5, 2)))
+	parts, _ := b.Suspects()
+	require.Len(t, parts, maxPublishedParts)
+	require.Equal(t, uint64(maxPublishedParts+1), parts[maxPublishedParts-1].Key, "the part with the most crashes is listed")
 }
 
 func TestBoard_MergeAddsQuarantineOfAnotherHub(t *testing.T) {
 	first, second := NewBoard(), NewBoard()
 	record(first, at(3), crashes(crash(7, "a", 0.5, 1), crash(7, "b", 1.5, 2), crash(7, "c", 2.5, 3)))
 	record(first, at(3), crashes(crash(8, "c", 2.5, 3)))
-	parts, _ := first.Parts()
+	parts, _ := first.Suspects()
 	require.Len(t, second.Merge(at(3), parts), 1)
 	require.Empty(t, second.Merge(at(3), parts))
 	require.Equal(t, []uint64{7}, quarantinedKeys(second, at(3)))
@@ -178,16 +178,16 @@
 	record(b, at(2), crashes(crash(7, "a", 0.5, 1), crash(7, "b", 1.5, 2)))
 	later := at(2).Add(suspicionTTL + time.Second)
 	b.Update(later)
-	require.Empty(t, record(b, later, crashes(Crash{Part: 7, Target: "c", Incarnation: 1, SentAt: later.Add(-time.Second), CrashedAt: later})))
-	require.Equal(t, 1, b.parts[7].Crashes)
+	require.Empty(t, record(b, later, crashes(Crash{Subject: PromptPart(7), Target: "c", Incarnation: 1, SentAt: later.Add(-time.Second), CrashedAt: later})))
+	require.Equal(t, 1, b.suspects[PromptPart(7)].Crashes)
 }
 
 func TestBoard_NumberOfPartsIsLimited(t *testing.T) {
 	b := NewBoard()
 	record(b, at(3), crashes(crash(0, "a", 0.5, 1), crash(0, "b", 1.5, 2), crash(0, "c", 2.5, 3)))
-	for key := range uint64(maxParts + 64) {
+	for key := range uint64(maxSuspects + 64) {
 		record(b, at(4), crashes(crash(key+1, "d", 3.5, 4+float64(key)/1e6)))
 	}
-	require.Len(t, b.parts, maxParts)
+	require.Len(t, b.suspects, maxSuspects)
 	require.Equal(t, []uint64{0}, quarantinedKeys(b, at(4)), "parts in quarantine are kept")
 }
--- a/admission/quarantine/observer.go
+++ b/admission/quarantine/observer.go
@@ -5,8 +5,6 @@
 	"slices"
 	"sync"
 	"time"
-
-	"comfreytiller.dev/admission"
 )
 
 const (
@@ -17,20 +15,21 @@
 	// soundPeriod is the time after the first byte of a response after which the request
 	// counts as sound, even if the target is lost later.
 	soundPeriod = time.Second
-	// successTTL is how long a success is remembered for a part that is not suspected yet.
-	successTTL = 5 * time.Second
+	// successTTL is how long a success is remembered for a subject that is not suspected.
+	// Requests that repeat are known as sound when they repeat more often.
+	successTTL = 15 * time.Second
 	// checkTTL is how long the requests that were lost on a target wait for the check
 	// whether it is down.
 	checkTTL = 5 * time.Second
 	// maxReported limits the entries of a report.
 	maxReported = 64
-	// maxSucceeded limits the parts whose last success is remembered.
-	maxSucceeded = 4096
+	// maxSucceeded limits the subjects whose last success is remembered.
+	maxSucceeded = 8192
 )
 
 // Lost is a request whose target closed the connection before the response was complete.
 type Lost struct {
-	Prompt      *admission.Prompt
+	Content     Content
 	Target      string
 	Incarnation uint64
 	SentAt      time.Time
@@ -48,8 +47,8 @@
 	return l.LostAt.Sub(l.SentAt) - l.FirstByte
 }
 
-// Observer collects on an entry host what its own requests tell about parts, and holds
-// the parts that the hub reports. It is safe for concurrent use.
+// Observer collects on an entry host what its own requests tell about crashes of targets,
+// and holds the suspects that the hub reports. It is safe for concurrent use.
 type Observer struct {
 	mu sync.Mutex
 	// unchecked holds the requests that were lost on targets of which is not known yet
@@ -58,21 +57,21 @@
 	// isDown holds the last checks.
 	isDown map[startedTarget]check
 	report Report
-	// parts are the parts that the hub reports, and cleared the times at which the
-	// requests were sent whose success with them was reported.
-	parts   map[uint64]observedPart
-	cleared map[uint64]time.Time
-	// succeeded holds by part when the last request was sent that succeeded.
-	succeeded map[uint64]time.Time
+	// suspects are those that the hub reports, and reported the times at which the requests
+	// were sent whose success with them was reported.
+	suspects map[Subject]observedSuspect
+	reported map[Subject]time.Time
+	// succeeded holds by subject when the last request was sent that succeeded.
+	succeeded map[Subject]time.Time
 	lastPrune time.Time
-	// version is that of the hub's list of parts.
+	// version is that of the hub's list of suspects.
 	version uint64
 }
 
-// observedPart is a part as the hub listed it. A part in quarantine that the hub does not
+// observedSuspect is a suspect as the hub listed it. One in quarantine that the hub does not
 // list any more, as after its restart, stays.
-type observedPart struct {
-	Part
+type observedSuspect struct {
+	Suspect
 	isListed bool
 }
 
@@ -82,11 +81,11 @@
 	at     time.Time
 }
 
-// NewObserver returns an observer without parts.
+// NewObserver returns an observer without suspects.
 func NewObserver() *Observer {
 	return &Observer{
 		unchecked: map[startedTarget][]Lost{}, isDown: map[startedTarget]check{},
-		parts: map[uint64]observedPart{}, cleared: map[uint64]time.Time{}, succeeded: map[uint64]time.Time{},
+		suspects: map[Subject]observedSuspect{}, reported: map[Subject]time.Time{}, succeeded: map[Subject]time.Time{},
 	}
 }
 
@@ -96,9 +95,9 @@
 func (o *Observer) RecordLost(lost Lost) bool {
 	age := lost.responseAge()
 	if age >= soundPeriod {
-		o.RecordSuccess(lost.LostAt, lost.Prompt, lost.SentAt)
+		o.RecordSuccess(lost.LostAt, lost.Content, lost.SentAt)
 	}
-	if len(sharedParts(lost.Prompt)) == 0 || age >= earlyPeriod {
+	if len(lost.Content.subjects()) == 0 || age >= earlyPeriod {
 		return false
 	}
 	o.mu.Lock()
@@ -132,13 +131,13 @@
 	}
 }
 
-// addCrash adds the parts of a lost request to the report. The caller must hold o.mu.
+// addCrash adds the subjects of a lost request to the report. The caller must hold o.mu.
 func (o *Observer) addCrash(lost *Lost) {
-	for depth, part := range sharedParts(lost.Prompt) {
+	for depth, subject := range lost.Content.subjects() {
 		if len(o.report.Crashes) == maxReported {
 			return
 		}
-		crash := Crash{Part: part.Key, Depth: depth, Target: lost.Target, Incarnation: lost.Incarnation, SentAt: lost.SentAt, CrashedAt: lost.LostAt}
+		crash := Crash{Subject: subject, Depth: depth, Target: lost.Target, Incarnation: lost.Incarnation, SentAt: lost.SentAt, CrashedAt: lost.LostAt}
 		if !slices.Contains(o.report.Crashes, crash) {
 			o.report.Crashes = append(o.report.Crashes, crash)
 		}
@@ -146,35 +145,43 @@
 }
 
 // RecordSuccess records the complete response to a request.
-func (o *Observer) RecordSuccess(now time.Time, prompt *admission.Prompt, sentAt time.Time) {
-	shared := sharedParts(prompt)
-	if len(shared) == 0 {
+func (o *Observer) RecordSuccess(now time.Time, content Content, sentAt time.Time) {
+	subjects := content.subjects()
+	if len(subjects) == 0 {
 		return
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if now.Sub(o.lastPrune) > successTTL {
 		o.lastPrune = now
-		maps.DeleteFunc(o.succeeded, func(_ uint64, at time.Time) bool { return now.Sub(at) > successTTL })
+		maps.DeleteFunc(o.succeeded, func(_ Subject, at time.Time) bool { return now.Sub(at) > successTTL })
 	}
-	for _, part := range shared {
-		if o.succeeded[part.Key].After(sentAt) || len(o.succeeded) >= maxSucceeded && o.succeeded[part.Key].IsZero() {
+	for _, subject := range subjects {
+		if o.succeeded[subject].After(sentAt) || len(o.succeeded) >= maxSucceeded && o.succeeded[subject].IsZero() {
 			continue
 		}
-		o.succeeded[part.Key] = sentAt
-		o.reportSuccess(part.Key)
+		o.succeeded[subject] = sentAt
+		o.reportSuccess(subject)
 	}
 }
 
-// reportSuccess adds the last success with a suspected part to the report. The caller
-// must hold o.mu.
-func (o *Observer) reportSuccess(key uint64) {
-	part, sentAt := o.parts[key], o.succeeded[key]
-	if part.Crashes == 0 || !sentAt.After(part.FirstAt) || o.cleared[key].After(part.FirstAt) || len(o.report.Successes) == maxReported {
+// reportSuccess adds the last success with a suspect to the report: one that clears it or,
+// for a request, one that shows that it does not crash targets. The caller must hold o.mu.
+func (o *Observer) reportSuccess(subject Subject) {
+	suspect, sentAt := o.suspects[subject], o.succeeded[subject]
+	if suspect.Crashes == 0 || sentAt.IsZero() || len(o.report.Successes) == maxReported {
+		return
+	}
+	reported, isReported := o.reported[subject]
+	clears := sentAt.After(suspect.FirstAt)
+	switch {
+	case clears && isReported && reported.After(suspect.FirstAt):
+		return
+	case !clears && (!subject.IsRequest || isReported):
 		return
 	}
-	o.cleared[key] = sentAt
-	o.report.Successes = append(o.report.Successes, Success{Part: key, SentAt: sentAt})
+	o.reported[subject] = sentAt
+	o.report.Successes = append(o.report.Successes, Success{Subject: subject, SentAt: sentAt})
 }
 
 // TakeReport returns what is to be reported to the hub and forgets it.
@@ -196,29 +203,29 @@
 	o.report.Successes = o.report.Successes[:min(len(o.report.Successes), maxReported)]
 }
 
-// Apply replaces the parts by those of the hub, whose list has the given version. It
-// returns the parts that have come into quarantine.
-func (o *Observer) Apply(now time.Time, parts []Part, version uint64) []Part {
+// Apply replaces the suspects by those of the hub, whose list has the given version. It
+// returns the ones that have come into quarantine.
+func (o *Observer) Apply(now time.Time, suspects []Suspect, version uint64) []Suspect {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.removeExpired(now)
-	next := make(map[uint64]observedPart, len(parts))
-	var added []Part
-	for _, part := range parts {
-		next[part.Key] = observedPart{Part: part, isListed: true}
-		if known := o.parts[part.Key]; part.IsQuarantined(now) && !known.IsQuarantined(now) {
-			added = append(added, part)
+	next := make(map[Subject]observedSuspect, len(suspects))
+	var added []Suspect
+	for _, suspect := range suspects {
+		next[suspect.Subject] = observedSuspect{Suspect: suspect, isListed: true}
+		if known := o.suspects[suspect.Subject]; suspect.IsQuarantined(now) && !known.IsQuarantined(now) {
+			added = append(added, suspect)
 		}
 	}
-	for key, part := range o.parts {
-		if _, found := next[key]; !found && part.IsQuarantined(now) {
-			next[key] = observedPart{Part: part.Part}
+	for subject, suspect := range o.suspects {
+		if _, found := next[subject]; !found && suspect.IsQuarantined(now) {
+			next[subject] = observedSuspect{Suspect: suspect.Suspect}
 		}
 	}
-	maps.DeleteFunc(o.cleared, func(key uint64, _ time.Time) bool { _, found := next[key]; return !found })
-	o.parts, o.version = next, version
-	for key := range o.parts {
-		o.reportSuccess(key)
+	maps.DeleteFunc(o.reported, func(subject Subject, _ time.Time) bool { _, found := next[subject]; return !found })
+	o.suspects, o.version = next, version
+	for subject := range o.suspects {
+		o.reportSuccess(subject)
 	}
 	return added
 }
@@ -230,34 +237,34 @@
 	return o.version
 }
 
-// Unlisted returns the parts in quarantine that the hub did not list, in the order of
+// Unlisted returns the suspects in quarantine that the hub did not list, in the order of
 // their keys.
-func (o *Observer) Unlisted(now time.Time) []Part {
+func (o *Observer) Unlisted(now time.Time) []Suspect {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	var parts []Part
-	for _, part := range o.parts {
-		if !part.isListed && part.IsQuarantined(now) {
-			parts = append(parts, part.Part)
+	var suspects []Suspect
+	for _, suspect := range o.suspects {
+		if !suspect.isListed && suspect.IsQuarantined(now) {
+			suspects = append(suspects, suspect.Suspect)
 		}
 	}
-	slices.SortFunc(parts, compareKeys)
-	return parts
+	slices.SortFunc(suspects, compareKeys)
+	return suspects
 }
 
-// Quarantined returns the first part of a prompt that is in quarantine.
-func (o *Observer) Quarantined(now time.Time, prompt *admission.Prompt) (Part, bool) {
+// Quarantined returns the first subject of a request that is in quarantine.
+func (o *Observer) Quarantined(now time.Time, content Content) (Suspect, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if len(o.parts) == 0 {
-		return Part{}, false
+	if len(o.suspects) == 0 {
+		return Suspect{}, false
 	}
-	for _, shared := range sharedParts(prompt) {
-		if part := o.parts[shared.Key]; part.IsQuarantined(now) {
-			return part.Part, true
+	for _, subject := range content.subjects() {
+		if suspect := o.suspects[subject]; suspect.IsQuarantined(now) {
+			return suspect.Suspect, true
 		}
 	}
-	return Part{}, false
+	return Suspect{}, false
 }
 
 // removeExpired forgets old checks and requests whose target was not checked. The caller
--- a/admission/quarantine/observer_test.go
+++ b/admission/quarantine/observer_test.go
@@ -9,17 +9,17 @@
 	"comfreytiller.dev/admission"
 )
 
-// promptOf returns a prompt with the given parts.
-func promptOf(keys ...uint64) *admission.Prompt {
+// promptOf returns the content of a request with the given parts of its prompt.
+func promptOf(keys ...uint64) Content {
 	prompt := &admission.Prompt{}
 	for _, key := range keys {
 		prompt.Parts = append(prompt.Parts, admission.PromptPart{Key: key, Tokens: 100})
 	}
-	return prompt
+	return Content{Prompt: prompt}
 }
 
-func lostBeforeResponse(target string, prompt *admission.Prompt) Lost {
-	return Lost{Prompt: prompt, Target: target, Incarnation: 1, SentAt: at(1), LostAt: at(2)}
+func lostBeforeResponse(target string, content Content) Lost {
+	return Lost{Content: content, Target: target, Incarnation: 1, SentAt: at(1), LostAt: at(2)}
 }
 
 func TestObserver_ReportsSharedPartsOfLostRequestOnceTargetIsDown(t *testing.T) {
@@ -33,7 +33,7 @@
 	report = o.TakeReport()
 	var parts []uint64
 	for _, crash := range report.Crashes {
-		parts = append(parts, crash.Part)
+		parts = append(parts, crash.Subject.Key)
 	}
 	require.ElementsMatch(t, []uint64{1, 2, 4, 6}, parts, "a part that waited twice is reported once")
 	report = o.TakeReport()
@@ -63,12 +63,12 @@
 		require.Equal(t, test.expected, NewObserver().RecordLost(lost), test.firstByte)
 	}
 	require.False(t, NewObserver().RecordLost(lostBeforeResponse("a", promptOf(1))), "the only part belongs to the request")
-	require.False(t, NewObserver().RecordLost(lostBeforeResponse("a", nil)))
+	require.False(t, NewObserver().RecordLost(lostBeforeResponse("a", Content{})))
 }
 
 func TestObserver_ReportsSuccessWithSuspectedPartOnce(t *testing.T) {
 	o := NewObserver()
-	o.Apply(at(2), []Part{{Key: 1, Crashes: 1, FirstAt: at(1), LastAt: at(1)}}, 4)
+	o.Apply(at(2), []Suspect{{Subject: PromptPart(1), Crashes: 1, FirstAt: at(1), LastAt: at(1)}}, 4)
 	o.RecordSuccess(at(3), promptOf(1, 2), at(0.5))
 	o.RecordSuccess(at(3), promptOf(2, 1), at(1.5))
 	report := o.TakeReport()
@@ -76,11 +76,11 @@
 	o.RecordSuccess(at(3), promptOf(1, 2), at(1.5))
 	o.RecordSuccess(at(3), promptOf(1, 3), at(1.6))
 	report = o.TakeReport()
-	require.Equal(t, []Success{{Part: 1, SentAt: at(1.5)}}, report.Successes)
+	require.Equal(t, []Success{{Subject: PromptPart(1), SentAt: at(1.5)}}, report.Successes)
 	o.RestoreReport(report)
 	report = o.TakeReport()
 	require.Len(t, report.Successes, 1, "a report that was not delivered is sent again")
-	o.Apply(at(4), []Part{{Key: 1, Crashes: 1, FirstAt: at(3), LastAt: at(3), ClearedAt: at(1.5)}}, 5)
+	o.Apply(at(4), []Suspect{{Subject: PromptPart(1), Crashes: 1, FirstAt: at(3), LastAt: at(3), ClearedAt: at(1.5)}}, 5)
 	o.RecordSuccess(at(3), promptOf(1, 2), at(3.5))
 	report = o.TakeReport()
 	require.Len(t, report.Successes, 1, "a new crash needs a new success")
@@ -90,13 +90,13 @@
 // quarantine.
 func TestObserver_RefusesSharedPartsInQuarantine(t *testing.T) {
 	o := NewObserver()
-	added := o.Apply(at(2), []Part{
-		{Key: 1, Crashes: 3, FirstAt: at(1), LastAt: at(2), Until: at(60)},
-		{Key: 2, Crashes: 2, FirstAt: at(1), LastAt: at(2)},
+	added := o.Apply(at(2), []Suspect{
+		{Subject: PromptPart(1), Crashes: 3, FirstAt: at(1), LastAt: at(2), Until: at(60)},
+		{Subject: PromptPart(2), Crashes: 2, FirstAt: at(1), LastAt: at(2)},
 	}, 4)
 	require.Len(t, added, 1)
 	for _, test := range []struct {
-		prompt   *admission.Prompt
+		content  Content
 		expected bool
 	}{
 		{promptOf(5, 1, 6), true},
@@ -104,10 +104,10 @@
 		{promptOf(5, 1), false},
 		{promptOf(2, 6), false},
 		{promptOf(1), false},
-		{nil, false},
+		{Content{}, false},
 	} {
-		_, found := o.Quarantined(at(3), test.prompt)
-		require.Equal(t, test.expected, found, "%+v", test.prompt)
+		_, found := o.Quarantined(at(3), test.content)
+		require.Equal(t, test.expected, found, "%+v", test.content)
 	}
 	_, found := o.Quarantined(at(60), promptOf(1, 6))
 	require.False(t, found, "the quarantine is over")
@@ -116,16 +116,16 @@
 // A hub that has restarted knows no part. Hosts keep what is in quarantine and tell it.
 func TestObserver_QuarantineSurvivesRestartOfHub(t *testing.T) {
 	o := NewObserver()
-	part := Part{Key: 1, Crashes: 3, FirstAt: at(1), LastAt: at(2), Until: at(60)}
-	o.Apply(at(2), []Part{part}, 4)
+	part := Suspect{Subject: PromptPart(1), Crashes: 3, FirstAt: at(1), LastAt: at(2), Until: at(60)}
+	o.Apply(at(2), []Suspect{part}, 4)
 	require.Empty(t, o.Unlisted(at(2)))
 	o.Apply(at(3), nil, 1)
 	_, found := o.Quarantined(at(3), promptOf(1, 6))
 	require.True(t, found)
-	require.Equal(t, []Part{part}, o.Unlisted(at(3)))
+	require.Equal(t, []Suspect{part}, o.Unlisted(at(3)))
 	hub := NewBoard()
 	hub.Merge(at(3), o.Unlisted(at(3)))
-	parts, version := hub.Parts()
+	parts, version := hub.Suspects()
 	require.Empty(t, o.Apply(at(3), parts, version))
 	require.Empty(t, o.Unlisted(at(3)))
 }
@@ -133,8 +133,8 @@
 // A hub that lifted a quarantine lists the part as cleared.
 func TestObserver_LiftedQuarantineEnds(t *testing.T) {
 	o := NewObserver()
-	o.Apply(at(2), []Part{{Key: 1, Crashes: 3, FirstAt: at(1), LastAt: at(2), Until: at(60)}}, 4)
-	o.Apply(at(3), []Part{{Key: 1, FirstAt: at(1), LastAt: at(2), ClearedAt: at(1.5)}}, 5)
+	o.Apply(at(2), []Suspect{{Subject: PromptPart(1), Crashes: 3, FirstAt: at(1), LastAt: at(2), Until: at(60)}}, 4)
+	o.Apply(at(3), []Suspect{{Subject: PromptPart(1), FirstAt: at(1), LastAt: at(2), ClearedAt: at(1.5)}}, 5)
 	_, found := o.Quarantined(at(3), promptOf(1, 6))
 	require.False(t, found)
 }
--- a/admission/quarantine/replay_test.go
+++ b/admission/quarantine/replay_test.go
@@ -8,8 +8,6 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-
-	"comfreytiller.dev/admission"
 )
 
 const (
@@ -29,6 +27,14 @@
 	contactTime     = 3 * time.Second
 	maxLateRequests = 3
 	crashingPart    = uint64(666)
+	// crashingRequest and frequentRequest are the contents of two requests that repeat: one
+	// that crashes targets, and a sound one.
+	crashingRequest = uint64(667)
+	frequentRequest = uint64(668)
+	// maxRuns is the number of targets that a host sends a request without a prompt to.
+	maxRuns = 2
+	// maxReturns is the number of times that a caller retries it.
+	maxReturns = 2
 )
 
 // replay is a load in which some requests crash their target, while targets crash for
@@ -39,11 +45,16 @@
 	observe bool
 	// poisonRate and soundRate are the numbers of requests per second.
 	poisonRate, soundRate float64
-	hosts                 []*Observer
-	hubs                  []*Board
-	targets               []*replayTarget
-	mail                  []replayMail
-	lastOwnPart           uint64
+	// isPlain is set for requests without prompts, of which crashingRequest crashes its
+	// targets and a tenth of the others are frequentRequest.
+	isPlain bool
+	// decisiveCrash is the number of crashes from which contactTime counts.
+	decisiveCrash int
+	hosts         []*Observer
+	hubs          []*Board
+	targets       []*replayTarget
+	mail          []replayMail
+	lastOwnPart   uint64
 
 	poisonCrashes   []time.Time
 	latePoison      int
@@ -59,8 +70,11 @@
 }
 
 type replayRun struct {
-	host                  int
-	prompt                *admission.Prompt
+	host int
+	// runs is the number of targets that the host has sent the request to, returns that of
+	// the caller's own retries.
+	runs, returns         int
+	content               Content
 	isPoison              bool
 	sentAt, begins, ended time.Time
 }
@@ -72,7 +86,7 @@
 }
 
 func newReplay(seed uint64, hosts, targets int, soundRate, poisonRate float64, observe bool) *replay {
-	r := &replay{random: rand.New(rand.NewPCG(seed, 1)), now: epoch, observe: observe, soundRate: soundRate, poisonRate: poisonRate}
+	r := &replay{random: rand.New(rand.NewPCG(seed, 1)), now: epoch, observe: observe, soundRate: soundRate, poisonRate: poisonRate, decisiveCrash: 5}
 	for range hosts {
 		r.hosts = append(r.hosts, NewObserver())
 	}
@@ -140,12 +154,33 @@
 	if isPoison {
 		kind, subject = 2, crashingPart
 	}
-	prompt := promptOf(kind, 10+uint64(r.random.IntN(10)), subject, 1_000_000+r.lastOwnPart)
+	content := promptOf(kind, 10+uint64(r.random.IntN(10)), subject, 1_000_000+r.lastOwnPart)
+	content.Key = r.lastOwnPart
+	if r.isPlain {
+		content = r.plainContent(isPoison)
+	}
 	host := r.random.IntN(len(r.hosts))
 	if !isPoison {
 		r.soundRequests++
 	}
-	if _, found := r.hosts[host].Quarantined(r.now, prompt); found {
+	r.sendRun(replayRun{host: host, content: content, isPoison: isPoison})
+}
+
+// plainContent returns the content of a request without a prompt.
+func (r *replay) plainContent(isPoison bool) Content {
+	switch {
+	case isPoison:
+		return Content{Key: crashingRequest}
+	case r.random.IntN(10) == 0:
+		return Content{Key: frequentRequest}
+	}
+	return Content{Key: 1_000_000 + r.lastOwnPart}
+}
+
+// sendRun sends a request to a random target.
+func (r *replay) sendRun(run replayRun) {
+	host, content, isPoison := run.host, run.content, run.isPoison
+	if _, found := r.hosts[host].Quarantined(r.now, content); found {
 		if !isPoison {
 			r.soundRefused++
 		}
@@ -153,16 +188,32 @@
 	}
 	target := r.targets[r.random.IntN(len(r.targets))]
 	if r.now.Before(target.downUntil) {
+		r.returnLater(run)
 		return
 	}
-	if isPoison && len(r.poisonCrashes) >= 5 && r.now.Sub(r.poisonCrashes[4]) > contactTime {
+	if isPoison && len(r.poisonCrashes) >= r.decisiveCrash && r.now.Sub(r.poisonCrashes[r.decisiveCrash-1]) > contactTime {
 		r.latePoison++
 	}
-	begins := r.now.Add(time.Duration(20+r.random.IntN(280)) * time.Millisecond)
-	target.running = append(target.running, replayRun{
-		host: host, prompt: prompt, isPoison: isPoison, sentAt: r.now, begins: begins,
-		ended: begins.Add(time.Duration(50+r.random.IntN(1500)) * time.Millisecond),
-	})
+	run.runs++
+	run.sentAt = r.now
+	if r.isPlain {
+		run.begins = r.now.Add(time.Duration(20+r.random.IntN(60)) * time.Millisecond)
+		run.ended = run.begins.Add(time.Millisecond)
+	} else {
+		run.begins = r.now.Add(time.Duration(20+r.random.IntN(280)) * time.Millisecond)
+		run.ended = run.begins.Add(time.Duration(50+r.random.IntN(1500)) * time.Millisecond)
+	}
+	target.running = append(target.running, run)
+}
+
+// returnLater lets the caller of a request without a prompt retry it at another host.
+func (r *replay) returnLater(run replayRun) {
+	if !r.isPlain || run.returns == maxReturns {
+		return
+	}
+	run.returns++
+	run.runs, run.host = 0, r.random.IntN(len(r.hosts))
+	r.post(time.Duration(300+r.random.IntN(900))*time.Millisecond, func() { r.sendRun(run) })
 }
 
 // serve completes the runs of a target that have ended, or crashes it.
@@ -179,7 +230,7 @@
 		if run.ended.After(r.now) {
 			return false
 		}
-		r.hosts[run.host].RecordSuccess(r.now, run.prompt, run.sentAt)
+		r.hosts[run.host].RecordSuccess(r.now, run.content, run.sentAt)
 		return true
 	})
 }
@@ -207,7 +258,7 @@
 func (r *replay) lose(index int, isDown bool) {
 	target := r.targets[index]
 	for _, run := range target.running {
-		lost := Lost{Prompt: run.prompt, Target: fmt.Sprint(index), Incarnation: target.incarnation, SentAt: run.sentAt, LostAt: r.now}
+		lost := Lost{Content: run.content, Target: fmt.Sprint(index), Incarnation: target.incarnation, SentAt: run.sentAt, LostAt: r.now}
 		if run.begins.Before(r.now) {
 			lost.FirstByte = run.begins.Sub(run.sentAt)
 		}
@@ -216,6 +267,12 @@
 			at := r.now
 			r.post(2*replayTick, func() { host.RecordCheck(at.Add(2*replayTick), lost.Target, lost.Incarnation, isDown) })
 		}
+		switch {
+		case r.isPlain && run.runs < maxRuns:
+			r.post(replayTick, func() { r.sendRun(run) })
+		case r.isPlain:
+			r.returnLater(run)
+		}
 	}
 	target.running = nil
 }
@@ -230,8 +287,8 @@
 				r.post(hubDelay, func() { other.Record(r.now, report) })
 			}
 		}
-		parts, version := hub.Parts()
-		r.post(replayTick, func() { host.Apply(r.now, parts, version) })
+		suspects, version := hub.Suspects()
+		r.post(replayTick, func() { host.Apply(r.now, suspects, version) })
 	})
 }
 
@@ -294,3 +351,44 @@
 		})
 	}
 }
+
+// One request without a prompt crashes every target that runs it and comes again to any
+// host, which also sends it to a second target; with few targets, the whole service is down
+// within a moment. Its content must be in quarantine on all hosts soon after the third
+// crash. Sound requests that ride along with it, or repeat as often, are served, also while
+// targets crash for other reasons.
+func TestReplay_CrashingRequestIsQuarantinedAndOthersAreServed(t *testing.T) {
+	for _, load := range []struct {
+		name                  string
+		seeds                 uint64
+		hosts, targets        int
+		soundRate, poisonRate float64
+	}{
+		{"three targets", 20, 18, 3, 35, 6},
+		{"many repeats", 20, 18, 3, 60, 30},
+		{"rare repeats", 20, 18, 3, 35, 0.5},
+		{"many targets", 10, 18, 18, 180, 5},
+		{"many hosts", 2, 300, 3, 250, 20},
+		{"no crashing request", 10, 18, 3, 200, 0},
+	} {
+		t.Run(load.name, func(t *testing.T) {
+			baselineLate := 0
+			for seed := range load.seeds {
+				play := func(observe bool) *replay {
+					r := newReplay(seed, load.hosts, load.targets, load.soundRate, load.poisonRate, observe)
+					r.isPlain, r.decisiveCrash = true, 3
+					r.run()
+					return r
+				}
+				r := play(true)
+				require.LessOrEqual(t, r.latePoison, maxLateRequests, "seed %d", seed)
+				require.Zero(t, r.soundRefused, "seed %d: of %d sound requests", seed, r.soundRequests)
+				baselineLate += play(false).latePoison
+			}
+			if load.poisonRate > 0 {
+				require.Greater(t, baselineLate, 4*maxLateRequests, "without reports, requests go on reaching targets")
+			}
+			t.Logf("without reports: %d repeats reached targets too late", baselineLate)
+		})
+	}
+}
--- a/admission/request.go
+++ b/admission/request.go
@@ -32,9 +32,12 @@
 	// arrived; nil for unknown. A request that has arrived may still run on the targets
 	// of a service that has left the configuration since.
 	ServiceConfig *fleet.Service
-	// Prompt describes the work for an engine; nil for unknown. Prompt, Started,
-	// Objective and ServiceConfig are not sent to the owner of a service on another host.
+	// Prompt describes the work for an engine; nil for unknown.
 	Prompt *Prompt
+	// ContentKey is a hash of what the request and its repeats have in common; 0 for
+	// unknown. ContentKey, Prompt, Started, Objective and ServiceConfig are not sent to the
+	// owner of a service on another host.
+	ContentKey uint64
 }
 
 // Prompt describes the tokens that an engine has to process and may have to generate.
@@ -191,8 +194,9 @@
 	Duration time.Duration
 	// Incarnation is that of the target.
 	Incarnation uint64
-	// Prompt is that of the request; nil for unknown.
-	Prompt *Prompt
+	// Prompt and ContentKey are those of the request; nil and 0 for unknown.
+	Prompt     *Prompt
+	ContentKey uint64
 	// Succeeded is set if the response was complete and reported success, ConnectionLost
 	// if the target closed the connection before the response was complete.
 	Succeeded      bool
--- a/entry/prompt_guard.go
+++ b/entry/crash_guard.go
@@ -16,9 +16,10 @@
 	"comfreytiller.dev/peer"
 )
 
-// promptGuard refuses requests whose prompt has a part in quarantine, and collects what
-// this host's requests tell about parts.
-type promptGuard struct {
+// crashGuard refuses requests that are in quarantine because they crash targets, by a part
+// of their prompt or by their content, and collects what this host's requests tell of
+// crashes.
+type crashGuard struct {
 	log      *logrus.Logger
 	clock    clockwork.Clock
 	sender   protocol.Sender
@@ -28,37 +29,36 @@
 	crashes  tally.Counter
 }
 
-func newPromptGuard(e *Entry) *promptGuard {
-	return &promptGuard{
+func newCrashGuard(e *Entry) *crashGuard {
+	return &crashGuard{
 		log: logs.ForComponent(e.Log, "Quarantine"), clock: e.Clock, sender: e.sender, observer: quarantine.NewObserver(),
 		refusals: e.Scope.Counter("prompts_refused_in_quarantine"), crashes: e.Scope.Counter("target_crashes_before_response"),
 	}
 }
 
-// check returns the refusal of a request whose prompt has a part in quarantine, and nil
-// otherwise.
-func (g *promptGuard) check(now time.Time, request *admission.Request) error {
-	part, found := g.observer.Quarantined(now, request.Prompt)
+// check returns the refusal of a request in quarantine, and nil for others.
+func (g *crashGuard) check(now time.Time, request *admission.Request) error {
+	suspect, found := g.observer.Quarantined(now, quarantine.Content{Prompt: request.Prompt, Key: request.ContentKey})
 	if !found {
 		return nil
 	}
 	g.refusals.Inc(1)
 	return &admission.Refusal{
-		RequestID: request.ID, Code: admission.RefusedQuarantined, RetryAfter: part.Until.Sub(now),
-		Message: fmt.Sprintf("prompt part %x is in quarantine: %d targets crashed in a row under requests with it", part.Key, part.Crashes),
+		RequestID: request.ID, Code: admission.RefusedQuarantined, RetryAfter: suspect.Until.Sub(now),
+		Message: fmt.Sprintf("%s is in quarantine: %d targets crashed in a row under requests with it", suspect.Subject, suspect.Crashes),
 	}
 }
 
 // record records how a request ended.
-func (g *promptGuard) record(now time.Time, release *admission.Release, address string) {
-	sentAt := now.Add(-release.Duration)
+func (g *crashGuard) record(now time.Time, release *admission.Release, address string) {
+	sentAt, content := now.Add(-release.Duration), quarantine.Content{Prompt: release.Prompt, Key: release.ContentKey}
 	switch {
-	case release.Prompt == nil || release.Duration == 0:
+	case release.Duration == 0:
 	case release.Succeeded:
-		g.observer.RecordSuccess(now, release.Prompt, sentAt)
+		g.observer.RecordSuccess(now, content, sentAt)
 	case release.ConnectionLost:
 		lost := quarantine.Lost{
-			Prompt: release.Prompt, Target: release.Target, Incarnation: release.Incarnation,
+			Content: content, Target: release.Target, Incarnation: release.Incarnation,
 			SentAt: sentAt, FirstByte: release.FirstByte, LostAt: now,
 		}
 		if g.observer.RecordLost(lost) {
@@ -69,7 +69,7 @@
 
 // checkTarget tries to connect to a target that closed a connection. A target that has
 // crashed accepts none until it has started again.
-func (g *promptGuard) checkTarget(target string, incarnation uint64, address string) {
+func (g *crashGuard) checkTarget(target string, incarnation uint64, address string) {
 	ctx, cancel := clockwork.WithTimeout(context.Background(), g.clock, probeTimeout)
 	defer cancel()
 	err := g.sender.Probe(ctx, address)
@@ -83,21 +83,21 @@
 	g.log.WithFields(fields).WithError(err).Warnf("Target %s crashed before its response.", target)
 }
 
-// apply applies the prompt parts that a hub listed. isOtherHub is set if the last list
-// came from another hub.
-func (g *promptGuard) apply(response *peer.WatchResponse, isOtherHub bool) {
-	if response.PartsVersion == 0 || response.PartsVersion == g.observer.Version() && !isOtherHub {
+// apply applies the suspects that a hub listed. isOtherHub is set if the last list came
+// from another hub.
+func (g *crashGuard) apply(response *peer.WatchResponse, isOtherHub bool) {
+	if response.SuspectsVersion == 0 || response.SuspectsVersion == g.observer.Version() && !isOtherHub {
 		return
 	}
 	now := g.clock.Now()
-	for _, part := range g.observer.Apply(now, response.PromptParts, response.PartsVersion) {
-		g.log.WithFields(quarantineFields(now, part)).Warnf("Prompt part %x is in quarantine.", part.Key)
+	for _, suspect := range g.observer.Apply(now, response.Suspects, response.SuspectsVersion) {
+		g.log.WithFields(quarantineFields(now, suspect)).Warnf("A %s is in quarantine.", suspect.Subject)
 	}
 }
 
-func quarantineFields(now time.Time, part quarantine.Part) logrus.Fields {
+func quarantineFields(now time.Time, suspect quarantine.Suspect) logrus.Fields {
 	return logrus.Fields{
-		"Part": fmt.Sprintf("%x", part.Key), "Crashes": part.Crashes, "FirstAge": now.Sub(part.FirstAt),
-		"LastAge": now.Sub(part.LastAt), "Remaining": part.Until.Sub(now),
+		"Part": fmt.Sprintf("%x", suspect.Key), "IsRequest": suspect.IsRequest, "Crashes": suspect.Crashes, "FirstAge": now.Sub(suspect.FirstAt),
+		"LastAge": now.Sub(suspect.LastAt), "Remaining": suspect.Until.Sub(now),
 	}
 }
--- a/entry/prompt_guard_test.go
+++ b/entry/crash_guard_test.go
@@ -37,7 +37,7 @@
 func (f *fixture) awaitReport(t testing.TB) quarantine.Report {
 	var report quarantine.Report
 	require.Eventually(t, func() bool {
-		report = f.daemon.prompts.observer.TakeReport()
+		report = f.daemon.crashes.observer.TakeReport()
 		return !report.IsEmpty()
 	}, 10*time.Second, time.Millisecond)
 	return report
@@ -48,7 +48,7 @@
 func TestRelease_CrashBeforeResponseIsReported(t *testing.T) {
 	f := newFixture(t)
 	sender := &probeSender{probed: make(chan string, 1)}
-	f.daemon.prompts.sender = sender
+	f.daemon.crashes.sender = sender
 	f.applyEntries(f.newRosterEntry("e-1", "engines", "a", 1), f.newRosterEntry("e-2", "engines", "a", 1))
 	for _, test := range []struct {
 		name string
@@ -66,7 +66,7 @@
 	}
 	report := f.awaitReport(t)
 	require.Len(t, report.Crashes, 2)
-	require.Equal(t, []uint64{1, 2}, []uint64{report.Crashes[0].Part, report.Crashes[1].Part})
+	require.Equal(t, []uint64{1, 2}, []uint64{report.Crashes[0].Subject.Key, report.Crashes[1].Subject.Key})
 }
 
 // A request with a part in quarantine is refused without being sent, with the time until
@@ -75,9 +75,9 @@
 	f := newFixture(t)
 	f.applyEntries(f.newRosterEntry("e-1", "engines", "a", 1))
 	now := f.clock.Now()
-	response := peer.WatchResponse{PartsVersion: 3, PromptParts: []quarantine.Part{
-		{Key: 2, Crashes: 3, FirstAt: now.Add(-3 * time.Second), LastAt: now, Until: now.Add(time.Minute)},
-		{Key: 1, Crashes: 2, FirstAt: now.Add(-3 * time.Second), LastAt: now},
+	response := peer.WatchResponse{SuspectsVersion: 3, Suspects: []quarantine.Suspect{
+		{Subject: quarantine.PromptPart(2), Crashes: 3, FirstAt: now.Add(-3 * time.Second), LastAt: now, Until: now.Add(time.Minute)},
+		{Subject: quarantine.PromptPart(1), Crashes: 2, FirstAt: now.Add(-3 * time.Second), LastAt: now},
 	}}
 	require.NoError(t, newHubWatcher(f.daemon).applyResponse(response, nil))
 	acquire := func(prompt *admission.Prompt, exclude ...string) error {
@@ -103,11 +103,44 @@
 	f := newFixture(t)
 	now := f.clock.Now()
 	watcher := newHubWatcher(f.daemon)
-	part := quarantine.Part{Key: 2, Crashes: 3, FirstAt: now, LastAt: now, Until: now.Add(time.Minute)}
-	require.NoError(t, watcher.applyResponse(peer.WatchResponse{RosterSource: 1, PartsVersion: 3, PromptParts: []quarantine.Part{part}}, nil))
-	require.NoError(t, watcher.applyResponse(peer.WatchResponse{RosterSource: 1, PartsVersion: 3}, nil))
-	require.Empty(t, f.daemon.prompts.observer.Unlisted(now))
-	require.NoError(t, watcher.applyResponse(peer.WatchResponse{RosterSource: 2, PartsVersion: 3}, nil))
-	require.Equal(t, []quarantine.Part{part}, f.daemon.prompts.observer.Unlisted(now))
-	require.Error(t, f.daemon.prompts.check(now, &admission.Request{Prompt: samplePrompt(2, 9)}))
+	part := quarantine.Suspect{Subject: quarantine.PromptPart(2), Crashes: 3, FirstAt: now, LastAt: now, Until: now.Add(time.Minute)}
+	require.NoError(t, watcher.applyResponse(peer.WatchResponse{RosterSource: 1, SuspectsVersion: 3, Suspects: []quarantine.Suspect{part}}, nil))
+	require.NoError(t, watcher.applyResponse(peer.WatchResponse{RosterSource: 1, SuspectsVersion: 3}, nil))
+	require.Empty(t, f.daemon.crashes.observer.Unlisted(now))
+	require.NoError(t, watcher.applyResponse(peer.WatchResponse{RosterSource: 2, SuspectsVersion: 3}, nil))
+	require.Equal(t, []quarantine.Suspect{part}, f.daemon.crashes.observer.Unlisted(now))
+	require.Error(t, f.daemon.crashes.check(now, &admission.Request{Prompt: samplePrompt(2, 9)}))
+}
+
+// A request without a prompt that is in quarantine is refused by its content, and one whose
+// target crashed is reported by it.
+func TestAcquire_RequestContentInQuarantineIsRefused(t *testing.T) {
+	f := newFixture(t)
+	sender := &probeSender{probed: make(chan string, 1), err: errors.New("connection refused")}
+	f.daemon.crashes.sender = sender
+	f.applyEntries(f.newRosterEntry("t-1", "treasury", "a", 1))
+	acquire := func(key uint64) (admission.Permit, error) {
+		return f.selector.Acquire(t.Context(), admission.Request{ID: "r", Service: "treasury", ContentKey: key})
+	}
+	permit, err := acquire(7)
+	require.NoError(t, err)
+	f.selector.Release(admission.Release{
+		RequestID: permit.RequestID, Service: permit.Service, Target: permit.Target, Incarnation: permit.Incarnation, Outcome: admission.OutcomeFailed,
+		Duration: 50 * time.Millisecond, ContentKey: 7, ConnectionLost: true,
+	})
+	<-sender.probed
+	report := f.awaitReport(t)
+	require.Len(t, report.Crashes, 1)
+	require.Equal(t, quarantine.Request(7), report.Crashes[0].Subject)
+
+	now := f.clock.Now()
+	require.NoError(t, newHubWatcher(f.daemon).applyResponse(peer.WatchResponse{SuspectsVersion: 3, Suspects: []quarantine.Suspect{
+		{Subject: quarantine.Request(7), Crashes: 3, FirstAt: now, LastAt: now, Until: now.Add(time.Minute)},
+	}}, nil))
+	_, err = acquire(7)
+	var refusal *admission.Refusal
+	require.ErrorAs(t, err, &refusal)
+	require.Equal(t, admission.RefusedQuarantined, refusal.Code)
+	_, err = acquire(8)
+	require.NoError(t, err)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -79,7 +79,7 @@
 	node     *peer.Node
 	view     *stateView
 	selector *targetSelector
-	prompts  *promptGuard
+	crashes  *crashGuard
 	budget   *retryBudget
 	watcher  *hubWatcher
 	sender   protocol.Sender
@@ -107,7 +107,7 @@
 	}, e.rejectMessage)
 	e.view = newStateView()
 	e.sender = e.Protocol.NewSender(e.Clock)
-	e.prompts = newPromptGuard(e)
+	e.crashes = newCrashGuard(e)
 	e.selector = newTargetSelector(e)
 	e.budget = newRetryBudget(e.Settings.Retries, e.selector.hosts.count, e.Clock)
 	e.watcher = newHubWatcher(e)
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -41,7 +41,7 @@
 		},
 		view: newStateView(),
 	}
-	f.daemon.prompts = newPromptGuard(f.daemon)
+	f.daemon.crashes = newCrashGuard(f.daemon)
 	f.selector = newTargetSelector(f.daemon)
 	f.daemon.selector = f.selector
 	f.view = &registry.View{
--- a/entry/hub_watcher.go
+++ b/entry/hub_watcher.go
@@ -147,8 +147,8 @@
 func (w *hubWatcher) poll(ctx context.Context, address string, waitForMajority bool) error {
 	view := w.daemon.view.latest()
 	request := peer.WatchRequest{Host: w.daemon.Settings.Host, RosterSource: w.rosterSource, RosterVersion: w.rosterVersion, MaxWait: longPollMaxWait, Loads: w.daemon.selector.ownLoads(), RateLimits: w.daemon.selector.rateLimitReports()}
-	prompts := w.daemon.prompts.observer
-	request.PartsVersion, request.Quarantined = prompts.Version(), prompts.Unlisted(w.clock.Now())
+	observer := w.daemon.crashes.observer
+	request.SuspectsVersion, request.Quarantined = observer.Version(), observer.Unlisted(w.clock.Now())
 	if view != nil {
 		request.Revision, request.FleetVersion = view.Revision, view.FleetVersion
 	}
@@ -161,10 +161,10 @@
 	}
 	ctx, cancel := clockwork.WithTimeout(ctx, w.clock, request.MaxWait+slack)
 	defer cancel()
-	request.PromptReport = prompts.TakeReport()
+	request.CrashReport = observer.TakeReport()
 	reply, err := w.daemon.node.Call(ctx, address, request)
 	if err != nil {
-		prompts.RestoreReport(request.PromptReport)
+		observer.RestoreReport(request.CrashReport)
 		return err
 	}
 	response, ok := reply.(peer.WatchResponse)
@@ -172,7 +172,7 @@
 		return errors.Errorf("unexpected reply of type %T to a watch request", reply)
 	}
 	if !response.QuorumConfirmed {
-		prompts.RestoreReport(request.PromptReport)
+		observer.RestoreReport(request.CrashReport)
 		return errHubNotCurrent
 	}
 	return w.applyResponse(response, request.Loads)
@@ -187,7 +187,7 @@
 		}
 	}
 	w.daemon.selector.applyRoster(response.Entries, response.WatcherCount)
-	w.daemon.prompts.apply(&response, response.RosterSource != w.rosterSource)
+	w.daemon.crashes.apply(&response, response.RosterSource != w.rosterSource)
 	if !response.WithoutLoads {
 		w.daemon.selector.applyLoads(response.Loads, response.MeanLoad, reportedLoads)
 	}
--- a/entry/target_selector.go
+++ b/entry/target_selector.go
@@ -253,7 +253,7 @@
 	}
 	view := current.View
 	now := t.clock.Now()
-	if err := t.daemon.prompts.check(now, &request); err != nil {
+	if err := t.daemon.crashes.check(now, &request); err != nil {
 		return admission.Permit{}, err
 	}
 	t.mu.Lock()
@@ -423,7 +423,7 @@
 	if s == nil {
 		return
 	}
-	t.daemon.prompts.record(now, &release, s.Address)
+	t.daemon.crashes.record(now, &release, s.Address)
 	s.adjustInFlight(now, -1)
 	switch release.Outcome {
 	case admission.OutcomeDone:
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -157,7 +157,7 @@
 	return admission.Request{
 		ID: d.ID + "." + strconv.Itoa(d.attempts), Host: d.gateway.Host, Service: d.Service.Name,
 		Workspace: d.Workspace, Chat: d.Chat, Priority: d.Call.Priority, Deadline: d.Deadline,
-		Exclude: slices.Clone(d.excludedTargets), Prompt: d.Prompt, Objective: d.FirstByteObjective, Started: d.Started,
+		Exclude: slices.Clone(d.excludedTargets), Prompt: d.Prompt, ContentKey: d.key, Objective: d.FirstByteObjective, Started: d.Started,
 		ServiceConfig: &d.Service,
 	}
 }
@@ -285,7 +285,7 @@
 	}
 	release := admission.Release{
 		RequestID: a.permit.RequestID, Service: d.Service.Name, Target: a.permit.Target,
-		Outcome: outcome, FirstByte: a.firstByte, Incarnation: a.permit.Incarnation, Prompt: d.Prompt,
+		Outcome: outcome, FirstByte: a.firstByte, Incarnation: a.permit.Incarnation, Prompt: d.Prompt, ContentKey: d.key,
 		Succeeded: outcome == admission.OutcomeDone && a.isSuccess(), ConnectionLost: a.connectionLost,
 	}
 	if !a.sentAt.IsZero() {
--- a/hub/gossip.go
+++ b/hub/gossip.go
@@ -73,7 +73,7 @@
 		}
 		g.mu.Unlock()
 		message := peer.RosterUpdate{
-			Host: g.hub.Settings.Host, Watchers: g.hub.watchers.localHosts(), Quarantined: g.hub.prompts.Quarantined(g.hub.Clock.Now()),
+			Host: g.hub.Settings.Host, Watchers: g.hub.watchers.localHosts(), Quarantined: g.hub.quarantine.Quarantined(g.hub.Clock.Now()),
 		}
 		for name := range pending {
 			if entry, found := g.hub.roster.Get(name); found {
@@ -120,7 +120,7 @@
 		}
 	}
 	g.hub.watchers.recordRemote(m.Watchers)
-	g.hub.mergePromptReport(m.Host, m.PromptReport, m.Quarantined)
+	g.hub.mergeCrashReport(m.Host, m.CrashReport, m.Quarantined)
 	if len(m.Loads) > 0 {
 		g.hub.loads.recordHub(m.Host, m.Loads)
 	}
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -83,7 +83,7 @@
 	watchers     *watchers
 	gossip       *gossip
 	loads        *loadTracker
-	prompts      *quarantine.Board
+	quarantine   *quarantine.Board
 	membership   *membershipManager
 	contact      *majorityContact
 
@@ -112,7 +112,7 @@
 	h.watchers = newWatchers(h.Clock)
 	h.gossip = newGossip(h)
 	h.loads = newLoadTracker(h.Clock)
-	h.prompts = quarantine.NewBoard()
+	h.quarantine = quarantine.NewBoard()
 	h.membership = newMembershipManager(h)
 	h.node = peer.NewNode(peer.Config{
 		Host:     own.Host,
@@ -188,7 +188,7 @@
 		err := splitter.Serve(h.servePeer)
 		h.log.Debugf("Peer server stopped: %v.", err)
 	})
-	for _, run := range []func(context.Context){h.maintainContact, h.gossip.runRefresh, h.gossip.runLoads, h.membership.run, h.markSilentTargets, h.updatePromptParts} {
+	for _, run := range []func(context.Context){h.maintainContact, h.gossip.runRefresh, h.gossip.runLoads, h.membership.run, h.markSilentTargets, h.updateQuarantine} {
 		served.Go(func() { run(background) })
 	}
 	h.log.WithField("Address", h.Settings.Peers).Info("Listening for hosts, targets and operators.")
--- a/hub/prompts_test.go
+++ b/hub/quarantine_test.go
@@ -20,21 +20,21 @@
 // Requests with a crashing part come to hosts of all hubs, each of which sees some of the
 // crashes. A hub that was restarted learns of the quarantine from the others or, if all
 // were restarted, from a host.
-func TestPromptReports_QuarantineIsKnownToAllHubs(t *testing.T) {
+func TestCrashReports_QuarantineIsKnownToAllHubs(t *testing.T) {
 	c := newCluster(t, 3)
 	c.awaitAllVoters()
 	now := c.hubs[0].Clock.Now()
 	for i, target := range []string{"a", "b", "c"} {
 		crashedAt := now.Add(time.Duration(i-4) * time.Second)
-		c.watch(i, peer.WatchRequest{Host: "e", PromptReport: quarantine.Report{Crashes: []quarantine.Crash{
-			{Part: 7, Depth: 1, Target: target, Incarnation: 1, SentAt: crashedAt.Add(-time.Millisecond), CrashedAt: crashedAt},
+		c.watch(i, peer.WatchRequest{Host: "e", CrashReport: quarantine.Report{Crashes: []quarantine.Crash{
+			{Subject: quarantine.PromptPart(7), Depth: 1, Target: target, Incarnation: 1, SentAt: crashedAt.Add(-time.Millisecond), CrashedAt: crashedAt},
 		}}})
 	}
-	isKnown := func(i int) bool { return len(c.hubs[i].prompts.Quarantined(c.hubs[i].Clock.Now())) == 1 }
+	isKnown := func(i int) bool { return len(c.hubs[i].quarantine.Quarantined(c.hubs[i].Clock.Now())) == 1 }
 	c.eventually("all hubs have the part in quarantine", func() bool { return isKnown(0) && isKnown(1) && isKnown(2) })
-	var listed []quarantine.Part
+	var listed []quarantine.Suspect
 	c.eventually("a hub lists the part", func() bool {
-		listed = c.watch(1, peer.WatchRequest{Host: "e"}).PromptParts
+		listed = c.watch(1, peer.WatchRequest{Host: "e"}).Suspects
 		return len(listed) == 1 && listed[0].Key == 7
 	})
 	c.stop(1)
@@ -63,14 +63,14 @@
 		return first.QuorumConfirmed
 	})
 	now := hub.Clock.Now()
-	part := quarantine.Part{Key: 7, Crashes: 3, FirstAt: now, LastAt: now, Until: now.Add(time.Minute)}
+	part := quarantine.Suspect{Subject: quarantine.PromptPart(7), Crashes: 3, FirstAt: now, LastAt: now, Until: now.Add(time.Minute)}
 	replies := make(chan peer.Message, 1)
 	go hub.handleWatch(peer.WatchRequest{
-		Host: "e", RosterSource: first.RosterSource, RosterVersion: first.RosterVersion, PartsVersion: first.PartsVersion,
+		Host: "e", RosterSource: first.RosterSource, RosterVersion: first.RosterVersion, SuspectsVersion: first.SuspectsVersion,
 		Revision: hub.replica.Machine.View().Revision, MaxWait: time.Hour,
 	}, func(m peer.Message) { replies <- m })
-	hub.mergePromptReport("another hub", quarantine.Report{}, []quarantine.Part{part})
+	hub.mergeCrashReport("another hub", quarantine.Report{}, []quarantine.Suspect{part})
 	response := (<-replies).(peer.WatchResponse)
-	require.Len(t, response.PromptParts, 1)
-	require.Equal(t, uint64(7), response.PromptParts[0].Key)
+	require.Len(t, response.Suspects, 1)
+	require.Equal(t, uint64(7), response.Suspects[0].Key)
 }
--- a/hub/watchers.go
+++ b/hub/watchers.go
@@ -139,7 +139,7 @@
 func (h *Hub) handleWatch(m peer.WatchRequest, reply peer.Reply) {
 	h.watchers.recordWatch(m.Host, m.Revision)
 	h.loads.recordHost(m.Host, m.Loads)
-	h.recordPromptReport(m.Host, m.PromptReport, m.Quarantined)
+	h.recordCrashReport(m.Host, m.CrashReport, m.Quarantined)
 	h.recordRateLimits(m.Host, m.RateLimits)
 	startedAt := h.Clock.Now()
 	if !h.contact.await(min(m.MaxWait, maxLongPollWait)) {
@@ -150,7 +150,7 @@
 		return
 	}
 	if m.RosterSource != h.rosterSource {
-		m.RosterVersion, m.PartsVersion = 0, 0
+		m.RosterVersion, m.SuspectsVersion = 0, 0
 	}
 	m.MaxWait -= h.Clock.Since(startedAt)
 	h.awaitChanges(m)
@@ -161,9 +161,9 @@
 		response.Delta = h.replica.Machine.EncodedDeltaSince(m.Revision, m.FleetVersion)
 	}
 	h.addDigest(m.Host, &response)
-	parts, version := h.prompts.Parts()
-	if response.PartsVersion = version; version != m.PartsVersion {
-		response.PromptParts = parts
+	suspects, version := h.quarantine.Suspects()
+	if response.SuspectsVersion = version; version != m.SuspectsVersion {
+		response.Suspects = suspects
 	}
 	response.Entries, response.RosterVersion = h.roster.ChangedSince(m.RosterVersion)
 	reply(response)
@@ -193,13 +193,13 @@
 	for {
 		changed := h.replica.Machine.Changed()
 		version, tableChanged := h.roster.Version()
-		partsVersion, partsPublished := h.prompts.UrgentVersion()
-		if h.replica.Machine.View().Revision > m.Revision || version > m.RosterVersion || partsVersion > m.PartsVersion {
+		suspectsVersion, suspectsPublished := h.quarantine.UrgentVersion()
+		if h.replica.Machine.View().Revision > m.Revision || version > m.RosterVersion || suspectsVersion > m.SuspectsVersion {
 			return
 		}
 		select {
 		case <-changed:
-		case <-partsPublished:
+		case <-suspectsPublished:
 		case <-tableChanged:
 			// Changes of targets come in bursts.
 			h.coalesceChanges(timer)
--- a/peer/codec_quarantine.go
+++ b/peer/codec_quarantine.go
@@ -7,70 +7,70 @@
 	"comfreytiller.dev/peer/peerpb"
 )
 
-// promptReportToWire returns nil for an empty report. Like all functions here, it sends
+// crashReportToWire returns nil for an empty report. Like all functions here, it sends
 // ages instead of timestamps, since the clocks of hosts differ.
-func promptReportToWire(report quarantine.Report, now time.Time) *peerpb.PromptEvidence {
+func crashReportToWire(report quarantine.Report, now time.Time) *peerpb.CrashEvidence {
 	if report.IsEmpty() {
 		return nil
 	}
-	wire := &peerpb.PromptEvidence{}
+	wire := &peerpb.CrashEvidence{}
 	for _, crash := range report.Crashes {
-		wire.Crashes = append(wire.Crashes, &peerpb.PromptCrash{
-			Part: crash.Part, Depth: int32(crash.Depth), Target: crash.Target, Incarnation: crash.Incarnation,
+		wire.Crashes = append(wire.Crashes, &peerpb.TargetCrash{
+			Key: crash.Subject.Key, Request: crash.Subject.IsRequest, Depth: int32(crash.Depth), Target: crash.Target, Incarnation: crash.Incarnation,
 			SentAge: int64(now.Sub(crash.SentAt)), CrashAge: int64(now.Sub(crash.CrashedAt)),
 		})
 	}
 	for _, success := range report.Successes {
-		wire.Successes = append(wire.Successes, &peerpb.PromptSuccess{Part: success.Part, SentAge: int64(now.Sub(success.SentAt))})
+		wire.Successes = append(wire.Successes, &peerpb.SubjectSuccess{Key: success.Subject.Key, Request: success.Subject.IsRequest, SentAge: int64(now.Sub(success.SentAt))})
 	}
 	return wire
 }
 
-func promptReportFromWire(wire *peerpb.PromptEvidence, now time.Time) quarantine.Report {
+func crashReportFromWire(wire *peerpb.CrashEvidence, now time.Time) quarantine.Report {
 	var report quarantine.Report
 	for _, crash := range wire.GetCrashes() {
 		report.Crashes = append(report.Crashes, quarantine.Crash{
-			Part: crash.Part, Depth: int(crash.Depth), Target: crash.Target, Incarnation: crash.Incarnation,
+			Subject: quarantine.Subject{Key: crash.Key, IsRequest: crash.Request}, Depth: int(crash.Depth), Target: crash.Target, Incarnation: crash.Incarnation,
 			SentAt: now.Add(-time.Duration(crash.SentAge)), CrashedAt: now.Add(-time.Duration(crash.CrashAge)),
 		})
 	}
 	for _, success := range wire.GetSuccesses() {
-		report.Successes = append(report.Successes, quarantine.Success{Part: success.Part, SentAt: now.Add(-time.Duration(success.SentAge))})
+		report.Successes = append(report.Successes, quarantine.Success{Subject: quarantine.Subject{Key: success.Key, IsRequest: success.Request}, SentAt: now.Add(-time.Duration(success.SentAge))})
 	}
 	return report
 }
 
-func promptPartsToWire(parts []quarantine.Part, now time.Time) []*peerpb.PromptPartState {
-	var wire []*peerpb.PromptPartState
-	for _, part := range parts {
-		state := &peerpb.PromptPartState{
-			Part: part.Key, Crashes: int32(part.Crashes), FirstAge: int64(now.Sub(part.FirstAt)), LastAge: int64(now.Sub(part.LastAt)),
+func suspectsToWire(suspects []quarantine.Suspect, now time.Time) []*peerpb.SuspectState {
+	var wire []*peerpb.SuspectState
+	for _, suspect := range suspects {
+		state := &peerpb.SuspectState{
+			Key: suspect.Key, Request: suspect.IsRequest, Crashes: int32(suspect.Crashes), FirstAge: int64(now.Sub(suspect.FirstAt)), LastAge: int64(now.Sub(suspect.LastAt)),
 		}
-		if part.IsQuarantined(now) {
-			state.Remaining = int64(part.Until.Sub(now))
+		if suspect.IsQuarantined(now) {
+			state.Remaining = int64(suspect.Until.Sub(now))
 		}
-		if !part.ClearedAt.IsZero() {
-			state.Cleared, state.ClearedAge = true, int64(now.Sub(part.ClearedAt))
+		if !suspect.ClearedAt.IsZero() {
+			state.Cleared, state.ClearedAge = true, int64(now.Sub(suspect.ClearedAt))
 		}
 		wire = append(wire, state)
 	}
 	return wire
 }
 
-func promptPartsFromWire(wire []*peerpb.PromptPartState, now time.Time) []quarantine.Part {
-	var parts []quarantine.Part
+func suspectsFromWire(wire []*peerpb.SuspectState, now time.Time) []quarantine.Suspect {
+	var suspects []quarantine.Suspect
 	for _, state := range wire {
-		part := quarantine.Part{
-			Key: state.Part, Crashes: int(state.Crashes),
+		suspect := quarantine.Suspect{
+			Subject: quarantine.Subject{Key: state.Key, IsRequest: state.Request}, Crashes: int(state.Crashes),
 			FirstAt: now.Add(-time.Duration(state.FirstAge)), LastAt: now.Add(-time.Duration(state.LastAge)),
 		}
 		if state.Remaining > 0 {
-			part.Until = now.Add(time.Duration(state.Remaining))
+			suspect.Until = now.Add(time.Duration(state.Remaining))
 		}
 		if state.Cleared {
-			part.ClearedAt = now.Add(-time.Duration(state.ClearedAge))
+			suspect.ClearedAt = now.Add(-time.Duration(state.ClearedAge))
 		}
-		parts = append(parts, part)
+		suspects = append(suspects, suspect)
 	}
-	return parts
+	return suspects
 }
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -51,19 +51,19 @@
 	})
 }
 
-// samplePromptReport returns a report with every field set.
-func samplePromptReport() quarantine.Report {
+// sampleCrashReport returns a report with every field set.
+func sampleCrashReport() quarantine.Report {
 	return quarantine.Report{
-		Crashes:   []quarantine.Crash{{Part: 1, Depth: 2, Target: "t", Incarnation: 7, SentAt: epoch.Add(-time.Second), CrashedAt: epoch}},
-		Successes: []quarantine.Success{{Part: 2, SentAt: epoch.Add(-time.Second)}},
+		Crashes:   []quarantine.Crash{{Subject: quarantine.Request(1), Depth: 2, Target: "t", Incarnation: 7, SentAt: epoch.Add(-time.Second), CrashedAt: epoch}},
+		Successes: []quarantine.Success{{Subject: quarantine.Request(2), SentAt: epoch.Add(-time.Second)}},
 	}
 }
 
-// samplePromptParts returns a part in quarantine and one that was cleared.
-func samplePromptParts() []quarantine.Part {
-	return []quarantine.Part{
-		{Key: 1, Crashes: 3, FirstAt: epoch.Add(-time.Minute), LastAt: epoch.Add(-time.Second), Until: epoch.Add(time.Minute)},
-		{Key: 2, FirstAt: epoch.Add(-time.Minute), LastAt: epoch.Add(-time.Second), ClearedAt: epoch.Add(-time.Second)},
+// sampleSuspects returns a part in quarantine and one that was cleared.
+func sampleSuspects() []quarantine.Suspect {
+	return []quarantine.Suspect{
+		{Subject: quarantine.Request(1), Crashes: 3, FirstAt: epoch.Add(-time.Minute), LastAt: epoch.Add(-time.Second), Until: epoch.Add(time.Minute)},
+		{Subject: quarantine.PromptPart(2), FirstAt: epoch.Add(-time.Minute), LastAt: epoch.Add(-time.Second), ClearedAt: epoch.Add(-time.Second)},
 	}
 }
 
@@ -77,9 +77,9 @@
 			Announcement: target.Announcement{Name: "t", Stamp: sampleStamp, Service: "s", Capacity: 4}, State: roster.Leaving,
 			WarmUpRemaining: time.Second, LastSeen: epoch.Add(-time.Second), Silent: true,
 			RateLimit: ratelimit.Limit{IsLimited: true, PerSecond: 4.25, SaidAt: epoch.Add(-time.Second)},
-		}}, Watchers: []string{"e"}, Loads: map[string]int{"t": 3}, PromptReport: samplePromptReport(), Quarantined: samplePromptParts()},
+		}}, Watchers: []string{"e"}, Loads: map[string]int{"t": 3}, CrashReport: sampleCrashReport(), Quarantined: sampleSuspects()},
 		WatchRequest{
-			Host: "h", Revision: 1, FleetVersion: 2, RosterSource: 3, RosterVersion: 4, MaxWait: time.Second, Loads: map[string]int{"t": 3}, PromptReport: samplePromptReport(), PartsVersion: 5, Quarantined: samplePromptParts(),
+			Host: "h", Revision: 1, FleetVersion: 2, RosterSource: 3, RosterVersion: 4, MaxWait: time.Second, Loads: map[string]int{"t": 3}, CrashReport: sampleCrashReport(), SuspectsVersion: 5, Quarantined: sampleSuspects(),
 			RateLimits: []ratelimit.Report{
 				{Target: "t", Incarnation: 7, Limit: ratelimit.Limit{SaidAt: epoch.Add(-time.Second)}},
 				{Target: "u", Incarnation: 8, Limit: ratelimit.Limit{IsLimited: true, PerSecond: 0.5, SaidAt: epoch}},
@@ -88,7 +88,7 @@
 		WatchResponse{
 			QuorumConfirmed: true, Delta: []byte{1}, RosterSource: 2, RosterVersion: 3, Entries: []roster.Entry{{State: roster.Gone, LastSeen: epoch}},
 			WatcherCount: 4, ReplicaAddresses: []string{"a"}, Loads: map[string]int{"t": 3}, MeanLoad: 1.5, WithoutLoads: true,
-			PartsVersion: 5, PromptParts: samplePromptParts(),
+			SuspectsVersion: 5, Suspects: sampleSuspects(),
 		},
 		JoinRequest{ID: "i", Host: "h", Address: "a", Forwarded: true},
 		Ack{},
--- a/peer/codec_watch.go
+++ b/peer/codec_watch.go
@@ -14,13 +14,13 @@
 	case RosterUpdate:
 		wire.Body = &peerpb.Frame_Roster{Roster: &peerpb.Roster{
 			Host: m.Host, Entries: entriesToWire(m.Entries, now), Watchers: m.Watchers,
-			Loads: loadsToWire(m.Loads), Evidence: promptReportToWire(m.PromptReport, now), Quarantined: promptPartsToWire(m.Quarantined, now),
+			Loads: loadsToWire(m.Loads), Evidence: crashReportToWire(m.CrashReport, now), Quarantined: suspectsToWire(m.Quarantined, now),
 		}}
 	case WatchRequest:
 		wire.Body = &peerpb.Frame_Watch{Watch: &peerpb.Watch{
 			Host: m.Host, Revision: m.Revision, FleetVersion: m.FleetVersion,
 			Source: m.RosterSource, Roster: m.RosterVersion, Wait: int64(m.MaxWait), Loads: loadsToWire(m.Loads),
-			Evidence: promptReportToWire(m.PromptReport, now), Parts: m.PartsVersion, Quarantined: promptPartsToWire(m.Quarantined, now),
+			Evidence: crashReportToWire(m.CrashReport, now), Suspects: m.SuspectsVersion, Quarantined: suspectsToWire(m.Quarantined, now),
 			RateLimits: rateLimitReportsToWire(m.RateLimits, now),
 		}}
 	case WatchResponse:
@@ -28,7 +28,7 @@
 			Current: m.QuorumConfirmed, Delta: m.Delta, Source: m.RosterSource, Roster: m.RosterVersion,
 			Entries: entriesToWire(m.Entries, now), Hosts: int32(m.WatcherCount), Replicas: m.ReplicaAddresses,
 			Loads: loadsToWire(m.Loads), MeanLoad: m.MeanLoad, WithoutLoads: m.WithoutLoads,
-			Parts: m.PartsVersion, PromptParts: promptPartsToWire(m.PromptParts, now),
+			SuspectsVersion: m.SuspectsVersion, Suspects: suspectsToWire(m.Suspects, now),
 		}}
 	case JoinRequest:
 		wire.Body = &peerpb.Frame_Join{Join: &peerpb.Join{Id: m.ID, Host: m.Host, Address: m.Address, Passed: m.Forwarded}}
@@ -40,14 +40,14 @@
 	case *peerpb.Frame_Roster:
 		return RosterUpdate{
 			Host: b.Roster.Host, Entries: entriesFromWire(b.Roster.Entries, now), Watchers: b.Roster.Watchers, Loads: loadsFromWire(b.Roster.Loads),
-			PromptReport: promptReportFromWire(b.Roster.Evidence, now), Quarantined: promptPartsFromWire(b.Roster.Quarantined, now),
+			CrashReport: crashReportFromWire(b.Roster.Evidence, now), Quarantined: suspectsFromWire(b.Roster.Quarantined, now),
 		}
 	case *peerpb.Frame_Watch:
 		w := b.Watch
 		return WatchRequest{
 			Host: w.Host, Revision: w.Revision, FleetVersion: w.FleetVersion,
 			RosterSource: w.Source, RosterVersion: w.Roster, MaxWait: time.Duration(w.Wait), Loads: loadsFromWire(w.Loads),
-			PromptReport: promptReportFromWire(w.Evidence, now), PartsVersion: w.Parts, Quarantined: promptPartsFromWire(w.Quarantined, now),
+			CrashReport: crashReportFromWire(w.Evidence, now), SuspectsVersion: w.Suspects, Quarantined: suspectsFromWire(w.Quarantined, now),
 			RateLimits: rateLimitReportsFromWire(w.RateLimits, now),
 		}
 	case *peerpb.Frame_Watched:
@@ -56,7 +56,7 @@
 			QuorumConfirmed: w.Current, Delta: w.Delta, RosterSource: w.Source, RosterVersion: w.Roster,
 			Entries: entriesFromWire(w.Entries, now), WatcherCount: int(w.Hosts), ReplicaAddresses: w.Replicas,
 			Loads: loadsFromWire(w.Loads), MeanLoad: w.MeanLoad, WithoutLoads: w.WithoutLoads,
-			PartsVersion: w.Parts, PromptParts: promptPartsFromWire(w.PromptParts, now),
+			SuspectsVersion: w.SuspectsVersion, Suspects: suspectsFromWire(w.Suspects, now),
 		}
 	case *peerpb.Frame_Join:
 		return JoinRequest{ID: b.Join.Id, Host: b.Join.Host, Address: b.Join.Address, Forwarded: b.Join.Passed}
--- a/peer/message.go
+++ b/peer/message.go
@@ -201,10 +201,10 @@
 	// Loads are the requests in flight from these hosts by target; nil if not
 	// reported.
 	Loads map[string]int
-	// PromptReport is what hosts reported to this replica about prompt parts, and
-	// Quarantined are the parts in quarantine.
-	PromptReport quarantine.Report
-	Quarantined  []quarantine.Part
+	// CrashReport is what hosts reported to this replica about crashes of targets, and
+	// Quarantined are the suspects in quarantine.
+	CrashReport quarantine.Report
+	Quarantined []quarantine.Suspect
 }
 
 // WatchRequest asks a state replica for changes since the requesting host's view.
@@ -220,13 +220,13 @@
 	MaxWait time.Duration
 	// Loads are the host's own requests in flight by target.
 	Loads map[string]int
-	// PromptReport is what the host learned about prompt parts since its last request.
-	PromptReport quarantine.Report
-	// PartsVersion is the version of the list of prompt parts that the host has from
+	// CrashReport is what the host learned about crashes of targets since its last request.
+	CrashReport quarantine.Report
+	// SuspectsVersion is the version of the list of suspects that the host has from
 	// RosterSource.
-	PartsVersion uint64
-	// Quarantined are parts in quarantine that RosterSource did not list.
-	Quarantined []quarantine.Part
+	SuspectsVersion uint64
+	// Quarantined are suspects in quarantine that RosterSource did not list.
+	Quarantined []quarantine.Suspect
 	// RateLimits are those that differ from what RosterSource told of their targets.
 	RateLimits []ratelimit.Report
 }
@@ -252,10 +252,10 @@
 	// WithoutLoads is set if the replica sent loads to the host a moment ago. Loads
 	// and MeanLoad are then empty and say nothing.
 	WithoutLoads bool
-	// PartsVersion is the version of the replica's list of prompt parts; 0 if it reports
-	// none. PromptParts is the list; it is empty if the host has that version.
-	PartsVersion uint64
-	PromptParts  []quarantine.Part
+	// SuspectsVersion is the version of the replica's list of suspects; 0 if it reports
+	// none. Suspects is the list; it is empty if the host has that version.
+	SuspectsVersion uint64
+	Suspects        []quarantine.Suspect
 }
 
 // JoinRequest asks the state leader to add a replica to the cluster, or to
