Refuse prompts beside limited targets when all slots are in use

Cause: the targets without a limit get the rest of the load, and nothing ended that, so that prompts queued behind ever more of them. Change: beside limited targets, one whose slots are all in use by what hosts reported lately takes no prompt; what no target takes is refused at once, as not run, with Retry-After.

--- a/entry/rate_limit_test.go
+++ b/entry/rate_limit_test.go
@@ -260,3 +260,26 @@
 	f.selector.applyLoads(map[string]int{"t-1": 0, "t-2": 3 * two.Capacity}, 0, nil)
 	require.Less(t, f.selector.throttles["treasury"].AdmitRate(), 1.0)
 }
+
+// Beside targets with a limit, the others take prompts until all of their slots are in use.
+// What a host only guesses of the others' requests, without a report, is no reason to
+// refuse.
+func TestAcquire_PromptBesideLimitedTargetsIsRefusedWhenSlotsAreInUse(t *testing.T) {
+	f := newFixture(t)
+	f.selector.hosts.record(300)
+	f.applyEntries(f.newRosterEntry("t-1", "engines", "a", 1), f.newRosterEntry("t-2", "engines", "a", 1))
+	limit := 0.1
+	f.selector.recordResponse(admission.Permit{Target: "t-1", Incarnation: 1, Service: "engines"}, target.ResponseHeader{Status: 200, RateLimit: &limit})
+	acquire := func() error {
+		_, err := f.selector.Acquire(t.Context(), admission.Request{ID: "r", Service: "engines", Prompt: samplePrompt(1, 2)})
+		return err
+	}
+	for range 20 {
+		require.NoError(t, acquire(), "no report")
+	}
+	f.selector.applyLoads(map[string]int{"t-2": 8}, 0, nil)
+	var refusal *admission.Refusal
+	require.ErrorAs(t, acquire(), &refusal)
+	require.Equal(t, admission.RefusedNoTarget, refusal.Code)
+	require.Positive(t, refusal.RetryAfter)
+}
--- a/entry/target_selector.go
+++ b/entry/target_selector.go
@@ -343,6 +343,7 @@
 		AtCapacity:     now.Before(s.atCapacityUntil) || !s.hasSlot(now, loads) || t.isPaused(now, s) || s.isCold(now) && now.Before(t.earliestColdRequest(s, service, loads.hosts)),
 	}
 	local.InFlight, local.Queued = s.estimateLoad(now, loads)
+	local.SlotsInUse = s.hasReportedLoad(now) && s.Capacity > 0 && local.InFlight+1 > float64(s.Capacity)
 	if request.Prompt != nil {
 		local.CachedTokens = t.prefixCache.cachedTokens(now, local.Key, request.Prompt.Parts)
 	}
--- a/entry/target_state.go
+++ b/entry/target_state.go
@@ -99,6 +99,12 @@
 	return others, 1 - float64(age)/float64(loadReportTTL)
 }
 
+// hasReportedLoad reports whether a report tells the requests of other hosts on the target.
+func (s *targetState) hasReportedLoad(now time.Time) bool {
+	_, weight := s.othersLoad(now)
+	return weight > 0
+}
+
 // meanOthersLoad returns the mean number of requests of other hosts in flight
 // on a target, weighted by the age of the reports.
 func meanOthersLoad(now time.Time, list []*targetState) float64 {
--- a/route/local.go
+++ b/route/local.go
@@ -31,6 +31,9 @@
 	Slots    int
 	InFlight float64
 	Queued   float64
+	// SlotsInUse is set if all slots are in use by what hosts have reported lately; InFlight
+	// may be a guess.
+	SlotsInUse bool
 	// CachedTokens is the number of the prompt's tokens that this host knows to be
 	// cached on the target.
 	CachedTokens int
@@ -100,9 +103,12 @@
 	}
 	choice := LocalChoice{Target: None, CacheSource: None}
 	var best time.Duration
+	// Beside targets with a rate limit, which leave the rest of the load to a few others, a
+	// prompt that waits for a slot would wait until its deadline, behind ever more of them.
+	takesRest := key != 0 && slotsBesideLimits(targets) > 0
 	for i := range targets {
 		target := &targets[i]
-		if target.Availability != Available || target.AtCapacity {
+		if target.Availability != Available || target.AtCapacity || takesRest && target.SlotsInUse {
 			continue
 		}
 		source := order.cacheSource(i, targets)
--- a/route/rate_limit_test.go
+++ b/route/rate_limit_test.go
@@ -73,7 +73,6 @@
 	for i := range 8 {
 		targets[i].RateLimited = true
 	}
-	targets[8].InFlight = 50
 	for i := range targets[8].Slots {
 		targets[8].InFlight = float64(i)
 		choice := ChooseLocal(uint64(i)+1, 0, replayTraffic(0), 10_000, targets, &testCosts)
@@ -81,11 +80,21 @@
 			require.NotEqual(t, 8, choice.Target, "%d in flight", i)
 		}
 	}
-	targets[8].InFlight = 50
 	for i := range 8 {
 		targets[i].AtCapacity = true
 	}
-	require.Equal(t, 8, ChooseLocal(3, 0, replayTraffic(0), 10_000, targets, &testCosts).Target)
+	choose := func(inFlight float64) int {
+		targets[8].InFlight, targets[8].SlotsInUse = inFlight, inFlight+1 > float64(targets[8].Slots)
+		return ChooseLocal(3, 0, replayTraffic(0), 10_000, targets, &testCosts).Target
+	}
+	require.Equal(t, 8, choose(50))
+	require.Equal(t, 8, choose(127))
+	require.Equal(t, None, choose(128), "what would only wait is refused at once")
+	targets[0].RateLimited, targets[0].AtCapacity = false, false
+	targets[0].InFlight = 127
+	require.Equal(t, 0, choose(128))
+	targets[0].SlotsInUse = true
+	require.Equal(t, None, choose(128))
 }
 
 // Targets with a rate limit are at capacity most of the time. Unlike targets that warm up,
