End a rate limit only by a response of its target

Found by reading the diff: an attempt without a response, a 421 of another target at the address and an unreadable value counted as a response without a limit. A connection that was refused ended the limit of its target, on all hosts, until the next response named it again. Responses say now whether they tell the limit.

Before: TestRecordResponse_OnlyOwnResponseEndsRateLimit failed with 'no response'.

--- a/entry/notices.go
+++ b/entry/notices.go
@@ -37,7 +37,7 @@
 	if header.RateLimitProblem != "" {
 		t.log.WithFields(fields).Warnf("Target %s sent an unusual rate limit: %s.", permit.Target, header.RateLimitProblem)
 	}
-	if s != nil && s.Incarnation == permit.Incarnation {
+	if s != nil && s.Incarnation == permit.Incarnation && header.TellsRateLimit {
 		t.applyRateLimit(now, s, ratelimit.New(now, header.RateLimit), permit.RequestID)
 	}
 	if news.Leaving {
--- a/entry/rate_limit_test.go
+++ b/entry/rate_limit_test.go
@@ -96,7 +96,7 @@
 		return
 	}
 	r.all[permit.Target]++
-	header := target.ResponseHeader{Status: 200}
+	header := target.ResponseHeader{Status: 200, TellsRateLimit: true}
 	if permit.Target == r.limited {
 		told, known := r.toldAt[f]
 		if known && now.Sub(told) >= limitReaction {
@@ -207,7 +207,7 @@
 	tell := func(f *fixture, limit *float64) {
 		r.clock.Advance(time.Second)
 		permit := admission.Permit{Target: "t-1", Incarnation: 1, Service: "engines"}
-		f.selector.recordResponse(permit, target.ResponseHeader{Status: 200, RateLimit: limit})
+		f.selector.recordResponse(permit, target.ResponseHeader{Status: 200, TellsRateLimit: true, RateLimit: limit})
 	}
 	five, seven := 5.0, 7.0
 	tell(r.hosts[3], &five)
@@ -253,7 +253,7 @@
 	f := newFixture(t)
 	f.applyEntries(f.newRosterEntry("t-1", "treasury", "a", 1), f.newRosterEntry("t-2", "treasury", "a", 1))
 	one, two := 1.0, f.selector.byName["t-2"]
-	f.selector.recordResponse(admission.Permit{Target: "t-1", Incarnation: 1, Service: "treasury"}, target.ResponseHeader{Status: 200, RateLimit: &one})
+	f.selector.recordResponse(admission.Permit{Target: "t-1", Incarnation: 1, Service: "treasury"}, target.ResponseHeader{Status: 200, TellsRateLimit: true, RateLimit: &one})
 	f.selector.durations["treasury"] = 50 * time.Millisecond
 	require.Equal(t, 1, f.selector.byName["t-1"].usableSlots(50*time.Millisecond))
 	require.Equal(t, two.Capacity, two.usableSlots(50*time.Millisecond))
@@ -269,7 +269,7 @@
 	f.selector.hosts.record(300)
 	f.applyEntries(f.newRosterEntry("t-1", "engines", "a", 1), f.newRosterEntry("t-2", "engines", "a", 1))
 	limit := 0.1
-	f.selector.recordResponse(admission.Permit{Target: "t-1", Incarnation: 1, Service: "engines"}, target.ResponseHeader{Status: 200, RateLimit: &limit})
+	f.selector.recordResponse(admission.Permit{Target: "t-1", Incarnation: 1, Service: "engines"}, target.ResponseHeader{Status: 200, TellsRateLimit: true, RateLimit: &limit})
 	acquire := func() error {
 		_, err := f.selector.Acquire(t.Context(), admission.Request{ID: "r", Service: "engines", Prompt: samplePrompt(1, 2)})
 		return err
@@ -283,3 +283,25 @@
 	require.Equal(t, admission.RefusedNoTarget, refusal.Code)
 	require.Positive(t, refusal.RetryAfter)
 }
+
+// Only a response of the target tells its limit. An attempt that failed without one, a
+// response of another target at its address, or a value that can't be read end nothing.
+func TestRecordResponse_OnlyOwnResponseEndsRateLimit(t *testing.T) {
+	f := newFixture(t)
+	f.applyEntries(f.newRosterEntry("t-1", "engines", "a", 1))
+	permit := admission.Permit{Target: "t-1", Incarnation: 1, Service: "engines"}
+	limit := 4.0
+	f.selector.recordResponse(permit, target.ResponseHeader{Status: 200, TellsRateLimit: true, RateLimit: &limit})
+	for name, header := range map[string]target.ResponseHeader{
+		"no response":    {},
+		"another target": {Status: 421, NotExecuted: true},
+		"unreadable":     {Status: 200, RateLimitProblem: "not a number"},
+	} {
+		f.clock.Advance(time.Second)
+		f.selector.recordResponse(permit, header)
+		require.True(t, f.selector.byName["t-1"].limit.IsLimited, name)
+	}
+	f.clock.Advance(time.Second)
+	f.selector.recordResponse(permit, target.ResponseHeader{Status: 500, TellsRateLimit: true})
+	require.False(t, f.selector.byName["t-1"].limit.IsLimited)
+}
--- a/target/call.go
+++ b/target/call.go
@@ -146,9 +146,11 @@
 	// if it was used as it is.
 	RetryAfter        time.Duration
 	RetryAfterProblem string
-	// RateLimit is the number of requests per second that the target takes from all
-	// hosts together; nil if the response names no limit. RateLimitProblem is why the
-	// target's value was ignored or bounded; empty if it was used as it is.
+	// TellsRateLimit is set if the response tells whether the target has a rate limit.
+	// RateLimit is then the number of requests per second that it takes from all hosts
+	// together; nil if it has none. RateLimitProblem is why the target's value was ignored
+	// or bounded; empty if it was used as it is.
+	TellsRateLimit   bool
 	RateLimit        *float64
 	RateLimitProblem string
 }
--- a/target/web/rate_limit.go
+++ b/target/web/rate_limit.go
@@ -11,10 +11,13 @@
 // target takes more.
 const maxRateLimit = 1e6
 
-// SetRateLimit sets RateLimit and RateLimitProblem from the values of the header field
-// in which a target names the requests per second that it takes from all hosts together.
+// SetRateLimit sets TellsRateLimit, RateLimit and RateLimitProblem from the values of the
+// header field in which a target names the requests per second that it takes from all
+// hosts together. Without the field it has no limit; with an unreadable value nothing is
+// known.
 func SetRateLimit(response *target.ResponseHeader, values []string) {
 	response.RateLimit, response.RateLimitProblem = parseRateLimit(values)
+	response.TellsRateLimit = response.RateLimit != nil || len(values) == 0
 }
 
 // parseRateLimit returns the lowest of the given limits, bounded by maxRateLimit; nil if
