--- a/gateway/content_key_test.go
+++ b/gateway/content_key_test.go
@@ -15,7 +15,7 @@
 	newRequest := func() *Request {
 		return &Request{
 			ID: "1", CallerID: "a", Workspace: "students", Body: []byte("balance of 4711"),
-			Original: &target.OriginalRequest{Method: "POST", Host: "a.example", URI: "/look/1?x=2", Headers: []target.Header{{Name: "X-Attempt-Id", Value: "a"}}},
+			Original: &target.OriginalRequest{Method: "POST", Host: "a.example", URI: "/look/1?x=2", Headers: []target.Header{{Name: "X-Attempt", Value: "a"}}},
 		}
 	}
 	key := newRequest().contentKey()
