Tell requests with different prompts apart in their content key

Cause: the content key left out the prompt, so that requests whose body says little had one key. Requests with other prompts are no repeats.

Before: TestContentKey_EqualForRepeatsOnly failed with its new case 'prompt'. After: it passes, and the tests of crashing parts, crashing requests and target crashes of platform pass in one run each.

--- a/gateway/content_key.go
+++ b/gateway/content_key.go
@@ -1,9 +1,13 @@
 package gateway
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // contentKey returns a hash of what a request and its repeats have in common: method,
-// path with query, workspace, chat and body. Callers choose a new ID for each repeat, and
+// path with query, workspace, chat, prompt and body. Callers choose a new ID for each repeat, and
 // targets get other headers from each host, so that these do not count.
 func (r *Request) contentKey() uint64 {
 	var digest xxhash.Digest
@@ -23,6 +27,11 @@
 	}
 	add(r.Workspace)
 	add(r.Chat)
+	if r.Prompt != nil {
+		for _, part := range r.Prompt.Parts {
+			_, _ = digest.Write(binary.LittleEndian.AppendUint64(nil, part.Key))
+		}
+	}
 	_, _ = digest.Write(r.Body)
 	return digest.Sum64()
 }
--- a/gateway/content_key_test.go
+++ b/gateway/content_key_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"comfreytiller.dev/admission"
 	"comfreytiller.dev/fleet"
 	"comfreytiller.dev/target"
 )
@@ -15,6 +16,7 @@
 	newRequest := func() *Request {
 		return &Request{
 			ID: "1", CallerID: "a", Workspace: "students", Body: []byte("balance of 4711"),
+			Prompt:   &admission.Prompt{Parts: []admission.PromptPart{{Key: 1}, {Key: 2}}},
 			Original: &target.OriginalRequest{Method: "POST", Host: "a.example", URI: "/look/1?x=2", Headers: []target.Header{{Name: "X-Attempt", Value: "a"}}},
 		}
 	}
@@ -28,8 +30,11 @@
 		"path":      func(r *Request) { r.Original.URI = "/look/2?x=2" },
 		"query":     func(r *Request) { r.Original.URI = "/look/1?x=3" },
 		"caller":    func(r *Request) { r.Workspace = "lawyers" },
-		"body":      func(r *Request) { r.Body = []byte("balance of 4712") },
-		"boundary":  func(r *Request) { r.Workspace, r.Body = "studentsb", []byte("alance of 4711") },
+		"prompt": func(r *Request) {
+			r.Prompt = &admission.Prompt{Parts: []admission.PromptPart{{Key: 1}, {Key: 3}}}
+		},
+		"body":     func(r *Request) { r.Body = []byte("balance of 4712") },
+		"boundary": func(r *Request) { r.Workspace, r.Body = "studentsb", []byte("alance of 4711") },
 	} {
 		other := newRequest()
 		change(other)
