Assume more hosts than the largest fleet has until a hub counts them

Cause: until a hub tells the number of hosts, each uses the share of one of 256. The large site has 295 and the fleet built for 390, so that after a restart of all hosts without hubs their shares of a rate limit, of retries and of a cold target add up to 1.2 and 1.5 times the limit. Found by reading, while looking at rate limits on 300 hosts.

Change: 512 are assumed.

Result: TestHostCount_SharesOfUnknownFleetStayWithinLimit fails with 256 (1.52) and passes now.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -236,6 +236,14 @@
 	require.Equal(t, 7, hosts.count())
 }
 
+// All hosts of the largest fleet have restarted while the hubs are away, so that none knows
+// how many they are. Their shares must not add up to more than a limit.
+func TestHostCount_SharesOfUnknownFleetStayWithinLimit(t *testing.T) {
+	const largestFleet = 390
+	hosts := &hostCount{clock: clockwork.NewFakeClock()}
+	require.LessOrEqual(t, float64(largestFleet)/float64(hosts.count()), 1.0)
+}
+
 // In no window do all hosts together send more retries than the fleet allows.
 func TestRetryBudget_HostsStayBelowFleetLimit(t *testing.T) {
 	limits := settings.Retries{Share: 0.2, Extra: 126, Window: 10 * time.Second}
--- a/entry/host_count.go
+++ b/entry/host_count.go
@@ -9,9 +9,9 @@
 
 const (
 	// defaultHostCount is the number of entry hosts that is assumed until a hub
-	// reports it. It is larger than any current fleet, so that this host's
-	// share of a limit is never too large.
-	defaultHostCount = 256
+	// reports it. It is larger than the fleets that are built for, so that this
+	// host's share of a limit is never too large.
+	defaultHostCount = 512
 	// hostCountTTL is how long the largest count is kept. A count drops when
 	// hosts are restarted or hubs lose track of them while they still send
 	// requests.
