Log on hosts when a hub releases a suspect from quarantine

Cause: a quarantine that ended early, by a success or by a later cause, left no line; operators saw only that requests were served again.

Change: Observer.Apply returns the released suspects, and hosts log them.

--- a/admission/quarantine/observer.go
+++ b/admission/quarantine/observer.go
@@ -204,17 +204,21 @@
 }
 
 // Apply replaces the suspects by those of the hub, whose list has the given version. It
-// returns the ones that have come into quarantine.
-func (o *Observer) Apply(now time.Time, suspects []Suspect, version uint64) []Suspect {
+// returns the ones that have come into quarantine, and the ones that the hub has released
+// from it.
+func (o *Observer) Apply(now time.Time, suspects []Suspect, version uint64) (added, released []Suspect) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.removeExpired(now)
 	next := make(map[Subject]observedSuspect, len(suspects))
-	var added []Suspect
 	for _, suspect := range suspects {
 		next[suspect.Subject] = observedSuspect{Suspect: suspect, isListed: true}
-		if known := o.suspects[suspect.Subject]; suspect.IsQuarantined(now) && !known.IsQuarantined(now) {
+		known := o.suspects[suspect.Subject]
+		switch isQuarantined := suspect.IsQuarantined(now); {
+		case isQuarantined && !known.IsQuarantined(now):
 			added = append(added, suspect)
+		case !isQuarantined && known.IsQuarantined(now):
+			released = append(released, known.Suspect)
 		}
 	}
 	for subject, suspect := range o.suspects {
@@ -227,7 +231,7 @@
 	for subject := range o.suspects {
 		o.reportSuccess(subject)
 	}
-	return added
+	return added, released
 }
 
 // Version returns the version of the list that was applied last; 0 before the first.
--- a/admission/quarantine/observer_test.go
+++ b/admission/quarantine/observer_test.go
@@ -90,7 +90,7 @@
 // quarantine.
 func TestObserver_RefusesSharedPartsInQuarantine(t *testing.T) {
 	o := NewObserver()
-	added := o.Apply(at(2), []Suspect{
+	added, _ := o.Apply(at(2), []Suspect{
 		{Subject: PromptPart(1), Crashes: 3, FirstAt: at(1), LastAt: at(2), Until: at(60)},
 		{Subject: PromptPart(2), Crashes: 2, FirstAt: at(1), LastAt: at(2)},
 	}, 4)
@@ -126,7 +126,9 @@
 	hub := NewBoard()
 	hub.Merge(at(3), o.Unlisted(at(3)))
 	parts, version := hub.Suspects()
-	require.Empty(t, o.Apply(at(3), parts, version))
+	added, released := o.Apply(at(3), parts, version)
+	require.Empty(t, added)
+	require.Empty(t, released)
 	require.Empty(t, o.Unlisted(at(3)))
 }
 
@@ -134,7 +136,9 @@
 func TestObserver_LiftedQuarantineEnds(t *testing.T) {
 	o := NewObserver()
 	o.Apply(at(2), []Suspect{{Subject: PromptPart(1), Crashes: 3, FirstAt: at(1), LastAt: at(2), Until: at(60)}}, 4)
-	o.Apply(at(3), []Suspect{{Subject: PromptPart(1), FirstAt: at(1), LastAt: at(2), ClearedAt: at(1.5)}}, 5)
+	added, released := o.Apply(at(3), []Suspect{{Subject: PromptPart(1), FirstAt: at(1), LastAt: at(2), ClearedAt: at(1.5)}}, 5)
 	_, found := o.Quarantined(at(3), promptOf(1, 6))
 	require.False(t, found)
+	require.Empty(t, added)
+	require.Equal(t, []Subject{PromptPart(1)}, []Subject{released[0].Subject})
 }
--- a/entry/crash_guard.go
+++ b/entry/crash_guard.go
@@ -90,9 +90,13 @@
 		return
 	}
 	now := g.clock.Now()
-	for _, suspect := range g.observer.Apply(now, response.Suspects, response.SuspectsVersion) {
+	added, released := g.observer.Apply(now, response.Suspects, response.SuspectsVersion)
+	for _, suspect := range added {
 		g.log.WithFields(quarantineFields(now, suspect)).Warnf("A %s is in quarantine.", suspect.Subject)
 	}
+	for _, suspect := range released {
+		g.log.WithFields(quarantineFields(now, suspect)).Infof("The hub released %s from its quarantine.", suspect.Subject)
+	}
 }
 
 func quarantineFields(now time.Time, suspect quarantine.Suspect) logrus.Fields {
