Keep new requests from a target that others wait for in silence

Callers saw: requests sent to a target that had sent nothing for its timeout, where they waited until a caller of an earlier request left.

Cause: a request that can't move waits on for its silent target and tells nobody; the target counts as failed only when the request ends.

Change: the gateway tells the admitter of the silence, at the timeout and several times per timeout after it. An entry host avoids the target for four seconds after each, or until it responds; if there is no other one, it is used all the same.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -129,6 +129,7 @@
 		Codec:            e.Protocol.NewCodec(e.view),
 		RetryBudget:      e.budget,
 		OnTargetResponse: e.selector.recordResponse,
+		OnTargetSilence:  e.selector.recordSilence,
 	},
 		gateway.WithCallsOnly(),
 		gateway.WithTargetErrors(),
--- a/entry/notices.go
+++ b/entry/notices.go
@@ -24,6 +24,9 @@
 	if s != nil && header.Load != nil {
 		s.recordLoad(now, *header.Load)
 	}
+	if s != nil && s.Incarnation == permit.Incarnation && header.Status != 0 {
+		s.silentUntil = time.Time{}
+	}
 	fields := logrus.Fields{
 		"Target": permit.Target, "Incarnation": permit.Incarnation, "Address": permit.Address, "Service": permit.Service,
 		"Request": permit.RequestID, "Status": header.Status,
@@ -50,6 +53,16 @@
 	}
 }
 
+// recordSilence records that a request goes on waiting for a target that is silent. New
+// requests would wait with it, without a failure to tell of it until a caller leaves.
+func (t *targetSelector) recordSilence(permit admission.Permit) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.byName[permit.Target]; s != nil && s.Incarnation == permit.Incarnation {
+		s.silentUntil = t.clock.Now().Add(silentPeriod)
+	}
+}
+
 // isPaused reports whether the target has asked this host for a pause that is not over.
 func (t *targetSelector) isPaused(now time.Time, s *targetState) bool {
 	return now.Before(t.notices.PausedUntil(s.Name, s.Incarnation))
--- a/entry/target_state.go
+++ b/entry/target_state.go
@@ -21,6 +21,9 @@
 	// failureRateHalfLife is the half-life of the failure rate. A target that
 	// is avoided because of its rate receives no calls that could lower it.
 	failureRateHalfLife = 3 * time.Second
+	// silentPeriod is how long a target that a request waits for in silence is avoided,
+	// unless it responds. The request tells of the silence again before that.
+	silentPeriod = 4 * time.Second
 	// loadReportTTL is how long a report on a target's load is used.
 	loadReportTTL = 3 * time.Second
 	// atCapacityPeriod is how long a target that refused a request counts as at
@@ -60,6 +63,7 @@
 	consecutiveFailures int
 	unreachable         bool
 	backoffUntil        time.Time
+	silentUntil         time.Time
 	failureRate         float64
 	failureRateAt       time.Time
 	atCapacityUntil     time.Time
@@ -188,7 +192,7 @@
 
 // recordSuccess records a response.
 func (s *targetState) recordSuccess(now time.Time) {
-	s.consecutiveFailures, s.unreachable, s.backoffUntil = 0, false, time.Time{}
+	s.consecutiveFailures, s.unreachable, s.backoffUntil, s.silentUntil = 0, false, time.Time{}, time.Time{}
 	s.failureRate, s.failureRateAt = s.decayedFailureRate(now)*(1-failureRateWeight), now
 }
 
@@ -209,8 +213,8 @@
 	s.backoffUntil = now.Add(backoff)
 }
 
-// isAvoided reports whether the target is avoided because of failures. An
+// isAvoided reports whether the target is avoided because of failures or silence. An
 // unreachable target is avoided until it can be reached again.
 func (s *targetState) isAvoided(now time.Time) bool {
-	return s.unreachable || now.Before(s.backoffUntil)
+	return s.unreachable || now.Before(s.backoffUntil) || now.Before(s.silentUntil)
 }
--- a/gateway/dependencies.go
+++ b/gateway/dependencies.go
@@ -35,6 +35,10 @@
 	// has been received, also if the response violates the protocol; nil to
 	// ignore what targets say of themselves. The permit names the target.
 	OnTargetResponse func(permit admission.Permit, header target.ResponseHeader)
+	// OnTargetSilence is called when a target has sent nothing for its timeout and the
+	// request goes on waiting for it, then several times per timeout; nil to ignore
+	// silent targets until their requests end. The permit names the target.
+	OnTargetSilence func(permit admission.Permit)
 	// RetryBudget limits retries; nil limits them to a share of the requests on
 	// this host.
 	RetryBudget RetryBudget
--- a/gateway/give_up.go
+++ b/gateway/give_up.go
@@ -31,6 +31,9 @@
 		a.awaited = true
 		d.gateway.logAwaitedTarget(d, a, obstacle)
 	}
+	if observe := d.gateway.OnTargetSilence; observe != nil {
+		observe(a.permit)
+	}
 	return false
 }
 
--- a/gateway/silent_target_test.go
+++ b/gateway/silent_target_test.go
@@ -117,6 +117,21 @@
 	require.Zero(t, f.counterValue("silent_attempts"))
 }
 
+// A target that requests wait for in silence looked sound until one of them ended.
+func TestSilentTarget_SilenceIsReportedWhileRequestWaits(t *testing.T) {
+	t.Parallel()
+	f := newRouteFixture(t, 0, WithStrictRetryBudget())
+	var reported sync.Map
+	f.gateway.OnTargetSilence = func(permit admission.Permit) { reported.Store(permit.Target, true) }
+	engine := f.addEngine(standin.EngineSettings{Name: "engine-1"})
+	f.addEngine(standin.EngineSettings{Name: "engine-2"})
+	f.requireWholeStreams(engine, standin.Fault{Kind: standin.FaultPaused, AfterEvents: 3, Delay: soundSilence})
+	_, found := reported.Load("engine-1")
+	require.True(t, found)
+	_, found = reported.Load("engine-2")
+	require.False(t, found)
+}
+
 // A request whose target was silent before its first event was answered 502 although the
 // target would have responded.
 func TestSilentTarget_FirstEventIsAwaitedWithoutRetryBudget(t *testing.T) {
