--- a/admission/quarantine/board_suspect.go
+++ b/admission/quarantine/board_suspect.go
@@ -19,7 +19,7 @@
 	crashes  map[startedTarget]*targetCrash
 	// isKnownSound is set if a request succeeded before the first crash.
 	isKnownSound bool
-	// isReleased is set once the suspect has left its quarantine because of a success.
+	// isReleased is set once the suspect has left its quarantine before its end.
 	isReleased bool
 }
 
