Log a hub's traffic by type of message

The logs of the large site could not tell whether hubs lack bandwidth or processor time when they lose contact with a majority. Each hub logs once a second how many frames and bytes of each type of message it sent and received, and by how much its timer was late.

--- a/hub/hub.go
+++ b/hub/hub.go
@@ -188,7 +188,7 @@
 		err := splitter.Serve(h.servePeer)
 		h.log.Debugf("Peer server stopped: %v.", err)
 	})
-	for _, run := range []func(context.Context){h.maintainContact, h.gossip.runRefresh, h.gossip.runLoads, h.membership.run, h.markSilentTargets, h.updateQuarantine} {
+	for _, run := range []func(context.Context){h.maintainContact, h.gossip.runRefresh, h.gossip.runLoads, h.membership.run, h.markSilentTargets, h.updateQuarantine, h.logTraffic} {
 		served.Go(func() { run(background) })
 	}
 	h.log.WithField("Address", h.Settings.Peers).Info("Listening for hosts, targets and operators.")
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -21,6 +21,7 @@
 	netConn net.Conn
 	clock   clockwork.Clock
 	handler Handler
+	traffic *traffic
 
 	sendQueue chan frame
 	closed    chan struct{}
@@ -40,12 +41,13 @@
 	probeSentAt      time.Time
 }
 
-func newConn(host string, conn net.Conn, clock clockwork.Clock, handler Handler) *Conn {
+func newConn(host string, conn net.Conn, clock clockwork.Clock, handler Handler, traffic *traffic) *Conn {
 	return &Conn{
 		host:         host,
 		netConn:      conn,
 		clock:        clock,
 		handler:      handler,
+		traffic:      traffic,
 		sendQueue:    make(chan frame, maxQueuedFrames),
 		closed:       make(chan struct{}),
 		pending:      map[uint64]chan Message{},
@@ -164,6 +166,7 @@
 		if err != nil {
 			return
 		}
+		c.traffic.recordReceived(f.message, len(data))
 		c.dispatch(f)
 	}
 }
@@ -256,6 +259,7 @@
 	if len(data) > MaxFrameBytes {
 		return errors.Wrapf(ErrInvalidFrame, "frame has %d bytes, at most %d are allowed", len(data), MaxFrameBytes)
 	}
+	c.traffic.recordSent(f.message, len(data))
 	var size [binary.MaxVarintLen64]byte
 	n := binary.PutUvarint(size[:], uint64(len(data)))
 	if _, err := writer.Write(size[:n]); err != nil {
--- a/peer/node.go
+++ b/peer/node.go
@@ -26,6 +26,7 @@
 type Node struct {
 	config  Config
 	handler Handler
+	traffic *traffic
 
 	// dialTCP opens a TCP connection within timeout.
 	dialTCP func(address string, timeout time.Duration) (net.Conn, error)
@@ -52,6 +53,7 @@
 	return &Node{
 		config:  config,
 		handler: handler,
+		traffic: newTraffic(),
 		dialTCP: func(address string, timeout time.Duration) (net.Conn, error) {
 			return net.DialTimeout("tcp", address, timeout)
 		},
@@ -70,7 +72,7 @@
 		return errors.Wrap(err, "authenticate accepted peer connection")
 	}
 	_ = conn.SetDeadline(noDeadline)
-	c := newConn(host, conn, n.config.Clock, n.handler)
+	c := newConn(host, conn, n.config.Clock, n.handler, n.traffic)
 	if !n.track(c) {
 		_ = conn.Close()
 		return ErrClosed
@@ -220,7 +222,7 @@
 		return nil, err
 	}
 	_ = conn.SetDeadline(noDeadline)
-	return newConn(address, conn, n.config.Clock, n.handler), nil
+	return newConn(address, conn, n.config.Clock, n.handler, n.traffic), nil
 }
 
 // dialWithRetry opens a connection and starts a new attempt when one exceeds its
