--- a/common/meter/conn.go
+++ b/common/meter/conn.go
@@ -23,6 +23,15 @@
 	return &Conn{Conn: conn, control: c}
 }
 
+// WrapAfter returns WrapConn for connections that wrap, which may be nil, has wrapped
+// before.
+func (c *ControlTraffic) WrapAfter(wrap func(net.Conn) net.Conn) func(net.Conn) net.Conn {
+	if wrap == nil {
+		return c.WrapConn
+	}
+	return func(conn net.Conn) net.Conn { return c.WrapConn(wrap(conn)) }
+}
+
 // Read reads from the connection and counts the bytes.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -69,6 +69,8 @@
 	Scope tally.Scope
 	// Metrics serves the metrics of Scope; nil to serve none.
 	Metrics fasthttp.RequestHandler
+	// WrapConn wraps each connection with another host; nil wraps none.
+	WrapConn func(net.Conn) net.Conn
 }
 
 // Entry is a daemon of the role Entry.
@@ -103,7 +105,7 @@
 		Host:     e.Settings.Host,
 		Key:      e.Key,
 		Clock:    e.Clock,
-		WrapConn: meter.NewControlTraffic(e.Scope.SubScope("peer")).WrapConn,
+		WrapConn: meter.NewControlTraffic(e.Scope.SubScope("peer")).WrapAfter(e.WrapConn),
 	}, e.rejectMessage)
 	e.view = newStateView()
 	e.sender = e.Protocol.NewSender(e.Clock)
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -68,6 +68,8 @@
 	Scope tally.Scope
 	// Metrics serves the metrics of Scope; nil to serve none.
 	Metrics fasthttp.RequestHandler
+	// WrapConn wraps each connection with another host; nil wraps none.
+	WrapConn func(net.Conn) net.Conn
 }
 
 // Hub is a daemon of the role State.
@@ -118,7 +120,7 @@
 		Host:     own.Host,
 		Key:      h.Key,
 		Clock:    h.Clock,
-		WrapConn: meter.NewControlTraffic(h.Scope.SubScope("peer")).WrapConn,
+		WrapConn: meter.NewControlTraffic(h.Scope.SubScope("peer")).WrapAfter(h.WrapConn),
 	}, h.receive)
 	h.proposer = session.New(session.Config{Host: own.Host, Replicas: []string{own.Peers}, Clock: h.Clock}, h.node)
 	if h.replica, err = h.openReplica(); err != nil {
