Send load digests by key and within a share of the hub's link

Callers of the large site saw configurations and leaving targets ignored for seconds. The digests of the loads, 1.5 KB each with the name of every listed target, used 560 to 612 of the 750 KB/s of each hub's link in calm. When two hubs were lost, the replies to their hosts filled the links of the others, and the quorum's messages waited behind them.

Loads are sent by a key of four bytes and a count, and the interval of the digests follows their size, so that all of them together use at most a third of a small hub's link. The tests of the digests use keys, too, and check as much as before.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -55,6 +55,15 @@
 	return f
 }
 
+// byKey returns loads by the keys of the targets.
+func byKey(loads map[string]int) map[roster.Key]int {
+	keyed := map[roster.Key]int{}
+	for name, load := range loads {
+		keyed[roster.KeyOf(name)] = load
+	}
+	return keyed
+}
+
 // newRosterEntry returns the roster entry of a ready target.
 func (f *fixture) newRosterEntry(name, service, domain string, sequence uint64) roster.Entry {
 	return roster.Entry{
@@ -287,7 +296,7 @@
 func TestEstimateLoad_IncludesOtherHosts(t *testing.T) {
 	f := newFixture(t)
 	f.applyEntries(f.newRosterEntry("e-1", "engines", "a", 1), f.newRosterEntry("e-2", "engines", "a", 1))
-	f.selector.applyLoads(map[string]int{"e-1": 12}, 2, map[string]int{"e-1": 1})
+	f.selector.applyLoads(byKey(map[string]int{"e-1": 12}), 2, byKey(map[string]int{"e-1": 1}))
 	one, two := f.selector.byName["e-1"], f.selector.byName["e-2"]
 	list := []*targetState{one, two}
 	inFlight, _ := one.estimateLoad(f.clock.Now(), serviceLoads{hosts: 18, mean: meanOthersLoad(f.clock.Now(), list)})
@@ -310,10 +319,10 @@
 	f.applyEntries(f.newRosterEntry("home", "engines", "a", 1), f.newRosterEntry("other", "engines", "a", 1))
 	for i := range 40 {
 		f.clock.Advance(500 * time.Millisecond)
-		f.selector.applyLoads(map[string]int{"home": 6 * (i % 2), "other": 1}, 1, nil)
+		f.selector.applyLoads(byKey(map[string]int{"home": 6 * (i % 2), "other": 1}), 1, nil)
 	}
 	f.clock.Advance(500 * time.Millisecond)
-	f.selector.applyLoads(map[string]int{"home": 0, "other": 1}, 1, nil)
+	f.selector.applyLoads(byKey(map[string]int{"home": 0, "other": 1}), 1, nil)
 	home := f.selector.byName["home"]
 	estimate := func(duration time.Duration) float64 {
 		inFlight, _ := home.estimateLoad(f.clock.Now(), serviceLoads{hosts: 100, mean: 1, reportAge: 600 * time.Millisecond, duration: duration})
@@ -331,11 +340,11 @@
 	f := newFixture(t)
 	f.applyEntries(f.newRosterEntry("e-1", "engines", "a", 1), f.newRosterEntry("e-2", "engines", "a", 1), f.newRosterEntry("t-1", "treasury", "a", 1))
 	loads := map[string]int{"e-1": 8, "e-2": 10, "t-1": 2}
-	f.selector.applyLoads(loads, 6.7, map[string]int{"e-1": 1})
+	f.selector.applyLoads(byKey(loads), 6.7, byKey(map[string]int{"e-1": 1}))
 	f.clock.Advance(100 * time.Millisecond)
 	f.applyEntries(f.newRosterEntry("e-3", "engines", "a", 1), f.newRosterEntry("t-2", "treasury", "a", 1))
 	loads["e-3"], loads["t-2"] = 0, 0
-	f.selector.applyLoads(loads, 4, map[string]int{"e-1": 1})
+	f.selector.applyLoads(byKey(loads), 4, byKey(map[string]int{"e-1": 1}))
 	require.InDelta(t, 8.5, f.selector.byName["e-3"].usualOthers, 0.01)
 	require.InDelta(t, 2, f.selector.byName["t-2"].usualOthers, 0.01)
 }
@@ -345,7 +354,7 @@
 	f := newFixture(t)
 	watcher := newHubWatcher(f.daemon)
 	entries := []roster.Entry{f.newRosterEntry("e-1", "engines", "a", 1)}
-	require.NoError(t, watcher.applyResponse(peer.WatchResponse{Entries: entries, Loads: map[string]int{"e-1": 7}, MeanLoad: 7}, nil))
+	require.NoError(t, watcher.applyResponse(peer.WatchResponse{Entries: entries, Loads: byKey(map[string]int{"e-1": 7}), MeanLoad: 7}, nil))
 	f.clock.Advance(10 * time.Millisecond)
 	reportAge := f.selector.reports.age(f.clock.Now())
 	require.NoError(t, watcher.applyResponse(peer.WatchResponse{WithoutLoads: true}, nil))
@@ -435,19 +444,19 @@
 		}
 		return granted, refused
 	}
-	f.selector.applyLoads(map[string]int{"t-1": 3}, 0, nil)
+	f.selector.applyLoads(byKey(map[string]int{"t-1": 3}), 0, nil)
 	_, refused := acquireMany()
 	require.Zero(t, refused, "slots are free")
 	for range 6 {
 		f.clock.Advance(200 * time.Millisecond)
-		f.selector.applyLoads(map[string]int{"t-1": 60}, 0, nil)
+		f.selector.applyLoads(byKey(map[string]int{"t-1": 60}), 0, nil)
 	}
 	granted, refused := acquireMany()
 	require.Positive(t, granted)
 	require.Greater(t, refused, granted)
 	for range 6 {
 		f.clock.Advance(200 * time.Millisecond)
-		f.selector.applyLoads(map[string]int{"t-1": 1}, 0, nil)
+		f.selector.applyLoads(byKey(map[string]int{"t-1": 1}), 0, nil)
 	}
 	_, refused = acquireMany()
 	require.Zero(t, refused, "slots are free again")
--- a/entry/hub_watcher.go
+++ b/entry/hub_watcher.go
@@ -14,6 +14,7 @@
 	"comfreytiller.dev/common/rendezvous"
 	"comfreytiller.dev/peer"
 	"comfreytiller.dev/registry"
+	"comfreytiller.dev/target/roster"
 )
 
 const (
@@ -180,7 +181,7 @@
 
 // applyResponse applies the changes that a hub sent. reportedLoads are the
 // loads that this host sent with the poll.
-func (w *hubWatcher) applyResponse(response peer.WatchResponse, reportedLoads map[string]int) error {
+func (w *hubWatcher) applyResponse(response peer.WatchResponse, reportedLoads map[roster.Key]int) error {
 	if len(response.Delta) > 0 {
 		if err := w.applyDelta(response.Delta); err != nil {
 			return err
--- a/entry/rate_limit_test.go
+++ b/entry/rate_limit_test.go
@@ -257,7 +257,7 @@
 	f.selector.durations["treasury"] = 50 * time.Millisecond
 	require.Equal(t, 1, f.selector.byName["t-1"].usableSlots(50*time.Millisecond))
 	require.Equal(t, two.Capacity, two.usableSlots(50*time.Millisecond))
-	f.selector.applyLoads(map[string]int{"t-1": 0, "t-2": 3 * two.Capacity}, 0, nil)
+	f.selector.applyLoads(byKey(map[string]int{"t-1": 0, "t-2": 3 * two.Capacity}), 0, nil)
 	require.Less(t, f.selector.throttles["treasury"].AdmitRate(), 1.0)
 }
 
@@ -277,7 +277,7 @@
 	for range 20 {
 		require.NoError(t, acquire(), "no report")
 	}
-	f.selector.applyLoads(map[string]int{"t-2": 8}, 0, nil)
+	f.selector.applyLoads(byKey(map[string]int{"t-2": 8}), 0, nil)
 	var refusal *admission.Refusal
 	require.ErrorAs(t, acquire(), &refusal)
 	require.Equal(t, admission.RefusedNoTarget, refusal.Code)
--- a/entry/target_selector.go
+++ b/entry/target_selector.go
@@ -184,18 +184,18 @@
 }
 
 // ownLoads returns this host's requests in flight by target; nil for none.
-func (t *targetSelector) ownLoads() map[string]int {
+func (t *targetSelector) ownLoads() map[roster.Key]int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var own map[string]int
+	var own map[roster.Key]int
 	for name, s := range t.byName {
 		if s.ownInFlight == 0 {
 			continue
 		}
 		if own == nil {
-			own = map[string]int{}
+			own = map[roster.Key]int{}
 		}
-		own[name] = s.ownInFlight
+		own[roster.KeyOf(name)] = s.ownInFlight
 	}
 	return own
 }
@@ -203,7 +203,7 @@
 // applyLoads applies the number of requests in flight of all hosts by target.
 // total includes reported, the requests that this host reported itself. Targets
 // missing from total have the mean load.
-func (t *targetSelector) applyLoads(total map[string]int, mean float64, reported map[string]int) {
+func (t *targetSelector) applyLoads(total map[roster.Key]int, mean float64, reported map[roster.Key]int) {
 	now := t.clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -211,11 +211,11 @@
 	t.reports.record(now)
 	others := make(map[string]float64, len(t.byName))
 	for name := range t.byName {
-		load := mean
-		if inFlight, listed := total[name]; listed {
+		load, key := mean, roster.KeyOf(name)
+		if inFlight, listed := total[key]; listed {
 			load = float64(inFlight)
 		}
-		others[name] = max(load-float64(reported[name]), 0)
+		others[name] = max(load-float64(reported[key]), 0)
 	}
 	for _, list := range t.byService {
 		usual := meanKnownLoad(list, others)
--- a/hub/bandwidth_test.go
+++ b/hub/bandwidth_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"comfreytiller.dev/peer"
+	"comfreytiller.dev/target/roster"
 )
 
 // Limits of the network that fleets are built for.
@@ -45,9 +46,9 @@
 				targets = append(targets, name)
 				loads[name] = 4 + random.IntN(10)
 			}
-			h.loads.recordHub("h-2", loads)
+			h.loads.recordHub("h-2", byKey(loads))
 			var response peer.WatchResponse
-			response.Loads, response.MeanLoad = h.loads.digest(func() []string { return targets })
+			response.Loads, response.MeanLoad = h.loads.digest(func() []roster.Key { return keysOf(targets) })
 			perSecond := float64(time.Second) / float64(h.digestInterval())
 			rate := perSecond * float64(replySize(t, response))
 			require.LessOrEqual(t, rate, float64(maxControlRate), "bytes per second for one host")
--- a/hub/loads.go
+++ b/hub/loads.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"comfreytiller.dev/target/roster"
 )
 
 const (
@@ -26,7 +28,7 @@
 	hosts map[string]loadReport
 	hubs  map[string]loadReport
 	// digestLoads and digestMean are the digest computed at digestAt.
-	digestLoads map[string]int
+	digestLoads map[roster.Key]int
 	digestMean  float64
 	digestAt    time.Time
 }
@@ -35,7 +37,7 @@
 // flight by target.
 type loadReport struct {
 	at       time.Time
-	inFlight map[string]int
+	inFlight map[roster.Key]int
 }
 
 func newLoadTracker(clock clockwork.Clock) *loadTracker {
@@ -43,24 +45,24 @@
 }
 
 // recordHost records the report of a host that watches this hub.
-func (l *loadTracker) recordHost(name string, inFlight map[string]int) {
+func (l *loadTracker) recordHost(name string, inFlight map[roster.Key]int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.hosts[name] = loadReport{at: l.clock.Now(), inFlight: inFlight}
 }
 
 // recordHub records another hub's report on the hosts that watch that hub.
-func (l *loadTracker) recordHub(name string, inFlight map[string]int) {
+func (l *loadTracker) recordHub(name string, inFlight map[roster.Key]int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.hubs[name] = loadReport{at: l.clock.Now(), inFlight: inFlight}
 }
 
 // hostTotals returns the loads of the hosts that watch this hub, by target.
-func (l *loadTracker) hostTotals() map[string]int {
+func (l *loadTracker) hostTotals() map[roster.Key]int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	total := map[string]int{}
+	total := map[roster.Key]int{}
 	l.addReports(total, l.hosts)
 	return total
 }
@@ -79,12 +81,12 @@
 
 // digest returns the digest of all hosts' loads that is sent to hosts. Calls
 // within digestTTL share one digest.
-func (l *loadTracker) digest(targets func() []string) (listed map[string]int, mean float64) {
+func (l *loadTracker) digest(targets func() []roster.Key) (listed map[roster.Key]int, mean float64) {
 	const digestTTL = 50 * time.Millisecond
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if now := l.clock.Now(); now.Sub(l.digestAt) >= digestTTL {
-		total := map[string]int{}
+		total := map[roster.Key]int{}
 		l.addReports(total, l.hosts)
 		l.addReports(total, l.hubs)
 		l.digestLoads, l.digestMean = selectOutliers(total, targets())
@@ -108,18 +110,18 @@
 // small, as a hub sends them over its slow link to hundreds of hosts a few times a
 // second. A target that is missing from total is idle. mean is that of the ready targets;
 // others that still run requests are listed like them.
-func selectOutliers(total map[string]int, ready []string) (listed map[string]int, mean float64) {
-	loads := make(map[string]int, len(ready))
+func selectOutliers(total map[roster.Key]int, ready []roster.Key) (listed map[roster.Key]int, mean float64) {
+	loads := make(map[roster.Key]int, len(ready))
 	for _, target := range ready {
 		loads[target] = total[target]
 		mean += float64(total[target]) / float64(len(ready))
 	}
 	maps.Copy(loads, total)
-	distance := func(target string) float64 { return math.Abs(float64(loads[target]) - mean) }
-	ordered := slices.SortedFunc(maps.Keys(loads), func(a, b string) int {
+	distance := func(target roster.Key) float64 { return math.Abs(float64(loads[target]) - mean) }
+	ordered := slices.SortedFunc(maps.Keys(loads), func(a, b roster.Key) int {
 		return cmp.Or(cmp.Compare(distance(b), distance(a)), cmp.Compare(a, b))
 	})
-	listed = map[string]int{}
+	listed = map[roster.Key]int{}
 	for i, target := range ordered {
 		load := float64(loads[target])
 		if load == mean {
@@ -137,13 +139,33 @@
 // watch other hubs do not count: the larger the fleet, the later the requests that hosts
 // send to one target would be reported.
 func (h *Hub) digestInterval() time.Duration {
-	const perHost = 3 * time.Millisecond
+	perHost := max(minDigestTime, time.Duration(float64(time.Second)*float64(h.loads.digestBytes())/maxDigestRate))
 	return max(loadInterval, time.Duration(len(h.watchers.localHosts()))*perHost)
 }
 
+// Limits of the digests to all hosts of a hub together.
+const (
+	// minDigestTime is the processor time that a hub has for a digest to one host.
+	minDigestTime = 3 * time.Millisecond
+	// maxDigestRate is a third of the link of a small hub, 6 Mbit/s, in bytes per second.
+	// The rest is for changes, after outages for all hosts at once, and for the quorum.
+	maxDigestRate = 250_000
+	// replyOverheadBytes is the size of a reply without loads, listedLoadBytes that of a
+	// listed load.
+	replyOverheadBytes = 200
+	listedLoadBytes    = 6
+)
+
+// digestBytes returns the size of a reply with the last digest.
+func (l *loadTracker) digestBytes() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return replyOverheadBytes + listedLoadBytes*len(l.digestLoads)
+}
+
 // addReports adds the reports that have not expired to total and deletes the
 // others. The caller must hold l.mu.
-func (l *loadTracker) addReports(total map[string]int, reports map[string]loadReport) {
+func (l *loadTracker) addReports(total map[roster.Key]int, reports map[string]loadReport) {
 	now := l.clock.Now()
 	maps.DeleteFunc(reports, func(_ string, report loadReport) bool { return now.Sub(report.at) > loadReportTTL })
 	for _, report := range reports {
--- a/hub/loads_test.go
+++ b/hub/loads_test.go
@@ -14,22 +14,40 @@
 	"comfreytiller.dev/target/roster"
 )
 
+// byKey returns loads by the keys of the targets.
+func byKey(loads map[string]int) map[roster.Key]int {
+	keyed := map[roster.Key]int{}
+	for name, load := range loads {
+		keyed[roster.KeyOf(name)] = load
+	}
+	return keyed
+}
+
+// keysOf returns the keys of targets.
+func keysOf(names []string) []roster.Key {
+	var keys []roster.Key
+	for _, name := range names {
+		keys = append(keys, roster.KeyOf(name))
+	}
+	return keys
+}
+
 func TestLoadTracker_AddsHostsAndHubs(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	l := newLoadTracker(clock)
-	l.recordHost("e-1", map[string]int{"t": 2})
-	l.recordHost("e-2", map[string]int{"t": 3, "u": 1})
-	l.recordHub("h-2", map[string]int{"t": 4})
-	require.Equal(t, map[string]int{"t": 5, "u": 1}, l.hostTotals())
-	names := func() []string { return []string{"t", "u"} }
-	listed, _ := l.digest(names)
-	require.Equal(t, map[string]int{"t": 9, "u": 1}, listed)
-	l.recordHost("e-1", map[string]int{"t": 7})
+	l.recordHost("e-1", byKey(map[string]int{"t": 2}))
+	l.recordHost("e-2", byKey(map[string]int{"t": 3, "u": 1}))
+	l.recordHub("h-2", byKey(map[string]int{"t": 4}))
+	require.Equal(t, byKey(map[string]int{"t": 5, "u": 1}), l.hostTotals())
+	keys := func() []roster.Key { return keysOf([]string{"t", "u"}) }
+	listed, _ := l.digest(keys)
+	require.Equal(t, byKey(map[string]int{"t": 9, "u": 1}), listed)
+	l.recordHost("e-1", byKey(map[string]int{"t": 7}))
 	clock.Advance(loadInterval)
-	listed, _ = l.digest(names)
-	require.Equal(t, 14, listed["t"], "the latest report of each host counts")
+	listed, _ = l.digest(keys)
+	require.Equal(t, 14, listed[roster.KeyOf("t")], "the latest report of each host counts")
 	clock.Advance(loadReportTTL + time.Millisecond)
-	listed, _ = l.digest(names)
+	listed, _ = l.digest(keys)
 	require.Empty(t, listed, "expired reports do not count")
 }
 
@@ -47,17 +65,17 @@
 				total[name] = running
 			}
 		}
-		listed, mean := selectOutliers(total, targets)
+		listed, mean := selectOutliers(byKey(total), keysOf(targets))
 		nearest := math.Inf(1)
 		if len(listed) < minListedTargets {
 			nearest = 0
 		}
-		for name, running := range listed {
-			require.Equal(t, total[name], running)
+		for key, running := range listed {
+			require.Equal(t, byKey(total)[key], running)
 			nearest = min(nearest, math.Abs(float64(running)-mean))
 		}
 		for _, name := range targets {
-			if _, found := listed[name]; !found {
+			if _, found := listed[roster.KeyOf(name)]; !found {
 				require.InDelta(t, float64(total[name]), mean, min(nearest, mean/4+outlierMargin)+0.01)
 			}
 		}
@@ -75,10 +93,10 @@
 			ready, total[name] = append(ready, name), 4+i%2
 		}
 		total["t-1"] = 0
-		listed, mean := selectOutliers(total, ready)
+		listed, mean := selectOutliers(byKey(total), keysOf(ready))
 		require.InDelta(t, 4.5, mean, 2, "%d targets", count)
-		require.Contains(t, listed, "t-1", "an idle target among %d", count)
-		require.Equal(t, 9, listed["leaving"], "%d targets", count)
+		require.Contains(t, listed, roster.KeyOf("t-1"), "an idle target among %d", count)
+		require.Equal(t, 9, listed[roster.KeyOf("leaving")], "%d targets", count)
 	}
 }
 
@@ -87,7 +105,7 @@
 // ten requests more before a report shows them.
 func TestDigestInterval_IsThatOfTheHostsOfTheHub(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	h := &Hub{Dependencies: Dependencies{Clock: clock}, watchers: newWatchers(clock)}
+	h := &Hub{Dependencies: Dependencies{Clock: clock}, watchers: newWatchers(clock), loads: newLoadTracker(clock)}
 	clock.Advance(hostCountDelay)
 	watch := func(from, to int) (names []string) {
 		for i := range to - from {
@@ -114,13 +132,13 @@
 func TestAddDigest_FrequentRepliesDoNotRepeatLoads(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	h := &Hub{Dependencies: Dependencies{Clock: clock}, watchers: newWatchers(clock), loads: newLoadTracker(clock), roster: roster.NewTable()}
-	h.loads.recordHost("e-1", map[string]int{"t": 3})
+	h.loads.recordHost("e-1", byKey(map[string]int{"t": 3}))
 	digests := map[string]int{}
 	const replies, replyInterval = 400, 10 * time.Millisecond
 	for range replies {
 		for _, host := range []string{"e-1", "e-2"} {
 			h.watchers.recordWatch(host, 1)
-			h.loads.recordHost(host, map[string]int{"t": 3})
+			h.loads.recordHost(host, byKey(map[string]int{"t": 3}))
 			var response peer.WatchResponse
 			h.addDigest(host, &response)
 			if !response.WithoutLoads {
--- a/hub/watchers.go
+++ b/hub/watchers.go
@@ -178,7 +178,7 @@
 		return
 	}
 	h.watchers.recordDigest(host)
-	response.Loads, response.MeanLoad = h.loads.digest(h.roster.ReadyNames)
+	response.Loads, response.MeanLoad = h.loads.digest(h.roster.ReadyKeys)
 }
 
 // awaitChanges returns when there are changes for the host, or when its wait is
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -77,9 +77,9 @@
 			Announcement: target.Announcement{Name: "t", Stamp: sampleStamp, Service: "s", Capacity: 4}, State: roster.Leaving,
 			WarmUpRemaining: time.Second, LastSeen: epoch.Add(-time.Second), Silent: true,
 			RateLimit: ratelimit.Limit{IsLimited: true, PerSecond: 4.25, SaidAt: epoch.Add(-time.Second)},
-		}}, Watchers: []string{"e"}, Loads: map[string]int{"t": 3}, CrashReport: sampleCrashReport(), Quarantined: sampleSuspects()},
+		}}, Watchers: []string{"e"}, Loads: map[roster.Key]int{roster.KeyOf("t"): 3}, CrashReport: sampleCrashReport(), Quarantined: sampleSuspects()},
 		WatchRequest{
-			Host: "h", Revision: 1, FleetVersion: 2, RosterSource: 3, RosterVersion: 4, MaxWait: time.Second, Loads: map[string]int{"t": 3}, CrashReport: sampleCrashReport(), SuspectsVersion: 5, Quarantined: sampleSuspects(),
+			Host: "h", Revision: 1, FleetVersion: 2, RosterSource: 3, RosterVersion: 4, MaxWait: time.Second, Loads: map[roster.Key]int{roster.KeyOf("t"): 3}, CrashReport: sampleCrashReport(), SuspectsVersion: 5, Quarantined: sampleSuspects(),
 			RateLimits: []ratelimit.Report{
 				{Target: "t", Incarnation: 7, Limit: ratelimit.Limit{SaidAt: epoch.Add(-time.Second)}},
 				{Target: "u", Incarnation: 8, Limit: ratelimit.Limit{IsLimited: true, PerSecond: 0.5, SaidAt: epoch}},
@@ -87,7 +87,7 @@
 		},
 		WatchResponse{
 			QuorumConfirmed: true, Delta: []byte{1}, RosterSource: 2, RosterVersion: 3, Entries: []roster.Entry{{State: roster.Gone, LastSeen: epoch}},
-			WatcherCount: 4, ReplicaAddresses: []string{"a"}, Loads: map[string]int{"t": 3}, MeanLoad: 1.5, WithoutLoads: true,
+			WatcherCount: 4, ReplicaAddresses: []string{"a"}, Loads: map[roster.Key]int{roster.KeyOf("t"): 3}, MeanLoad: 1.5, WithoutLoads: true,
 			SuspectsVersion: 5, Suspects: sampleSuspects(),
 		},
 		JoinRequest{ID: "i", Host: "h", Address: "a", Forwarded: true},
--- a/peer/codec_watch.go
+++ b/peer/codec_watch.go
@@ -93,21 +93,28 @@
 	return entries
 }
 
-func loadsToWire(loads map[string]int) []*peerpb.TargetLoad {
-	var wire []*peerpb.TargetLoad
-	for _, name := range slices.Sorted(maps.Keys(loads)) {
-		wire = append(wire, &peerpb.TargetLoad{Target: name, Running: int32(loads[name])})
+func loadsToWire(loads map[roster.Key]int) *peerpb.Loads {
+	if len(loads) == 0 {
+		return nil
+	}
+	wire := &peerpb.Loads{}
+	for _, key := range slices.Sorted(maps.Keys(loads)) {
+		wire.Targets = append(wire.Targets, uint32(key))
+		wire.Running = append(wire.Running, uint32(max(loads[key], 0)))
 	}
 	return wire
 }
 
-func loadsFromWire(wire []*peerpb.TargetLoad) map[string]int {
-	if len(wire) == 0 {
+// loadsFromWire returns nil for a message without loads, and ignores targets without a
+// number.
+func loadsFromWire(wire *peerpb.Loads) map[roster.Key]int {
+	count := min(len(wire.GetTargets()), len(wire.GetRunning()))
+	if count == 0 {
 		return nil
 	}
-	loads := make(map[string]int, len(wire))
-	for _, w := range wire {
-		loads[w.Target] = int(w.Running)
+	loads := make(map[roster.Key]int, count)
+	for i := range count {
+		loads[roster.Key(wire.Targets[i])] = int(wire.Running[i])
 	}
 	return loads
 }
--- a/peer/message.go
+++ b/peer/message.go
@@ -200,7 +200,7 @@
 	Watchers []string
 	// Loads are the requests in flight from these hosts by target; nil if not
 	// reported.
-	Loads map[string]int
+	Loads map[roster.Key]int
 	// CrashReport is what hosts reported to this replica about crashes of targets, and
 	// Quarantined are the suspects in quarantine.
 	CrashReport quarantine.Report
@@ -219,7 +219,7 @@
 	// MaxWait is how long the reply may be delayed until there are changes.
 	MaxWait time.Duration
 	// Loads are the host's own requests in flight by target.
-	Loads map[string]int
+	Loads map[roster.Key]int
 	// CrashReport is what the host learned about crashes of targets since its last request.
 	CrashReport quarantine.Report
 	// SuspectsVersion is the version of the list of suspects that the host has from
@@ -247,7 +247,7 @@
 	ReplicaAddresses []string
 	// Loads are the requests in flight from all hosts, by target, for targets whose
 	// load is far from MeanLoad. MeanLoad applies to all other targets.
-	Loads    map[string]int
+	Loads    map[roster.Key]int
 	MeanLoad float64
 	// WithoutLoads is set if the replica sent loads to the host a moment ago. Loads
 	// and MeanLoad are then empty and say nothing.
--- a/target/roster/roster.go
+++ b/target/roster/roster.go
@@ -282,17 +282,17 @@
 	return entries, t.version
 }
 
-// ReadyNames returns the names of the targets that admit new requests.
-func (t *Table) ReadyNames() []string {
+// ReadyKeys returns the keys of the targets that admit new requests.
+func (t *Table) ReadyKeys() []Key {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var names []string
+	var keys []Key
 	for name, current := range t.byName {
 		if current.State == Ready {
-			names = append(names, name)
+			keys = append(keys, KeyOf(name))
 		}
 	}
-	return names
+	return keys
 }
 
 // Version returns the current version and a channel that is closed at the next
