Confirm the state view by other hubs while the watched one does not

A host rejected a route with 404 that had been acknowledged 3.5 s before (2 s allowed), on a small site. A hub counts as current for 2 s after its last read barrier, so that one that is cut off goes on to serve its hosts; a host learns nothing of the age of its view, and tries the next hubs one after the other, half a second each if they don't answer.

Replies tell how long ago the hub's view was confirmed and how long it kept the poll, from which the host computes the time of the confirmation by its own clock. A delta that does not fit the view makes the host ask for the whole view; it asked for the same delta again before.

--- a/entry/crash_guard_test.go
+++ b/entry/crash_guard_test.go
@@ -79,7 +79,7 @@
 		{Subject: quarantine.PromptPart(2), Crashes: 3, FirstAt: now.Add(-3 * time.Second), LastAt: now, Until: now.Add(time.Minute)},
 		{Subject: quarantine.PromptPart(1), Crashes: 2, FirstAt: now.Add(-3 * time.Second), LastAt: now},
 	}}
-	require.NoError(t, newHubWatcher(f.daemon).applyResponse(response, nil))
+	require.NoError(t, newHubWatcher(f.daemon).applyResponse(response, f.clock.Now(), nil))
 	acquire := func(prompt *admission.Prompt, exclude ...string) error {
 		_, err := f.selector.Acquire(t.Context(), admission.Request{ID: "r", Service: "engines", Prompt: prompt, Exclude: exclude})
 		return err
@@ -104,10 +104,10 @@
 	now := f.clock.Now()
 	watcher := newHubWatcher(f.daemon)
 	part := quarantine.Suspect{Subject: quarantine.PromptPart(2), Crashes: 3, FirstAt: now, LastAt: now, Until: now.Add(time.Minute)}
-	require.NoError(t, watcher.applyResponse(peer.WatchResponse{RosterSource: 1, SuspectsVersion: 3, Suspects: []quarantine.Suspect{part}}, nil))
-	require.NoError(t, watcher.applyResponse(peer.WatchResponse{RosterSource: 1, SuspectsVersion: 3}, nil))
+	require.NoError(t, watcher.applyResponse(peer.WatchResponse{RosterSource: 1, SuspectsVersion: 3, Suspects: []quarantine.Suspect{part}}, f.clock.Now(), nil))
+	require.NoError(t, watcher.applyResponse(peer.WatchResponse{RosterSource: 1, SuspectsVersion: 3}, f.clock.Now(), nil))
 	require.Empty(t, f.daemon.crashes.observer.Unlisted(now))
-	require.NoError(t, watcher.applyResponse(peer.WatchResponse{RosterSource: 2, SuspectsVersion: 3}, nil))
+	require.NoError(t, watcher.applyResponse(peer.WatchResponse{RosterSource: 2, SuspectsVersion: 3}, f.clock.Now(), nil))
 	require.Equal(t, []quarantine.Suspect{part}, f.daemon.crashes.observer.Unlisted(now))
 	require.Error(t, f.daemon.crashes.check(now, &admission.Request{Prompt: samplePrompt(2, 9)}))
 }
@@ -136,7 +136,7 @@
 	now := f.clock.Now()
 	require.NoError(t, newHubWatcher(f.daemon).applyResponse(peer.WatchResponse{SuspectsVersion: 3, Suspects: []quarantine.Suspect{
 		{Subject: quarantine.Request(7), Crashes: 3, FirstAt: now, LastAt: now, Until: now.Add(time.Minute)},
-	}}, nil))
+	}}, f.clock.Now(), nil))
 	_, err = acquire(7)
 	var refusal *admission.Refusal
 	require.ErrorAs(t, err, &refusal)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -84,6 +84,7 @@
 	crashes  *crashGuard
 	budget   *retryBudget
 	watcher  *hubWatcher
+	checker  *viewChecker
 	sender   protocol.Sender
 	gateway  *gateway.Gateway
 
@@ -107,12 +108,13 @@
 		Clock:    e.Clock,
 		WrapConn: meter.NewControlTraffic(e.Scope.SubScope("peer")).WrapAfter(e.WrapConn),
 	}, e.rejectMessage)
-	e.view = newStateView()
+	e.view = newStateView(e.Clock)
 	e.sender = e.Protocol.NewSender(e.Clock)
 	e.crashes = newCrashGuard(e)
 	e.selector = newTargetSelector(e)
 	e.budget = newRetryBudget(e.Settings.Retries, e.selector.hosts.count, e.Clock)
 	e.watcher = newHubWatcher(e)
+	e.checker = newViewChecker(e)
 	e.gateway = e.newGateway()
 	return e, nil
 }
@@ -161,7 +163,7 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	var running sync.WaitGroup
-	for _, run := range []func(context.Context){e.watcher.run, e.selector.probeUnreachable} {
+	for _, run := range []func(context.Context){e.watcher.run, e.checker.run, e.selector.probeUnreachable} {
 		running.Go(func() { run(background) })
 	}
 	running.Go(e.serveAdmin)
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -39,7 +39,7 @@
 		Dependencies: Dependencies{
 			Settings: &settings.Settings{Host: "e-1", FailureDomain: "a"}, Clock: f.clock, Log: log, Scope: tally.NewTestScope("", nil),
 		},
-		view: newStateView(),
+		view: newStateView(f.clock),
 	}
 	f.daemon.crashes = newCrashGuard(f.daemon)
 	f.selector = newTargetSelector(f.daemon)
@@ -354,10 +354,10 @@
 	f := newFixture(t)
 	watcher := newHubWatcher(f.daemon)
 	entries := []roster.Entry{f.newRosterEntry("e-1", "engines", "a", 1)}
-	require.NoError(t, watcher.applyResponse(peer.WatchResponse{Entries: entries, Loads: byKey(map[string]int{"e-1": 7}), MeanLoad: 7}, nil))
+	require.NoError(t, watcher.applyResponse(peer.WatchResponse{Entries: entries, Loads: byKey(map[string]int{"e-1": 7}), MeanLoad: 7}, f.clock.Now(), nil))
 	f.clock.Advance(10 * time.Millisecond)
 	reportAge := f.selector.reports.age(f.clock.Now())
-	require.NoError(t, watcher.applyResponse(peer.WatchResponse{WithoutLoads: true}, nil))
+	require.NoError(t, watcher.applyResponse(peer.WatchResponse{WithoutLoads: true}, f.clock.Now(), nil))
 	require.InDelta(t, 7, f.selector.byName["e-1"].othersInFlight, 0)
 	require.Equal(t, reportAge, f.selector.reports.age(f.clock.Now()))
 }
--- a/entry/hub_watcher.go
+++ b/entry/hub_watcher.go
@@ -50,14 +50,17 @@
 	// the members of the cluster as last reported by a hub.
 	configuredHubs []string
 	memberHubs     []string
+	// currentHub is the hub that replied to the last poll; "" while there is none.
+	currentHub string
 
 	// The fields below are used only by run.
 	candidateIndex int
 	failedPolls    int
 	rosterSource   uint64
 	rosterVersion  uint64
-	currentHub     string
 	failback       failback
+	// needsWholeView is set after a delta that did not fit the view in force.
+	needsWholeView bool
 }
 
 func newHubWatcher(e *Entry) *hubWatcher {
@@ -90,7 +93,8 @@
 	for ctx.Err() == nil {
 		candidates := w.candidates()
 		address := candidates[w.candidateIndex%len(candidates)]
-		if preferred := candidates[0]; w.currentHub != "" && w.currentHub != preferred && w.failback.due(w.clock.Now()) {
+		watched := w.watchedHub()
+		if preferred := candidates[0]; watched != "" && watched != preferred && w.failback.due(w.clock.Now()) {
 			w.tryFailback(ctx, preferred)
 			continue
 		}
@@ -103,8 +107,8 @@
 			w.recordHub(address, address == candidates[0])
 			continue
 		}
-		if w.currentHub == address {
-			w.currentHub = ""
+		if watched == address {
+			w.setWatchedHub("")
 			w.log.WithFields(logrus.Fields{"Hub": address, "Error": err.Error()}).Warn("Lost connection to hub.")
 		}
 		w.candidateIndex++
@@ -117,12 +121,25 @@
 	}
 }
 
+// watchedHub returns the hub that replied to the last poll; "" while there is none.
+func (w *hubWatcher) watchedHub() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.currentHub
+}
+
+func (w *hubWatcher) setWatchedHub(address string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.currentHub = address
+}
+
 // recordHub records the hub that replied to the last poll.
 func (w *hubWatcher) recordHub(address string, preferred bool) {
-	if w.currentHub == address {
+	if w.watchedHub() == address {
 		return
 	}
-	w.currentHub = address
+	w.setWatchedHub(address)
 	w.log.WithField("Hub", address).Info("Receiving state deltas from hub.")
 	if preferred {
 		w.failback.recordFailback()
@@ -150,11 +167,11 @@
 	request := peer.WatchRequest{Host: w.daemon.Settings.Host, RosterSource: w.rosterSource, RosterVersion: w.rosterVersion, MaxWait: longPollMaxWait, Loads: w.daemon.selector.ownLoads(), RateLimits: w.daemon.selector.rateLimitReports()}
 	observer := w.daemon.crashes.observer
 	request.SuspectsVersion, request.Quarantined = observer.Version(), observer.Unlisted(w.clock.Now())
-	if view != nil {
+	if view != nil && !w.needsWholeView {
 		request.Revision, request.FleetVersion = view.Revision, view.FleetVersion
 	}
 	slack := longPollSlack
-	if w.currentHub != address && !waitForMajority {
+	if w.watchedHub() != address && !waitForMajority {
 		request.MaxWait = 0
 	}
 	if w.rosterSource == 0 {
@@ -163,6 +180,7 @@
 	ctx, cancel := clockwork.WithTimeout(ctx, w.clock, request.MaxWait+slack)
 	defer cancel()
 	request.CrashReport = observer.TakeReport()
+	sentAt := w.clock.Now()
 	reply, err := w.daemon.node.Call(ctx, address, request)
 	if err != nil {
 		observer.RestoreReport(request.CrashReport)
@@ -176,17 +194,17 @@
 		observer.RestoreReport(request.CrashReport)
 		return errHubNotCurrent
 	}
-	return w.applyResponse(response, request.Loads)
+	return w.applyResponse(response, sentAt, request.Loads)
 }
 
-// applyResponse applies the changes that a hub sent. reportedLoads are the
-// loads that this host sent with the poll.
-func (w *hubWatcher) applyResponse(response peer.WatchResponse, reportedLoads map[roster.Key]int) error {
-	if len(response.Delta) > 0 {
-		if err := w.applyDelta(response.Delta); err != nil {
-			return err
-		}
+// applyResponse applies the changes that a hub sent. sentAt is when the poll was sent,
+// reportedLoads are the loads that this host sent with it.
+func (w *hubWatcher) applyResponse(response peer.WatchResponse, sentAt time.Time, reportedLoads map[roster.Key]int) error {
+	if err := w.applyState(response, sentAt); err != nil {
+		w.needsWholeView = errors.Is(err, registry.ErrWrongBase) || errors.Is(err, registry.ErrConfigMismatch)
+		return err
 	}
+	w.needsWholeView = false
 	w.daemon.selector.applyRoster(response.Entries, response.WatcherCount)
 	w.daemon.crashes.apply(&response, response.RosterSource != w.rosterSource)
 	if !response.WithoutLoads {
@@ -201,17 +219,29 @@
 	return nil
 }
 
-func (w *hubWatcher) applyDelta(encoded []byte) error {
-	delta, err := registry.DecodeDelta(encoded)
-	if err != nil {
-		return errors.Wrap(err, "decode state delta")
+// applyState applies the state view of a hub's reply to a request that was sent at sentAt,
+// and records when the hub confirmed it. The hub sent the reply no earlier than it could
+// have received the request and kept it.
+func (w *hubWatcher) applyState(response peer.WatchResponse, sentAt time.Time) error {
+	if len(response.Delta) > 0 {
+		switch err := w.applyDelta(response.Delta); {
+		case errors.Is(err, errViewMoved):
+			return nil
+		case err != nil:
+			return err
+		}
 	}
-	last := w.daemon.view.latest()
-	next, err := delta.ApplyWithParser(last, w.daemon.Protocol.ParseFleet)
+	if response.ConfirmedAge > 0 && response.OmittedRevision == 0 {
+		w.daemon.view.confirm(sentAt.Add(response.Held - response.ConfirmedAge))
+	}
+	return nil
+}
+
+func (w *hubWatcher) applyDelta(encoded []byte) error {
+	last, next, err := w.daemon.view.apply(encoded, w.daemon.Protocol.ParseFleet)
 	if err != nil {
-		return errors.Wrap(err, "apply state delta")
+		return err
 	}
-	w.daemon.view.replace(next)
 	if last == nil || last.FleetVersion != next.FleetVersion || last.OutageVersion != next.OutageVersion {
 		w.log.WithFields(logrus.Fields{
 			"Revision": next.Revision, "FleetVersion": next.FleetVersion, "DomainsOut": len(next.DomainsOut),
--- a/entry/view.go
+++ b/entry/view.go
@@ -1,17 +1,33 @@
 package entry
 
 import (
+	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/jonboulle/clockwork"
 
 	"comfreytiller.dev/fleet"
 	"comfreytiller.dev/registry"
 )
 
+// maxUnconfirmedAge is how long after its last confirmation a view counts as confirmed. It
+// is shorter than the time in which a change must be in force on every host, 2 s on small
+// fleets.
+const maxUnconfirmedAge = 1500 * time.Millisecond
+
 // stateView holds the state view that is in force on this host. It implements
 // gateway.Catalog, gateway.Authority and protocol.Catalog.
-type stateView struct{ current atomic.Pointer[indexedView] }
+type stateView struct {
+	clock   clockwork.Clock
+	current atomic.Pointer[indexedView]
+
+	mu sync.Mutex
+	// confirmedAt is a time at which the view held everything that was committed; zero if
+	// unknown.
+	confirmedAt time.Time
+}
 
 // indexedView is a state view with the lookup table of its fleet configuration.
 type indexedView struct {
@@ -28,7 +44,31 @@
 	return v.table.Service(name)
 }
 
-func newStateView() *stateView { return &stateView{} }
+func newStateView(clock clockwork.Clock) *stateView { return &stateView{clock: clock} }
+
+// errViewMoved reports a delta that is based on an earlier view than the one in force.
+var errViewMoved = errors.New("the view has changed since the delta was requested")
+
+// apply applies an encoded delta and returns the views before and after it. It returns
+// errViewMoved if another hub's delta was applied since this one was requested, and the
+// errors of registry.Delta.
+func (v *stateView) apply(encoded []byte, parse registry.FleetParser) (last, next *registry.View, err error) {
+	delta, err := registry.DecodeDelta(encoded)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "decode state delta")
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	last = v.latest()
+	if last != nil && last.Revision > delta.FromRevision && delta.FromRevision != 0 {
+		return nil, nil, errViewMoved
+	}
+	if next, err = delta.ApplyWithParser(last, parse); err != nil {
+		return nil, nil, errors.Wrap(err, "apply state delta")
+	}
+	v.replace(next)
+	return last, next, nil
+}
 
 // replace replaces the view in force.
 func (v *stateView) replace(view *registry.View) {
@@ -41,6 +81,29 @@
 	v.current.Store(next)
 }
 
+// confirm records that the view held everything that was committed at a time.
+func (v *stateView) confirm(at time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if at.After(v.confirmedAt) {
+		v.confirmedAt = at
+	}
+}
+
+// unconfirmedFor returns the time since the last confirmation; confirmed is false if there
+// was none.
+func (v *stateView) unconfirmedFor() (age time.Duration, confirmed bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.clock.Since(v.confirmedAt), !v.confirmedAt.IsZero()
+}
+
+// IsConfirmed implements protocol.Catalog.
+func (v *stateView) IsConfirmed() bool {
+	age, confirmed := v.unconfirmedFor()
+	return confirmed && age <= maxUnconfirmedAge
+}
+
 // latest returns the view in force; nil before the first one.
 func (v *stateView) latest() *registry.View {
 	if current := v.current.Load(); current != nil {
--- a/hub/majority_contact.go
+++ b/hub/majority_contact.go
@@ -57,6 +57,16 @@
 	return !c.confirmedAt.IsZero() && c.clock.Since(c.confirmedAt) < contactTTL, c.confirmed
 }
 
+// age returns the time since the last confirmation; 0 if there was none.
+func (c *majorityContact) age() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.confirmedAt.IsZero() {
+		return 0
+	}
+	return max(c.clock.Since(c.confirmedAt), 1)
+}
+
 // await waits for contact and reports whether it was confirmed in time.
 func (c *majorityContact) await(wait time.Duration) bool {
 	current, changed := c.isCurrent()
--- a/hub/watchers.go
+++ b/hub/watchers.go
@@ -137,6 +137,10 @@
 // handleWatch replies to the long poll of an entry host as soon as there are
 // changes, or when its wait is over.
 func (h *Hub) handleWatch(m peer.WatchRequest, reply peer.Reply) {
+	if m.StateOnly {
+		reply(h.stateResponse(m))
+		return
+	}
 	h.watchers.recordWatch(m.Host, m.Revision)
 	h.loads.recordHost(m.Host, m.Loads)
 	h.recordCrashReport(m.Host, m.CrashReport, m.Quarantined)
@@ -154,12 +158,9 @@
 	}
 	m.MaxWait -= h.Clock.Since(startedAt)
 	h.awaitChanges(m)
-	response := peer.WatchResponse{
-		QuorumConfirmed: h.hasMajorityContact(), RosterSource: h.rosterSource, WatcherCount: h.watchers.count(), ReplicaAddresses: h.replicaAddresses(),
-	}
-	if h.replica.Machine.View().Revision > m.Revision {
-		response.Delta = h.replica.Machine.EncodedDeltaSince(m.Revision, m.FleetVersion)
-	}
+	response := h.stateResponse(m)
+	response.RosterSource, response.WatcherCount, response.ReplicaAddresses = h.rosterSource, h.watchers.count(), h.replicaAddresses()
+	response.Held = h.Clock.Since(startedAt)
 	h.addDigest(m.Host, &response)
 	suspects, version := h.quarantine.Suspects()
 	if response.SuspectsVersion = version; version != m.SuspectsVersion {
@@ -169,6 +170,21 @@
 	reply(response)
 }
 
+// stateResponse returns a reply with the state view alone. The view is read after the time
+// at which it was confirmed.
+func (h *Hub) stateResponse(m peer.WatchRequest) peer.WatchResponse {
+	response := peer.WatchResponse{QuorumConfirmed: h.hasMajorityContact(), ConfirmedAge: h.contact.age()}
+	view := h.replica.Machine.View()
+	if view.Revision <= m.Revision {
+		return response
+	}
+	response.Delta = h.replica.Machine.EncodedDeltaSince(m.Revision, m.FleetVersion)
+	if m.MaxDeltaBytes > 0 && len(response.Delta) > m.MaxDeltaBytes {
+		response.Delta, response.OmittedRevision = nil, view.Revision
+	}
+	return response
+}
+
 // addDigest adds a digest of the loads to a reply, unless the host had one a moment ago.
 // While targets come and go, replies with changes are far more frequent than digests,
 // which would use up the hub's link if they came with each of them.
--- a/peer/codec_watch.go
+++ b/peer/codec_watch.go
@@ -21,7 +21,7 @@
 			Host: m.Host, Revision: m.Revision, FleetVersion: m.FleetVersion,
 			Source: m.RosterSource, Roster: m.RosterVersion, Wait: int64(m.MaxWait), Loads: loadsToWire(m.Loads),
 			Evidence: crashReportToWire(m.CrashReport, now), Suspects: m.SuspectsVersion, Quarantined: suspectsToWire(m.Quarantined, now),
-			RateLimits: rateLimitReportsToWire(m.RateLimits, now),
+			RateLimits: rateLimitReportsToWire(m.RateLimits, now), StateOnly: m.StateOnly, MaxDelta: int32(m.MaxDeltaBytes),
 		}}
 	case WatchResponse:
 		wire.Body = &peerpb.Frame_Watched{Watched: &peerpb.Watched{
@@ -29,6 +29,7 @@
 			Entries: entriesToWire(m.Entries, now), Hosts: int32(m.WatcherCount), Replicas: m.ReplicaAddresses,
 			Loads: loadsToWire(m.Loads), MeanLoad: m.MeanLoad, WithoutLoads: m.WithoutLoads,
 			SuspectsVersion: m.SuspectsVersion, Suspects: suspectsToWire(m.Suspects, now),
+			ConfirmedAge: int64(m.ConfirmedAge), Held: int64(m.Held), OmittedRevision: m.OmittedRevision,
 		}}
 	case JoinRequest:
 		wire.Body = &peerpb.Frame_Join{Join: &peerpb.Join{Id: m.ID, Host: m.Host, Address: m.Address, Passed: m.Forwarded}}
@@ -48,7 +49,7 @@
 			Host: w.Host, Revision: w.Revision, FleetVersion: w.FleetVersion,
 			RosterSource: w.Source, RosterVersion: w.Roster, MaxWait: time.Duration(w.Wait), Loads: loadsFromWire(w.Loads),
 			CrashReport: crashReportFromWire(w.Evidence, now), SuspectsVersion: w.Suspects, Quarantined: suspectsFromWire(w.Quarantined, now),
-			RateLimits: rateLimitReportsFromWire(w.RateLimits, now),
+			RateLimits: rateLimitReportsFromWire(w.RateLimits, now), StateOnly: w.StateOnly, MaxDeltaBytes: int(w.MaxDelta),
 		}
 	case *peerpb.Frame_Watched:
 		w := b.Watched
@@ -57,6 +58,7 @@
 			Entries: entriesFromWire(w.Entries, now), WatcherCount: int(w.Hosts), ReplicaAddresses: w.Replicas,
 			Loads: loadsFromWire(w.Loads), MeanLoad: w.MeanLoad, WithoutLoads: w.WithoutLoads,
 			SuspectsVersion: w.SuspectsVersion, Suspects: suspectsFromWire(w.Suspects, now),
+			ConfirmedAge: time.Duration(w.ConfirmedAge), Held: time.Duration(w.Held), OmittedRevision: w.OmittedRevision,
 		}
 	case *peerpb.Frame_Join:
 		return JoinRequest{ID: b.Join.Id, Host: b.Join.Host, Address: b.Join.Address, Forwarded: b.Join.Passed}
--- a/peer/message.go
+++ b/peer/message.go
@@ -229,6 +229,11 @@
 	Quarantined []quarantine.Suspect
 	// RateLimits are those that differ from what RosterSource told of their targets.
 	RateLimits []ratelimit.Report
+	// StateOnly asks only for the state view, and for a reply at once. A host sends it to
+	// other replicas than the one that it watches to learn whether its view is current.
+	StateOnly bool
+	// MaxDeltaBytes is the maximum size of the delta in the reply; 0 for no limit.
+	MaxDeltaBytes int
 }
 
 // WatchResponse is the reply to a WatchRequest.
@@ -256,6 +261,13 @@
 	// none. Suspects is the list; it is empty if the host has that version.
 	SuspectsVersion uint64
 	Suspects        []quarantine.Suspect
+	// ConfirmedAge is how long before the reply the replica began the read barrier that last
+	// confirmed its view; 0 if unknown. Held is how long it kept the request.
+	ConfirmedAge time.Duration
+	Held         time.Duration
+	// OmittedRevision is the revision of the replica's view if the delta to it was larger
+	// than the host allows; 0 otherwise.
+	OmittedRevision uint64
 }
 
 // JoinRequest asks the state leader to add a replica to the cluster, or to
