Refuse unknown routes and keys as not run while the view is unconfirmed

A host that no hub confirms can't know that a route or key does not exist, but rejected such requests with 404 or 401, after which callers don't come back.

--- a/gateway/route.go
+++ b/gateway/route.go
@@ -41,6 +41,9 @@
 	APIKey string
 	// CallerTimeout is how long the caller waits; 0 if unknown.
 	CallerTimeout time.Duration
+	// Unconfirmed is set if there may be a later configuration. Unknown routes and keys are
+	// then refused as not run instead of rejected for good.
+	Unconfirmed bool
 }
 
 // ResolveRoute finds the route, workspace and service of a request in the fleet
@@ -50,6 +53,9 @@
 		return failure(fasthttp.StatusServiceUnavailable, CodeNotReady, "no fleet is in force yet").withRetryAfter(defaultRetryAfter)
 	}
 	route := table.Route(query.HostName, query.Path)
+	if route == nil && query.Unconfirmed {
+		return unconfirmedFailure("no route for " + quoteName(query.HostName) + " " + quoteName(query.Path))
+	}
 	if route == nil {
 		return failure(fasthttp.StatusNotFound, CodeNotFound, "no route for "+quoteName(query.HostName)+" "+quoteName(query.Path))
 	}
@@ -60,6 +66,9 @@
 			priority = workspace.Priority
 		}
 	} else if !route.Public && len(table.Fleet().Workspaces) > 0 {
+		if query.Unconfirmed {
+			return unconfirmedFailure("the key belongs to no workspace")
+		}
 		return failure(fasthttp.StatusUnauthorized, CodeForbidden, "the key belongs to no workspace")
 	}
 	if route.Public {
@@ -82,6 +91,12 @@
 	return nil
 }
 
+// unconfirmedFailure returns the failure of a request that the configuration in force does
+// not allow, and a later one may.
+func unconfirmedFailure(problem string) *Failure {
+	return failure(fasthttp.StatusServiceUnavailable, CodeNotReady, problem+", but the configuration may not be the latest").withRetryAfter(defaultRetryAfter)
+}
+
 // callPriority converts the priority of a route or workspace, of which the lowest
 // value goes first, to that of a call, of which the highest goes first.
 func callPriority(routePriority int) int { return -routePriority }
--- a/protocol/protocol.go
+++ b/protocol/protocol.go
@@ -52,6 +52,9 @@
 type Catalog interface {
 	// Table returns the configuration in force, or nil before the first one.
 	Table() *fleet.Table
+	// IsConfirmed reports whether the configuration has lately been confirmed to be the
+	// latest. Otherwise routes and keys that it lacks may exist.
+	IsConfirmed() bool
 }
 
 // Errors of Control.
