Acknowledge a leaving target once a majority of the hubs knows it

Requests reached targets that had been told that they get none any more. The hub that a target calls acknowledged its leave at once and told the other hubs in messages that nobody confirms: if it stopped, or was cut off and had not noticed yet, only the target knew of its leave.

The hub now waits until a majority of the hubs has confirmed the change, and 150 ms more for the others, and rejects the call after 0.6 s, so that the target calls another one. The target's resends are acknowledged from memory once that has happened.

--- a/hub/control.go
+++ b/hub/control.go
@@ -30,7 +30,7 @@
 
 // Announce records a target's announcement. A hub without contact with a
 // majority rejects it, so that the target announces itself at another hub.
-func (c *controlHandler) Announce(_ context.Context, entry roster.Entry) error {
+func (c *controlHandler) Announce(ctx context.Context, entry roster.Entry) error {
 	h := c.hub
 	if !h.hasMajorityContact() {
 		return errors.Wrap(protocol.ErrUnavailable, "no touch with a majority of the state replicas")
@@ -40,11 +40,25 @@
 		h.logTargetChange(entry, h.Settings.Host)
 	}
 	h.gossip.recordAnnouncement(entry.Name, changed)
+	return c.shareLeave(ctx, entry.Name)
+}
+
+// shareLeave returns once the hubs know that the target is leaving or gone, if it is.
+func (c *controlHandler) shareLeave(ctx context.Context, name string) error {
+	entry, found := c.hub.roster.Get(name)
+	if !found || entry.State == roster.Ready {
+		return nil
+	}
+	if err := c.hub.gossip.shareLeave(ctx, entry); err != nil {
+		c.hub.log.WithFields(map[string]any{"Target": name, "State": entry.State, "Error": err.Error()}).
+			Warnf("Target %s is not told that its leave is known.", name)
+		return errors.Wrap(protocol.ErrUnavailable, err.Error())
+	}
 	return nil
 }
 
 // Leave records that a target has left.
-func (c *controlHandler) Leave(_ context.Context, name string) error {
+func (c *controlHandler) Leave(ctx context.Context, name string) error {
 	h := c.hub
 	if !h.hasMajorityContact() {
 		return errors.Wrap(protocol.ErrUnavailable, "no touch with a majority of the state replicas")
@@ -55,7 +69,7 @@
 	}
 	h.logTargetChange(entry, h.Settings.Host)
 	h.gossip.recordAnnouncement(name, true)
-	return nil
+	return c.shareLeave(ctx, name)
 }
 
 // PutFleet commits a fleet configuration under the version.
--- a/hub/gossip.go
+++ b/hub/gossip.go
@@ -5,6 +5,9 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+	"github.com/jonboulle/clockwork"
+
 	"comfreytiller.dev/common/ticks"
 	"comfreytiller.dev/peer"
 	"comfreytiller.dev/target/roster"
@@ -17,8 +20,18 @@
 	// changeResendPeriod is how long a change is resent with each refresh: the
 	// first message may be lost with its connection.
 	changeResendPeriod = 3 * time.Second
+	// shareTimeout limits the wait until a majority of the hubs has confirmed a leave. A
+	// target waits a second for the acknowledgement.
+	shareTimeout = 600 * time.Millisecond
+	// otherHubsTimeout limits the wait for the hubs beyond the majority.
+	otherHubsTimeout = 150 * time.Millisecond
+	// sharedLeaveTTL is how long a target that has left may still announce itself.
+	sharedLeaveTTL = 2 * time.Minute
 )
 
+// errNoMajority reports a change that a majority of the hubs has not confirmed.
+var errNoMajority = errors.New("no majority of the hubs has confirmed the change")
+
 // gossip sends to the other hubs what this hub receives itself: the
 // announcements of targets, and the names and loads of the hosts that watch
 // this hub.
@@ -31,10 +44,20 @@
 	announced map[string]bool
 	// changedAt holds the targets with a change received here, and its time.
 	changedAt map[string]time.Time
+	// sharedLeaves holds the targets that are leaving or gone, as a majority of the hubs
+	// knows.
+	sharedLeaves map[string]sharedLeave
+}
+
+// sharedLeave is the state of a target that a majority of the hubs has confirmed.
+type sharedLeave struct {
+	incarnation uint64
+	state       roster.State
+	at          time.Time
 }
 
 func newGossip(h *Hub) *gossip {
-	return &gossip{hub: h, announced: map[string]bool{}, changedAt: map[string]time.Time{}}
+	return &gossip{hub: h, announced: map[string]bool{}, changedAt: map[string]time.Time{}, sharedLeaves: map[string]sharedLeave{}}
 }
 
 // recordAnnouncement records that a target announced itself or left here, and
@@ -51,6 +74,76 @@
 	}
 }
 
+// shareLeave returns once a majority of the hubs knows that a target is leaving or gone, and
+// the others have had otherHubsTimeout to reply. Until then the target must not be
+// told that it gets no more requests: if this hub stopped or were cut off, nobody would know.
+func (g *gossip) shareLeave(ctx context.Context, entry roster.Entry) error {
+	shared := sharedLeave{incarnation: entry.Incarnation, state: entry.State, at: g.hub.Clock.Now()}
+	g.mu.Lock()
+	known := g.sharedLeaves[entry.Name]
+	g.mu.Unlock()
+	if known.incarnation == shared.incarnation && known.state == shared.state {
+		return nil
+	}
+	if err := g.confirmByMajority(ctx, peer.RosterUpdate{Host: g.hub.Settings.Host, Entries: []roster.Entry{entry}}); err != nil {
+		return err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.sharedLeaves[entry.Name] = shared
+	return nil
+}
+
+// confirmByMajority sends a message to the other hubs and returns once a majority, this hub
+// included, has confirmed it, and the others have had otherHubsTimeout to do so.
+func (g *gossip) confirmByMajority(ctx context.Context, message peer.RosterUpdate) error {
+	addresses := g.hub.replicaAddresses()
+	ctx, cancel := clockwork.WithTimeout(ctx, g.hub.Clock, shareTimeout)
+	replies := make(chan error, len(addresses))
+	for _, address := range addresses {
+		if address == g.hub.Settings.Peers {
+			replies <- nil
+			continue
+		}
+		go func() {
+			_, err := g.hub.node.Call(ctx, address, message)
+			replies <- err
+		}()
+	}
+	confirmed, failed := 0, 0
+	for confirmed <= len(addresses)/2 {
+		select {
+		case err := <-replies:
+			if err == nil {
+				confirmed++
+			} else if failed++; failed >= len(addresses)-len(addresses)/2 {
+				cancel()
+				return errors.Wrapf(errNoMajority, "%d of %d hubs confirmed the change: %v", confirmed, len(addresses), err)
+			}
+		case <-ctx.Done():
+			cancel()
+			return errors.Wrapf(errNoMajority, "%d of %d hubs confirmed the change in time", confirmed, len(addresses))
+		}
+	}
+	timer := g.hub.Clock.NewTimer(otherHubsTimeout)
+	defer timer.Stop()
+	for confirmed+failed < len(addresses) {
+		select {
+		case err := <-replies:
+			if err == nil {
+				confirmed++
+			} else {
+				failed++
+			}
+		case <-timer.Chan():
+			// The calls end with ctx: the message may still reach a slow hub.
+			return nil
+		}
+	}
+	cancel()
+	return nil
+}
+
 // recordChange records a change of a target that is resent with the refreshes.
 func (g *gossip) recordChange(name string) {
 	g.mu.Lock()
@@ -72,6 +165,7 @@
 			pending[name] = true
 		}
 		g.mu.Unlock()
+		g.dropOldLeaves()
 		message := peer.RosterUpdate{
 			Host: g.hub.Settings.Host, Watchers: g.hub.watchers.localHosts(), Quarantined: g.hub.quarantine.Quarantined(g.hub.Clock.Now()),
 		}
@@ -84,6 +178,17 @@
 	})
 }
 
+// dropOldLeaves forgets the shared leaves of targets that the roster has forgotten.
+func (g *gossip) dropOldLeaves() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for name, shared := range g.sharedLeaves {
+		if g.hub.Clock.Since(shared.at) > sharedLeaveTTL {
+			delete(g.sharedLeaves, name)
+		}
+	}
+}
+
 // runLoads sends the loads of the hosts that watch this hub to the other hubs
 // until ctx ends.
 func (g *gossip) runLoads(ctx context.Context) {
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -269,6 +269,7 @@
 		go h.handleWatch(m, reply)
 	case peer.RosterUpdate:
 		h.gossip.merge(m)
+		reply(peer.Ack{})
 	case peer.JoinRequest:
 		h.membership.recordJoin(m)
 		reply(peer.Ack{})
