Relay changes of targets between hubs that don't reach each other

Requests reached a target long after its leave was acknowledged, on hosts whose hub had no connection to the one that the target had called. Only that one passed the change on. Both hubs were in contact with a majority by way of the others, so that neither gave up its hosts or targets.

Hubs send a change that they received from another hub with their next two refreshes.

--- a/hub/gossip.go
+++ b/hub/gossip.go
@@ -20,6 +20,9 @@
 	// changeResendPeriod is how long a change is resent with each refresh: the
 	// first message may be lost with its connection.
 	changeResendPeriod = 3 * time.Second
+	// changeRelayPeriod is how long a change that another hub received is sent with each
+	// refresh: nothing may pass between that hub and a third one.
+	changeRelayPeriod = 2 * refreshInterval
 	// shareTimeout limits the wait until a majority of the hubs has confirmed a leave. A
 	// target waits a second for the acknowledgement.
 	shareTimeout = 600 * time.Millisecond
@@ -42,8 +45,10 @@
 	// announced are the targets that announced themselves or left here since
 	// the last refresh.
 	announced map[string]bool
-	// changedAt holds the targets with a change received here, and its time.
+	// changedAt holds the targets with a change received here, and its time, relayedAt those
+	// with a change received from another hub.
 	changedAt map[string]time.Time
+	relayedAt map[string]time.Time
 	// sharedLeaves holds the targets that are leaving or gone, as a majority of the hubs
 	// knows.
 	sharedLeaves map[string]sharedLeave
@@ -57,7 +62,7 @@
 }
 
 func newGossip(h *Hub) *gossip {
-	return &gossip{hub: h, announced: map[string]bool{}, changedAt: map[string]time.Time{}, sharedLeaves: map[string]sharedLeave{}}
+	return &gossip{hub: h, announced: map[string]bool{}, changedAt: map[string]time.Time{}, relayedAt: map[string]time.Time{}, sharedLeaves: map[string]sharedLeave{}}
 }
 
 // recordAnnouncement records that a target announced itself or left here, and
@@ -151,20 +156,17 @@
 	g.changedAt[name] = g.hub.Clock.Now()
 }
 
+// recordRelay records a change of a target that another hub sent.
+func (g *gossip) recordRelay(name string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.relayedAt[name] = g.hub.Clock.Now()
+}
+
 // runRefresh sends the refreshes until ctx ends.
 func (g *gossip) runRefresh(ctx context.Context) {
 	ticks.Every(ctx, g.hub.Clock, refreshInterval, func(context.Context) {
-		g.mu.Lock()
-		pending := g.announced
-		g.announced = map[string]bool{}
-		for name, at := range g.changedAt {
-			if g.hub.Clock.Since(at) > changeResendPeriod {
-				delete(g.changedAt, name)
-				continue
-			}
-			pending[name] = true
-		}
-		g.mu.Unlock()
+		pending := g.takePending()
 		g.dropOldLeaves()
 		message := peer.RosterUpdate{
 			Host: g.hub.Settings.Host, Watchers: g.hub.watchers.localHosts(), Quarantined: g.hub.quarantine.Quarantined(g.hub.Clock.Now()),
@@ -178,6 +180,29 @@
 	})
 }
 
+// takePending returns the names of the targets whose entries are sent with a refresh.
+func (g *gossip) takePending() map[string]bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	pending := g.announced
+	g.announced = map[string]bool{}
+	g.addRecent(pending, g.changedAt, changeResendPeriod)
+	g.addRecent(pending, g.relayedAt, changeRelayPeriod)
+	return pending
+}
+
+// addRecent adds the targets with a change within the period to pending and deletes the
+// others from changes. The caller must hold g.mu.
+func (g *gossip) addRecent(pending map[string]bool, changes map[string]time.Time, period time.Duration) {
+	for name, at := range changes {
+		if g.hub.Clock.Since(at) > period {
+			delete(changes, name)
+			continue
+		}
+		pending[name] = true
+	}
+}
+
 // dropOldLeaves forgets the shared leaves of targets that the roster has forgotten.
 func (g *gossip) dropOldLeaves() {
 	g.mu.Lock()
@@ -222,6 +247,7 @@
 	for _, entry := range m.Entries {
 		if g.hub.roster.Merge(now, entry) {
 			g.hub.logTargetChange(entry, m.Host)
+			g.recordRelay(entry.Name)
 		}
 	}
 	g.hub.watchers.recordRemote(m.Watchers)
