Pace bulk messages of hubs, and wait for hubs that are alive

After the loss of two hubs of a large fleet, the replies to their hosts filled the links of the others. Heartbeats and barriers of the quorum waited behind them, so that the majority lost contact with itself, and hosts gave their polls up after half a second and asked the next hub for a whole roster again.

Hubs send rosters, digests and large deltas at three fifths of the rate of their link, which the settings name (Bandwidth), one after the other over all connections; the quorum's messages and small replies go at once. Digests are left out while replies wait. Hubs log what their replies contain.

--- a/entry/hub_watcher.go
+++ b/entry/hub_watcher.go
@@ -28,6 +28,12 @@
 	// hub may have to send the whole view to many hosts at once, and polling
 	// another hub would only add load.
 	initialSlack = 4 * time.Second
+	// maxPollWait is how long a host waits for the reply of a hub that is alive.
+	maxPollWait = 4 * time.Second
+	// aliveTimeout is how long a hub may send nothing, also no reply to the probes of the
+	// connection, before a poll without a reply in time is abandoned.
+	aliveTimeout       = 900 * time.Millisecond
+	aliveCheckInterval = 100 * time.Millisecond
 	// minWatchBackoff is the pause after a failed poll. It doubles with each
 	// consecutive failure up to maxWatchBackoff.
 	minWatchBackoff = 50 * time.Millisecond
@@ -177,11 +183,9 @@
 	if w.rosterSource == 0 {
 		slack = initialSlack
 	}
-	ctx, cancel := clockwork.WithTimeout(ctx, w.clock, request.MaxWait+slack)
-	defer cancel()
 	request.CrashReport = observer.TakeReport()
 	sentAt := w.clock.Now()
-	reply, err := w.daemon.node.Call(ctx, address, request)
+	reply, err := w.callWhileAlive(ctx, address, request, request.MaxWait+slack)
 	if err != nil {
 		observer.RestoreReport(request.CrashReport)
 		return err
@@ -197,6 +201,31 @@
 	return w.applyResponse(response, sentAt, request.Loads)
 }
 
+// callWhileAlive calls a hub and waits for the reply for the given time, and longer while the
+// hub is alive: after the loss of other hubs, hundreds of hosts wait for their rosters, and
+// another hub has no more time for them.
+func (w *hubWatcher) callWhileAlive(ctx context.Context, address string, request peer.WatchRequest, wait time.Duration) (peer.Message, error) {
+	ctx, cancel := clockwork.WithTimeout(ctx, w.clock, max(wait, maxPollWait))
+	defer cancel()
+	go func() {
+		timer := w.clock.NewTimer(wait)
+		defer timer.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-timer.Chan():
+			}
+			if w.clock.Since(w.daemon.node.LastReceived(address)) > aliveTimeout {
+				cancel()
+				return
+			}
+			timer.Reset(aliveCheckInterval)
+		}
+	}()
+	return w.daemon.node.Call(ctx, address, request) //nolint:wrapcheck // It names the hub.
+}
+
 // applyResponse applies the changes that a hub sent. sentAt is when the poll was sent,
 // reportedLoads are the loads that this host sent with it.
 func (w *hubWatcher) applyResponse(response peer.WatchResponse, sentAt time.Time, reportedLoads map[roster.Key]int) error {
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -54,6 +54,11 @@
 	maxControlBodyBytes = 8 << 20
 	// controlReadTimeout limits the time to read one such call.
 	controlReadTimeout = 10 * time.Second
+	// maxBulkShare is the share of the network link that rosters, large changes and digests
+	// may use. The messages of the quorum and small changes find the rest free.
+	maxBulkShare = 0.6
+	// bytesPerMegabit converts settings.Settings.Bandwidth.
+	bytesPerMegabit = 1e6 / 8
 )
 
 // Dependencies holds what a hub is built from. It does not change while the hub
@@ -88,6 +93,7 @@
 	quarantine   *quarantine.Board
 	membership   *membershipManager
 	contact      *majorityContact
+	replies      replyCounter
 
 	peerListener  net.Listener
 	adminListener net.Listener
@@ -120,6 +126,7 @@
 		Host:     own.Host,
 		Key:      h.Key,
 		Clock:    h.Clock,
+		BulkRate: maxBulkShare * own.Bandwidth * bytesPerMegabit,
 		WrapConn: meter.NewControlTraffic(h.Scope.SubScope("peer")).WrapAfter(h.WrapConn),
 	}, h.receive)
 	h.proposer = session.New(session.Config{Host: own.Host, Replicas: []string{own.Peers}, Clock: h.Clock}, h.node)
--- a/hub/loads_test.go
+++ b/hub/loads_test.go
@@ -131,7 +131,7 @@
 // hosts at once. Digests of the loads keep their interval.
 func TestAddDigest_FrequentRepliesDoNotRepeatLoads(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	h := &Hub{Dependencies: Dependencies{Clock: clock}, watchers: newWatchers(clock), loads: newLoadTracker(clock), roster: roster.NewTable()}
+	h := &Hub{Dependencies: Dependencies{Clock: clock}, watchers: newWatchers(clock), loads: newLoadTracker(clock), roster: roster.NewTable(), node: peer.NewNode(peer.Config{Clock: clock}, nil)}
 	h.loads.recordHost("e-1", byKey(map[string]int{"t": 3}))
 	digests := map[string]int{}
 	const replies, replyInterval = 400, 10 * time.Millisecond
--- a/hub/traffic_log.go
+++ b/hub/traffic_log.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -10,6 +11,42 @@
 	"comfreytiller.dev/peer"
 )
 
+// replyCounts counts what the replies to hosts contain: whole rosters, entries of targets,
+// digests of loads and state deltas.
+type replyCounts struct{ rosters, entries, digests, deltas, deltaBytes int }
+
+// replyCounter counts the replies since the last log line.
+type replyCounter struct {
+	mu     sync.Mutex
+	counts replyCounts
+}
+
+// record records a reply. isWhole is set if it contains the whole roster.
+func (c *replyCounter) record(response *peer.WatchResponse, isWhole bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if isWhole {
+		c.counts.rosters++
+	}
+	c.counts.entries += len(response.Entries)
+	if len(response.Loads) > 0 {
+		c.counts.digests++
+	}
+	if len(response.Delta) > 0 {
+		c.counts.deltas++
+		c.counts.deltaBytes += len(response.Delta)
+	}
+}
+
+// take returns the counts since the last call.
+func (c *replyCounter) take() replyCounts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	counts := c.counts
+	c.counts = replyCounts{}
+	return counts
+}
+
 // trafficLogInterval is the interval between two log lines of a hub's traffic.
 const trafficLogInterval = time.Second
 
@@ -30,6 +67,9 @@
 			total.ReceivedBytes += counted.ReceivedBytes
 		}
 		fields["Sent"], fields["Received"] = total.SentBytes, total.ReceivedBytes
+		replies := h.replies.take()
+		fields["Rosters"], fields["Entries"], fields["Digests"] = replies.rosters, replies.entries, replies.digests
+		fields["Deltas"], fields["DeltaBytes"], fields["Waiting"] = replies.deltas, replies.deltaBytes, h.node.BulkWaiting()
 		h.log.WithFields(fields).Info("Traffic with hosts and hubs: frames and bytes sent, frames and bytes received.")
 	})
 }
--- a/hub/watchers.go
+++ b/hub/watchers.go
@@ -23,6 +23,9 @@
 	// coalesceDelay is how long changes of targets are collected before a
 	// reply.
 	coalesceDelay = 25 * time.Millisecond
+	// maxWaitingReplies is the number of replies that wait for the link from which on no
+	// digests are added to them: the hosts need the changes first.
+	maxWaitingReplies = 8
 	// maxLongPollWait limits the wait for changes.
 	maxLongPollWait = 2 * time.Second
 )
@@ -138,7 +141,9 @@
 // changes, or when its wait is over.
 func (h *Hub) handleWatch(m peer.WatchRequest, reply peer.Reply) {
 	if m.StateOnly {
-		reply(h.stateResponse(m))
+		response := h.stateResponse(m)
+		h.replies.record(&response, false)
+		reply(response)
 		return
 	}
 	h.watchers.recordWatch(m.Host, m.Revision)
@@ -167,6 +172,7 @@
 		response.Suspects = suspects
 	}
 	response.Entries, response.RosterVersion = h.roster.ChangedSince(m.RosterVersion)
+	h.replies.record(&response, m.RosterVersion == 0)
 	reply(response)
 }
 
@@ -189,7 +195,7 @@
 // While targets come and go, replies with changes are far more frequent than digests,
 // which would use up the hub's link if they came with each of them.
 func (h *Hub) addDigest(host string, response *peer.WatchResponse) {
-	if h.watchers.untilDigest(host, h.digestInterval()) > 0 {
+	if h.watchers.untilDigest(host, h.digestInterval()) > 0 || h.node.BulkWaiting() > maxWaitingReplies {
 		response.WithoutLoads = true
 		return
 	}
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -22,8 +22,12 @@
 	clock   clockwork.Clock
 	handler Handler
 	traffic *traffic
+	// pacer limits the rate of bulk frames; nil if there is no limit.
+	pacer *pacer
 
 	sendQueue chan frame
+	// bulkQueue holds the frames that wait for the pacer.
+	bulkQueue chan frame
 	closed    chan struct{}
 	closeOnce sync.Once
 
@@ -41,14 +45,16 @@
 	probeSentAt      time.Time
 }
 
-func newConn(host string, conn net.Conn, clock clockwork.Clock, handler Handler, traffic *traffic) *Conn {
+func newConn(host string, conn net.Conn, clock clockwork.Clock, handler Handler, traffic *traffic, pacer *pacer) *Conn {
 	return &Conn{
 		host:         host,
 		netConn:      conn,
 		clock:        clock,
 		handler:      handler,
 		traffic:      traffic,
+		pacer:        pacer,
 		sendQueue:    make(chan frame, maxQueuedFrames),
+		bulkQueue:    make(chan frame, maxQueuedBulkFrames),
 		closed:       make(chan struct{}),
 		pending:      map[uint64]chan Message{},
 		lastReceived: clock.Now(),
@@ -58,6 +64,9 @@
 // run serves the connection until it is closed.
 func (c *Conn) run() {
 	go c.writeLoop()
+	if c.pacer != nil {
+		go c.paceLoop()
+	}
 	go c.monitor()
 	c.readLoop()
 	c.close()
@@ -96,8 +105,12 @@
 		return ErrClosed
 	default:
 	}
+	queue := c.sendQueue
+	if c.pacer != nil && isBulk(f.message) {
+		queue = c.bulkQueue
+	}
 	select {
-	case c.sendQueue <- f:
+	case queue <- f:
 		return nil
 	default:
 		return ErrQueueFull
@@ -251,8 +264,32 @@
 	}
 }
 
+// paceLoop passes the bulk frames on to the writeLoop, one after the other, when it is their
+// turn.
+func (c *Conn) paceLoop() {
+	for {
+		var f frame
+		select {
+		case f = <-c.bulkQueue:
+		case <-c.closed:
+			return
+		}
+		data, err := c.pacer.encode(c.closed, func() ([]byte, error) { return encodeFrame(f, c.clock.Now()) })
+		if err != nil {
+			c.close()
+			return
+		}
+		f.message = encodedMessage{Message: f.message, frame: data}
+		select {
+		case c.sendQueue <- f:
+		case <-c.closed:
+			return
+		}
+	}
+}
+
 func (c *Conn) writeFrame(writer *bufio.Writer, f frame) error {
-	data, err := encodeFrame(f, c.clock.Now())
+	data, err := c.encode(&f)
 	if err != nil {
 		return err
 	}
@@ -269,6 +306,16 @@
 	return err
 }
 
+// encode returns the encoded frame, and replaces a message that is encoded already by the
+// message itself.
+func (c *Conn) encode(f *frame) ([]byte, error) {
+	if encoded, ok := f.message.(encodedMessage); ok {
+		f.message = encoded.Message
+		return encoded.frame, nil
+	}
+	return encodeFrame(*f, c.clock.Now())
+}
+
 func readFrame(reader *bufio.Reader) ([]byte, error) {
 	size, err := binary.ReadUvarint(reader)
 	if err != nil {
--- a/peer/node.go
+++ b/peer/node.go
@@ -17,6 +17,9 @@
 	// Key is the authentication key shared by all hosts.
 	Key   []byte
 	Clock clockwork.Clock
+	// BulkRate limits the large messages that may wait for others, over all connections, in
+	// bytes per second; 0 for no limit.
+	BulkRate float64
 	// WrapConn wraps each new connection, for example to count bytes; nil wraps
 	// none.
 	WrapConn func(net.Conn) net.Conn
@@ -27,6 +30,8 @@
 	config  Config
 	handler Handler
 	traffic *traffic
+	// pacer limits the rate of bulk frames; nil if there is no limit.
+	pacer *pacer
 
 	// dialTCP opens a TCP connection within timeout.
 	dialTCP func(address string, timeout time.Duration) (net.Conn, error)
@@ -50,10 +55,15 @@
 	if config.WrapConn == nil {
 		config.WrapConn = func(conn net.Conn) net.Conn { return conn }
 	}
+	var bulk *pacer
+	if config.BulkRate > 0 {
+		bulk = &pacer{bytesPerSecond: config.BulkRate, clock: config.Clock}
+	}
 	return &Node{
 		config:  config,
 		handler: handler,
 		traffic: newTraffic(),
+		pacer:   bulk,
 		dialTCP: func(address string, timeout time.Duration) (net.Conn, error) {
 			return net.DialTimeout("tcp", address, timeout)
 		},
@@ -72,7 +82,7 @@
 		return errors.Wrap(err, "authenticate accepted peer connection")
 	}
 	_ = conn.SetDeadline(noDeadline)
-	c := newConn(host, conn, n.config.Clock, n.handler, n.traffic)
+	c := newConn(host, conn, n.config.Clock, n.handler, n.traffic, n.pacer)
 	if !n.track(c) {
 		_ = conn.Close()
 		return ErrClosed
@@ -95,6 +105,27 @@
 	return reply, nil
 }
 
+// BulkWaiting returns the number of connections with a message that waits because of
+// Config.BulkRate.
+func (n *Node) BulkWaiting() int {
+	if n.pacer == nil {
+		return 0
+	}
+	return int(n.pacer.waiting.Load())
+}
+
+// LastReceived returns when data last arrived from address on the connection that this node
+// dialed; zero if there is none.
+func (n *Node) LastReceived(address string) time.Time {
+	conn := n.dialedConn(address)
+	if conn == nil {
+		return time.Time{}
+	}
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	return conn.lastReceived
+}
+
 // Send queues a message to the host at address and returns without waiting. If
 // no connection is open, it dials in the background. Messages may be lost.
 func (n *Node) Send(address string, message Message) {
@@ -222,7 +253,7 @@
 		return nil, err
 	}
 	_ = conn.SetDeadline(noDeadline)
-	return newConn(address, conn, n.config.Clock, n.handler, n.traffic), nil
+	return newConn(address, conn, n.config.Clock, n.handler, n.traffic, n.pacer), nil
 }
 
 // dialWithRetry opens a connection and starts a new attempt when one exceeds its
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -100,7 +100,7 @@
 			}
 		}
 	}()
-	conn := newConn("b", clientConn, clock, nil, newTraffic())
+	conn := newConn("b", clientConn, clock, nil, newTraffic(), nil)
 	go conn.run()
 	callErr := make(chan error, 1)
 	go func() {
@@ -128,7 +128,7 @@
 // pending call does.
 func TestConn_UnresponsiveWithoutCallsIsClosed(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	conn := newConn("b", nil, clock, nil, newTraffic())
+	conn := newConn("b", nil, clock, nil, newTraffic(), nil)
 	require.NoError(t, conn.send(QuorumMessages{}))
 	clock.Advance(probeInterval + time.Millisecond)
 	require.False(t, conn.checkLiveness(clock.Now()), "the connection must be probed before it is closed")
@@ -139,7 +139,7 @@
 // A connection that receives frames after the messages it sent is kept.
 func TestConn_ReceivingWithoutCallsIsKept(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	conn := newConn("b", nil, clock, nil, newTraffic())
+	conn := newConn("b", nil, clock, nil, newTraffic(), nil)
 	for range 20 {
 		require.NoError(t, conn.send(QuorumMessages{}))
 		clock.Advance(probeInterval + time.Millisecond)
@@ -152,7 +152,7 @@
 
 func TestConn_RespondingIsKept(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	conn := newConn("b", nil, clock, nil, newTraffic())
+	conn := newConn("b", nil, clock, nil, newTraffic(), nil)
 	replies := make(chan Message, 1)
 	_, err := conn.registerCall(replies)
 	require.NoError(t, err)
@@ -173,7 +173,7 @@
 	clock := clockwork.NewFakeClock()
 	clientConn, serverConn := net.Pipe()
 	defer serverConn.Close()
-	conn := newConn("b", clientConn, clock, nil, newTraffic())
+	conn := newConn("b", clientConn, clock, nil, newTraffic(), nil)
 	replies := make(chan Message, 1)
 	call, err := conn.registerCall(replies)
 	require.NoError(t, err)
@@ -194,7 +194,7 @@
 
 func TestConn_IdleIsClosedAfterIdleTimeout(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	conn := newConn("b", nil, clock, nil, newTraffic())
+	conn := newConn("b", nil, clock, nil, newTraffic(), nil)
 	clock.Advance(idleTimeout - time.Second)
 	require.False(t, conn.checkLiveness(clock.Now()))
 	clock.Advance(2 * time.Second)
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -41,6 +41,9 @@
 	MaxFrameBytes = 16 << 20
 	// maxQueuedFrames is the maximum length of a connection's send queue.
 	maxQueuedFrames = 4096
+	// maxQueuedBulkFrames is the maximum number of frames that wait for the node's bulk
+	// rate on one connection. A host has one poll at a time.
+	maxQueuedBulkFrames = 64
 	// probeInterval is how long a connection that carries messages may receive
 	// nothing before it is probed.
 	probeInterval = 500 * time.Millisecond
--- a/settings/load.go
+++ b/settings/load.go
@@ -21,7 +21,9 @@
 	maxDrainTimeout = 24 * time.Hour
 	minKeyBytes     = 16
 	maxTolerates    = 3
-	maxRetryExtra   = 1_000_000
+	// maxBandwidth is the highest Bandwidth, in Mbit/s.
+	maxBandwidth  = 1_000_000
+	maxRetryExtra = 1_000_000
 )
 
 // Default values.
@@ -105,6 +107,7 @@
 		jsonc.Field{Name: "Retries", Read: func(value *hujson.Value, at *jsonc.FieldPath) {
 			readRetries(r, value, at, &into.Retries)
 		}},
+		jsonc.Field{Name: "Bandwidth", Read: jsonc.Number(r, &into.Bandwidth, 0, maxBandwidth)},
 	)
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -55,6 +55,8 @@
 	DrainTimeout time.Duration
 	// Retries limits the retries for each service, over all entry hosts.
 	Retries Retries
+	// Bandwidth is the rate of the host's network link, in Mbit/s; 0 if unknown.
+	Bandwidth float64
 }
 
 // Role is the role of a host in the fleet.
