Continue a cut stream only at targets of the version that began it

Callers got streams whose first part was written by one software version of the targets and the rest by another, with nothing in the response to show it. A host knows the version of each target, but nothing that chooses a target read it: when the target of a stream crashed, the host went on at any other one of the service.

Permits tell the version of their target. Once a stream is relayed, the next permits must be for that version, on entry hosts and from owners of services alike; the lines of a decision and of a stream that is not resumed name it. A queued request that needs a version does not keep those for other targets waiting.

--- a/admission/dispatch.go
+++ b/admission/dispatch.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"strconv"
 	"time"
 
 	"comfreytiller.dev/chat"
@@ -48,8 +49,8 @@
 		c.queue.setWarmTarget(item, c.lookUpChat(item).WarmTargets[0])
 		c.queue.deferUntil(item, now.Add(c.options.warmWait))
 	case c.grantOrRefuse(now, item):
-	case len(item.request.Exclude) > 0:
-		// Other requests that have not tried those targets may be granted.
+	case len(item.request.Exclude) > 0 || item.request.RequiresVersion:
+		// Other requests that have not tried those targets, or may run on others, may be granted.
 		c.queue.removeFromWorkspace(item)
 		*setAside = append(*setAside, item)
 	default:
@@ -123,7 +124,7 @@
 		return true
 	}
 	if c.load.Targets > 0 && c.allTargetsExcluded(lookup.Excluded) {
-		c.refuseQueued(now, item, RefusedNoTarget, "every target was tried")
+		c.refuseQueued(now, item, RefusedNoTarget, allExcludedMessage(&item.request))
 		return true
 	}
 	return false
@@ -156,9 +157,24 @@
 			lookup.Excluded = append(lookup.Excluded, index)
 		}
 	}
+	if item.request.RequiresVersion {
+		for index, t := range c.targets {
+			if t.announcement.Version != item.request.Version {
+				lookup.Excluded = append(lookup.Excluded, index)
+			}
+		}
+	}
 	return lookup
 }
 
+// allExcludedMessage returns why no target may run a request.
+func allExcludedMessage(request *Request) string {
+	if request.RequiresVersion {
+		return "no other target has version " + strconv.Quote(request.Version)
+	}
+	return "every target was tried"
+}
+
 // targetOfInstance returns the index of the target with the instance, or route.None if
 // the target has another instance by now.
 func (c *Controller) targetOfInstance(instance chat.InstanceID) int {
--- a/admission/grant.go
+++ b/admission/grant.go
@@ -23,6 +23,7 @@
 			Chat:               item.request.Chat,
 			Target:             t.name,
 			Incarnation:        t.incarnation,
+			Version:            t.announcement.Version,
 			Address:            t.announcement.Address,
 			FencingToken:       c.fencingToken,
 			ValidFor:           waited + c.options.permitValidity,
--- a/admission/request.go
+++ b/admission/request.go
@@ -24,6 +24,10 @@
 	Deadline time.Time
 	// Exclude names targets that this request has already tried.
 	Exclude []string
+	// Version is the software version that the target must have, if RequiresVersion is set:
+	// what two versions write of one response does not fit together.
+	Version         string
+	RequiresVersion bool
 	// Started is when the request arrived. Objective is the time to first byte that
 	// its caller expects; 0 for unknown.
 	Started   time.Time
@@ -68,6 +72,8 @@
 	Chat        string
 	Target      string
 	Incarnation uint64
+	// Version is the target's software version; empty if it announces none.
+	Version string
 	// Address is the target's IP:port.
 	Address string
 	// FencingToken identifies the ownership under which the permit was granted.
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -117,6 +117,30 @@
 	require.NotNil(t, refusal)
 }
 
+// A stream goes on only at targets of the version that began it, whatever the others cost.
+func TestAcquire_RequiredVersionIsKept(t *testing.T) {
+	f := newFixture(t)
+	var entries []roster.Entry
+	for i, version := range []string{"v1", "v1", "v2", "v2", "v2", ""} {
+		entry := f.newRosterEntry(fmt.Sprint("e-", i), "engines", "a", 1)
+		entry.Version = version
+		entries = append(entries, entry)
+	}
+	f.applyEntries(entries...)
+	for i := range 60 {
+		version := []string{"v1", "v2", ""}[i%3]
+		request := admission.Request{ID: fmt.Sprint(i), Service: "engines", Version: version, RequiresVersion: true}
+		permit, err := f.selector.Acquire(t.Context(), request)
+		require.NoError(t, err)
+		require.Equal(t, version, permit.Version)
+	}
+	_, err := f.selector.Acquire(t.Context(), admission.Request{ID: "r", Service: "engines", Version: "v3", RequiresVersion: true})
+	refusal := &admission.Refusal{}
+	require.ErrorAs(t, err, &refusal)
+	require.Equal(t, admission.RefusedNoTarget, refusal.Code)
+	require.Contains(t, refusal.Message, "6 have another version than \"v3\"")
+}
+
 // A request that arrived before its service left the configuration is still sent to a
 // target of that service, within the limits that it arrived under.
 func TestAcquire_ServiceRemovedSinceArrival(t *testing.T) {
--- a/entry/target_selector.go
+++ b/entry/target_selector.go
@@ -293,7 +293,7 @@
 		if refusal := t.refusePaused(now, &request, list, candidates); refusal != nil {
 			return admission.Permit{}, refusal
 		}
-		return admission.Permit{}, t.refuse(&request, admission.RefusedNoTarget, t.explainNoTarget(view, list, candidates))
+		return admission.Permit{}, t.refuse(&request, admission.RefusedNoTarget, t.explainNoTarget(view, &request, list, candidates))
 	}
 	permit := t.grant(now, view, service, list[choice.Target], &candidates[choice.Target], &request, available, loads)
 	if choice.Home {
@@ -356,6 +356,8 @@
 		local.Availability = route.DomainOut
 	case slices.Contains(request.Exclude, s.Name):
 		local.Availability = route.Excluded
+	case request.RequiresVersion && s.Version != request.Version:
+		local.Availability = route.OtherVersion
 	}
 	return local
 }
@@ -379,7 +381,7 @@
 	}
 	return admission.Permit{
 		RequestID: request.ID, Host: request.Host, Service: request.Service, Workspace: request.Workspace,
-		Target: s.Name, Incarnation: s.Incarnation, Address: s.Address, SupportsResume: true, Warm: local.CachedTokens > 0,
+		Target: s.Name, Incarnation: s.Incarnation, Version: s.Version, Address: s.Address, SupportsResume: true, Warm: local.CachedTokens > 0,
 		Reason: route.LeastLoaded.String(),
 		Inputs: &admission.DecisionInputs{
 			FleetVersion: view.FleetVersion, Candidates: available, InFlight: local.InFlight, Queued: local.Queued,
@@ -391,7 +393,7 @@
 // explainNoTarget returns the message for a request without a target: how many
 // targets were ruled out for each reason, and the versions that the decision is
 // based on.
-func (t *targetSelector) explainNoTarget(view *registry.View, list []*targetState, candidates []route.LocalTarget) string {
+func (t *targetSelector) explainNoTarget(view *registry.View, request *admission.Request, list []*targetState, candidates []route.LocalTarget) string {
 	counts := map[route.Reason]int{}
 	if len(list) == 0 {
 		return fmt.Sprintf("no target of the service has been heard of yet (fleet version %d)", view.FleetVersion)
@@ -407,8 +409,12 @@
 			overloaded++
 		}
 	}
-	return fmt.Sprintf("of %d targets %d leave, %d are out, %d were tried, %d are full or warming up, %d hold more than their part (fleet version %d, outage version %d)",
+	message := fmt.Sprintf("of %d targets %d leave, %d are out, %d were tried, %d are full or warming up, %d hold more than their part (fleet version %d, outage version %d)",
 		len(list), counts[route.Leaving], counts[route.DomainOut], counts[route.Excluded], atCapacity, overloaded, view.FleetVersion, view.OutageVersion)
+	if request.RequiresVersion {
+		message += fmt.Sprintf(", %d have another version than %q", counts[route.OtherVersion], request.Version)
+	}
+	return message
 }
 
 func (t *targetSelector) refuse(request *admission.Request, code admission.RefusalCode, message string) error {
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -61,6 +61,10 @@
 	// relaying is set once a response is being relayed as a stream, which continues at
 	// its offset on another target.
 	relaying bool
+	// version is the software version of the target that began the stream, if requiresVersion
+	// is set: the stream goes on only at targets of that version.
+	version         string
+	requiresVersion bool
 	// retryReserved is set while a retry was taken from the budget and not used.
 	retryReserved bool
 	// reserved is the permit of the next attempt; nil if it must be acquired.
@@ -158,10 +162,13 @@
 		ID: d.ID + "." + strconv.Itoa(d.attempts), Host: d.gateway.Host, Service: d.Service.Name,
 		Workspace: d.Workspace, Chat: d.Chat, Priority: d.Call.Priority, Deadline: d.Deadline,
 		Exclude: slices.Clone(d.excludedTargets), Prompt: d.Prompt, ContentKey: d.key, Objective: d.FirstByteObjective, Started: d.Started,
-		ServiceConfig: &d.Service,
+		ServiceConfig: &d.Service, Version: d.version, RequiresVersion: d.requiresVersion,
 	}
 }
 
+// requireVersion limits the next attempts to targets of a software version.
+func (d *dispatcher) requireVersion(version string) { d.version, d.requiresVersion = version, true }
+
 // send sends the call and waits for the first event of a stream, or for a
 // non-streaming response to complete.
 func (d *dispatcher) send(ctx context.Context, a *attempt, requestedAt time.Time, offset int, newConnection bool) error {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -120,6 +120,7 @@
 // writeStream relays an event stream. The exchange is closed with the stream.
 func (x *exchange) writeStream(ctx *fasthttp.RequestCtx, a *attempt, recorder *streamRecorder) {
 	x.relaying = true
+	x.requireVersion(a.permit.Version)
 	x.gateway.Codec.WriteHeader(ctx, x.Request, a.response.Header(), a.permit)
 	x.gateway.closeIfDraining(ctx)
 	ctx.SetBodyStream(&streamRelay{exchange: x, attempt: a, recorder: recorder}, -1)
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -65,6 +65,7 @@
 	return g.log.WithError(err).WithFields(logrus.Fields{
 		"Request": d.CallerID, "Service": d.Service.Name, "Call": d.Call.Name, "Target": d.target, "Reason": obstacle,
 		"Attempts": d.attempts, "Runs": d.possibleRuns, "Silence": d.silence(), "Time": g.Clock.Since(d.Started),
+		"Version": d.version,
 	})
 }
 
@@ -106,7 +107,7 @@
 		"Request": d.CallerID, "Target": a.permit.Target, "Workspace": d.Workspace, "Service": d.Service.Name, "Call": d.Call.Name,
 		"Believed": a.permit.Warm, "Reason": a.permit.Reason, "Attempt": d.attempts,
 		"FirstByte": a.firstByte, "Waited": a.permit.Waited, "Time": g.Clock.Since(d.Started),
-		"ContentKey": strconv.FormatUint(d.key, 16),
+		"ContentKey": strconv.FormatUint(d.key, 16), "Version": a.permit.Version,
 	}
 	if in := a.permit.Inputs; in != nil {
 		fields["FleetVersion"], fields["Candidates"], fields["Running"], fields["Queued"] = in.FleetVersion, in.Candidates, in.InFlight, in.Queued
--- a/peer/codec_admission.go
+++ b/peer/codec_admission.go
@@ -52,6 +52,8 @@
 		Remaining: int64(r.Deadline.Sub(now)),
 		Exclude:   r.Exclude,
 		Fence:     m.FencingToken,
+
+		Version: r.Version, RequiresVersion: r.RequiresVersion,
 	}
 }
 
@@ -66,6 +68,8 @@
 			Priority:  int(w.Priority),
 			Deadline:  now.Add(time.Duration(w.Remaining)),
 			Exclude:   w.Exclude,
+
+			Version: w.Version, RequiresVersion: w.RequiresVersion,
 		},
 		FencingToken: w.Fence,
 	}
@@ -89,6 +93,7 @@
 		ChecksFence: p.ChecksFencingToken,
 		Resumes:     p.SupportsResume,
 		CacheFrom:   p.CacheSource,
+		Version:     p.Version,
 	}
 }
 
@@ -110,6 +115,7 @@
 		ChecksFencingToken: w.ChecksFence,
 		SupportsResume:     w.Resumes,
 		CacheSource:        w.CacheFrom,
+		Version:            w.Version,
 	}
 }
 
@@ -145,6 +151,7 @@
 		ChecksFence: p.ChecksFencingToken,
 		Resumes:     p.SupportsResume,
 		CacheFrom:   p.CacheSource,
+		Version:     p.Version,
 	}
 }
 
@@ -161,6 +168,7 @@
 		ChecksFencingToken: w.ChecksFence,
 		SupportsResume:     w.Resumes,
 		CacheSource:        w.CacheFrom,
+		Version:            w.Version,
 	}
 }
 
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -47,6 +47,7 @@
 			ChecksFencingToken: rapid.Bool().Draw(t, "ChecksFence"),
 			SupportsResume:     rapid.Bool().Draw(t, "Resumes"),
 			CacheSource:        text.Draw(t, "CacheFrom"),
+			Version:            text.Draw(t, "Version"),
 		}
 	})
 }
@@ -96,6 +97,7 @@
 		AcquireRequest{Request: admission.Request{
 			ID: "r", Host: "h", Service: "s", Workspace: "w", Chat: "c", Priority: 3,
 			Deadline: epoch.Add(time.Minute), Exclude: []string{"t"},
+			Version: "v1", RequiresVersion: true,
 		}, FencingToken: 4},
 		Refusal{Refusal: admission.Refusal{
 			RequestID: "r", Code: admission.RefusedQueueFull, Message: "m", RetryAfter: time.Second,
--- a/route/reason.go
+++ b/route/reason.go
@@ -27,6 +27,8 @@
 	CircuitOpen
 	// Excluded: the request has already tried the target.
 	Excluded
+	// OtherVersion: the request needs a target of another software version.
+	OtherVersion
 	// AtLimit: the target has reached its own limit.
 	AtLimit
 	// Warming: the target is cold or warming up and has reached its reduced limit.
@@ -60,6 +62,7 @@
 	Gone:         "Gone",
 	CircuitOpen:  "CircuitOpen",
 	Excluded:     "Excluded",
+	OtherVersion: "OtherVersion",
 	AtLimit:      "AtLimit",
 	Warming:      "Warming",
 	AtBound:      "AtBound",
