Let streams that callers take up go on only at the version that began them

The caller names the request that began the stream, but nothing recorded which version that had been, and the field was not read.

A host records the version when it relays the first event, and reports it to a hub 5 ms later; hubs tell each other until each has confirmed. A host that does not know a stream asks all hubs at once and waits up to half a second. Known: the request gets a permit for that version only. Unknown: 503, not run, whatever the hubs' state. On a route that is divided between services, the stream keeps its service. Weighed: a version that follows from the ID by a hash; hosts learn at different times which versions serve, so that the one that began the stream can't be told afterwards (admission/origin).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -85,6 +85,7 @@
 	budget   *retryBudget
 	watcher  *hubWatcher
 	checker  *viewChecker
+	origins  *streamOrigins
 	sender   protocol.Sender
 	gateway  *gateway.Gateway
 
@@ -115,6 +116,7 @@
 	e.budget = newRetryBudget(e.Settings.Retries, e.selector.hosts.count, e.Clock)
 	e.watcher = newHubWatcher(e)
 	e.checker = newViewChecker(e)
+	e.origins = newStreamOrigins(e)
 	e.gateway = e.newGateway()
 	return e, nil
 }
@@ -133,6 +135,7 @@
 		Codec:            e.Protocol.NewCodec(e.view),
 		RetryBudget:      e.budget,
 		OnTargetResponse: e.selector.recordResponse,
+		StreamOrigins:    e.origins,
 		OnTargetSilence:  e.selector.recordSilence,
 	},
 		gateway.WithCallsOnly(),
@@ -163,7 +166,7 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	var running sync.WaitGroup
-	for _, run := range []func(context.Context){e.watcher.run, e.checker.run, e.selector.probeUnreachable} {
+	for _, run := range []func(context.Context){e.watcher.run, e.checker.run, e.origins.run, e.selector.probeUnreachable} {
 		running.Go(func() { run(background) })
 	}
 	running.Go(e.serveAdmin)
--- a/entry/hub_watcher.go
+++ b/entry/hub_watcher.go
@@ -239,6 +239,9 @@
 	if !response.WithoutLoads {
 		w.daemon.selector.applyLoads(response.Loads, response.MeanLoad, reportedLoads)
 	}
+	if origins := w.daemon.origins; origins != nil && w.rosterSource != 0 && w.rosterSource != response.RosterSource {
+		origins.reportAll()
+	}
 	w.rosterSource, w.rosterVersion = response.RosterSource, response.RosterVersion
 	if len(response.ReplicaAddresses) > 0 {
 		w.mu.Lock()
--- a/gateway/dependencies.go
+++ b/gateway/dependencies.go
@@ -39,6 +39,9 @@
 	// request goes on waiting for it, then several times per timeout; nil to ignore
 	// silent targets until their requests end. The permit names the target.
 	OnTargetSilence func(permit admission.Permit)
+	// StreamOrigins knows which software version began the streams that callers take up;
+	// nil to let them go on at any.
+	StreamOrigins StreamOrigins
 	// RetryBudget limits retries; nil limits them to a share of the requests on
 	// this host.
 	RetryBudget RetryBudget
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -91,7 +91,11 @@
 // either it is idempotent and may be retried, or it has StopsWithCaller set.
 // newConnection forces a new connection for the first attempt.
 func (x *exchange) serveCancellable(ctx *fasthttp.RequestCtx, newConnection bool) {
-	a, f := x.runAttempts(x.ctx, newConnection)
+	var a *attempt
+	f := x.findOrigin()
+	if f == nil {
+		a, f = x.runAttempts(x.ctx, newConnection)
+	}
 	if f != nil {
 		x.gateway.logFailedRequest(x.dispatcher, f)
 		x.gateway.fail(ctx, f)
@@ -121,6 +125,7 @@
 func (x *exchange) writeStream(ctx *fasthttp.RequestCtx, a *attempt, recorder *streamRecorder) {
 	x.relaying = true
 	x.requireVersion(a.permit.Version)
+	x.recordOrigin(a)
 	x.gateway.Codec.WriteHeader(ctx, x.Request, a.response.Header(), a.permit)
 	x.gateway.closeIfDraining(ctx)
 	ctx.SetBodyStream(&streamRelay{exchange: x, attempt: a, recorder: recorder}, -1)
--- a/gateway/failure.go
+++ b/gateway/failure.go
@@ -50,6 +50,9 @@
 	CodeResponseNotStored  Code = "AnswerNotStored"
 	CodeClaimsUnavailable  Code = "ClaimsUnavailable"
 	CodeCallerGone         Code = "CallerGone"
+	// CodeUnknownOrigin: nobody in reach knows which software version began the stream that
+	// the caller takes up.
+	CodeUnknownOrigin Code = "UnknownOrigin"
 )
 
 // Failure is an error that is returned to a caller.
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -86,6 +86,13 @@
 	}).Infof("Request %s is refused: %s", r.ID, f.Message)
 }
 
+// logTakenUp logs the version at which a stream goes on that its caller takes up.
+func (g *Gateway) logTakenUp(d *dispatcher) {
+	g.log.WithFields(logrus.Fields{
+		"Request": d.CallerID, "Began": d.ResumedID, "Service": d.Service.Name, "Version": d.version, "Time": g.Clock.Since(d.Started),
+	}).Infof("Request %s goes on with the stream of request %s at version %q.", d.ID, d.ResumedID, d.version)
+}
+
 // logCutStream logs a stream that ended before it was complete.
 func (g *Gateway) logCutStream(d *dispatcher, events int, f *Failure) {
 	g.log.WithFields(logrus.Fields{
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -44,6 +44,9 @@
 	FirstByteObjective time.Duration
 	// LastEventID is the ID of the last event that the caller has received.
 	LastEventID string
+	// ResumedID is the CallerID of the request that began the stream that the caller takes
+	// up, of which it has received LastEventID; empty if it does not tell.
+	ResumedID string
 	// Prompt describes the work for an engine; nil if unknown.
 	Prompt *admission.Prompt
 	// Original is the original request, for targets whose protocol needs it.
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -74,7 +74,7 @@
 	if route.Public {
 		r.Workspace = ""
 	}
-	service := table.Service(route.ServiceFor(xxhash.Sum64String(r.CallerID)))
+	service := table.Service(route.ServiceFor(xxhash.Sum64String(r.streamID())))
 	if service == nil {
 		return failure(fasthttp.StatusServiceUnavailable, CodeNotReady, "the route has no service").withRetryAfter(defaultRetryAfter)
 	}
--- a/hub/gossip.go
+++ b/hub/gossip.go
@@ -250,6 +250,7 @@
 			g.recordRelay(entry.Name)
 		}
 	}
+	g.hub.origins.record(m)
 	g.hub.watchers.recordRemote(m.Watchers)
 	g.hub.mergeCrashReport(m.Host, m.CrashReport, m.Quarantined)
 	if len(m.Loads) > 0 {
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -91,6 +91,7 @@
 	gossip       *gossip
 	loads        *loadTracker
 	quarantine   *quarantine.Board
+	origins      *originRelay
 	membership   *membershipManager
 	contact      *majorityContact
 	replies      replyCounter
@@ -121,6 +122,7 @@
 	h.gossip = newGossip(h)
 	h.loads = newLoadTracker(h.Clock)
 	h.quarantine = quarantine.NewBoard()
+	h.origins = newOriginRelay(h)
 	h.membership = newMembershipManager(h)
 	h.node = peer.NewNode(peer.Config{
 		Host:     own.Host,
@@ -197,7 +199,7 @@
 		err := splitter.Serve(h.servePeer)
 		h.log.Debugf("Peer server stopped: %v.", err)
 	})
-	for _, run := range []func(context.Context){h.maintainContact, h.gossip.runRefresh, h.gossip.runLoads, h.membership.run, h.markSilentTargets, h.updateQuarantine, h.logTraffic} {
+	for _, run := range []func(context.Context){h.maintainContact, h.gossip.runRefresh, h.gossip.runLoads, h.membership.run, h.markSilentTargets, h.updateQuarantine, h.origins.run, h.logTraffic} {
 		served.Go(func() { run(background) })
 	}
 	h.log.WithField("Address", h.Settings.Peers).Info("Listening for hosts, targets and operators.")
@@ -275,6 +277,10 @@
 	case peer.WatchRequest:
 		go h.handleWatch(m, reply)
 	case peer.RosterUpdate:
+		if m.WantedOrigin != 0 {
+			go h.origins.find(m, reply)
+			return
+		}
 		h.gossip.merge(m)
 		reply(peer.Ack{})
 	case peer.JoinRequest:
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"comfreytiller.dev/admission"
+	"comfreytiller.dev/admission/origin"
 	"comfreytiller.dev/admission/quarantine"
 	"comfreytiller.dev/target"
 	"comfreytiller.dev/target/ratelimit"
@@ -74,11 +75,15 @@
 	return []Message{
 		Ping{},
 		Pong{},
-		RosterUpdate{Host: "h", Entries: []roster.Entry{{
-			Announcement: target.Announcement{Name: "t", Stamp: sampleStamp, Service: "s", Capacity: 4}, State: roster.Leaving,
-			WarmUpRemaining: time.Second, LastSeen: epoch.Add(-time.Second), Silent: true,
-			RateLimit: ratelimit.Limit{IsLimited: true, PerSecond: 4.25, SaidAt: epoch.Add(-time.Second)},
-		}}, Watchers: []string{"e"}, Loads: map[roster.Key]int{roster.KeyOf("t"): 3}, CrashReport: sampleCrashReport(), Quarantined: sampleSuspects()},
+		RosterUpdate{
+			Host: "h", Entries: []roster.Entry{{
+				Announcement: target.Announcement{Name: "t", Stamp: sampleStamp, Service: "s", Capacity: 4}, State: roster.Leaving,
+				WarmUpRemaining: time.Second, LastSeen: epoch.Add(-time.Second), Silent: true,
+				RateLimit: ratelimit.Limit{IsLimited: true, PerSecond: 4.25, SaidAt: epoch.Add(-time.Second)},
+			}}, Watchers: []string{"e"}, Loads: map[roster.Key]int{roster.KeyOf("t"): 3}, CrashReport: sampleCrashReport(), Quarantined: sampleSuspects(),
+			Origins: []origin.Record{{Key: 1, Version: "v1", Until: epoch.Add(time.Second)}, {Key: 2, Version: "v1", Until: epoch.Add(2 * time.Second)}, {Key: 3, Until: epoch.Add(time.Second)}},
+			Relayed: true, WantedOrigin: 4, MaxWait: time.Second,
+		},
 		WatchRequest{
 			Host: "h", Revision: 1, FleetVersion: 2, RosterSource: 3, RosterVersion: 4, MaxWait: time.Second, Loads: map[roster.Key]int{roster.KeyOf("t"): 3}, CrashReport: sampleCrashReport(), SuspectsVersion: 5, Quarantined: sampleSuspects(), StateOnly: true, MaxDeltaBytes: 6,
 			RateLimits: []ratelimit.Report{
--- a/peer/codec_watch.go
+++ b/peer/codec_watch.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"comfreytiller.dev/admission/origin"
 	"comfreytiller.dev/peer/peerpb"
 	"comfreytiller.dev/target/roster"
 )
@@ -15,6 +16,7 @@
 		wire.Body = &peerpb.Frame_Roster{Roster: &peerpb.Roster{
 			Host: m.Host, Entries: entriesToWire(m.Entries, now), Watchers: m.Watchers,
 			Loads: loadsToWire(m.Loads), Evidence: crashReportToWire(m.CrashReport, now), Quarantined: suspectsToWire(m.Quarantined, now),
+			Origins: originsToWire(m.Origins, now), Relayed: m.Relayed, WantedOrigin: uint64(m.WantedOrigin), Wait: int64(m.MaxWait),
 		}}
 	case WatchRequest:
 		wire.Body = &peerpb.Frame_Watch{Watch: &peerpb.Watch{
@@ -42,6 +44,7 @@
 		return RosterUpdate{
 			Host: b.Roster.Host, Entries: entriesFromWire(b.Roster.Entries, now), Watchers: b.Roster.Watchers, Loads: loadsFromWire(b.Roster.Loads),
 			CrashReport: crashReportFromWire(b.Roster.Evidence, now), Quarantined: suspectsFromWire(b.Roster.Quarantined, now),
+			Origins: originsFromWire(b.Roster.Origins, now), Relayed: b.Roster.Relayed, WantedOrigin: origin.Key(b.Roster.WantedOrigin), MaxWait: time.Duration(b.Roster.Wait),
 		}
 	case *peerpb.Frame_Watch:
 		w := b.Watch
--- a/peer/message.go
+++ b/peer/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"comfreytiller.dev/admission"
+	"comfreytiller.dev/admission/origin"
 	"comfreytiller.dev/admission/quarantine"
 	"comfreytiller.dev/target"
 	"comfreytiller.dev/target/ratelimit"
@@ -205,6 +206,15 @@
 	// Quarantined are the suspects in quarantine.
 	CrashReport quarantine.Report
 	Quarantined []quarantine.Suspect
+	// Origins are the versions that began streams, from a host or, if Relayed is set, from a
+	// replica that hosts told.
+	Origins []origin.Record
+	Relayed bool
+	// WantedOrigin asks for the version that began a stream; 0 for none. The reply is a
+	// RosterUpdate with the record, or without if the replica does not learn it within
+	// MaxWait.
+	WantedOrigin origin.Key
+	MaxWait      time.Duration
 }
 
 // WatchRequest asks a state replica for changes since the requesting host's view.
