Reject announcements that no target would write

Another writer left odd entries among those of the targets.

A hub takes no target of a service that the configuration does not name, unless it knows it.

--- a/hub/control.go
+++ b/hub/control.go
@@ -35,6 +35,9 @@
 	if !h.hasMajorityContact() {
 		return errors.Wrap(protocol.ErrUnavailable, "no touch with a majority of the state replicas")
 	}
+	if !h.hasUse(&entry) {
+		return errors.Wrapf(protocol.ErrUnavailable, "no configuration names service %.40q", entry.Service)
+	}
 	changed := h.roster.Merge(h.Clock.Now(), entry)
 	if changed {
 		h.logTargetChange(entry, h.Settings.Host)
@@ -43,6 +46,21 @@
 	return c.shareLeave(ctx, entry.Name)
 }
 
+// hasUse reports whether the service of an entry is in the fleet configuration, or the target
+// is known. Others must not take the address of a target. Before the first configuration,
+// every service may be named.
+func (h *Hub) hasUse(entry *roster.Entry) bool {
+	config := h.replica.Machine.View().Fleet
+	if config == nil {
+		return true
+	}
+	if _, named := config.Service(entry.Service); named {
+		return true
+	}
+	known, found := h.roster.Get(entry.Name)
+	return found && known.Service == entry.Service && known.Incarnation == entry.Incarnation
+}
+
 // shareLeave returns once the hubs know that the target is leaving or gone, if it is.
 func (c *controlHandler) shareLeave(ctx context.Context, name string) error {
 	entry, found := c.hub.roster.Get(name)
