Take no response without an ID for that of a request on a kept connection

A faulty target wrote an earlier refusal once more on a kept connection. Without an ID it was taken for the refusal of the next request, which the target ran: the caller was told that it has not run. Requests that must not run twice were not affected, since they always go over a new connection.

The client tells the dialect whether an earlier response came over the connection. A response without an ID belongs to no request then.

--- a/target/call.go
+++ b/target/call.go
@@ -71,6 +71,9 @@
 	Stream bool
 	// RequireNewConnection prevents the use of a pooled connection.
 	RequireNewConnection bool
+	// ConnectionReused is set by the sender if an earlier response came over the connection,
+	// which a faulty target may send once more.
+	ConnectionReused bool
 	// FirstByteTimeout limits the wait for the response, GapTimeout the wait for more
 	// data within it; 0 means no limit.
 	FirstByteTimeout time.Duration
--- a/target/web/client.go
+++ b/target/web/client.go
@@ -143,6 +143,7 @@
 // returned response is closed if there is an error.
 func (c *Client) roundTrip(ctx context.Context, conn *targetConn, request *fasthttp.Request, call target.Call, dialect Dialect) (*Response, error) {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	call.ConnectionReused = conn.reused
 	response := &Response{client: c, conn: conn, call: call, stopCancelWatch: stop, ctx: ctx, dialect: dialect}
 	conn.mayGiveUp = call.MayGiveUp
 	conn.arm(call.FirstByteTimeout)
