Spread large deltas by hosts and acknowledge configurations when hosts have them

Requests were handled as an older configuration says for up to 11.7 s after a configuration with 1,160 routes more had been acknowledged, and reached leaving targets, on a fleet of 295 hosts. Its delta of 21 KB took all of the hubs' links for more than ten seconds: each hub sent it to each of its hosts, and hosts that waited asked the other hubs for it, too. The acknowledgement came as soon as a majority had committed it, or 0.6 s later.

Polls leave large deltas out. A host fetches them by a request of its own, from a host that its hub names, or from the hub, which sends two at a time. Entry hosts listen on Peers for that. A hub acknowledges a configuration once the hosts of all hubs have it, as hubs tell each other, or after 2 s and 10 ms for each KB; the operator's resends of one that is in force commit nothing. While replies wait, hosts get a digest each half a second instead of none.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -55,6 +55,8 @@
 	// exitReserve is the part of the drain timeout that remains after the last
 	// request has been abandoned.
 	exitReserve = 400 * time.Millisecond
+	// acceptBackoff is the pause after a connection could not be accepted.
+	acceptBackoff = 100 * time.Millisecond
 )
 
 // Dependencies holds what an entry host is built from. It does not change while
@@ -86,11 +88,13 @@
 	watcher  *hubWatcher
 	checker  *viewChecker
 	origins  *streamOrigins
+	deltas   recentDeltas
 	sender   protocol.Sender
 	gateway  *gateway.Gateway
 
 	callerListener net.Listener
 	adminListener  net.Listener
+	peerListener   net.Listener
 }
 
 // New opens the listeners. Requests are served once Run is called.
@@ -103,12 +107,15 @@
 	if e.adminListener, err = net.Listen("tcp", e.Settings.Admin); err != nil {
 		return nil, errors.Join(errors.Wrapf(err, "listen for admin on %s", e.Settings.Admin), e.callerListener.Close())
 	}
+	if e.peerListener, err = net.Listen("tcp", e.Settings.Peers); err != nil {
+		return nil, errors.Join(errors.Wrapf(err, "listen for peers on %s", e.Settings.Peers), e.callerListener.Close(), e.adminListener.Close())
+	}
 	e.node = peer.NewNode(peer.Config{
 		Host:     e.Settings.Host,
 		Key:      e.Key,
 		Clock:    e.Clock,
 		WrapConn: meter.NewControlTraffic(e.Scope.SubScope("peer")).WrapAfter(e.WrapConn),
-	}, e.rejectMessage)
+	}, e.receive)
 	e.view = newStateView(e.Clock)
 	e.sender = e.Protocol.NewSender(e.Clock)
 	e.crashes = newCrashGuard(e)
@@ -170,6 +177,7 @@
 		running.Go(func() { run(background) })
 	}
 	running.Go(e.serveAdmin)
+	running.Go(e.servePeers)
 	served := make(chan error, 1)
 	go func() { served <- e.gateway.Serve(e.callerListener) }()
 	e.log.WithField("Callers", e.callerListener.Addr().String()).Info("Listening for callers.")
@@ -183,6 +191,9 @@
 	if closeErr := e.adminListener.Close(); closeErr != nil {
 		e.log.Debugf("Admin listener was already closed: %v.", closeErr)
 	}
+	if closeErr := e.peerListener.Close(); closeErr != nil {
+		e.log.Debugf("Peer listener was already closed: %v.", closeErr)
+	}
 	e.node.Close()
 	e.sender.Close()
 	running.Wait()
@@ -204,9 +215,33 @@
 	return nil
 }
 
-// rejectMessage rejects messages of peers: an entry host serves none.
-func (e *Entry) rejectMessage(from string, message peer.Message, reply peer.Reply) {
-	e.log.Warnf("Rejected message of type %T from %s: entry hosts handle no peer messages.", message, from)
+// servePeers serves the connections of other hosts until the listener is closed.
+func (e *Entry) servePeers() {
+	for {
+		conn, err := e.peerListener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			e.log.Warnf("Accepting a peer connection failed, trying again: %v.", err)
+			<-e.Clock.After(acceptBackoff)
+			continue
+		}
+		go func() {
+			if err := e.node.ServeConn(conn); err != nil {
+				e.log.Debugf("Peer connection from %s failed: %v.", conn.RemoteAddr(), err)
+			}
+		}()
+	}
+}
+
+// receive handles the messages of other hosts, which ask for large deltas of the state view.
+func (e *Entry) receive(from string, message peer.Message, reply peer.Reply) {
+	if request, ok := message.(peer.WatchRequest); ok && request.StateOnly && reply != nil {
+		reply(e.deltas.response(request))
+		return
+	}
+	e.log.Warnf("Rejected message of type %T from %s: entry hosts don't handle it.", message, from)
 	if reply != nil {
 		reply(peer.Failure{Message: "not for this host"})
 	}
--- a/entry/hub_watcher.go
+++ b/entry/hub_watcher.go
@@ -175,6 +175,10 @@
 	request.SuspectsVersion, request.Quarantined = observer.Version(), observer.Unlisted(w.clock.Now())
 	if view != nil && !w.needsWholeView {
 		request.Revision, request.FleetVersion = view.Revision, view.FleetVersion
+		request.MaxDeltaBytes, request.PendingRevision = maxCheckedDeltaBytes, w.daemon.checker.pending()
+	}
+	if w.daemon.peerListener != nil {
+		request.PeerAddress = w.daemon.peerListener.Addr().String()
 	}
 	slack := longPollSlack
 	if w.watchedHub() != address && !waitForMajority {
@@ -198,6 +202,9 @@
 		observer.RestoreReport(request.CrashReport)
 		return errHubNotCurrent
 	}
+	if response.OmittedRevision > 0 {
+		go w.daemon.checker.fetch(context.WithoutCancel(ctx), address, response.OmittedRevision)
+	}
 	return w.applyResponse(response, sentAt, request.Loads)
 }
 
@@ -274,6 +281,7 @@
 	if err != nil {
 		return err
 	}
+	w.daemon.deltas.record(last, encoded)
 	if last == nil || last.FleetVersion != next.FleetVersion || last.OutageVersion != next.OutageVersion {
 		w.log.WithFields(logrus.Fields{
 			"Revision": next.Revision, "FleetVersion": next.FleetVersion, "DomainsOut": len(next.DomainsOut),
--- a/entry/view_checker.go
+++ b/entry/view_checker.go
@@ -22,6 +22,8 @@
 	// of more than maxCheckedDeltaBytes.
 	viewCheckTimeout  = time.Second
 	largeDeltaTimeout = 3 * time.Second
+	// sourceTimeout limits a request to a host that has a large delta.
+	sourceTimeout = 500 * time.Millisecond
 	// maxCheckedDeltaBytes limits the delta that a hub sends without being asked for it. The
 	// watched hub may be sending the same one.
 	maxCheckedDeltaBytes = 4 << 10
@@ -36,8 +38,8 @@
 
 	mu   sync.Mutex
 	plan viewCheck
-	// fetching is set while a large delta is requested.
-	fetching bool
+	// pendingRevision is the revision to which a large delta is being fetched; 0 for none.
+	pendingRevision uint64
 }
 
 func newViewChecker(e *Entry) *viewChecker {
@@ -86,54 +88,82 @@
 		c.plan.recordReply(hub)
 	}()
 	c.checks.Inc(1)
-	omitted, err := c.request(ctx, hub, maxCheckedDeltaBytes, viewCheckTimeout)
-	if err == nil && omitted && c.beginFetch() {
-		defer c.endFetch()
-		_, err = c.request(ctx, hub, 0, largeDeltaTimeout)
-	}
+	response, err := c.request(ctx, hub, peer.WatchRequest{MaxDeltaBytes: maxCheckedDeltaBytes}, viewCheckTimeout)
 	if err != nil {
 		c.log.WithFields(logrus.Fields{"Hub": hub, "Error": err.Error()}).Debug("Hub did not confirm the state view.")
+		return
+	}
+	if response.OmittedRevision > 0 {
+		c.fetch(ctx, hub, response.OmittedRevision)
 	}
 }
 
-func (c *viewChecker) beginFetch() bool {
+// fetch gets the delta to a later revision that a hub has not sent because of its size: from
+// a host that the hub names, or from the hub. It does nothing while another fetch is running.
+func (c *viewChecker) fetch(ctx context.Context, hub string, revision uint64) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.fetching {
-		return false
+	if c.pendingRevision > 0 {
+		c.mu.Unlock()
+		return
+	}
+	c.pendingRevision = revision
+	c.mu.Unlock()
+	defer func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.pendingRevision = 0
+	}()
+	response, err := c.request(ctx, hub, peer.WatchRequest{}, largeDeltaTimeout)
+	if err == nil && c.isBehind(revision) {
+		for _, source := range response.Sources {
+			if _, err = c.request(ctx, source, peer.WatchRequest{}, sourceTimeout); err == nil && !c.isBehind(revision) {
+				return
+			}
+		}
+		_, err = c.request(ctx, hub, peer.WatchRequest{Direct: true}, largeDeltaTimeout)
+	}
+	if err != nil {
+		c.log.WithFields(logrus.Fields{"Hub": hub, "Revision": revision, "Sources": response.Sources, "Error": err.Error()}).Warn("Getting a large change of the state view failed.")
 	}
-	c.fetching = true
-	return true
 }
 
-func (c *viewChecker) endFetch() {
+// isBehind reports whether the view is older than the revision.
+func (c *viewChecker) isBehind(revision uint64) bool {
+	view := c.daemon.view.latest()
+	return view == nil || view.Revision < revision
+}
+
+// pending returns the revision that is being fetched; 0 for none.
+func (c *viewChecker) pending() uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.fetching = false
+	return c.pendingRevision
 }
 
-// request asks a hub for the delta to its view and applies it. omitted is set if the hub has
-// a later view and its delta is larger than maxDelta bytes.
-func (c *viewChecker) request(ctx context.Context, hub string, maxDelta int, timeout time.Duration) (omitted bool, err error) {
+// request asks a hub, or a host that has it, for the delta from the view in force and applies
+// it.
+func (c *viewChecker) request(ctx context.Context, address string, request peer.WatchRequest, timeout time.Duration) (peer.WatchResponse, error) {
 	view := c.daemon.view.latest()
 	if view == nil {
-		return false, errNoFleet
+		return peer.WatchResponse{}, errNoFleet
 	}
 	ctx, cancel := clockwork.WithTimeout(ctx, c.daemon.Clock, timeout)
 	defer cancel()
+	request.Host, request.Revision, request.FleetVersion, request.StateOnly = c.daemon.Settings.Host, view.Revision, view.FleetVersion, true
 	sentAt := c.daemon.Clock.Now()
-	reply, err := c.daemon.node.Call(ctx, hub, peer.WatchRequest{
-		Host: c.daemon.Settings.Host, Revision: view.Revision, FleetVersion: view.FleetVersion, StateOnly: true, MaxDeltaBytes: maxDelta,
-	})
+	reply, err := c.daemon.node.Call(ctx, address, request)
 	if err != nil {
-		return false, err
+		return peer.WatchResponse{}, err
 	}
 	response, ok := reply.(peer.WatchResponse)
 	if !ok {
-		return false, errors.Errorf("unexpected reply of type %T to a request for the state view", reply)
+		return peer.WatchResponse{}, errors.Errorf("unexpected reply of type %T to a request for the state view", reply)
+	}
+	if !response.QuorumConfirmed && len(response.Delta) == 0 {
+		return response, errHubNotCurrent
 	}
 	if !response.QuorumConfirmed {
-		return false, errHubNotCurrent
+		response.ConfirmedAge = 0
 	}
-	return response.OmittedRevision > 0, c.daemon.watcher.applyState(response, sentAt)
+	return response, c.daemon.watcher.applyState(response, sentAt)
 }
--- a/hub/control.go
+++ b/hub/control.go
@@ -1,6 +1,7 @@
 package hub
 
 import (
+	"bytes"
 	"context"
 	"crypto/rand"
 	"time"
@@ -24,6 +25,15 @@
 	propagationPollInterval = 20 * time.Millisecond
 )
 
+const (
+	// minSpreadTime is how long the acknowledgement of a small configuration waits for hosts
+	// that poll and don't have it. Operators expect one within 4 s.
+	minSpreadTime = 2 * time.Second
+	// spreadRate is the size of a configuration, in bytes per second, for which the
+	// acknowledgement waits longer.
+	spreadRate = 100_000
+)
+
 // controlHandler serves the calls of targets and operators. It implements
 // protocol.Control.
 type controlHandler struct{ hub *Hub }
@@ -90,8 +100,13 @@
 	return c.shareLeave(ctx, name)
 }
 
-// PutFleet commits a fleet configuration under the version.
+// PutFleet commits a fleet configuration under the version. It returns ErrUnavailable for one
+// that is committed while hosts of any hub still get it, for up to maxSpreadTime; the operator
+// sends it again.
 func (c *controlHandler) PutFleet(ctx context.Context, version uint64, config []byte) error {
+	if c.isInForce(ctx, version, config) {
+		return c.checkSpread(ctx, version, config)
+	}
 	result, err := c.commit(ctx, registry.NumberFleet{Version: version, Config: config})
 	if err != nil {
 		return err
@@ -104,9 +119,41 @@
 		return errors.Wrap(protocol.ErrInvalidConfig, err.Error())
 	case errors.Is(err, registry.ErrConflict):
 		return errors.Wrap(protocol.ErrVersionConflict, err.Error())
-	default:
+	case err != nil:
 		return err
 	}
+	return c.checkSpread(ctx, version, config)
+}
+
+// isInForce reports whether the configuration is in force, so that it need not be committed
+// once more. It is false if no majority confirms that.
+func (c *controlHandler) isInForce(ctx context.Context, version uint64, config []byte) bool {
+	view := c.hub.replica.Machine.View()
+	if view.FleetVersion != version || !bytes.Equal(view.FleetConfig, config) {
+		return false
+	}
+	ctx, cancel := clockwork.WithTimeout(ctx, c.hub.Clock, operatorCallTimeout)
+	defer cancel()
+	return c.hub.hasAllVoters() && c.hub.barrier(ctx) == nil && c.hub.replica.Machine.View().FleetVersion == version
+}
+
+// checkSpread waits until the hosts have a committed configuration, and returns ErrUnavailable
+// if they don't within propagationTimeout, unless it takes so long that a host may never do.
+func (c *controlHandler) checkSpread(ctx context.Context, version uint64, config []byte) error {
+	if c.awaitPropagation(ctx) {
+		return nil
+	}
+	known, age := c.hub.fleetVersions.age(version)
+	if limit := maxSpreadTime(len(config)); !known || age >= limit {
+		return nil
+	}
+	return errors.Wrapf(protocol.ErrUnavailable, "version %d is committed, but not yet in force on all hosts", version)
+}
+
+// maxSpreadTime returns how long the acknowledgement of a configuration waits for hosts: the
+// time that it takes them all to get a large one, and less than operators wait.
+func maxSpreadTime(configBytes int) time.Duration {
+	return minSpreadTime + time.Duration(float64(configBytes)/spreadRate*float64(time.Second))
 }
 
 // Fleet returns the latest fleet configuration once a majority has confirmed
@@ -131,6 +178,7 @@
 	if err != nil {
 		return err
 	}
+	c.awaitPropagation(ctx)
 	c.hub.log.WithFields(map[string]any{
 		"FailureDomain": failureDomain, "Out": out, "Version": result.Version, "Code": result.Code,
 	}).Infof("Outage change of failure domain %s was processed with result %s.", failureDomain, result.Code)
@@ -149,15 +197,14 @@
 	if err != nil {
 		return registry.Result{}, errors.Wrap(protocol.ErrUnavailable, err.Error())
 	}
-	c.awaitPropagation(ctx)
 	return result, nil
 }
 
-// awaitPropagation waits until the hosts that watch this hub have its state
-// revision. An acknowledged change is thus soon in force, even if it takes a
-// while to send it to all of them. A slow or lost host delays the call by at
+// awaitPropagation waits until the hosts that watch any hub have this hub's state
+// revision, and reports whether they do. An acknowledged change is thus soon in force, even
+// if it takes a while to send it to all of them. A slow or lost host delays the call by at
 // most propagationTimeout, and never beyond ctx.
-func (c *controlHandler) awaitPropagation(ctx context.Context) {
+func (c *controlHandler) awaitPropagation(ctx context.Context) bool {
 	h := c.hub
 	revision := h.replica.Machine.View().Revision
 	waitCtx, cancel := clockwork.WithTimeout(ctx, h.Clock, propagationTimeout)
@@ -167,10 +214,11 @@
 	for h.watchers.anyBehind(revision) {
 		select {
 		case <-waitCtx.Done():
-			return
+			return false
 		case <-ticker.Chan():
 		}
 	}
+	return true
 }
 
 // hasAllVoters reports whether the cluster has the desired number of voters.
--- /dev/null
+++ b/hub/delta_spread_test.go
@@ -0,0 +1,95 @@
+package hub
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"comfreytiller.dev/peer"
+)
+
+// spreadReplay replays the hosts of one hub that need a large delta. A host that has it tells
+// the hub with its next poll.
+type spreadReplay struct {
+	spread *deltaSpread
+	delta  []byte
+
+	mu              sync.Mutex
+	direct, sourced int
+	lastAt          time.Time
+}
+
+// fetch gets the delta as a host does.
+func (r *spreadReplay) fetch(host string, sourceTime, applyTime time.Duration) {
+	request := peer.WatchRequest{Host: host, PeerAddress: host}
+	for {
+		replies := make(chan peer.WatchResponse, 1)
+		go r.spread.reply(request, peer.WatchResponse{Delta: r.delta}, 7, func(m peer.Message) { replies <- m.(peer.WatchResponse) })
+		response := <-replies
+		r.mu.Lock()
+		switch {
+		case len(response.Delta) > 0:
+			r.direct++
+		case len(response.Sources) > 0:
+			r.sourced++
+		}
+		r.lastAt = time.Now()
+		r.mu.Unlock()
+		if len(response.Sources) > 0 {
+			time.Sleep(sourceTime)
+		}
+		if len(response.Delta) > 0 || len(response.Sources) > 0 {
+			time.Sleep(applyTime)
+			r.spread.recordPoll(host, host, 7)
+			return
+		}
+	}
+}
+
+// A hub with a slow link sends a large delta to few of its hosts; the others get it from
+// them, long before the hub could have sent it to each.
+func TestDeltaSpread_HostsGetDeltaFromEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const hosts, bytesPerSecond = 120, 450_000
+		r := &spreadReplay{spread: newDeltaSpread(clockwork.NewRealClock(), bytesPerSecond), delta: make([]byte, 26_000)}
+		begun := time.Now()
+		var fetching sync.WaitGroup
+		for i := range hosts {
+			fetching.Go(func() { r.fetch(fmt.Sprint("e-", i), 25*time.Millisecond, 100*time.Millisecond) })
+		}
+		fetching.Wait()
+		require.Equal(t, hosts, r.direct+r.sourced)
+		require.LessOrEqual(t, r.direct, hosts/5)
+		alone := time.Duration(float64(hosts*len(r.delta)) / bytesPerSecond * float64(time.Second))
+		require.Less(t, r.lastAt.Sub(begun), alone/4)
+		time.Sleep(time.Second)
+	})
+}
+
+// A host that can't get the delta from others gets it from the hub, also beside hosts that
+// have it. A host is no source for itself, nor one that has not polled for a while.
+func TestDeltaSpread_DirectAndExpiredSources(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newDeltaSpread(clockwork.NewRealClock(), 450_000)
+		s.recordPoll("e-1", "a:1", 7)
+		s.recordPoll("e-2", "", 7)
+		s.recordPoll("e-3", "c:1", 6)
+		ask := func(m peer.WatchRequest) (response peer.WatchResponse) {
+			s.reply(m, peer.WatchResponse{Delta: make([]byte, 10_000)}, 7, func(m peer.Message) { response = m.(peer.WatchResponse) })
+			time.Sleep(time.Second)
+			return response
+		}
+		require.Equal(t, []string{"a:1"}, ask(peer.WatchRequest{Host: "e-3"}).Sources)
+		s.recordPoll("e-1", "a:1", 7)
+		require.NotEmpty(t, ask(peer.WatchRequest{Host: "e-3", Direct: true}).Delta)
+		s.recordPoll("e-1", "a:1", 7)
+		require.NotEmpty(t, ask(peer.WatchRequest{Host: "e-1"}).Delta)
+		time.Sleep(sourceTTL)
+		require.NotEmpty(t, ask(peer.WatchRequest{Host: "e-3"}).Delta)
+	})
+}
--- a/hub/gossip.go
+++ b/hub/gossip.go
@@ -23,6 +23,8 @@
 	// changeRelayPeriod is how long a change that another hub received is sent with each
 	// refresh: nothing may pass between that hub and a third one.
 	changeRelayPeriod = 2 * refreshInterval
+	// revisionInterval is the interval at which hubs tell of the views of their hosts.
+	revisionInterval = 50 * time.Millisecond
 	// shareTimeout limits the wait until a majority of the hubs has confirmed a leave. A
 	// target waits a second for the acknowledgement.
 	shareTimeout = 600 * time.Millisecond
@@ -169,7 +171,7 @@
 		pending := g.takePending()
 		g.dropOldLeaves()
 		message := peer.RosterUpdate{
-			Host: g.hub.Settings.Host, Watchers: g.hub.watchers.localHosts(), Quarantined: g.hub.quarantine.Quarantined(g.hub.Clock.Now()),
+			Host: g.hub.Settings.Host, Watchers: g.hub.watchers.localHosts(), LowestRevision: g.hub.watchers.lowestRevision(), Quarantined: g.hub.quarantine.Quarantined(g.hub.Clock.Now()),
 		}
 		for name := range pending {
 			if entry, found := g.hub.roster.Get(name); found {
@@ -214,6 +216,18 @@
 	}
 }
 
+// runRevisions tells the other hubs until ctx ends when the lowest revision of the hosts that
+// watch this hub has changed.
+func (g *gossip) runRevisions(ctx context.Context) {
+	var last uint64
+	ticks.Every(ctx, g.hub.Clock, revisionInterval, func(context.Context) {
+		if lowest := g.hub.watchers.lowestRevision(); lowest != last {
+			last = lowest
+			g.broadcast(peer.RosterUpdate{Host: g.hub.Settings.Host, LowestRevision: lowest})
+		}
+	})
+}
+
 // runLoads sends the loads of the hosts that watch this hub to the other hubs
 // until ctx ends.
 func (g *gossip) runLoads(ctx context.Context) {
@@ -251,6 +265,7 @@
 		}
 	}
 	g.hub.origins.record(m)
+	g.hub.watchers.recordHubRevision(m.Host, m.LowestRevision)
 	g.hub.watchers.recordRemote(m.Watchers)
 	g.hub.mergeCrashReport(m.Host, m.CrashReport, m.Quarantined)
 	if len(m.Loads) > 0 {
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -95,6 +95,9 @@
 	membership   *membershipManager
 	contact      *majorityContact
 	replies      replyCounter
+	deltas       *deltaSpread
+	// fleetVersions tells since when the latest configuration is known here.
+	fleetVersions *fleetVersions
 
 	peerListener  net.Listener
 	adminListener net.Listener
@@ -123,6 +126,8 @@
 	h.loads = newLoadTracker(h.Clock)
 	h.quarantine = quarantine.NewBoard()
 	h.origins = newOriginRelay(h)
+	h.fleetVersions = &fleetVersions{clock: h.Clock}
+	h.deltas = newDeltaSpread(h.Clock, maxBulkShare*own.Bandwidth*bytesPerMegabit)
 	h.membership = newMembershipManager(h)
 	h.node = peer.NewNode(peer.Config{
 		Host:     own.Host,
@@ -199,7 +204,7 @@
 		err := splitter.Serve(h.servePeer)
 		h.log.Debugf("Peer server stopped: %v.", err)
 	})
-	for _, run := range []func(context.Context){h.maintainContact, h.gossip.runRefresh, h.gossip.runLoads, h.membership.run, h.markSilentTargets, h.updateQuarantine, h.origins.run, h.logTraffic} {
+	for _, run := range []func(context.Context){h.maintainContact, h.gossip.runRefresh, h.gossip.runLoads, h.gossip.runRevisions, h.recordFleetVersions, h.membership.run, h.markSilentTargets, h.updateQuarantine, h.origins.run, h.logTraffic} {
 		served.Go(func() { run(background) })
 	}
 	h.log.WithField("Address", h.Settings.Peers).Info("Listening for hosts, targets and operators.")
--- a/hub/watchers.go
+++ b/hub/watchers.go
@@ -1,6 +1,7 @@
 package hub
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -23,9 +24,11 @@
 	// coalesceDelay is how long changes of targets are collected before a
 	// reply.
 	coalesceDelay = 25 * time.Millisecond
-	// maxWaitingReplies is the number of replies that wait for the link from which on no
-	// digests are added to them: the hosts need the changes first.
-	maxWaitingReplies = 8
+	// maxWaitingReplies is the number of replies that wait for the link from which on the
+	// interval between two digests is busyDigestInterval: the hosts need the changes first, but
+	// without loads they all choose the same targets.
+	maxWaitingReplies  = 8
+	busyDigestInterval = 500 * time.Millisecond
 	// maxLongPollWait limits the wait for changes.
 	maxLongPollWait = 2 * time.Second
 )
@@ -41,12 +44,20 @@
 	// revisions are the state revisions that the hosts had at their last poll
 	// here.
 	revisions map[string]uint64
+	// hubRevisions are the last reports of the other hubs.
+	hubRevisions map[string]hubRevision
 	// digestAt is when the hosts were last sent a digest of the loads here.
 	digestAt map[string]time.Time
 }
 
+// hubRevision is the lowest revision of the hosts that poll another hub.
+type hubRevision struct {
+	lowest uint64
+	at     time.Time
+}
+
 func newWatchers(clock clockwork.Clock) *watchers {
-	return &watchers{clock: clock, started: clock.Now(), localSeen: map[string]time.Time{}, remoteSeen: map[string]time.Time{}, revisions: map[string]uint64{}, digestAt: map[string]time.Time{}}
+	return &watchers{clock: clock, started: clock.Now(), localSeen: map[string]time.Time{}, remoteSeen: map[string]time.Time{}, revisions: map[string]uint64{}, hubRevisions: map[string]hubRevision{}, digestAt: map[string]time.Time{}}
 }
 
 // recordWatch records a poll of a host and the state revision that it has.
@@ -72,7 +83,7 @@
 	w.digestAt[host] = w.clock.Now()
 }
 
-// anyBehind reports whether a host that polled here recently lacks the
+// anyBehind reports whether a host that polled this hub or another one recently lacks the
 // revision.
 func (w *watchers) anyBehind(revision uint64) bool {
 	w.mu.Lock()
@@ -83,9 +94,38 @@
 			return true
 		}
 	}
+	for _, other := range w.hubRevisions {
+		if now.Sub(other.at) < recentWatchPeriod && other.lowest < revision {
+			return true
+		}
+	}
 	return false
 }
 
+// lowestRevision returns the lowest revision of the hosts that polled here recently; the
+// largest number if there are none.
+func (w *watchers) lowestRevision() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now, lowest := w.clock.Now(), uint64(math.MaxUint64)
+	for host, at := range w.localSeen {
+		if now.Sub(at) < recentWatchPeriod {
+			lowest = min(lowest, w.revisions[host])
+		}
+	}
+	return lowest
+}
+
+// recordHubRevision records the lowest revision of the hosts that poll another hub.
+func (w *watchers) recordHubRevision(hub string, lowest uint64) {
+	if lowest == 0 {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.hubRevisions[hub] = hubRevision{lowest: lowest, at: w.clock.Now()}
+}
+
 // recordRemote records the hosts that polled another hub.
 func (w *watchers) recordRemote(hosts []string) {
 	w.mu.Lock()
@@ -141,11 +181,10 @@
 // changes, or when its wait is over.
 func (h *Hub) handleWatch(m peer.WatchRequest, reply peer.Reply) {
 	if m.StateOnly {
-		response := h.stateResponse(m)
-		h.replies.record(&response, false)
-		reply(response)
+		h.handleStateRequest(m, reply)
 		return
 	}
+	h.deltas.recordPoll(m.Host, m.PeerAddress, m.Revision)
 	h.watchers.recordWatch(m.Host, m.Revision)
 	h.loads.recordHost(m.Host, m.Loads)
 	h.recordCrashReport(m.Host, m.CrashReport, m.Quarantined)
@@ -176,6 +215,22 @@
 	reply(response)
 }
 
+// handleStateRequest replies to a request for the state view alone.
+func (h *Hub) handleStateRequest(m peer.WatchRequest, reply peer.Reply) {
+	response := h.stateResponse(m)
+	if len(response.Delta) > maxPolledDeltaBytes {
+		h.deltas.reply(m, response, h.replica.Machine.View().Revision, func(message peer.Message) {
+			if sent, ok := message.(peer.WatchResponse); ok {
+				h.replies.record(&sent, false)
+			}
+			reply(message)
+		})
+		return
+	}
+	h.replies.record(&response, false)
+	reply(response)
+}
+
 // stateResponse returns a reply with the state view alone. The view is read after the time
 // at which it was confirmed.
 func (h *Hub) stateResponse(m peer.WatchRequest) peer.WatchResponse {
@@ -195,7 +250,11 @@
 // While targets come and go, replies with changes are far more frequent than digests,
 // which would use up the hub's link if they came with each of them.
 func (h *Hub) addDigest(host string, response *peer.WatchResponse) {
-	if h.watchers.untilDigest(host, h.digestInterval()) > 0 || h.node.BulkWaiting() > maxWaitingReplies {
+	interval := h.digestInterval()
+	if h.node.BulkWaiting() > maxWaitingReplies {
+		interval = max(interval, busyDigestInterval)
+	}
+	if h.watchers.untilDigest(host, interval) > 0 {
 		response.WithoutLoads = true
 		return
 	}
@@ -216,7 +275,7 @@
 		changed := h.replica.Machine.Changed()
 		version, tableChanged := h.roster.Version()
 		suspectsVersion, suspectsPublished := h.quarantine.UrgentVersion()
-		if h.replica.Machine.View().Revision > m.Revision || version > m.RosterVersion || suspectsVersion > m.SuspectsVersion {
+		if h.replica.Machine.View().Revision > max(m.Revision, m.PendingRevision) || version > m.RosterVersion || suspectsVersion > m.SuspectsVersion {
 			return
 		}
 		select {
--- a/peer/codec_watch.go
+++ b/peer/codec_watch.go
@@ -16,7 +16,7 @@
 		wire.Body = &peerpb.Frame_Roster{Roster: &peerpb.Roster{
 			Host: m.Host, Entries: entriesToWire(m.Entries, now), Watchers: m.Watchers,
 			Loads: loadsToWire(m.Loads), Evidence: crashReportToWire(m.CrashReport, now), Quarantined: suspectsToWire(m.Quarantined, now),
-			Origins: originsToWire(m.Origins, now), Relayed: m.Relayed, WantedOrigin: uint64(m.WantedOrigin), Wait: int64(m.MaxWait),
+			Origins: originsToWire(m.Origins, now), Relayed: m.Relayed, WantedOrigin: uint64(m.WantedOrigin), Wait: int64(m.MaxWait), LowestRevision: m.LowestRevision,
 		}}
 	case WatchRequest:
 		wire.Body = &peerpb.Frame_Watch{Watch: &peerpb.Watch{
@@ -24,6 +24,7 @@
 			Source: m.RosterSource, Roster: m.RosterVersion, Wait: int64(m.MaxWait), Loads: loadsToWire(m.Loads),
 			Evidence: crashReportToWire(m.CrashReport, now), Suspects: m.SuspectsVersion, Quarantined: suspectsToWire(m.Quarantined, now),
 			RateLimits: rateLimitReportsToWire(m.RateLimits, now), StateOnly: m.StateOnly, MaxDelta: int32(m.MaxDeltaBytes),
+			PeerAddress: m.PeerAddress, PendingRevision: m.PendingRevision, Direct: m.Direct,
 		}}
 	case WatchResponse:
 		wire.Body = &peerpb.Frame_Watched{Watched: &peerpb.Watched{
@@ -31,7 +32,7 @@
 			Entries: entriesToWire(m.Entries, now), Hosts: int32(m.WatcherCount), Replicas: m.ReplicaAddresses,
 			Loads: loadsToWire(m.Loads), MeanLoad: m.MeanLoad, WithoutLoads: m.WithoutLoads,
 			SuspectsVersion: m.SuspectsVersion, Suspects: suspectsToWire(m.Suspects, now),
-			ConfirmedAge: int64(m.ConfirmedAge), Held: int64(m.Held), OmittedRevision: m.OmittedRevision,
+			ConfirmedAge: int64(m.ConfirmedAge), Held: int64(m.Held), OmittedRevision: m.OmittedRevision, Sources: m.Sources,
 		}}
 	case JoinRequest:
 		wire.Body = &peerpb.Frame_Join{Join: &peerpb.Join{Id: m.ID, Host: m.Host, Address: m.Address, Passed: m.Forwarded}}
@@ -44,7 +45,7 @@
 		return RosterUpdate{
 			Host: b.Roster.Host, Entries: entriesFromWire(b.Roster.Entries, now), Watchers: b.Roster.Watchers, Loads: loadsFromWire(b.Roster.Loads),
 			CrashReport: crashReportFromWire(b.Roster.Evidence, now), Quarantined: suspectsFromWire(b.Roster.Quarantined, now),
-			Origins: originsFromWire(b.Roster.Origins, now), Relayed: b.Roster.Relayed, WantedOrigin: origin.Key(b.Roster.WantedOrigin), MaxWait: time.Duration(b.Roster.Wait),
+			Origins: originsFromWire(b.Roster.Origins, now), Relayed: b.Roster.Relayed, WantedOrigin: origin.Key(b.Roster.WantedOrigin), MaxWait: time.Duration(b.Roster.Wait), LowestRevision: b.Roster.LowestRevision,
 		}
 	case *peerpb.Frame_Watch:
 		w := b.Watch
@@ -53,6 +54,7 @@
 			RosterSource: w.Source, RosterVersion: w.Roster, MaxWait: time.Duration(w.Wait), Loads: loadsFromWire(w.Loads),
 			CrashReport: crashReportFromWire(w.Evidence, now), SuspectsVersion: w.Suspects, Quarantined: suspectsFromWire(w.Quarantined, now),
 			RateLimits: rateLimitReportsFromWire(w.RateLimits, now), StateOnly: w.StateOnly, MaxDeltaBytes: int(w.MaxDelta),
+			PeerAddress: w.PeerAddress, PendingRevision: w.PendingRevision, Direct: w.Direct,
 		}
 	case *peerpb.Frame_Watched:
 		w := b.Watched
@@ -61,7 +63,7 @@
 			Entries: entriesFromWire(w.Entries, now), WatcherCount: int(w.Hosts), ReplicaAddresses: w.Replicas,
 			Loads: loadsFromWire(w.Loads), MeanLoad: w.MeanLoad, WithoutLoads: w.WithoutLoads,
 			SuspectsVersion: w.SuspectsVersion, Suspects: suspectsFromWire(w.Suspects, now),
-			ConfirmedAge: time.Duration(w.ConfirmedAge), Held: time.Duration(w.Held), OmittedRevision: w.OmittedRevision,
+			ConfirmedAge: time.Duration(w.ConfirmedAge), Held: time.Duration(w.Held), OmittedRevision: w.OmittedRevision, Sources: w.Sources,
 		}
 	case *peerpb.Frame_Join:
 		return JoinRequest{ID: b.Join.Id, Host: b.Join.Host, Address: b.Join.Address, Forwarded: b.Join.Passed}
--- a/peer/message.go
+++ b/peer/message.go
@@ -215,6 +215,9 @@
 	// MaxWait.
 	WantedOrigin origin.Key
 	MaxWait      time.Duration
+	// LowestRevision is the lowest revision of the state view on the hosts that watch this
+	// replica, the largest number if there are none; 0 if it is not reported.
+	LowestRevision uint64
 }
 
 // WatchRequest asks a state replica for changes since the requesting host's view.
@@ -244,6 +247,12 @@
 	StateOnly bool
 	// MaxDeltaBytes is the maximum size of the delta in the reply; 0 for no limit.
 	MaxDeltaBytes int
+	// PeerAddress is where other hosts reach this one; empty if they don't.
+	PeerAddress string
+	// PendingRevision is a later revision that the host is getting the delta to; 0 for none.
+	PendingRevision uint64
+	// Direct asks the replica for a large delta itself, not for hosts that have it.
+	Direct bool
 }
 
 // WatchResponse is the reply to a WatchRequest.
@@ -278,6 +287,8 @@
 	// OmittedRevision is the revision of the replica's view if the delta to it was larger
 	// than the host allows; 0 otherwise.
 	OmittedRevision uint64
+	// Sources are the peer addresses of hosts that have the omitted delta.
+	Sources []string
 }
 
 // JoinRequest asks the state leader to add a replica to the cluster, or to
