Ask the preferred hub beside the polls whether a host can return to it

After two hubs of a large fleet were back, their hosts stayed with the others for more than ten seconds: 9 to 38 hosts on the two hubs and about 100 on each of the others, 3 to 9 s after the cut had ended. Each attempt took the place of a poll, so that the pause between two of them doubled up to 30 s.

The host sends a small request to the preferred hub beside the polls of the watched one and changes over once that can serve; the pause is 4 s at most, and up to as much as jitter. TestFailback_DelayGrowsWhilePreferredHubIsLost allowed six attempts in two minutes, since an attempt left the host without changes. It now wants one at least each 8 s and at most each 4 s, and TestShouldFailBack_AsksBesideThePolls that an attempt takes no time from the polls.

--- a/entry/failback.go
+++ b/entry/failback.go
@@ -12,13 +12,12 @@
 	// hosts return one by one.
 	minFailbackDelay = 3 * time.Second
 	// maxFailbackDelay limits the delay, which doubles with each failed
-	// attempt. While a host polls a hub that is lost, it receives no changes
-	// for longPollSlack.
-	maxFailbackDelay = 30 * time.Second
+	// attempt. An attempt is a small request beside the polls of the other hub.
+	maxFailbackDelay = 4 * time.Second
 )
 
 // failback decides when a host that had to leave its preferred hub, the first
-// in its order, tries to return to it.
+// in its order, asks whether it can return to it.
 //
 // Without it, when hubs lose contact with a majority one after the other, hosts
 // stay on the hub that they moved to, and in the end a few hubs have to send
--- a/entry/failback_test.go
+++ b/entry/failback_test.go
@@ -65,8 +65,10 @@
 			f.recordFailedAttempt(now)
 		}
 	}
-	require.Positive(t, attempts)
-	require.LessOrEqual(t, attempts, 6)
+	// Hosts of a hub that is lost must be back soon after it is, and each attempt is one small
+	// request.
+	require.GreaterOrEqual(t, attempts, int(120*time.Second/(2*maxFailbackDelay)))
+	require.LessOrEqual(t, attempts, int(120*time.Second/maxFailbackDelay))
 	f.recordFailback()
 	require.False(t, f.due(now.Add(time.Hour)))
 }
--- a/entry/hub_watcher.go
+++ b/entry/hub_watcher.go
@@ -56,6 +56,8 @@
 	// the members of the cluster as last reported by a hub.
 	configuredHubs []string
 	memberHubs     []string
+	// probeResult receives the result of asking the preferred hub; nil if it can serve.
+	probeResult chan error
 	// currentHub is the hub that replied to the last poll; "" while there is none.
 	currentHub string
 
@@ -65,12 +67,14 @@
 	rosterSource   uint64
 	rosterVersion  uint64
 	failback       failback
+	// probing is set while the preferred hub is asked whether it can serve.
+	probing bool
 	// needsWholeView is set after a delta that did not fit the view in force.
 	needsWholeView bool
 }
 
 func newHubWatcher(e *Entry) *hubWatcher {
-	return &hubWatcher{daemon: e, log: logs.ForComponent(e.Log, "Watch"), clock: e.Clock, configuredHubs: e.Settings.StateReplicas, failback: newFailback(e.Settings.Host)}
+	return &hubWatcher{daemon: e, log: logs.ForComponent(e.Log, "Watch"), clock: e.Clock, configuredHubs: e.Settings.StateReplicas, failback: newFailback(e.Settings.Host), probeResult: make(chan error, 1)}
 }
 
 // setConfiguredHubs replaces the configured hub addresses.
@@ -100,7 +104,7 @@
 		candidates := w.candidates()
 		address := candidates[w.candidateIndex%len(candidates)]
 		watched := w.watchedHub()
-		if preferred := candidates[0]; watched != "" && watched != preferred && w.failback.due(w.clock.Now()) {
+		if preferred := candidates[0]; watched != "" && watched != preferred && w.shouldFailBack(ctx, preferred) {
 			w.tryFailback(ctx, preferred)
 			continue
 		}
@@ -154,6 +158,29 @@
 	}
 }
 
+// shouldFailBack reports whether the preferred hub has confirmed that it can serve. It asks
+// it now and then, beside the polls of the watched hub.
+func (w *hubWatcher) shouldFailBack(ctx context.Context, preferred string) bool {
+	select {
+	case err := <-w.probeResult:
+		w.probing = false
+		if err == nil {
+			return true
+		}
+		w.log.WithFields(logrus.Fields{"Hub": preferred, "Error": err.Error()}).Debug("Preferred hub is not available yet.")
+		w.failback.recordFailedAttempt(w.clock.Now())
+	default:
+	}
+	if !w.probing && w.failback.due(w.clock.Now()) {
+		w.probing = true
+		go func() {
+			_, err := w.daemon.checker.request(ctx, preferred, peer.WatchRequest{MaxDeltaBytes: maxCheckedDeltaBytes}, viewCheckTimeout)
+			w.probeResult <- err
+		}()
+	}
+	return false
+}
+
 // tryFailback polls the preferred hub and stays with it if it can serve.
 func (w *hubWatcher) tryFailback(ctx context.Context, preferred string) {
 	if err := w.poll(ctx, preferred, false); err != nil {
--- a/entry/view_check_test.go
+++ b/entry/view_check_test.go
@@ -1,10 +1,13 @@
 package entry
 
 import (
+	"net"
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
 
 	"comfreytiller.dev/peer"
 	"comfreytiller.dev/registry"
@@ -140,3 +143,31 @@
 	require.False(t, watcher.needsWholeView)
 	require.Equal(t, uint64(9), f.daemon.view.latest().Revision)
 }
+
+// While a host asks a preferred hub that is lost, it polls the other hub as before; the
+// attempt took the time of a poll without changes.
+func TestShouldFailBack_AsksBesideThePolls(t *testing.T) {
+	lost, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = lost.Close() }()
+	f := newFixture(t)
+	f.daemon.Clock, f.daemon.Scope = clockwork.NewRealClock(), tally.NoopScope
+	f.daemon.node = peer.NewNode(peer.Config{Host: "e-1", Clock: f.daemon.Clock}, nil)
+	defer f.daemon.node.Close()
+	watcher := newHubWatcher(f.daemon)
+	f.daemon.watcher, f.daemon.checker = watcher, newViewChecker(f.daemon)
+	watcher.failback.recordFailover(time.Now())
+	watcher.failback.nextAttempt = time.Now()
+	begun := time.Now()
+	require.False(t, watcher.shouldFailBack(t.Context(), lost.Addr().String()))
+	require.Less(t, time.Since(begun), viewCheckTimeout/2)
+	require.True(t, watcher.probing)
+	require.Eventually(t, func() bool {
+		return !watcher.shouldFailBack(t.Context(), lost.Addr().String()) && !watcher.probing
+	}, 10*time.Second, 10*time.Millisecond, "the attempt has failed")
+	require.True(t, watcher.failback.nextAttempt.After(time.Now()))
+
+	hub := servePeer(t, func(_ string, _ peer.Message, reply peer.Reply) { reply(peer.WatchResponse{QuorumConfirmed: true}) })
+	watcher.failback.nextAttempt = time.Now()
+	require.Eventually(t, func() bool { return watcher.shouldFailBack(t.Context(), hub) }, 10*time.Second, 10*time.Millisecond, "the hub can serve")
+}
