--- a/peer/message.go
+++ b/peer/message.go
@@ -192,8 +192,9 @@
 	InFlight int
 }
 
-// RosterUpdate distributes the announcements that a state replica has received
-// itself to the other state replicas.
+// RosterUpdate distributes what a state replica has received itself to the other state
+// replicas: announcements, and what hosts reported to it. Hosts send it with Origins, or with
+// WantedOrigin, alone.
 type RosterUpdate struct {
 	Host    string
 	Entries []roster.Entry
