Pass changes of state replicas on to the leader, and to the next one

Change: any host sends the change to the leader (session.ChangeMembers) as it does with proposals, and goes on at the next leader; the steps can be repeated. A removal whose reply was lost is done when the next leader knows no such replica. The leader logs changes that fail. host.memberChanger makes them. Only the role Whole is concerned; entry and state hosts are not.

--- a/host/fleet_bench_test.go
+++ b/host/fleet_bench_test.go
@@ -14,7 +14,9 @@
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
+	"comfreytiller.dev/comfreytiller/operator/operatorpb"
 	"comfreytiller.dev/common/logs"
+	"comfreytiller.dev/peer"
 	"comfreytiller.dev/registry"
 	"comfreytiller.dev/settings"
 )
@@ -83,9 +85,8 @@
 	for i := 1; i < replicas; i++ {
 		o := &operatorService{host: f.hosts[0]}
 		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
-		member, err := o.identify(ctx, f.hosts[i].Settings.Peers)
+		_, err := o.ChangeReplica(ctx, &operatorpb.ReplicaRequest{Change: string(peer.MemberAdd), Address: f.hosts[i].Settings.Peers})
 		require.NoError(f.tb, err)
-		require.NoError(f.tb, f.hosts[0].state.replica.Admit(ctx, member))
 		cancel()
 	}
 }
--- a/host/host.go
+++ b/host/host.go
@@ -65,6 +65,7 @@
 	pauseNotices        tally.Counter
 	gateway             *gateway.Gateway
 	placementController *placementController
+	memberChanger       *memberChanger
 	digestReporter      *digestReporter
 	sender              *web.Client
 
@@ -158,6 +159,7 @@
 	h.targetRelay = newTargetRelay(h)
 	h.leavingNotices, h.pauseNotices = h.Scope.Counter("targets_leaving_in_response"), h.Scope.Counter("target_pauses")
 	h.placementController = newPlacementController(h)
+	h.memberChanger = &memberChanger{host: h}
 	h.digestReporter = newDigestReporter(h)
 	h.gateway = h.newGateway()
 }
--- a/host/receive.go
+++ b/host/receive.go
@@ -62,6 +62,8 @@
 			return
 		}
 		go h.state.Propose(m, reply)
+	case peer.MemberChangeRequest:
+		go h.memberChanger.handle(m, reply)
 	case peer.RenewRequest:
 		if h.state == nil {
 			reply(peer.RenewResponse{Code: peer.CodeNotReplica})
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -64,7 +64,8 @@
 		encodeAdmissionBody(wire, message, now)
 	case TargetUpdate, TargetUpdateAck, ServiceStateChunk, StatusRequest, StatusResponse, Digest:
 		encodeTargetBody(wire, message)
-	case QuorumMessages, ProposeRequest, ProposeResponse, RenewRequest, RenewResponse, VersionsRequest, VersionsResponse, IdentityRequest, IdentityResponse:
+	case QuorumMessages, ProposeRequest, ProposeResponse, RenewRequest, RenewResponse, VersionsRequest, VersionsResponse, IdentityRequest, IdentityResponse,
+		MemberChangeRequest, MemberChangeResponse:
 		encodeStateBody(wire, message)
 	case RosterUpdate, WatchRequest, WatchResponse, JoinRequest:
 		encodeWatchBody(wire, message, now)
--- a/peer/codec_state.go
+++ b/peer/codec_state.go
@@ -38,6 +38,10 @@
 		wire.Body = &peerpb.Frame_IdentityAsk{IdentityAsk: &peerpb.Ping{}}
 	case IdentityResponse:
 		wire.Body = &peerpb.Frame_IdentityTold{IdentityTold: &peerpb.IdentityTold{Id: m.ID, Host: m.Host, Cluster: m.Cluster}}
+	case MemberChangeRequest:
+		wire.Body = &peerpb.Frame_MemberChange{MemberChange: &peerpb.MemberChange{Change: string(m.Change), Id: m.ID, Address: m.Address}}
+	case MemberChangeResponse:
+		wire.Body = &peerpb.Frame_MemberChanged{MemberChanged: &peerpb.MemberChanged{Code: string(m.Code), Message: m.Message, Leader: m.Leader}}
 	}
 }
 
@@ -71,6 +75,12 @@
 		return IdentityRequest{}
 	case *peerpb.Frame_IdentityTold:
 		return IdentityResponse{ID: b.IdentityTold.Id, Host: b.IdentityTold.Host, Cluster: b.IdentityTold.Cluster}
+	case *peerpb.Frame_MemberChange:
+		c := b.MemberChange
+		return MemberChangeRequest{Change: MemberChange(c.Change), ID: c.Id, Address: c.Address}
+	case *peerpb.Frame_MemberChanged:
+		c := b.MemberChanged
+		return MemberChangeResponse{Code: Code(c.Code), Message: c.Message, Leader: c.Leader}
 	}
 	return nil
 }
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -146,6 +146,8 @@
 		},
 		IdentityRequest{},
 		IdentityResponse{ID: "i", Host: "h", Cluster: "c"},
+		MemberChangeRequest{Change: MemberReplace, ID: "i", Address: "a"},
+		MemberChangeResponse{Code: CodeRejected, Message: "m", Leader: "l"},
 	}
 }
 
--- a/peer/message.go
+++ b/peer/message.go
@@ -100,6 +100,14 @@
 	CodeNoSession Code = "NoSession"
 	// CodeNotReplica reports that the host has no state replica.
 	CodeNotReplica Code = "NotReplica"
+	// CodeUnknownMember reports that no state replica has the ID.
+	CodeUnknownMember Code = "UnknownMember"
+	// CodeUnreachable reports that the host of the new replica did not answer.
+	CodeUnreachable Code = "Unreachable"
+	// CodeNoReplicaAtAddress reports that the host at the address has no state replica.
+	CodeNoReplicaAtAddress Code = "NoReplicaAtAddress"
+	// CodeRejected reports that the leader does not make the change.
+	CodeRejected Code = "Rejected"
 )
 
 // ProposeResponse is the reply to a ProposeRequest.
@@ -162,6 +170,35 @@
 	Cluster string
 }
 
+// MemberChange is a change of the members of the state replicas.
+type MemberChange string
+
+// The changes of members.
+const (
+	MemberAdd     MemberChange = "Add"
+	MemberRemove  MemberChange = "Remove"
+	MemberReplace MemberChange = "Replace"
+)
+
+// MemberChangeRequest asks the leader's host for a change of the members of the state
+// replicas. It may be repeated: a change that was made in part goes on where it stopped.
+type MemberChangeRequest struct {
+	Change MemberChange
+	// ID is the replica to remove or replace.
+	ID string
+	// Address is the peer address of the host with the new replica.
+	Address string
+}
+
+// MemberChangeResponse is the reply to a MemberChangeRequest.
+type MemberChangeResponse struct {
+	Code Code
+	// Message describes the result to operators.
+	Message string
+	// Leader is the leader's peer address; empty if unknown.
+	Leader string
+}
+
 // Digest reports to the state leader the targets that a host knows and the
 // services that it owns.
 type Digest struct {
@@ -302,31 +339,33 @@
 	Forwarded bool
 }
 
-func (RosterUpdate) message()      {}
-func (WatchRequest) message()      {}
-func (WatchResponse) message()     {}
-func (JoinRequest) message()       {}
-func (Ping) message()              {}
-func (Pong) message()              {}
-func (Failure) message()           {}
-func (AcquireRequest) message()    {}
-func (Permit) message()            {}
-func (Refusal) message()           {}
-func (Releases) message()          {}
-func (Ack) message()               {}
-func (AdoptPermits) message()      {}
-func (TargetUpdate) message()      {}
-func (TargetUpdateAck) message()   {}
-func (ServiceStateChunk) message() {}
-func (QuorumMessages) message()    {}
-func (ProposeRequest) message()    {}
-func (ProposeResponse) message()   {}
-func (RenewRequest) message()      {}
-func (RenewResponse) message()     {}
-func (StatusRequest) message()     {}
-func (StatusResponse) message()    {}
-func (VersionsRequest) message()   {}
-func (VersionsResponse) message()  {}
-func (IdentityRequest) message()   {}
-func (IdentityResponse) message()  {}
-func (Digest) message()            {}
+func (RosterUpdate) message()         {}
+func (WatchRequest) message()         {}
+func (WatchResponse) message()        {}
+func (JoinRequest) message()          {}
+func (Ping) message()                 {}
+func (Pong) message()                 {}
+func (Failure) message()              {}
+func (AcquireRequest) message()       {}
+func (Permit) message()               {}
+func (Refusal) message()              {}
+func (Releases) message()             {}
+func (Ack) message()                  {}
+func (AdoptPermits) message()         {}
+func (TargetUpdate) message()         {}
+func (TargetUpdateAck) message()      {}
+func (ServiceStateChunk) message()    {}
+func (QuorumMessages) message()       {}
+func (ProposeRequest) message()       {}
+func (ProposeResponse) message()      {}
+func (RenewRequest) message()         {}
+func (RenewResponse) message()        {}
+func (StatusRequest) message()        {}
+func (StatusResponse) message()       {}
+func (VersionsRequest) message()      {}
+func (VersionsResponse) message()     {}
+func (IdentityRequest) message()      {}
+func (IdentityResponse) message()     {}
+func (MemberChangeRequest) message()  {}
+func (MemberChangeResponse) message() {}
+func (Digest) message()               {}
