--- a/session/members_test.go
+++ b/session/members_test.go
@@ -28,7 +28,7 @@
 }
 
 // changeMembers runs the request over the replies and returns the addresses that were asked.
-func changeMembers(t *testing.T, request peer.MemberChangeRequest, replies map[string][]peer.Message) (peer.MemberChangeResponse, error, []string) {
+func changeMembers(t *testing.T, request peer.MemberChangeRequest, replies map[string][]peer.Message) (peer.MemberChangeResponse, []string) {
 	t.Helper()
 	fake := newFakeReplicas()
 	replicas := &memberReplicas{fakeReplicas: fake, replies: replies}
@@ -43,7 +43,8 @@
 		}
 	}()
 	response, err := c.ChangeMembers(ctx, request)
-	return response, err, replicas.asked
+	require.NoError(t, err)
+	return response, replicas.asked
 }
 
 var (
@@ -54,16 +55,14 @@
 )
 
 func TestChangeMembers_FollowsTheLeader(t *testing.T) {
-	response, err, asked := changeMembers(t, addRequest, map[string][]peer.Message{"a": {notLeader}, "c": {changed}})
-	require.NoError(t, err)
+	response, asked := changeMembers(t, addRequest, map[string][]peer.Message{"a": {notLeader}, "c": {changed}})
 	require.Equal(t, changed, response)
 	require.Equal(t, []string{"a", "c"}, asked)
 }
 
 // The lead is lost while the new replica catches up. The next leader must go on.
 func TestChangeMembers_GoesOnAtTheNextLeader(t *testing.T) {
-	response, err, asked := changeMembers(t, addRequest, map[string][]peer.Message{"a": {lostLead}, "b": {changed}})
-	require.NoError(t, err)
+	response, asked := changeMembers(t, addRequest, map[string][]peer.Message{"a": {lostLead}, "b": {changed}})
 	require.Equal(t, changed, response)
 	require.Equal(t, []string{"a", "b"}, asked)
 }
@@ -73,20 +72,17 @@
 func TestChangeMembers_RemovalWithALostReply(t *testing.T) {
 	unknown := peer.MemberChangeResponse{Code: peer.CodeUnknownMember, Message: "there is no replica r"}
 	request := peer.MemberChangeRequest{Change: peer.MemberRemove, ID: "r"}
-	response, err, asked := changeMembers(t, request, map[string][]peer.Message{"b": {unknown}})
-	require.NoError(t, err)
+	response, asked := changeMembers(t, request, map[string][]peer.Message{"b": {unknown}})
 	require.Equal(t, peer.CodeDone, response.Code)
 	require.Equal(t, []string{"a", "b"}, asked)
 
-	response, err, _ = changeMembers(t, request, map[string][]peer.Message{"a": {unknown}})
-	require.NoError(t, err)
+	response, _ = changeMembers(t, request, map[string][]peer.Message{"a": {unknown}})
 	require.Equal(t, unknown, response, "without an earlier attempt")
 }
 
 func TestChangeMembers_RejectionIsFinal(t *testing.T) {
 	rejected := peer.MemberChangeResponse{Code: peer.CodeRejected, Message: "another replica of the host is a member; replace it"}
-	response, err, asked := changeMembers(t, addRequest, map[string][]peer.Message{"a": {rejected}})
-	require.NoError(t, err)
+	response, asked := changeMembers(t, addRequest, map[string][]peer.Message{"a": {rejected}})
 	require.Equal(t, rejected, response)
 	require.Equal(t, []string{"a"}, asked)
 }
