Keep the versions of streams on the disks of the hubs

The versions were in the memory of hosts and hubs alone. A rolling restart of the hubs lost those of hosts that had gone meanwhile, too.

Each hub writes the records that it learns to a log in the folder of its replica, at most 20 ms later, in the background and with at most a fifth of the disk's time, and reads them when it starts. The log is rewritten without expired records once it has doubled. Records read from disk count from then on, since the clock may be wrong. A damaged log is deleted, a disk that refuses writes is tried again each second; what it refused is written afterwards.

--- a/hub/hub.go
+++ b/hub/hub.go
@@ -125,7 +125,6 @@
 	h.gossip = newGossip(h)
 	h.loads = newLoadTracker(h.Clock)
 	h.quarantine = quarantine.NewBoard()
-	h.origins = newOriginRelay(h)
 	h.fleetVersions = &fleetVersions{clock: h.Clock}
 	h.deltas = newDeltaSpread(h.Clock, maxBulkShare*own.Bandwidth*bytesPerMegabit)
 	h.membership = newMembershipManager(h)
@@ -140,6 +139,7 @@
 	if h.replica, err = h.openReplica(); err != nil {
 		return nil, errors.Join(err, listener.Close())
 	}
+	h.origins = newOriginRelay(h)
 	if h.adminListener, err = net.Listen("tcp", own.Admin); err != nil {
 		h.replica.Close()
 		return nil, errors.Join(errors.Wrapf(err, "listen for admin on %s", own.Admin), listener.Close())
@@ -207,6 +207,8 @@
 	for _, run := range []func(context.Context){h.maintainContact, h.gossip.runRefresh, h.gossip.runLoads, h.gossip.runRevisions, h.recordFleetVersions, h.membership.run, h.markSilentTargets, h.updateQuarantine, h.origins.run, h.logTraffic} {
 		served.Go(func() { run(background) })
 	}
+	var stored sync.WaitGroup
+	stored.Go(func() { h.origins.log.run(background) })
 	h.log.WithField("Address", h.Settings.Peers).Info("Listening for hosts, targets and operators.")
 	<-ctx.Done()
 	h.log.Info("Shutting down.")
@@ -216,6 +218,7 @@
 	stop()
 	err := errors.Join(h.peerListener.Close(), h.adminListener.Close())
 	h.node.Close()
+	stored.Wait()
 	h.replica.Close()
 	return err
 }
--- /dev/null
+++ b/hub/origin_log.go
@@ -0,0 +1,201 @@
+package hub
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"comfreytiller.dev/admission/origin"
+	"comfreytiller.dev/common/logs"
+	"comfreytiller.dev/ledger"
+)
+
+const (
+	// originLogFolder is the directory of the log within that of the state replica.
+	originLogFolder = "streams"
+	// originWriteInterval is how long records are collected before they are written. A loss
+	// of power of all hubs takes the newest records with it.
+	originWriteInterval = 20 * time.Millisecond
+	// originDiskShare is the inverse of the share of the disk's time that writes may take: the
+	// state replica needs the same disk.
+	originDiskShare = 4
+	// originRetryInterval is the pause after a failed write.
+	originRetryInterval = time.Second
+	// originSegmentBytes is the size of a file, minRewriteBytes that from which the log may
+	// be rewritten without what has expired.
+	originSegmentBytes = 256 << 10
+	minRewriteBytes    = 512 << 10
+)
+
+// originLog keeps the records of streams on disk, so that they survive a stop of all hubs.
+// It works in the background: no record waits for the disk.
+type originLog struct {
+	dir     string
+	options []ledger.Option
+	clock   clockwork.Clock
+	log     *logrus.Logger
+	table   *origin.Table
+
+	mu      sync.Mutex
+	pending []origin.Record
+	// added has an element while there may be pending records.
+	added chan struct{}
+
+	// The rest belongs to the goroutine of run.
+	ledger    *ledger.Ledger
+	lastIndex uint64
+	// written is the number of bytes since the log was last rewritten, live that of the
+	// rewritten records.
+	written, live int
+	// rewriteDue is set after a failure: records may be missing.
+	rewriteDue bool
+}
+
+// newOriginLog returns a log that adds what it has stored to the table.
+func newOriginLog(stateFolder string, table *origin.Table, clock clockwork.Clock, log *logrus.Logger, options ...ledger.Option) *originLog {
+	l := &originLog{
+		dir: filepath.Join(stateFolder, originLogFolder), options: append([]ledger.Option{ledger.WithSegmentBytes(originSegmentBytes)}, options...),
+		clock: clock, log: logs.ForComponent(log, "Origin"), table: table, added: make(chan struct{}, 1),
+	}
+	if err := l.open(); err != nil {
+		l.fail("read", err)
+	}
+	return l
+}
+
+// add stores records soon.
+func (l *originLog) add(records []origin.Record) {
+	l.mu.Lock()
+	l.pending = append(l.pending, records...)
+	l.pending = l.pending[max(len(l.pending)-maxOrigins, 0):]
+	l.mu.Unlock()
+	l.wake()
+}
+
+// wake makes run write soon.
+func (l *originLog) wake() {
+	select {
+	case l.added <- struct{}{}:
+	default:
+	}
+}
+
+// run writes the records until ctx ends, and what is left then.
+func (l *originLog) run(ctx context.Context) {
+	pause := originWriteInterval
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-l.added:
+		}
+		select {
+		case <-ctx.Done():
+		case <-l.clock.After(pause):
+		}
+		startedAt := l.clock.Now()
+		err := l.write()
+		pause = max(originWriteInterval, originDiskShare*l.clock.Since(startedAt))
+		if err != nil {
+			l.fail("write", err)
+			pause = max(pause, originRetryInterval)
+			l.wake()
+		}
+	}
+	if l.ledger != nil {
+		if err := l.ledger.Close(); err != nil {
+			l.log.WithError(err).Warn("Closing the log of streams failed.")
+		}
+	}
+}
+
+// write writes the pending records, or all of the table if the log has grown or records
+// are missing.
+func (l *originLog) write() error {
+	l.mu.Lock()
+	records := l.pending
+	l.pending = nil
+	l.mu.Unlock()
+	rewrite := l.rewriteDue || l.written >= max(minRewriteBytes, 2*l.live)
+	if l.ledger == nil {
+		if err := l.open(); err != nil {
+			return err
+		}
+		rewrite = true
+	}
+	if rewrite {
+		records = l.table.All(l.clock.Now())
+	}
+	encoded := origin.Encode(l.clock.Now(), records)
+	if len(encoded) == 0 {
+		l.rewriteDue = false
+		return nil
+	}
+	index := l.lastIndex + 1
+	if err := l.ledger.Append(nil, []uint64{index}, [][]byte{encoded}); err != nil {
+		return err
+	}
+	l.lastIndex = index
+	l.written += len(encoded)
+	if !rewrite {
+		return nil
+	}
+	l.rewriteDue, l.written, l.live = false, 0, len(encoded)
+	if index == 1 {
+		return nil
+	}
+	return l.ledger.SaveSnapshot(index-1, nil)
+}
+
+// open opens the log and adds its records to the table. A damaged log is deleted: the other
+// hubs have the same records, and a stream without one is refused.
+func (l *originLog) open() error {
+	opened, err := ledger.Open(l.dir, l.options...)
+	if errors.Is(err, ledger.ErrCorrupt) {
+		l.log.WithError(err).Warn("Log of streams is damaged and will be deleted.")
+		if err := os.RemoveAll(l.dir); err != nil {
+			return errors.Wrap(err, "delete damaged log of streams")
+		}
+		opened, err = ledger.Open(l.dir, l.options...)
+	}
+	if err != nil {
+		return err
+	}
+	_, lastIndex, _, indexes, encoded, err := opened.Load()
+	if err != nil {
+		return errors.Join(err, opened.Close())
+	}
+	now, count := l.clock.Now(), 0
+	for i, part := range encoded {
+		records, err := origin.Decode(now, part)
+		if err != nil {
+			l.log.WithError(err).WithField("Index", indexes[i]).Warn("Record of streams can't be read.")
+			continue
+		}
+		l.table.Add(now, records...)
+		lastIndex, l.written, count = indexes[i], l.written+len(part), count+len(records)
+	}
+	l.ledger, l.lastIndex = opened, lastIndex
+	if count > 0 {
+		l.log.WithField("Streams", count).Info("Versions of streams were read from disk.")
+	}
+	return nil
+}
+
+// fail logs a failure, after which the log is opened and written anew.
+func (l *originLog) fail(operation string, err error) {
+	l.log.WithError(err).WithField("Operation", operation).Warn("Log of streams failed; versions are known for as long as a hub runs.")
+	l.rewriteDue = true
+	if l.ledger == nil || errors.Is(err, ledger.ErrDiskFull) {
+		return
+	}
+	if err := l.ledger.Close(); err != nil {
+		l.log.WithError(err).Debug("Closing the failed log of streams failed.")
+	}
+	l.ledger = nil
+}
--- a/hub/origins.go
+++ b/hub/origins.go
@@ -29,6 +29,7 @@
 type originRelay struct {
 	hub   *Hub
 	table *origin.Table
+	log   *originLog
 
 	mu sync.Mutex
 	// pending are the records that a hub has not been sent, by its address; sending holds
@@ -38,13 +39,21 @@
 }
 
 func newOriginRelay(h *Hub) *originRelay {
-	return &originRelay{hub: h, table: origin.NewTable(maxOrigins), pending: map[string][]origin.Record{}, sending: map[string]bool{}}
+	table := origin.NewTable(maxOrigins)
+	return &originRelay{
+		hub: h, table: table, log: newOriginLog(h.Settings.State.Folder, table, h.Clock, h.Log),
+		pending: map[string][]origin.Record{}, sending: map[string]bool{},
+	}
 }
 
 // record records what a host, or another hub, has reported.
 func (r *originRelay) record(m peer.RosterUpdate) {
 	unknown := r.table.Add(r.hub.Clock.Now(), m.Origins...)
-	if m.Relayed || len(unknown) == 0 {
+	if len(unknown) == 0 {
+		return
+	}
+	r.log.add(unknown)
+	if m.Relayed {
 		return
 	}
 	addresses := r.hub.replicaAddresses()
--- a/ledger/filesystem.go
+++ b/ledger/filesystem.go
@@ -34,6 +34,9 @@
 	Sync() error
 }
 
+// OSFileSystem returns the operating system's file system, for file systems that wrap it.
+func OSFileSystem() FileSystem { return osFileSystem{} }
+
 // osFileSystem is the operating system's file system.
 type osFileSystem struct{}
 
