Leave a hub that is behind for one that has confirmed the view

Requests reached targets later than 2 s after their leave was acknowledged, while the hub of the host was cut off and the next one lost. The host learns of targets from its hub alone, which counts as current for 2 s and keeps a poll for half a second; then the host tried the lost hub. The configuration came from other hubs meanwhile, which told nothing of targets.

A host now leaves a hub whose last confirmation is older than 1.5 s if another one has just confirmed the view, and goes to that hub, also after a failed poll. A hub that is overloaded keeps its hosts while the others are as far behind.

--- a/entry/hub_watcher.go
+++ b/entry/hub_watcher.go
@@ -44,6 +44,10 @@
 // state replicas.
 var errHubNotCurrent = errors.New("hub has no contact with a majority of the state replicas")
 
+// errHubBehind reports a hub that has not been confirmed for maxUnconfirmedAge, while another
+// one has just confirmed the view of this host.
+var errHubBehind = errors.New("hub is not confirmed as current, and another one is")
+
 // hubWatcher keeps this host's state view, roster and loads up to date by long
 // polls of a hub.
 type hubWatcher struct {
@@ -121,7 +125,7 @@
 			w.setWatchedHub("")
 			w.log.WithFields(logrus.Fields{"Hub": address, "Error": err.Error()}).Warn("Lost connection to hub.")
 		}
-		w.candidateIndex++
+		w.candidateIndex = w.nextCandidate(candidates, address)
 		backoff := min(minWatchBackoff<<min(w.failedPolls, 8), maxWatchBackoff)
 		w.failedPolls++
 		select {
@@ -131,6 +135,17 @@
 	}
 }
 
+// nextCandidate returns the index of the hub to poll after one that failed: the one that
+// has just confirmed the view, or the next one.
+func (w *hubWatcher) nextCandidate(candidates []string, failed string) int {
+	if current := w.daemon.checker.currentHub(); current != failed {
+		if i := slices.Index(candidates, current); i >= 0 {
+			return i
+		}
+	}
+	return w.candidateIndex + 1
+}
+
 // watchedHub returns the hub that replied to the last poll; "" while there is none.
 func (w *hubWatcher) watchedHub() string {
 	w.mu.Lock()
@@ -229,6 +244,10 @@
 		observer.RestoreReport(request.CrashReport)
 		return errHubNotCurrent
 	}
+	if current := w.daemon.checker.currentHub(); response.ConfirmedAge > maxUnconfirmedAge && current != "" && current != address {
+		observer.RestoreReport(request.CrashReport)
+		return errHubBehind
+	}
 	if response.OmittedRevision > 0 {
 		go w.daemon.checker.fetch(context.WithoutCancel(ctx), address, response.OmittedRevision)
 	}
--- a/entry/view_check.go
+++ b/entry/view_check.go
@@ -15,6 +15,9 @@
 	checkSpacing = 150 * time.Millisecond
 	// maxCheckSpacing replaces checkSpacing in the end for a host that reaches no hub.
 	maxCheckSpacing = time.Second
+	// confirmationTTL is how long a hub that has confirmed the view in place of the watched
+	// one counts as current: other hubs are asked again after maxConfirmedAge.
+	confirmationTTL = maxConfirmedAge + 2*checkSpacing
 )
 
 // viewCheck decides which hubs a host asks whether its view is current while the hub that
@@ -28,6 +31,9 @@
 	spacing time.Duration
 	// pending are the hubs that have been asked and have not replied.
 	pending []string
+	// confirmedBy is the hub that last confirmed the view when asked, at confirmedAt.
+	confirmedBy string
+	confirmedAt time.Time
 }
 
 // hubToAsk returns the next hub to ask; "" for none. age is the time since the last
@@ -60,3 +66,20 @@
 func (c *viewCheck) recordReply(hub string) {
 	c.pending = slices.DeleteFunc(c.pending, func(pending string) bool { return pending == hub })
 }
+
+// recordConfirmation records that a hub that was asked has confirmed the view. age is how old
+// its own confirmation was.
+func (c *viewCheck) recordConfirmation(now time.Time, hub string, age time.Duration) {
+	if age < maxConfirmedAge {
+		c.confirmedBy, c.confirmedAt = hub, now
+	}
+}
+
+// currentHub returns the hub that has just confirmed the view in place of the watched one; ""
+// for none.
+func (c *viewCheck) currentHub(now time.Time) string {
+	if now.Sub(c.confirmedAt) > confirmationTTL {
+		return ""
+	}
+	return c.confirmedBy
+}
--- a/entry/view_check_test.go
+++ b/entry/view_check_test.go
@@ -91,6 +91,21 @@
 	require.Zero(t, r.asked)
 }
 
+// A host leaves a hub that is behind for one that has just confirmed the view, and not for
+// one that is as far behind or has confirmed it long ago.
+func TestViewCheck_CurrentHubIsOneThatHasJustConfirmed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var c viewCheck
+	require.Empty(t, c.currentHub(now))
+	c.recordConfirmation(now, "b", maxConfirmedAge)
+	require.Empty(t, c.currentHub(now), "as far behind")
+	c.recordConfirmation(now, "c", 100*time.Millisecond)
+	c.recordConfirmation(now, "b", maxConfirmedAge)
+	require.Equal(t, "c", c.currentHub(now))
+	require.Equal(t, "c", c.currentHub(now.Add(maxConfirmedAge+checkSpacing)), "until other hubs are asked again")
+	require.Empty(t, c.currentHub(now.Add(2*maxConfirmedAge)))
+}
+
 // newDelta returns an encoded delta between two revisions.
 func newDelta(from, to uint64) []byte {
 	delta := registry.Delta{FromRevision: from, ToRevision: to}
--- a/entry/view_checker.go
+++ b/entry/view_checker.go
@@ -93,11 +93,24 @@
 		c.log.WithFields(logrus.Fields{"Hub": hub, "Error": err.Error()}).Debug("Hub did not confirm the state view.")
 		return
 	}
+	if response.QuorumConfirmed {
+		c.mu.Lock()
+		c.plan.recordConfirmation(c.daemon.Clock.Now(), hub, response.ConfirmedAge)
+		c.mu.Unlock()
+	}
 	if response.OmittedRevision > 0 {
 		c.fetch(ctx, hub, response.OmittedRevision)
 	}
 }
 
+// currentHub returns the hub that has just confirmed the view in place of the watched one; ""
+// for none.
+func (c *viewChecker) currentHub() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.plan.currentHub(c.daemon.Clock.Now())
+}
+
 // fetch gets the delta to a later revision that a hub has not sent because of its size: from
 // a host that the hub names, or from the hub. It does nothing while another fetch is running.
 func (c *viewChecker) fetch(ctx context.Context, hub string, revision uint64) {
