Ignore further signals while a process stops

A process that was told to stop a second time just before its exit ended with 'signal: terminated' instead of exit code 0, with the last lines of its log unwritten. The signals got their default action back when the daemon had stopped, up to 0.2 s before the exit. A signal during startup, before the daemon's listeners were open, did the same.

SIGTERM and SIGINT are caught from the start until the process has exited. No response was cut: the daemon had drained by then.

--- a/commands/daemon.go
+++ b/commands/daemon.go
@@ -106,6 +106,7 @@
 	// doesn't end the process during startup or drain either.
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
+	ctx := untilStopSignal()
 	loaded, err := settings.Load(args.settings)
 	if err != nil {
 		return err
@@ -117,7 +118,7 @@
 		return err
 	}
 	if loaded.Role != settings.RoleWhole {
-		return runRole(args, loaded, log, hangups, streams)
+		return runRole(ctx, args, loaded, log, hangups, streams)
 	}
 	dependencies, err := daemonDependencies(args, loaded, log, streams)
 	if err != nil {
@@ -127,14 +128,25 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	reloadCtx, stopReload := context.WithCancel(context.Background())
 	defer stopReload()
 	go reloadLogLevel(reloadCtx, hangups, args.settings, log)
 	return daemon.Run(ctx)
 }
 
+// untilStopSignal returns a context that ends with the first SIGTERM or SIGINT. The others are
+// ignored until the process has exited: one of them would end it before its log is written.
+func untilStopSignal() context.Context {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := context.WithCancel(context.Background())
+	go func() {
+		<-signals
+		stop()
+	}()
+	return ctx
+}
+
 // daemonDependencies reads the key files and the backup and sets up the metrics.
 func daemonDependencies(args daemonArguments, loaded *settings.Settings, log *logrus.Logger, streams Streams) (host.Dependencies, error) {
 	key, err := settings.ReadKey(loaded.KeyFile)
--- a/commands/daemon_role.go
+++ b/commands/daemon_role.go
@@ -4,9 +4,7 @@
 	"bytes"
 	"context"
 	"os"
-	"os/signal"
 	"slices"
-	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -33,8 +31,8 @@
 	platform.ProtocolName: platform.Protocol,
 }
 
-// runRole runs a daemon of the role Entry or State until SIGTERM or SIGINT.
-func runRole(args daemonArguments, loaded *settings.Settings, log *logrus.Logger, hangups <-chan os.Signal, streams Streams) error {
+// runRole runs a daemon of the role Entry or State until ctx ends.
+func runRole(ctx context.Context, args daemonArguments, loaded *settings.Settings, log *logrus.Logger, hangups <-chan os.Signal, streams Streams) error {
 	newProtocol, known := protocols[loaded.Protocol]
 	if !known {
 		return errors.Wrapf(errUnknownProtocol, "%q", loaded.Protocol)
@@ -47,8 +45,6 @@
 		}
 		key = read
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	scope, reporter := newScope(loaded, log)
 	metrics := fasthttpadaptor.NewFastHTTPHandler(reporter.HTTPHandler())
 	setReplicas := func([]string) {}
--- a/integration/daemons/daemons.go
+++ b/integration/daemons/daemons.go
@@ -9,6 +9,7 @@
 package daemons
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -164,6 +165,15 @@
 	require.NoError(d.t, d.cmd.Process.Signal(signal))
 }
 
+// TrySignal sends a signal to the daemon and reports whether it had not exited yet.
+func (d *Daemon) TrySignal(signal syscall.Signal) bool {
+	err := d.cmd.Process.Signal(signal)
+	if !errors.Is(err, os.ErrProcessDone) {
+		require.NoError(d.t, err)
+	}
+	return err == nil
+}
+
 // Exited returns a channel that is closed when the daemon has exited.
 func (d *Daemon) Exited() <-chan struct{} { return d.exited }
 
