--- a/hub/origin_log.go
+++ b/hub/origin_log.go
@@ -22,9 +22,9 @@
 	// originWriteInterval is how long records are collected before they are written. A loss
 	// of power of all hubs takes the newest records with it.
 	originWriteInterval = 20 * time.Millisecond
-	// originDiskShare is the inverse of the share of the disk's time that writes may take: the
-	// state replica needs the same disk.
-	originDiskShare = 4
+	// originPauseFactor is the pause after a write in multiples of its duration: writes take at
+	// most a fifth of the disk's time, which the state replica needs.
+	originPauseFactor = 4
 	// originRetryInterval is the pause after a failed write.
 	originRetryInterval = time.Second
 	// originSegmentBytes is the size of a file, minRewriteBytes that from which the log may
@@ -100,7 +100,7 @@
 		}
 		startedAt := l.clock.Now()
 		err := l.write()
-		pause = max(originWriteInterval, originDiskShare*l.clock.Since(startedAt))
+		pause = max(originWriteInterval, originPauseFactor*l.clock.Since(startedAt))
 		if err != nil {
 			l.fail("write", err)
 			pause = max(pause, originRetryInterval)
