Take back that small changes go ahead of large messages

Suspected, not traced: digests beside the paced messages are more than the link together, and hosts with more than eight changes still wait.

--- a/hub/hub.go
+++ b/hub/hub.go
@@ -54,8 +54,8 @@
 	maxControlBodyBytes = 8 << 20
 	// controlReadTimeout limits the time to read one such call.
 	controlReadTimeout = 10 * time.Second
-	// maxBulkShare is the share of the network link that rosters and large changes may use.
-	// The messages of the quorum, digests and small changes find the rest free.
+	// maxBulkShare is the share of the network link that rosters, large changes and digests
+	// may use. The messages of the quorum and small changes find the rest free.
 	maxBulkShare = 0.6
 	// bytesPerMegabit converts settings.Settings.Bandwidth.
 	bytesPerMegabit = 1e6 / 8
--- a/peer/pacer.go
+++ b/peer/pacer.go
@@ -63,20 +63,15 @@
 	frame []byte
 }
 
-const (
-	// maxUrgentDeltaBytes is the size up to which a state delta is not a bulk message.
-	maxUrgentDeltaBytes = 4 << 10
-	// maxUrgentEntries is the number of targets up to which their changes are no bulk message: a
-	// leaving target must be known in time while whole views are sent to new hosts.
-	maxUrgentEntries = 8
-)
+// maxUrgentDeltaBytes is the size up to which a state delta is not a bulk message.
+const maxUrgentDeltaBytes = 4 << 10
 
-// isBulk reports whether a message may wait for others: it is large and repeated in one way
-// or another. Loads in replies are not, since hubs limit the rate of their digests.
+// isBulk reports whether a message may wait for others: it is large, or one of many, and
+// repeated in one way or another.
 func isBulk(message Message) bool {
 	switch m := message.(type) {
 	case WatchResponse:
-		return len(m.Entries) > maxUrgentEntries || len(m.Suspects) > 0 || len(m.Delta) > maxUrgentDeltaBytes
+		return len(m.Entries) > 0 || len(m.Loads) > 0 || len(m.Suspects) > 0 || len(m.Delta) > maxUrgentDeltaBytes
 	case RosterUpdate:
 		return len(m.Loads) > 0
 	}
--- a/peer/pacer_test.go
+++ b/peer/pacer_test.go
@@ -39,13 +39,12 @@
 	require.NoError(t, <-results)
 }
 
-// Small replies and the messages of the quorum never wait for the bulk rate. A leaving target waited
-// 3.8 s behind large deltas.
+// Small replies and the messages of the quorum never wait for the bulk rate.
 func TestIsBulk_SmallMessagesAreUrgent(t *testing.T) {
-	for _, urgent := range []Message{QuorumMessages{Messages: make([]byte, 1<<20)}, Pong{}, WatchResponse{QuorumConfirmed: true, Delta: []byte{1}}, RosterUpdate{Entries: []roster.Entry{{}}}, WatchResponse{Entries: []roster.Entry{{}}, Loads: map[roster.Key]int{1: 1}}} {
+	for _, urgent := range []Message{QuorumMessages{Messages: make([]byte, 1<<20)}, Pong{}, WatchResponse{QuorumConfirmed: true, Delta: []byte{1}}, RosterUpdate{Entries: []roster.Entry{{}}}} {
 		require.False(t, isBulk(urgent), "%T", urgent)
 	}
-	for _, bulk := range []Message{WatchResponse{Entries: make([]roster.Entry, maxUrgentEntries+1)}, WatchResponse{Delta: make([]byte, maxUrgentDeltaBytes+1)}, RosterUpdate{Loads: map[roster.Key]int{1: 1}}} {
+	for _, bulk := range []Message{WatchResponse{Entries: []roster.Entry{{}}}, WatchResponse{Delta: make([]byte, maxUrgentDeltaBytes+1)}, RosterUpdate{Loads: map[roster.Key]int{1: 1}}} {
 		require.True(t, isBulk(bulk), "%T", bulk)
 	}
 }
