--- /dev/null
+++ b/review/kit/fleet.go
@@ -0,0 +1,249 @@
+// Package kit starts a small fleet of the built daemons for the cases of the review, with
+// stand-ins for the platform: replicas, the operator and clients. They follow the users'
+// pages and use loopback addresses alone.
+//
+// # Usage
+//
+//	fleet, err := kit.Start(kit.Options{Hubs: 5, Entries: 3, Record: record})
+//	defer fleet.Stop()
+package kit
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Exit codes of a case.
+const (
+	Held   = 0
+	Broken = 1
+	NotRun = 2
+)
+
+// daemonPath is the program of the deploy file, relative to the repository.
+const daemonPath = "target/comfreytillerd"
+
+// ErrTimeout is returned if the fleet did not reach a state in time.
+var ErrTimeout = errors.New("timed out")
+
+// Options are the size and the settings of a fleet.
+type Options struct {
+	// Hubs and Entries are the numbers of machines of the classes core and edge.
+	Hubs, Entries int
+	// Zones are the zones, which machines take in turn.
+	Zones  []string
+	Record *Record
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	Hubs    []*Machine
+	Entries []*Machine
+	Record  *Record
+
+	directory string
+}
+
+// Machine is one daemon.
+type Machine struct {
+	Name string
+	Zone string
+	// Control is the address of a hub for replicas and the operator; Front and Ready are
+	// those of an entry for clients and for readiness checks.
+	Control, Front, Ready string
+
+	settings string
+	log      string
+	mu       sync.Mutex
+	process  *exec.Cmd
+	exited   chan struct{}
+}
+
+// FreeAddress returns a loopback address on which nothing listens.
+func FreeAddress() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String(), nil
+}
+
+// freeAddresses returns different free addresses.
+func freeAddresses(count int) ([]string, error) {
+	var addresses []string
+	var listeners []net.Listener
+	defer func() {
+		for _, listener := range listeners {
+			_ = listener.Close()
+		}
+	}()
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		listeners = append(listeners, listener)
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses, nil
+}
+
+// Start starts the daemons with settings as the templates of the deploy file give them.
+func Start(options Options) (*Fleet, error) {
+	directory, err := os.MkdirTemp("", "review-")
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{Record: options.Record, directory: directory}
+	addresses, err := freeAddresses(3 * (options.Hubs + options.Entries))
+	if err != nil {
+		return nil, err
+	}
+	take := func() string {
+		address := addresses[0]
+		addresses = addresses[1:]
+		return address
+	}
+	for i := range options.Hubs {
+		f.Hubs = append(f.Hubs, &Machine{Name: fmt.Sprintf("core-%d", i+1), Zone: options.Zones[i%len(options.Zones)], Control: take()})
+	}
+	var seeds []string
+	for _, hub := range f.Hubs[:min(3, len(f.Hubs))] {
+		seeds = append(seeds, hub.Control)
+	}
+	for _, hub := range f.Hubs {
+		folder := filepath.Join(directory, hub.Name)
+		if err := os.MkdirAll(folder, 0o700); err != nil {
+			return nil, err
+		}
+		settings := map[string]any{
+			"Host": hub.Name, "Role": "State", "Protocol": "Platform", "TrustNetwork": true, "FailureDomain": hub.Zone,
+			"Callers": take(), "Admin": take(), "Peers": hub.Control, "StateReplicas": seeds,
+			"State": map[string]any{"Folder": folder, "Cluster": "platform", "Tolerates": (options.Hubs - 1) / 2, "First": true},
+			"Log":   map[string]any{"Level": "info", "Format": "json", "Output": "stdout"}, "Bandwidth": 6,
+		}
+		if err := f.launch(hub, settings); err != nil {
+			return nil, err
+		}
+	}
+	for i := range options.Entries {
+		entry := &Machine{Name: fmt.Sprintf("edge-%d", i+1), Zone: options.Zones[i%len(options.Zones)], Front: take(), Ready: take()}
+		f.Entries = append(f.Entries, entry)
+		settings := map[string]any{
+			"Host": entry.Name, "Role": "Entry", "Protocol": "Platform", "TrustNetwork": true, "FailureDomain": entry.Zone,
+			"Callers": entry.Front, "Admin": entry.Ready, "Peers": take(), "StateReplicas": seeds, "DrainTimeout": "8s",
+			"Retries": map[string]any{"Share": 0.2, "Extra": 126, "Window": "10s"},
+			"Log":     map[string]any{"Level": "info", "Format": "json", "Output": "stdout"},
+		}
+		if err := f.launch(entry, settings); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+// launch writes the settings of a machine and starts its daemon.
+func (f *Fleet) launch(m *Machine, settings map[string]any) error {
+	text, err := json.Marshal(settings)
+	if err != nil {
+		return err
+	}
+	m.settings = filepath.Join(f.directory, m.Name+".settings")
+	m.log = filepath.Join(f.directory, m.Name+".log")
+	if err := os.WriteFile(m.settings, text, 0o600); err != nil {
+		return err
+	}
+	return m.Start()
+}
+
+// Start starts the daemon of the machine.
+func (m *Machine) Start() error {
+	out, err := os.OpenFile(m.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = out.Close() }()
+	process := exec.Command(daemonPath, "--Settings", m.settings)
+	process.Env = append(os.Environ(), "COMFREYTILLER_BOOT="+m.settings)
+	process.Stdout, process.Stderr = out, out
+	if err := process.Start(); err != nil {
+		return err
+	}
+	exited := make(chan struct{})
+	m.mu.Lock()
+	m.process, m.exited = process, exited
+	m.mu.Unlock()
+	go func() {
+		_ = process.Wait()
+		close(exited)
+	}()
+	return nil
+}
+
+// Signal sends a signal to the daemon.
+func (m *Machine) Signal(signal syscall.Signal) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.process.Process.Signal(signal)
+}
+
+// Pid returns the process ID of the daemon.
+func (m *Machine) Pid() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.process.Process.Pid
+}
+
+// Exited returns a channel that is closed when the daemon has ended.
+func (m *Machine) Exited() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.exited
+}
+
+// Kill ends the daemon and waits until it has ended.
+func (m *Machine) Kill() {
+	m.mu.Lock()
+	process, exited := m.process, m.exited
+	m.mu.Unlock()
+	if process == nil {
+		return
+	}
+	_ = process.Process.Kill()
+	<-exited
+}
+
+// Log returns the path of the machine's log.
+func (m *Machine) Log() string { return m.log }
+
+// Stop ends all daemons. The folder with settings, logs and disks is removed unless
+// KEEP is set.
+func (f *Fleet) Stop() {
+	for _, m := range append(append([]*Machine(nil), f.Hubs...), f.Entries...) {
+		m.Kill()
+	}
+	if os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(f.directory)
+		return
+	}
+	fmt.Println("kept:", f.directory)
+}
+
+// Await waits until a condition holds.
+func Await(limit time.Duration, condition func() bool) error {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if condition() {
+			return nil
+		}
+	}
+	return ErrTimeout
+}
