--- a/review/1/main.go
+++ b/review/1/main.go
@@ -1,30 +1,31 @@
-// Command case1 shows that a withdrawal of an evacuation that the operator gave up is applied
-// after a later evacuation was acknowledged.
+// Command case1 shows that a few heartbeats of another writer, with an id that can't be read,
+// keep all later news of replicas from the entries.
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
 	"sync"
-	"syscall"
+	"sync/atomic"
 	"time"
 
 	"comfreytiller.dev/comfreytiller/review/kit"
 )
 
 const (
-	zone = "milano-a"
 	// The bounds of the site vpl-approvals.
-	contact  = 3 * time.Second
-	evacuate = 5 * time.Second
-	// freeze is how long one machine of the core stands still; the site has up to 6.6 s.
-	freeze = 5 * time.Second
-	// watched is how long requests are counted afterwards.
-	watched = 10 * time.Second
-	// ackLimit is how long orders may be sent again.
-	ackLimit = 4 * time.Second
-	rate     = 40 * time.Millisecond
+	heartbeat = 1200 * time.Millisecond
+	drain     = 2 * time.Second
+	contact   = 3 * time.Second
+	// linger is how long a leaving replica serves after drain.
+	linger = 4 * time.Second
+	// odd is the id of the other writer's heartbeats: two bytes that are no text.
+	odd   = "%ff%fe"
+	key   = "n2ctnfzs989anu6wsjnb"
+	rate  = 40 * time.Millisecond
+	after = 5 * time.Second
 )
 
 func main() { os.Exit(run()) }
@@ -44,22 +45,21 @@
 		record.Say("the fleet does not start: %v", err)
 		return kit.NotRun
 	}
-	var replicas []*kit.Replica
-	for _, z := range []string{"milano-a", "milano-b", "torino-a"} {
-		replica := &kit.Replica{ID: "i-" + z, Service: "pratiche", Zone: z, Slots: 6, Work: 20 * time.Millisecond}
-		if err := fleet.StartReplica(replica, 1200*time.Millisecond); err != nil {
+	var old []*kit.Replica
+	for _, zone := range []string{"milano-a", "milano-b", "torino-a"} {
+		replica, err := start(fleet, "i-old-", zone)
+		if err != nil {
 			return kit.NotRun
 		}
-		replicas = append(replicas, replica)
-		defer replica.Stop()
+		old = append(old, replica)
 	}
 	operator := &kit.Operator{Fleet: fleet}
 	config := kit.Config{
 		Version:  3,
-		Routes:   []kit.Route{{Name: "lookup", Hostname: "a.example", PathPrefix: "/lookup/", Type: "idempotent", TimeoutMs: 3000, SloMs: 300, Service: "pratiche", Attempts: 2}},
+		Routes:   []kit.Route{{Name: "filing", Hostname: "a.example", PathPrefix: "/filing/", Type: "non_idempotent", TimeoutMs: 3000, SloMs: 300, Service: "pratiche", Attempts: 1}},
 		Services: []kit.Service{{Name: "pratiche", HealthPath: "/healthz", MaxConns: 214, Protocol: "h1"}},
 		Limits:   kit.Limits(),
-		Tenants:  []map[string]any{{"name": "studio", "apiKeys": []string{"n2ctnfzs989anu6wsjnb"}}},
+		Tenants:  []map[string]any{{"name": "studio", "apiKeys": []string{key}}},
 	}
 	if _, ok := operator.Configure(config, 0, 30*time.Second); !ok {
 		record.Say("the configuration is not acknowledged")
@@ -69,79 +69,97 @@
 		record.Say("the entries are not ready: %v", err)
 		return kit.NotRun
 	}
-	client := &kit.Client{Fleet: fleet, Host: "a.example", Key: "n2ctnfzs989anu6wsjnb", Deadline: 3 * time.Second}
-	stop, served := make(chan struct{}), sync.WaitGroup{}
-	served.Go(func() {
+	time.Sleep(8 * time.Second) // The hubs know their entries after 6 s.
+	if os.Getenv("TROUBLE") != "0" {
+		otherWriter(fleet, operator)
+	}
+	time.Sleep(contact)
+	return release(fleet, old)
+}
+
+// start starts a replica and waits until a hub has acknowledged it.
+func start(fleet *kit.Fleet, prefix, zone string) (*kit.Replica, error) {
+	replica := &kit.Replica{ID: prefix + zone, Service: "pratiche", Zone: zone, Slots: 6, Work: 20 * time.Millisecond}
+	if err := fleet.StartReplica(replica, heartbeat); err != nil {
+		return nil, err
+	}
+	return replica, kit.Await(20*time.Second, replica.IsAcknowledged)
+}
+
+// otherWriter sends one heartbeat to each daemon that serves ctrl, one each heartbeatMs.
+func otherWriter(fleet *kit.Fleet, operator *kit.Operator) {
+	for i := range fleet.Hubs {
+		body, _ := json.Marshal(map[string]any{
+			"service": "pratiche", "address": "127.0.0.1:1", "zone": "milano-a", "version": "v1", "slots": 6,
+			"state": "ready", "warmupLeftMs": 0, "seq": i + 1, "born": time.Now().UnixMilli(),
+		})
+		status, _ := operator.Once(http.MethodPut, fleet.Hubs[i], "/comfreytiller/replicas/"+odd, body)
+		fleet.Record.Say("another writer: PUT /comfreytiller/replicas/%s to %s: %d", odd, fleet.Hubs[i].Name, status)
+		time.Sleep(heartbeat)
+	}
+}
+
+// release replaces the replicas one after the other, the new one first, and reports whether
+// a request reached a replica too late after its leave was acknowledged.
+func release(fleet *kit.Fleet, old []*kit.Replica) int {
+	record := fleet.Record
+	client := &kit.Client{Fleet: fleet, Host: "a.example", Key: key, Deadline: 3 * time.Second}
+	var late, served, unserved atomic.Int64
+	stop, sending := make(chan struct{}), sync.WaitGroup{}
+	var isOver atomic.Bool
+	sending.Go(func() {
 		for i := 0; ; i++ {
 			select {
 			case <-stop:
 				return
 			case <-time.After(rate):
 			}
-			served.Go(func() { client.Send(fleet.Entries[i%len(fleet.Entries)].Front, http.MethodGet, "/lookup/1", nil) })
+			sending.Go(func() {
+				answer := client.Send(fleet.Entries[i%len(fleet.Entries)].Front, http.MethodPost, "/filing/1", nil)
+				switch {
+				case !isOver.Load():
+				case answer.Status == http.StatusOK:
+					served.Add(1)
+				default:
+					unserved.Add(1)
+				}
+			})
 		}
 	})
-	defer served.Wait()
+	defer sending.Wait()
 	defer close(stop)
-	time.Sleep(8 * time.Second) // The hubs know their entries after 6 s.
-	return trouble(fleet, operator, replicas[0], os.Getenv("TROUBLE") != "0")
-}
-
-// trouble evacuates a zone, takes it back and evacuates it again, and reports whether the
-// last evacuation stays in force. With a freeze, one machine of the core stands still from
-// just before the withdrawal on, and is the first that the operator picks for it.
-func trouble(fleet *kit.Fleet, operator *kit.Operator, replica *kit.Replica, isFrozen bool) int {
-	record := fleet.Record
-	path := "/comfreytiller/drain/" + zone
-	if status, _ := operator.Order(http.MethodPost, path, nil, 0, ackLimit); status/100 != 2 {
-		record.Say("the first evacuation is not acknowledged: %d", status)
-		return kit.NotRun
-	}
-	time.Sleep(time.Second)
-	const frozen = 3
-	thawed := make(chan time.Time, 1)
-	if isFrozen {
-		record.Say("%s is stopped", fleet.Hubs[frozen].Name)
-		if err := fleet.Hubs[frozen].Signal(syscall.SIGSTOP); err != nil {
+	for _, replica := range old {
+		successor, err := start(fleet, "i-new-", replica.Zone)
+		if err != nil {
+			record.Say("a new replica is not acknowledged: %v", err)
 			return kit.NotRun
 		}
-		time.AfterFunc(freeze, func() {
-			_ = fleet.Hubs[frozen].Signal(syscall.SIGCONT)
-			record.Say("%s goes on", fleet.Hubs[frozen].Name)
-			thawed <- time.Now()
-		})
-	} else {
-		thawed <- time.Now().Add(freeze)
-	}
-	if status, _ := operator.Order(http.MethodDelete, path, nil, frozen, ackLimit); status/100 != 2 {
-		record.Say("the withdrawal is not acknowledged: %d", status)
-		return kit.NotRun
-	}
-	time.Sleep(500 * time.Millisecond)
-	status, at := operator.Order(http.MethodPost, path, nil, 0, ackLimit)
-	if status/100 != 2 {
-		record.Say("the second evacuation is not acknowledged: %d", status)
-		return kit.NotRun
-	}
-	record.Say("the second evacuation of %s is acknowledged with %d; it is not taken back", zone, status)
-	from := at.Add(evacuate)
-	if calm := (<-thawed).Add(contact); calm.After(from) {
-		from = calm
-	}
-	time.Sleep(time.Until(from))
-	record.Say("%v after the acknowledgement, %v after the thaw: requests in %s are counted from now", evacuate, contact, zone)
-	time.Sleep(watched)
-	count := 0
-	for _, run := range replica.Runs() {
-		if run.Arrived.After(from) {
-			count++
+		record.Say("%s is acknowledged as ready", successor.ID)
+		time.Sleep(time.Second)
+		at, err := replica.Drain(kit.AckTimeout)
+		if err != nil {
+			record.Say("the leave of %s is not acknowledged: %v", replica.ID, err)
+			return kit.NotRun
+		}
+		record.Say("%s is acknowledged as draining", replica.ID)
+		time.Sleep(drain + linger)
+		count := 0
+		for _, run := range replica.Runs() {
+			if run.Arrived.After(at.Add(drain)) {
+				count++
+			}
 		}
+		late.Add(int64(count))
+		record.Say("requests that reached %s later than %v after that: %d", replica.ID, drain, count)
+		replica.Leave()
 	}
-	record.Say("requests that reached %s in the evacuated zone: %d", replica.ID, count)
-	if count > 0 {
-		record.Say("EVAC is broken")
+	isOver.Store(true)
+	time.Sleep(after)
+	record.Say("with the three new replicas alone, for %v: %d requests served, %d not", after, served.Load(), unserved.Load())
+	if late.Load() > 0 {
+		record.Say("DRAIN is broken")
 		return kit.Broken
 	}
-	record.Say("EVAC held")
+	record.Say("DRAIN held")
 	return kit.Held
 }
--- a/review/kit/operator.go
+++ b/review/kit/operator.go
@@ -66,6 +66,11 @@
 	}
 }
 
+// Once sends one call to a hub and returns its status; 0 without a response.
+func (o *Operator) Once(method string, hub *Machine, path string, body []byte) (status int, text []byte) {
+	return o.once(method, hub.Control, path, body, operatorPatience)
+}
+
 // Get reads from one hub.
 func (o *Operator) Get(hub *Machine, path string) (status int, text []byte) {
 	return o.once(http.MethodGet, hub.Control, path, nil, operatorPatience)
--- a/review/kit/replica.go
+++ b/review/kit/replica.go
@@ -10,6 +10,15 @@
 	"time"
 )
 
+// The states of a replica.
+const (
+	stateReady    = "ready"
+	stateDraining = "draining"
+)
+
+// AckTimeout is how long a replica that leaves waits for an acknowledgement.
+const AckTimeout = 4 * time.Second
+
 // Run is one request that a replica ran.
 type Run struct {
 	Attempt string
@@ -38,6 +47,10 @@
 	seq   int
 	state string
 	runs  []Run
+	// acknowledged is the last state that a hub acknowledged, at acknowledgedAt.
+	acknowledged   string
+	acknowledgedAt time.Time
+	news           chan struct{}
 }
 
 // StartReplica starts a replica that sends a heartbeat every interval.
@@ -47,7 +60,7 @@
 		return err
 	}
 	r.fleet, r.listener, r.stop = f, listener, make(chan struct{})
-	r.born, r.state = time.Now().UnixMilli(), "ready"
+	r.born, r.state, r.news = time.Now().UnixMilli(), stateReady, make(chan struct{}, 1)
 	if r.Slots == 0 {
 		r.Slots = 64
 	}
@@ -71,9 +84,10 @@
 	for {
 		r.mu.Lock()
 		r.seq++
+		state := r.state
 		body, _ := json.Marshal(map[string]any{
 			"service": r.Service, "address": r.listener.Addr().String(), "zone": r.Zone, "version": "v1", "slots": r.Slots,
-			"state": r.state, "warmupLeftMs": 0, "seq": r.seq, "born": r.born,
+			"state": state, "warmupLeftMs": 0, "seq": r.seq, "born": r.born,
 		})
 		r.mu.Unlock()
 		status, _ := operator.once(http.MethodPut, r.fleet.Hubs[hub%len(r.fleet.Hubs)].Control, "/comfreytiller/replicas/"+r.ID, body, operatorPatience)
@@ -81,15 +95,56 @@
 		if status/100 != 2 {
 			hub++
 			wait = 100 * time.Millisecond
+		} else {
+			r.mu.Lock()
+			if r.acknowledged != state {
+				r.acknowledged, r.acknowledgedAt = state, time.Now()
+			}
+			r.mu.Unlock()
 		}
 		select {
 		case <-r.stop:
 			return
+		case <-r.news:
 		case <-time.After(wait):
 		}
 	}
 }
 
+// IsAcknowledged reports whether a hub has acknowledged a heartbeat of the replica.
+func (r *Replica) IsAcknowledged() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.acknowledged != ""
+}
+
+// Drain reports the replica as draining and returns when a hub acknowledged that.
+func (r *Replica) Drain(limit time.Duration) (time.Time, error) {
+	r.mu.Lock()
+	r.state = stateDraining
+	r.mu.Unlock()
+	r.news <- struct{}{}
+	err := Await(limit, func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.acknowledged == stateDraining
+	})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fleet.Record.Printf("replica %s (%s): draining acknowledged at %s, error %v", r.ID, r.Zone, r.acknowledgedAt.Format(time.TimeOnly), err)
+	return r.acknowledgedAt, err
+}
+
+// Leave sends that the replica leaves, until a hub acknowledges that, and ends it.
+func (r *Replica) Leave() {
+	close(r.stop)
+	r.stopped.Wait()
+	operator := &Operator{Fleet: r.fleet}
+	status, _ := operator.Order(http.MethodDelete, "/comfreytiller/replicas/"+r.ID, nil, 0, AckTimeout)
+	r.fleet.Record.Printf("replica %s (%s): leaves, %d", r.ID, r.Zone, status)
+	_ = r.server.Close()
+}
+
 // ServeHTTP runs a request.
 func (r *Replica) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	arrived := time.Now()
