--- a/review/kit/fleet.go
+++ b/review/kit/fleet.go
@@ -9,6 +9,7 @@
 package kit
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -17,6 +18,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -31,6 +33,9 @@
 // daemonPath is the program of the deploy file, relative to the repository.
 const daemonPath = "target/comfreytillerd"
 
+// stopDelay is how long Stop waits for daemons that are just being started again.
+const stopDelay = 100 * time.Millisecond
+
 // ErrTimeout is returned if the fleet did not reach a state in time.
 var ErrTimeout = errors.New("timed out")
 
@@ -60,8 +65,11 @@
 	// those of an entry for clients and for readiness checks.
 	Control, Front, Ready string
 
+	folder   string
 	settings string
 	log      string
+	ends     atomic.Int64
+	stopped  atomic.Bool
 	mu       sync.Mutex
 	process  *exec.Cmd
 	exited   chan struct{}
@@ -122,6 +130,7 @@
 	}
 	for _, hub := range f.Hubs {
 		folder := filepath.Join(directory, hub.Name)
+		hub.folder = folder
 		if err := os.MkdirAll(folder, 0o700); err != nil {
 			return nil, err
 		}
@@ -184,6 +193,7 @@
 	m.mu.Unlock()
 	go func() {
 		_ = process.Wait()
+		m.ends.Add(1)
 		close(exited)
 	}()
 	return nil
@@ -222,13 +232,53 @@
 	<-exited
 }
 
+// Restart starts the daemon of a machine that ran before: the whole system does not start for
+// the first time any more.
+func (m *Machine) Restart() error {
+	text, err := os.ReadFile(m.settings)
+	if err != nil {
+		return err
+	}
+	text = bytes.ReplaceAll(text, []byte(`"First":true`), []byte(`"First":false`))
+	if err := os.WriteFile(m.settings, text, 0o600); err != nil {
+		return err
+	}
+	return m.Start()
+}
+
+// KeepRunning starts the daemon again after a delay whenever it ends, until the fleet is
+// stopped.
+func (m *Machine) KeepRunning(delay time.Duration) {
+	for {
+		<-m.Exited()
+		time.Sleep(delay)
+		if m.stopped.Load() || m.Start() != nil {
+			return
+		}
+	}
+}
+
+// Ends returns how often the daemon has ended.
+func (m *Machine) Ends() int { return int(m.ends.Load()) }
+
+// Folder returns the data folder of a hub.
+func (m *Machine) Folder() string { return m.folder }
+
 // Log returns the path of the machine's log.
 func (m *Machine) Log() string { return m.log }
 
 // Stop ends all daemons. The folder with settings, logs and disks is removed unless
 // KEEP is set.
 func (f *Fleet) Stop() {
-	for _, m := range append(append([]*Machine(nil), f.Hubs...), f.Entries...) {
+	machines := append(append([]*Machine(nil), f.Hubs...), f.Entries...)
+	for _, m := range machines {
+		m.stopped.Store(true)
+	}
+	for _, m := range machines {
+		m.Kill()
+	}
+	time.Sleep(stopDelay) // A daemon that was about to be started again.
+	for _, m := range machines {
 		m.Kill()
 	}
 	if os.Getenv("KEEP") == "" {
