--- a/review/kit/fleet.go
+++ b/review/kit/fleet.go
@@ -13,6 +13,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -21,6 +22,7 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+	"unsafe"
 )
 
 // Exit codes of a case.
@@ -70,9 +72,11 @@
 	log      string
 	ends     atomic.Int64
 	stopped  atomic.Bool
-	mu       sync.Mutex
-	process  *exec.Cmd
-	exited   chan struct{}
+	// fileLimit is the largest size of a file that the daemon may write; 0 for any.
+	fileLimit uint64
+	mu        sync.Mutex
+	process   *exec.Cmd
+	exited    chan struct{}
 }
 
 // FreeAddress returns a loopback address on which nothing listens.
@@ -180,13 +184,25 @@
 	if err != nil {
 		return err
 	}
-	defer func() { _ = out.Close() }()
+	if m.fileLimit == 0 {
+		defer func() { _ = out.Close() }()
+	}
 	process := exec.Command(daemonPath, "--Settings", m.settings)
 	process.Env = append(os.Environ(), "COMFREYTILLER_BOOT="+m.settings)
 	process.Stdout, process.Stderr = out, out
+	if m.fileLimit > 0 {
+		// The limit holds for the log, too, unless it goes through a pipe.
+		piped := struct{ io.Writer }{out}
+		process.Stdout, process.Stderr = piped, piped
+	}
 	if err := process.Start(); err != nil {
 		return err
 	}
+	if m.fileLimit > 0 {
+		if err := limitFiles(process.Process.Pid, m.fileLimit); err != nil {
+			return err
+		}
+	}
 	exited := make(chan struct{})
 	m.mu.Lock()
 	m.process, m.exited = process, exited
@@ -246,6 +262,26 @@
 	return m.Start()
 }
 
+// RestartWithDisk is Restart on a disk that takes a file's bytes up to the given size and
+// no more: a write that would pass it ends there, and nothing is synced afterwards. The
+// limit holds for this process alone.
+func (m *Machine) RestartWithDisk(fileBytes uint64) error {
+	m.fileLimit = fileBytes
+	defer func() { m.fileLimit = 0 }()
+	return m.Restart()
+}
+
+// limitFiles limits the size of the files that a process writes.
+func limitFiles(pid int, size uint64) error {
+	const fileSize = 1 // RLIMIT_FSIZE
+	limit := syscall.Rlimit{Cur: size, Max: size}
+	_, _, errno := syscall.RawSyscall6(syscall.SYS_PRLIMIT64, uintptr(pid), fileSize, uintptr(unsafe.Pointer(&limit)), 0, 0, 0)
+	if errno != 0 {
+		return errno
+	}
+	return nil
+}
+
 // KeepRunning starts the daemon again after a delay whenever it ends, until the fleet is
 // stopped.
 func (m *Machine) KeepRunning(delay time.Duration) {
