--- a/review/kit/fleet.go
+++ b/review/kit/fleet.go
@@ -14,6 +14,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -79,17 +80,14 @@
 	exited    chan struct{}
 }
 
-// FreeAddress returns a loopback address on which nothing listens.
-func FreeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
-}
+// firstPort and ports are the range of ports for daemons. It is below that of outgoing
+// connections, which could take a port before its daemon listens on it.
+const (
+	firstPort = 10_000
+	ports     = 20_000
+)
 
-// freeAddresses returns different free addresses.
+// freeAddresses returns different loopback addresses on which nothing listens.
 func freeAddresses(count int) ([]string, error) {
 	var addresses []string
 	var listeners []net.Listener
@@ -98,10 +96,13 @@
 			_ = listener.Close()
 		}
 	}()
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for tries := 0; len(addresses) < count; tries++ {
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports)))
 		if err != nil {
-			return nil, err
+			if tries > ports {
+				return nil, err
+			}
+			continue
 		}
 		listeners = append(listeners, listener)
 		addresses = append(addresses, listener.Addr().String())
