--- a/review/5/main.go
+++ b/review/5/main.go
@@ -1,42 +1,30 @@
-// Command case5 shows that a replica of the state takes entries for committed that were not,
-// after a loss of power tore the write that was to replace them.
+// Command case5 shows that a withdrawal of an evacuation that the operator gave up is applied
+// after a later evacuation was acknowledged.
 package main
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
-	"path/filepath"
-	"regexp"
-	"slices"
-	"strconv"
-	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"comfreytiller.dev/comfreytiller/review/kit"
-	"comfreytiller.dev/ledger"
-	"comfreytiller.dev/quorum"
 )
 
 const (
+	zone = "milano-a"
 	// The bounds of the site vpl-approvals.
-	ackLimit    = 4 * time.Second
-	configApply = 2 * time.Second
-	contact     = 3 * time.Second
-	// unanswered is how many orders the operator has in progress, at most 8, when the machine
-	// that takes them has lost the others.
-	unanswered = 6
-	// recordHeader is the length of what precedes the payload of a record in a log file.
-	recordHeader = 21
-	// watched is how long the configuration is read in the end.
+	contact  = 3 * time.Second
+	evacuate = 5 * time.Second
+	// freeze is how long one machine of the core stands still; the site has up to 6.6 s.
+	freeze = 5 * time.Second
+	// watched is how long requests are counted afterwards.
 	watched = 10 * time.Second
-
-	// Versions 4 to 9 get no clear answer at first.
-	firstVersion = 3
-	lastVersion  = 12
+	// ackLimit is how long orders may be sent again.
+	ackLimit = 4 * time.Second
+	rate     = 40 * time.Millisecond
 )
 
 func main() { os.Exit(run()) }
@@ -48,7 +36,7 @@
 		return kit.NotRun
 	}
 	defer record.Close()
-	fleet, err := kit.Start(kit.Options{Hubs: 5, Entries: 1, Zones: []string{"milano-a", "milano-b", "torino-a"}, Record: record})
+	fleet, err := kit.Start(kit.Options{Hubs: 5, Entries: 3, Zones: []string{"milano-a", "milano-b", "torino-a"}, Record: record})
 	if fleet != nil {
 		defer fleet.Stop()
 	}
@@ -56,217 +44,104 @@
 		record.Say("the fleet does not start: %v", err)
 		return kit.NotRun
 	}
-	operator := &kit.Operator{Fleet: fleet}
-	if _, ok := operator.Configure(newConfig(firstVersion), 0, 30*time.Second); !ok {
-		record.Say("the first configuration is not acknowledged")
-		return kit.NotRun
-	}
-	time.Sleep(contact)
-	leader := findLeader(fleet)
-	if leader == nil {
-		record.Say("no leader found")
-		return kit.NotRun
-	}
-	at, ok := loseOthers(fleet, operator, leader)
-	if !ok {
-		return kit.NotRun
-	}
-	if os.Getenv("TROUBLE") != "0" {
-		// The first write may hold the new term alone, without entries.
-		if !tear(fleet, leader) && !tear(fleet, leader) {
-			record.Say("no write was torn behind its first record")
+	var replicas []*kit.Replica
+	for _, z := range []string{"milano-a", "milano-b", "torino-a"} {
+		replica := &kit.Replica{ID: "i-" + z, Service: "pratiche", Zone: z, Slots: 6, Work: 20 * time.Millisecond}
+		if err := fleet.StartReplica(replica, 1200*time.Millisecond); err != nil {
 			return kit.NotRun
 		}
+		replicas = append(replicas, replica)
+		defer replica.Stop()
 	}
-	if err := leader.Restart(); err != nil {
-		record.Say("%v", err)
-		return kit.NotRun
-	}
-	record.Say("%s starts again", leader.Name)
-	return readBack(fleet, operator, leader, at)
-}
-
-func newConfig(version int) kit.Config {
-	return kit.Config{
-		Version:  version,
-		Routes:   []kit.Route{{Name: fmt.Sprint("r-", version), Hostname: "a.example", PathPrefix: fmt.Sprintf("/lookup-%d/", version), Type: "idempotent", TimeoutMs: 3000, SloMs: 300, Service: "pratiche", Attempts: 2}},
+	operator := &kit.Operator{Fleet: fleet}
+	config := kit.Config{
+		Version:  3,
+		Routes:   []kit.Route{{Name: "lookup", Hostname: "a.example", PathPrefix: "/lookup/", Type: "idempotent", TimeoutMs: 3000, SloMs: 300, Service: "pratiche", Attempts: 2}},
 		Services: []kit.Service{{Name: "pratiche", HealthPath: "/healthz", MaxConns: 214, Protocol: "h1"}},
 		Limits:   kit.Limits(),
+		Tenants:  []map[string]any{{"name": "studio", "apiKeys": []string{"n2ctnfzs989anu6wsjnb"}}},
 	}
-}
-
-var leads = regexp.MustCompile(`Leadership changed: term (\d+), leader [^,]*, this replica leads: true`)
-
-// findLeader returns the machine of the core whose log says that it leads in the latest term.
-func findLeader(fleet *kit.Fleet) *kit.Machine {
-	var leader *kit.Machine
-	latest := 0
-	for _, hub := range fleet.Hubs {
-		log, _ := os.ReadFile(hub.Log())
-		for _, found := range leads.FindAllSubmatch(log, -1) {
-			if term, _ := strconv.Atoi(string(found[1])); term > latest {
-				leader, latest = hub, term
-			}
-		}
-	}
-	return leader
-}
-
-// loseOthers kills the other machines of the core, sends orders to the leader, which it can't
-// acknowledge, and kills it, too. The others come back without it and acknowledge a later
-// configuration, and then the earlier orders, which are sent again. It returns when the later
-// one was acknowledged.
-func loseOthers(fleet *kit.Fleet, operator *kit.Operator, leader *kit.Machine) (at time.Time, ok bool) {
-	record := fleet.Record
-	others := slices.DeleteFunc(slices.Clone(fleet.Hubs), func(hub *kit.Machine) bool { return hub == leader })
-	record.Say("%s leads; the other processes of the core are killed", leader.Name)
-	var ended, sending sync.WaitGroup
-	for _, hub := range others {
-		ended.Go(hub.Kill)
+	if _, ok := operator.Configure(config, 0, 30*time.Second); !ok {
+		record.Say("the configuration is not acknowledged")
+		return kit.NotRun
 	}
-	ended.Wait()
-	for i := range unanswered {
-		sending.Go(func() {
-			version := firstVersion + 1 + i
-			status, _ := operator.Once(http.MethodPut, leader, "/comfreytiller/config", newConfig(version).Encode())
-			record.Say("operator: version %d sent to %s: %d (0 is no answer)", version, leader.Name, status)
-		})
+	if err := fleet.AwaitReady(20 * time.Second); err != nil {
+		record.Say("the entries are not ready: %v", err)
+		return kit.NotRun
 	}
-	time.Sleep(400 * time.Millisecond)
-	record.Say("%s is killed", leader.Name)
-	leader.Kill()
-	sending.Wait()
-	for _, hub := range others {
-		if err := hub.Restart(); err != nil {
-			record.Say("%v", err)
-			return at, false
+	client := &kit.Client{Fleet: fleet, Host: "a.example", Key: "n2ctnfzs989anu6wsjnb", Deadline: 3 * time.Second}
+	stop, served := make(chan struct{}), sync.WaitGroup{}
+	served.Go(func() {
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(rate):
+			}
+			served.Go(func() { client.Send(fleet.Entries[i%len(fleet.Entries)].Front, http.MethodGet, "/lookup/1", nil) })
 		}
-	}
-	record.Say("the others start again")
-	first := slices.Index(fleet.Hubs, others[0])
-	at, ok = operator.Configure(newConfig(lastVersion), first, 20*time.Second)
-	record.Say("operator: version %d acknowledged: %t", lastVersion, ok)
-	for i := range unanswered {
-		version := firstVersion + 1 + i
-		_, again := operator.Configure(newConfig(version), first, ackLimit)
-		record.Say("operator: version %d sent again, acknowledged: %t", version, again)
-	}
-	return at, ok
-}
-
-// tear starts the machine on a disk that takes no more than the first record of the write with
-// which it replaces what it could not commit, and ends it before anything is synced. It
-// reports whether the disk holds that record without the ones that belong to it.
-func tear(fleet *kit.Fleet, machine *kit.Machine) bool {
-	record := fleet.Record
-	state, entries, err := load(machine)
-	if err != nil || len(entries) == 0 {
-		record.Say("the log of %s: %v", machine.Name, err)
-		return false
-	}
-	last := entries[len(entries)-1]
-	record.Say("%s: term %d, committed %d, last entry %d of term %d", machine.Name, state.Term, state.Commit, last.Index, last.Term)
-	segment := newestSegment(machine)
-	info, err := os.Stat(segment)
-	if err != nil {
-		return false
-	}
-	next := state
-	next.Term, next.Vote = state.Term+1, ""
-	size := uint64(info.Size()) + uint64(recordHeader+len(quorum.EncodeHardState(next)))
-	if err := machine.RestartWithDisk(size); err != nil {
-		record.Say("%v", err)
-		return false
-	}
-	err = kit.Await(10*time.Second, func() bool {
-		info, err := os.Stat(segment)
-		return err == nil && uint64(info.Size()) >= size
 	})
-	record.Say("%s starts, and loses power while it writes", machine.Name)
-	machine.Kill()
-	if err != nil {
-		record.Say("it did not write that much")
-		return false
-	}
-	torn, left, err := load(machine)
-	if err != nil {
-		record.Say("the log of %s: %v", machine.Name, err)
-		return false
-	}
-	last = left[len(left)-1]
-	record.Say("%s: term %d, committed %d, last entry %d of term %d", machine.Name, torn.Term, torn.Commit, last.Index, last.Term)
-	return torn.Commit > state.Commit && len(left) == len(entries) && last.Term < torn.Term
+	defer served.Wait()
+	defer close(stop)
+	time.Sleep(8 * time.Second) // The hubs know their entries after 6 s.
+	return trouble(fleet, operator, replicas[0], os.Getenv("TROUBLE") != "0")
 }
 
-// load reads a copy of a machine's log.
-func load(machine *kit.Machine) (quorum.HardState, []quorum.Entry, error) {
-	folder, err := os.MkdirTemp("", "review-log-")
-	if err != nil {
-		return quorum.HardState{}, nil, err
-	}
-	defer func() { _ = os.RemoveAll(folder) }()
-	files, err := os.ReadDir(machine.Folder())
-	if err != nil {
-		return quorum.HardState{}, nil, err
+// trouble evacuates a zone, takes it back and evacuates it again, and reports whether the
+// last evacuation stays in force. With a freeze, one machine of the core stands still from
+// just before the withdrawal on, and is the first that the operator picks for it.
+func trouble(fleet *kit.Fleet, operator *kit.Operator, replica *kit.Replica, isFrozen bool) int {
+	record := fleet.Record
+	path := "/comfreytiller/drain/" + zone
+	if status, _ := operator.Order(http.MethodPost, path, nil, 0, ackLimit); status/100 != 2 {
+		record.Say("the first evacuation is not acknowledged: %d", status)
+		return kit.NotRun
 	}
-	for _, file := range files {
-		if file.IsDir() {
-			continue
-		}
-		content, err := os.ReadFile(filepath.Join(machine.Folder(), file.Name()))
-		if err != nil {
-			return quorum.HardState{}, nil, err
-		}
-		if err := os.WriteFile(filepath.Join(folder, file.Name()), content, 0o600); err != nil {
-			return quorum.HardState{}, nil, err
+	time.Sleep(time.Second)
+	const frozen = 3
+	thawed := make(chan time.Time, 1)
+	if isFrozen {
+		record.Say("%s is stopped", fleet.Hubs[frozen].Name)
+		if err := fleet.Hubs[frozen].Signal(syscall.SIGSTOP); err != nil {
+			return kit.NotRun
 		}
+		time.AfterFunc(freeze, func() {
+			_ = fleet.Hubs[frozen].Signal(syscall.SIGCONT)
+			record.Say("%s goes on", fleet.Hubs[frozen].Name)
+			thawed <- time.Now()
+		})
+	} else {
+		thawed <- time.Now().Add(freeze)
 	}
-	opened, err := ledger.Open(folder)
-	if err != nil {
-		return quorum.HardState{}, nil, err
-	}
-	defer func() { _ = opened.Close() }()
-	state, _, entries, err := quorum.NewLedgerStorage(opened).Load()
-	return state, entries, err
-}
-
-// newestSegment returns the path of the log file that a machine writes.
-func newestSegment(machine *kit.Machine) string {
-	newest := ""
-	files, _ := os.ReadDir(machine.Folder())
-	for _, file := range files {
-		if strings.HasPrefix(file.Name(), "segment-") && !strings.HasSuffix(file.Name(), ".tmp") {
-			newest = max(newest, file.Name())
-		}
+	if status, _ := operator.Order(http.MethodDelete, path, nil, frozen, ackLimit); status/100 != 2 {
+		record.Say("the withdrawal is not acknowledged: %d", status)
+		return kit.NotRun
 	}
-	return filepath.Join(machine.Folder(), newest)
-}
-
-// readBack reads the configuration from the machine, and reports whether it returns an older
-// version than the acknowledged one.
-func readBack(fleet *kit.Fleet, operator *kit.Operator, machine *kit.Machine, at time.Time) int {
-	record := fleet.Record
-	time.Sleep(time.Until(at.Add(configApply)))
-	counts := map[int]int{}
-	for end := time.Now().Add(watched); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-		status, text := operator.Once(http.MethodGet, machine, "/comfreytiller/config", nil)
-		var read kit.Config
-		if status == http.StatusOK && json.NewDecoder(bytes.NewReader(text)).Decode(&read) == nil {
-			counts[read.Version]++
-		}
-		record.Printf("operator: read from %s: %d, version %d", machine.Name, status, read.Version)
+	time.Sleep(500 * time.Millisecond)
+	status, at := operator.Order(http.MethodPost, path, nil, 0, ackLimit)
+	if status/100 != 2 {
+		record.Say("the second evacuation is not acknowledged: %d", status)
+		return kit.NotRun
 	}
-	record.Say("%s returned these versions, later than %v after version %d was acknowledged: %v", machine.Name, configApply, lastVersion, counts)
-	for version := range counts {
-		if version < lastVersion {
-			record.Say("CONFIG is broken")
-			return kit.Broken
+	record.Say("the second evacuation of %s is acknowledged with %d; it is not taken back", zone, status)
+	from := at.Add(evacuate)
+	if calm := (<-thawed).Add(contact); calm.After(from) {
+		from = calm
+	}
+	time.Sleep(time.Until(from))
+	record.Say("%v after the acknowledgement, %v after the thaw: requests in %s are counted from now", evacuate, contact, zone)
+	time.Sleep(watched)
+	count := 0
+	for _, run := range replica.Runs() {
+		if run.Arrived.After(from) {
+			count++
 		}
 	}
-	if counts[lastVersion] == 0 {
-		record.Say("nothing was read")
-		return kit.NotRun
+	record.Say("requests that reached %s in the evacuated zone: %d", replica.ID, count)
+	if count > 0 {
+		record.Say("EVAC is broken")
+		return kit.Broken
 	}
-	record.Say("CONFIG held")
+	record.Say("EVAC held")
 	return kit.Held
 }
