--- a/review/5/main.go
+++ b/review/5/main.go
@@ -14,11 +14,11 @@
 )
 
 const (
-	zone = "milano-a"
-	// The bounds of the site vpl-approvals.
+	zone = "rabat-agdal"
+	// The bounds of the site anbe-bourses.
 	contact  = 3 * time.Second
 	evacuate = 5 * time.Second
-	// freeze is how long one machine of the core stands still; the site has up to 6.6 s.
+	// freeze is how long one machine of the core stands still; the site has up to 7.7 s.
 	freeze = 5 * time.Second
 	// watched is how long requests are counted afterwards.
 	watched = 10 * time.Second
@@ -36,7 +36,7 @@
 		return kit.NotRun
 	}
 	defer record.Close()
-	fleet, err := kit.Start(kit.Options{Hubs: 5, Entries: 3, Zones: []string{"milano-a", "milano-b", "torino-a"}, Record: record})
+	fleet, err := kit.Start(kit.Options{Hubs: 5, Entries: 3, Zones: []string{"rabat-agdal", "rabat-hay-riad", "rabat-souissi"}, Record: record})
 	if fleet != nil {
 		defer fleet.Stop()
 	}
@@ -45,8 +45,8 @@
 		return kit.NotRun
 	}
 	var replicas []*kit.Replica
-	for _, z := range []string{"milano-a", "milano-b", "torino-a"} {
-		replica := &kit.Replica{ID: "i-" + z, Service: "pratiche", Zone: z, Slots: 6, Work: 20 * time.Millisecond}
+	for _, z := range []string{"rabat-agdal", "rabat-hay-riad", "rabat-souissi"} {
+		replica := &kit.Replica{ID: "i-" + z, Service: "treasury-api", Zone: z, Slots: 6, Work: 20 * time.Millisecond}
 		if err := fleet.StartReplica(replica, 1200*time.Millisecond); err != nil {
 			return kit.NotRun
 		}
@@ -56,8 +56,8 @@
 	operator := &kit.Operator{Fleet: fleet}
 	config := kit.Config{
 		Version:  3,
-		Routes:   []kit.Route{{Name: "lookup", Hostname: "a.example", PathPrefix: "/lookup/", Type: "idempotent", TimeoutMs: 3000, SloMs: 300, Service: "pratiche", Attempts: 2}},
-		Services: []kit.Service{{Name: "pratiche", HealthPath: "/healthz", MaxConns: 214, Protocol: "h1"}},
+		Routes:   []kit.Route{{Name: "lookup", Hostname: "a.example", PathPrefix: "/lookup/", Type: "idempotent", TimeoutMs: 3000, SloMs: 300, Service: "treasury-api", Attempts: 2}},
+		Services: []kit.Service{{Name: "treasury-api", HealthPath: "/healthz", MaxConns: 214, Protocol: "h1"}},
 		Limits:   kit.Limits(),
 		Tenants:  []map[string]any{{"name": "studio", "apiKeys": []string{"n2ctnfzs989anu6wsjnb"}}},
 	}
