--- a/review/1/main.go
+++ b/review/1/main.go
@@ -3,7 +3,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
@@ -11,7 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"comfreytiller.dev/comfreytiller/review/kit"
+	"comfreytiller.dev/comfreytiller/review/platform"
 )
 
 const (
@@ -31,43 +30,43 @@
 func main() { os.Exit(run()) }
 
 func run() int {
-	record, err := kit.NewRecord(os.Args[1])
+	record, err := platform.NewRecord(os.Args[1])
 	if err != nil {
 		fmt.Println(err)
-		return kit.NotRun
+		return platform.NotRun
 	}
 	defer record.Close()
-	fleet, err := kit.Start(kit.Options{Hubs: 5, Entries: 3, Zones: []string{"milano-a", "milano-b", "torino-a"}, Record: record})
+	fleet, err := platform.Start(platform.Options{Hubs: 5, Entries: 3, Zones: []string{"milano-a", "milano-b", "torino-a"}, Record: record})
 	if fleet != nil {
 		defer fleet.Stop()
 	}
 	if err != nil {
 		record.Say("the fleet does not start: %v", err)
-		return kit.NotRun
+		return platform.NotRun
 	}
-	var old []*kit.Replica
+	var old []*platform.Replica
 	for _, zone := range []string{"milano-a", "milano-b", "torino-a"} {
 		replica, err := start(fleet, "i-old-", zone)
 		if err != nil {
-			return kit.NotRun
+			return platform.NotRun
 		}
 		old = append(old, replica)
 	}
-	operator := &kit.Operator{Fleet: fleet}
-	config := kit.Config{
+	operator := &platform.Operator{Fleet: fleet}
+	config := platform.Config{
 		Version:  3,
-		Routes:   []kit.Route{{Name: "filing", Hostname: "a.example", PathPrefix: "/filing/", Type: "non_idempotent", TimeoutMs: 3000, SloMs: 300, Service: "pratiche", Attempts: 1}},
-		Services: []kit.Service{{Name: "pratiche", HealthPath: "/healthz", MaxConns: 214, Protocol: "h1"}},
-		Limits:   kit.Limits(),
+		Routes:   []platform.Route{{Name: "filing", Hostname: "a.example", PathPrefix: "/filing/", Type: "non_idempotent", TimeoutMs: 3000, SloMs: 300, Service: "pratiche", Attempts: 1}},
+		Services: []platform.Service{{Name: "pratiche", HealthPath: "/healthz", MaxConns: 214, Protocol: "h1"}},
+		Limits:   platform.Limits(),
 		Tenants:  []map[string]any{{"name": "studio", "apiKeys": []string{key}}},
 	}
 	if _, ok := operator.Configure(config, 0, 30*time.Second); !ok {
 		record.Say("the configuration is not acknowledged")
-		return kit.NotRun
+		return platform.NotRun
 	}
 	if err := fleet.AwaitReady(20 * time.Second); err != nil {
 		record.Say("the entries are not ready: %v", err)
-		return kit.NotRun
+		return platform.NotRun
 	}
 	time.Sleep(8 * time.Second) // The hubs know their entries after 6 s.
 	if os.Getenv("TROUBLE") != "0" {
@@ -78,32 +77,31 @@
 }
 
 // start starts a replica and waits until a hub has acknowledged it.
-func start(fleet *kit.Fleet, prefix, zone string) (*kit.Replica, error) {
-	replica := &kit.Replica{ID: prefix + zone, Service: "pratiche", Zone: zone, Slots: 6, Work: 20 * time.Millisecond}
+func start(fleet *platform.Fleet, prefix, zone string) (*platform.Replica, error) {
+	replica := &platform.Replica{ID: prefix + zone, Service: "pratiche", Zone: zone, Slots: 6, Work: 20 * time.Millisecond}
 	if err := fleet.StartReplica(replica, heartbeat); err != nil {
 		return nil, err
 	}
-	return replica, kit.Await(20*time.Second, replica.IsAcknowledged)
+	return replica, platform.Await(20*time.Second, replica.IsAcknowledged)
 }
 
 // otherWriter sends one heartbeat to each daemon that serves ctrl, one each heartbeatMs.
-func otherWriter(fleet *kit.Fleet, operator *kit.Operator) {
+func otherWriter(fleet *platform.Fleet, operator *platform.Operator) {
 	for i := range fleet.Hubs {
-		body, _ := json.Marshal(map[string]any{
-			"service": "pratiche", "address": "127.0.0.1:1", "zone": "milano-a", "version": "v1", "slots": 6,
-			"state": "ready", "warmupLeftMs": 0, "seq": i + 1, "born": time.Now().UnixMilli(),
-		})
-		status, _ := operator.Once(http.MethodPut, fleet.Hubs[i], "/comfreytiller/replicas/"+odd, body)
-		fleet.Record.Say("another writer: PUT /comfreytiller/replicas/%s to %s: %d", odd, fleet.Hubs[i].Name, status)
+		body := platform.Heartbeat{
+			Service: "pratiche", Address: "127.0.0.1:1", Zone: "milano-a", State: "ready", Slots: 6, Seq: i + 1, Born: time.Now(),
+		}.Encode()
+		status, _ := operator.Once(http.MethodPut, fleet.Hubs[i], platform.PathReplicas+odd, body)
+		fleet.Record.Say("another writer: PUT %s%s to %s: %d", platform.PathReplicas, odd, fleet.Hubs[i].Name, status)
 		time.Sleep(heartbeat)
 	}
 }
 
 // release replaces the replicas one after the other, the new one first, and reports whether
 // a request reached a replica too late after its leave was acknowledged.
-func release(fleet *kit.Fleet, old []*kit.Replica) int {
+func release(fleet *platform.Fleet, old []*platform.Replica) int {
 	record := fleet.Record
-	client := &kit.Client{Fleet: fleet, Host: "a.example", Key: key, Deadline: 3 * time.Second}
+	client := &platform.Client{Fleet: fleet, Host: "a.example", Key: key, Deadline: 3 * time.Second}
 	var late, served, unserved atomic.Int64
 	stop, sending := make(chan struct{}), sync.WaitGroup{}
 	var isOver atomic.Bool
@@ -132,14 +130,14 @@
 		successor, err := start(fleet, "i-new-", replica.Zone)
 		if err != nil {
 			record.Say("a new replica is not acknowledged: %v", err)
-			return kit.NotRun
+			return platform.NotRun
 		}
 		record.Say("%s is acknowledged as ready", successor.ID)
 		time.Sleep(time.Second)
-		at, err := replica.Drain(kit.AckTimeout)
+		at, err := replica.Drain(platform.AckTimeout)
 		if err != nil {
 			record.Say("the leave of %s is not acknowledged: %v", replica.ID, err)
-			return kit.NotRun
+			return platform.NotRun
 		}
 		record.Say("%s is acknowledged as draining", replica.ID)
 		time.Sleep(drain + linger)
@@ -158,8 +156,8 @@
 	record.Say("with the three new replicas alone, for %v: %d requests served, %d not", after, served.Load(), unserved.Load())
 	if late.Load() > 0 {
 		record.Say("DRAIN is broken")
-		return kit.Broken
+		return platform.Broken
 	}
 	record.Say("DRAIN held")
-	return kit.Held
+	return platform.Held
 }
--- a/review/2/main.go
+++ b/review/2/main.go
@@ -16,7 +16,7 @@
 	"sync"
 	"time"
 
-	"comfreytiller.dev/comfreytiller/review/kit"
+	"comfreytiller.dev/comfreytiller/review/platform"
 	"comfreytiller.dev/ledger"
 	"comfreytiller.dev/quorum"
 )
@@ -42,64 +42,64 @@
 func main() { os.Exit(run()) }
 
 func run() int {
-	record, err := kit.NewRecord(os.Args[1])
+	record, err := platform.NewRecord(os.Args[1])
 	if err != nil {
 		fmt.Println(err)
-		return kit.NotRun
+		return platform.NotRun
 	}
 	defer record.Close()
-	fleet, err := kit.Start(kit.Options{Hubs: 5, Entries: 1, Zones: []string{"milano-a", "milano-b", "torino-a"}, Record: record})
+	fleet, err := platform.Start(platform.Options{Hubs: 5, Entries: 1, Zones: []string{"milano-a", "milano-b", "torino-a"}, Record: record})
 	if fleet != nil {
 		defer fleet.Stop()
 	}
 	if err != nil {
 		record.Say("the fleet does not start: %v", err)
-		return kit.NotRun
+		return platform.NotRun
 	}
-	operator := &kit.Operator{Fleet: fleet}
+	operator := &platform.Operator{Fleet: fleet}
 	if _, ok := operator.Configure(newConfig(firstVersion), 0, 30*time.Second); !ok {
 		record.Say("the first configuration is not acknowledged")
-		return kit.NotRun
+		return platform.NotRun
 	}
 	time.Sleep(contact)
 	leader := findLeader(fleet)
 	if leader == nil {
 		record.Say("no leader found")
-		return kit.NotRun
+		return platform.NotRun
 	}
 	at, ok := loseOthers(fleet, operator, leader)
 	if !ok {
-		return kit.NotRun
+		return platform.NotRun
 	}
 	if os.Getenv("TROUBLE") != "0" {
 		// The first write may hold the new term alone, without entries.
 		if !tear(fleet, leader) && !tear(fleet, leader) {
 			record.Say("no write was torn behind its first record")
-			return kit.NotRun
+			return platform.NotRun
 		}
 	}
 	if err := leader.Restart(); err != nil {
 		record.Say("%v", err)
-		return kit.NotRun
+		return platform.NotRun
 	}
 	record.Say("%s starts again", leader.Name)
 	return readBack(fleet, operator, leader, at)
 }
 
-func newConfig(version int) kit.Config {
-	return kit.Config{
+func newConfig(version int) platform.Config {
+	return platform.Config{
 		Version:  version,
-		Routes:   []kit.Route{{Name: fmt.Sprint("r-", version), Hostname: "a.example", PathPrefix: fmt.Sprintf("/lookup-%d/", version), Type: "idempotent", TimeoutMs: 3000, SloMs: 300, Service: "pratiche", Attempts: 2}},
-		Services: []kit.Service{{Name: "pratiche", HealthPath: "/healthz", MaxConns: 214, Protocol: "h1"}},
-		Limits:   kit.Limits(),
+		Routes:   []platform.Route{{Name: fmt.Sprint("r-", version), Hostname: "a.example", PathPrefix: fmt.Sprintf("/lookup-%d/", version), Type: "idempotent", TimeoutMs: 3000, SloMs: 300, Service: "pratiche", Attempts: 2}},
+		Services: []platform.Service{{Name: "pratiche", HealthPath: "/healthz", MaxConns: 214, Protocol: "h1"}},
+		Limits:   platform.Limits(),
 	}
 }
 
 var leads = regexp.MustCompile(`Leadership changed: term (\d+), leader [^,]*, this replica leads: true`)
 
 // findLeader returns the machine of the core whose log says that it leads in the latest term.
-func findLeader(fleet *kit.Fleet) *kit.Machine {
-	var leader *kit.Machine
+func findLeader(fleet *platform.Fleet) *platform.Machine {
+	var leader *platform.Machine
 	latest := 0
 	for _, hub := range fleet.Hubs {
 		log, _ := os.ReadFile(hub.Log())
@@ -116,9 +116,9 @@
 // acknowledge, and kills it, too. The others come back without it and acknowledge a later
 // configuration, and then the earlier orders, which are sent again. It returns when the later
 // one was acknowledged.
-func loseOthers(fleet *kit.Fleet, operator *kit.Operator, leader *kit.Machine) (at time.Time, ok bool) {
+func loseOthers(fleet *platform.Fleet, operator *platform.Operator, leader *platform.Machine) (at time.Time, ok bool) {
 	record := fleet.Record
-	others := slices.DeleteFunc(slices.Clone(fleet.Hubs), func(hub *kit.Machine) bool { return hub == leader })
+	others := slices.DeleteFunc(slices.Clone(fleet.Hubs), func(hub *platform.Machine) bool { return hub == leader })
 	record.Say("%s leads; the other processes of the core are killed", leader.Name)
 	var ended, sending sync.WaitGroup
 	for _, hub := range others {
@@ -128,7 +128,7 @@
 	for i := range unanswered {
 		sending.Go(func() {
 			version := firstVersion + 1 + i
-			status, _ := operator.Once(http.MethodPut, leader, "/comfreytiller/config", newConfig(version).Encode())
+			status, _ := operator.Once(http.MethodPut, leader, platform.PathConfig, newConfig(version).Encode())
 			record.Say("operator: version %d sent to %s: %d (0 is no answer)", version, leader.Name, status)
 		})
 	}
@@ -157,7 +157,7 @@
 // tear starts the machine on a disk that takes no more than the first record of the write with
 // which it replaces what it could not commit, and ends it before anything is synced. It
 // reports whether the disk holds that record without the ones that belong to it.
-func tear(fleet *kit.Fleet, machine *kit.Machine) bool {
+func tear(fleet *platform.Fleet, machine *platform.Machine) bool {
 	record := fleet.Record
 	state, entries, err := load(machine)
 	if err != nil || len(entries) == 0 {
@@ -178,7 +178,7 @@
 		record.Say("%v", err)
 		return false
 	}
-	err = kit.Await(10*time.Second, func() bool {
+	err = platform.Await(10*time.Second, func() bool {
 		info, err := os.Stat(segment)
 		return err == nil && uint64(info.Size()) >= size
 	})
@@ -199,7 +199,7 @@
 }
 
 // load reads a copy of a machine's log.
-func load(machine *kit.Machine) (quorum.HardState, []quorum.Entry, error) {
+func load(machine *platform.Machine) (quorum.HardState, []quorum.Entry, error) {
 	folder, err := os.MkdirTemp("", "review-log-")
 	if err != nil {
 		return quorum.HardState{}, nil, err
@@ -231,7 +231,7 @@
 }
 
 // newestSegment returns the path of the log file that a machine writes.
-func newestSegment(machine *kit.Machine) string {
+func newestSegment(machine *platform.Machine) string {
 	newest := ""
 	files, _ := os.ReadDir(machine.Folder())
 	for _, file := range files {
@@ -244,13 +244,13 @@
 
 // readBack reads the configuration from the machine, and reports whether it returns an older
 // version than the acknowledged one.
-func readBack(fleet *kit.Fleet, operator *kit.Operator, machine *kit.Machine, at time.Time) int {
+func readBack(fleet *platform.Fleet, operator *platform.Operator, machine *platform.Machine, at time.Time) int {
 	record := fleet.Record
 	time.Sleep(time.Until(at.Add(configApply)))
 	counts := map[int]int{}
 	for end := time.Now().Add(watched); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-		status, text := operator.Once(http.MethodGet, machine, "/comfreytiller/config", nil)
-		var read kit.Config
+		status, text := operator.Once(http.MethodGet, machine, platform.PathConfig, nil)
+		var read platform.Config
 		if status == http.StatusOK && json.NewDecoder(bytes.NewReader(text)).Decode(&read) == nil {
 			counts[read.Version]++
 		}
@@ -260,13 +260,13 @@
 	for version := range counts {
 		if version < lastVersion {
 			record.Say("CONFIG is broken")
-			return kit.Broken
+			return platform.Broken
 		}
 	}
 	if counts[lastVersion] == 0 {
 		record.Say("nothing was read")
-		return kit.NotRun
+		return platform.NotRun
 	}
 	record.Say("CONFIG held")
-	return kit.Held
+	return platform.Held
 }
--- a/review/3/main.go
+++ b/review/3/main.go
@@ -14,7 +14,7 @@
 	"sync"
 	"time"
 
-	"comfreytiller.dev/comfreytiller/review/kit"
+	"comfreytiller.dev/comfreytiller/review/platform"
 )
 
 const (
@@ -37,26 +37,26 @@
 func main() { os.Exit(run()) }
 
 func run() int {
-	record, err := kit.NewRecord(os.Args[1])
+	record, err := platform.NewRecord(os.Args[1])
 	if err != nil {
 		fmt.Println(err)
-		return kit.NotRun
+		return platform.NotRun
 	}
 	defer record.Close()
-	fleet, err := kit.Start(kit.Options{Hubs: 5, Entries: 2, Zones: []string{"rabat-agdal", "rabat-hay-riad", "rabat-souissi"}, Record: record})
+	fleet, err := platform.Start(platform.Options{Hubs: 5, Entries: 2, Zones: []string{"rabat-agdal", "rabat-hay-riad", "rabat-souissi"}, Record: record})
 	if fleet != nil {
 		defer fleet.Stop()
 	}
 	if err != nil {
 		record.Say("the fleet does not start: %v", err)
-		return kit.NotRun
+		return platform.NotRun
 	}
-	operator := &kit.Operator{Fleet: fleet}
+	operator := &platform.Operator{Fleet: fleet}
 	disks := newDisks(fleet)
 	defer disks.stop()
 	version, changes := change(fleet, operator, disks)
 	if version == 0 {
-		return kit.NotRun
+		return platform.NotRun
 	}
 	record.Say("%d changes of %d routes; the newest acknowledged version is %d", changes, routes, version)
 	switch os.Getenv("TROUBLE") {
@@ -68,7 +68,7 @@
 		kept := disks.loseNames()
 		if kept == nil {
 			record.Say("most machines have synced their folder after the snapshot")
-			return kit.NotRun
+			return platform.NotRun
 		}
 		record.Say("all machines lose power")
 		powerOff(fleet, kept)
@@ -77,7 +77,7 @@
 }
 
 // newConfig returns a configuration with the names of a deployment: random ones.
-func newConfig(random *rand.Rand, version int) kit.Config {
+func newConfig(random *rand.Rand, version int) platform.Config {
 	const letters = "abcdefghijklmnopqrstuvwxyz0123456789"
 	name := func(length int) string {
 		text := make([]byte, length)
@@ -86,13 +86,13 @@
 		}
 		return string(text)
 	}
-	config := kit.Config{
+	config := platform.Config{
 		Version:  version,
-		Services: []kit.Service{{Name: "huvo11a", HealthPath: "/healthz", MaxConns: 771, Protocol: "h1"}},
-		Limits:   kit.Limits(),
+		Services: []platform.Service{{Name: "huvo11a", HealthPath: "/healthz", MaxConns: 771, Protocol: "h1"}},
+		Limits:   platform.Limits(),
 	}
 	for i := range routes {
-		config.Routes = append(config.Routes, kit.Route{
+		config.Routes = append(config.Routes, platform.Route{
 			Name: "r-" + name(7), Hostname: name(5) + ".example", PathPrefix: fmt.Sprintf("/%s%d/", name(4), i),
 			Type: "idempotent", TimeoutMs: 2500, SloMs: 150, Priority: 2, Service: "huvo11a", Attempts: 2,
 		})
@@ -105,7 +105,7 @@
 
 // change sends changes of the configuration until every machine of the core has written a
 // snapshot, and returns the newest version that was acknowledged, and their number.
-func change(fleet *kit.Fleet, operator *kit.Operator, disks *disks) (newest, changes int) {
+func change(fleet *platform.Fleet, operator *platform.Operator, disks *disks) (newest, changes int) {
 	random := rand.New(rand.NewSource(1))
 	config := newConfig(random, 1)
 	if _, ok := operator.Configure(config, 0, 30*time.Second); !ok {
@@ -130,7 +130,7 @@
 		slots <- struct{}{}
 		sending.Go(func() {
 			defer func() { <-slots }()
-			status, _ := operator.Order(http.MethodPut, "/comfreytiller/config", body, version, ackLimit)
+			status, _ := operator.Order(http.MethodPut, platform.PathConfig, body, version, ackLimit)
 			mu.Lock()
 			defer mu.Unlock()
 			changes++
@@ -140,7 +140,7 @@
 		})
 	}
 	sending.Wait()
-	if kit.Await(recovery, disks.haveSnapshots) != nil {
+	if platform.Await(recovery, disks.haveSnapshots) != nil {
 		fleet.Record.Say("no snapshot after %d changes", changes)
 		return 0, 0
 	}
@@ -149,7 +149,7 @@
 
 // powerOff ends all daemons at once and starts them again, those of the core with the names
 // that their disks have kept.
-func powerOff(fleet *kit.Fleet, kept map[*kit.Machine][]string) {
+func powerOff(fleet *platform.Fleet, kept map[*platform.Machine][]string) {
 	machines := append(slices.Clone(fleet.Hubs), fleet.Entries...)
 	var ended sync.WaitGroup
 	for _, machine := range machines {
@@ -174,13 +174,13 @@
 }
 
 // readBack reads the configuration back from all hubs until one has it or the time is over.
-func readBack(fleet *kit.Fleet, operator *kit.Operator, version int) int {
+func readBack(fleet *platform.Fleet, operator *platform.Operator, version int) int {
 	record := fleet.Record
 	got := 0
-	err := kit.Await(recovery, func() bool {
+	err := platform.Await(recovery, func() bool {
 		for _, hub := range fleet.Hubs {
-			status, text := operator.Once(http.MethodGet, hub, "/comfreytiller/config", nil)
-			var read kit.Config
+			status, text := operator.Once(http.MethodGet, hub, platform.PathConfig, nil)
+			var read platform.Config
 			if status == http.StatusOK && json.Unmarshal(text, &read) == nil {
 				got = max(got, read.Version)
 				record.Printf("operator: %s returns version %d", hub.Name, read.Version)
@@ -196,29 +196,29 @@
 	if err != nil {
 		record.Say("version %d was acknowledged; read back within %v: %d (0 is none)", version, recovery, got)
 		record.Say("CONFIG is broken")
-		return kit.Broken
+		return platform.Broken
 	}
 	record.Say("version %d was acknowledged; read back: %d", version, got)
 	record.Say("CONFIG held")
-	return kit.Held
+	return platform.Held
 }
 
 // disks keeps the files that the machines of the core remove until their folder is synced.
 type disks struct {
-	fleet *kit.Fleet
+	fleet *platform.Fleet
 	ended chan struct{}
 	done  sync.WaitGroup
 
 	mu sync.Mutex
 	// seen holds the log files that a machine has had, removed those that it has removed
 	// since, and newest its newest log file when it removed them.
-	seen    map[*kit.Machine][]string
-	removed map[*kit.Machine][]string
-	newest  map[*kit.Machine]string
+	seen    map[*platform.Machine][]string
+	removed map[*platform.Machine][]string
+	newest  map[*platform.Machine]string
 }
 
-func newDisks(fleet *kit.Fleet) *disks {
-	d := &disks{fleet: fleet, ended: make(chan struct{}), seen: map[*kit.Machine][]string{}, removed: map[*kit.Machine][]string{}, newest: map[*kit.Machine]string{}}
+func newDisks(fleet *platform.Fleet) *disks {
+	d := &disks{fleet: fleet, ended: make(chan struct{}), seen: map[*platform.Machine][]string{}, removed: map[*platform.Machine][]string{}, newest: map[*platform.Machine]string{}}
 	for _, hub := range fleet.Hubs {
 		_ = os.MkdirAll(shadow(hub), 0o700)
 	}
@@ -241,10 +241,10 @@
 }
 
 // shadow returns the folder with second names of a machine's log files.
-func shadow(hub *kit.Machine) string { return hub.Folder() + "-names" }
+func shadow(hub *platform.Machine) string { return hub.Folder() + "-names" }
 
 // segments returns the log files of a machine in their order.
-func segments(hub *kit.Machine) []string {
+func segments(hub *platform.Machine) []string {
 	var names []string
 	entries, _ := os.ReadDir(hub.Folder())
 	for _, entry := range entries {
@@ -302,11 +302,11 @@
 // every second one, from the first. A machine that has created a log file since has synced
 // its folder, so that its disk has lost all of them. It returns nil if fewer than a majority
 // of the machines is left.
-func (d *disks) loseNames() map[*kit.Machine][]string {
+func (d *disks) loseNames() map[*platform.Machine][]string {
 	d.look()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	kept := map[*kit.Machine][]string{}
+	kept := map[*platform.Machine][]string{}
 	for _, hub := range d.fleet.Hubs {
 		now := segments(hub)
 		if len(d.removed[hub]) < 2 || now[len(now)-1] != d.newest[hub] {
--- a/review/5/main.go
+++ b/review/5/main.go
@@ -10,7 +10,7 @@
 	"syscall"
 	"time"
 
-	"comfreytiller.dev/comfreytiller/review/kit"
+	"comfreytiller.dev/comfreytiller/review/platform"
 )
 
 const (
@@ -33,46 +33,46 @@
 func main() { os.Exit(run()) }
 
 func run() int {
-	record, err := kit.NewRecord(os.Args[1])
+	record, err := platform.NewRecord(os.Args[1])
 	if err != nil {
 		fmt.Println(err)
-		return kit.NotRun
+		return platform.NotRun
 	}
 	defer record.Close()
-	fleet, err := kit.Start(kit.Options{Hubs: 5, Entries: 3, Zones: []string{"rabat-agdal", "rabat-hay-riad", "rabat-souissi"}, Record: record})
+	fleet, err := platform.Start(platform.Options{Hubs: 5, Entries: 3, Zones: []string{"rabat-agdal", "rabat-hay-riad", "rabat-souissi"}, Record: record})
 	if fleet != nil {
 		defer fleet.Stop()
 	}
 	if err != nil {
 		record.Say("the fleet does not start: %v", err)
-		return kit.NotRun
+		return platform.NotRun
 	}
-	var replicas []*kit.Replica
+	var replicas []*platform.Replica
 	for _, z := range []string{"rabat-agdal", "rabat-hay-riad", "rabat-souissi"} {
-		replica := &kit.Replica{ID: "i-" + z, Service: "treasury-api", Zone: z, Slots: 6, Work: 20 * time.Millisecond}
+		replica := &platform.Replica{ID: "i-" + z, Service: "treasury-api", Zone: z, Slots: 6, Work: 20 * time.Millisecond}
 		if err := fleet.StartReplica(replica, 1200*time.Millisecond); err != nil {
-			return kit.NotRun
+			return platform.NotRun
 		}
 		replicas = append(replicas, replica)
 		defer replica.Stop()
 	}
-	operator := &kit.Operator{Fleet: fleet}
-	config := kit.Config{
+	operator := &platform.Operator{Fleet: fleet}
+	config := platform.Config{
 		Version:  3,
-		Routes:   []kit.Route{{Name: "lookup", Hostname: "a.example", PathPrefix: "/lookup/", Type: "idempotent", TimeoutMs: 3000, SloMs: 300, Service: "treasury-api", Attempts: 2}},
-		Services: []kit.Service{{Name: "treasury-api", HealthPath: "/healthz", MaxConns: 214, Protocol: "h1"}},
-		Limits:   kit.Limits(),
+		Routes:   []platform.Route{{Name: "lookup", Hostname: "a.example", PathPrefix: "/lookup/", Type: "idempotent", TimeoutMs: 3000, SloMs: 300, Service: "treasury-api", Attempts: 2}},
+		Services: []platform.Service{{Name: "treasury-api", HealthPath: "/healthz", MaxConns: 214, Protocol: "h1"}},
+		Limits:   platform.Limits(),
 		Tenants:  []map[string]any{{"name": "studio", "apiKeys": []string{"n2ctnfzs989anu6wsjnb"}}},
 	}
 	if _, ok := operator.Configure(config, 0, 30*time.Second); !ok {
 		record.Say("the configuration is not acknowledged")
-		return kit.NotRun
+		return platform.NotRun
 	}
 	if err := fleet.AwaitReady(20 * time.Second); err != nil {
 		record.Say("the entries are not ready: %v", err)
-		return kit.NotRun
+		return platform.NotRun
 	}
-	client := &kit.Client{Fleet: fleet, Host: "a.example", Key: "n2ctnfzs989anu6wsjnb", Deadline: 3 * time.Second}
+	client := &platform.Client{Fleet: fleet, Host: "a.example", Key: "n2ctnfzs989anu6wsjnb", Deadline: 3 * time.Second}
 	stop, served := make(chan struct{}), sync.WaitGroup{}
 	served.Go(func() {
 		for i := 0; ; i++ {
@@ -87,8 +87,8 @@
 	defer served.Wait()
 	defer close(stop)
 	time.Sleep(8 * time.Second) // The hubs know their entries after 6 s.
-	result := kit.Held
-	for frozen := len(fleet.Hubs) - 1; frozen > len(fleet.Hubs)-1-freezes && result == kit.Held; frozen-- {
+	result := platform.Held
+	for frozen := len(fleet.Hubs) - 1; frozen > len(fleet.Hubs)-1-freezes && result == platform.Held; frozen-- {
 		result = trouble(fleet, operator, replicas[0], frozen, os.Getenv("TROUBLE") != "0")
 	}
 	return result
@@ -97,19 +97,19 @@
 // trouble evacuates a zone, takes it back and evacuates it again, and reports whether the
 // last evacuation stays in force. With a freeze, one machine of the core stands still from
 // just before the withdrawal on, and is the first that the operator picks for it.
-func trouble(fleet *kit.Fleet, operator *kit.Operator, replica *kit.Replica, frozen int, isFrozen bool) int {
+func trouble(fleet *platform.Fleet, operator *platform.Operator, replica *platform.Replica, frozen int, isFrozen bool) int {
 	record := fleet.Record
-	path := "/comfreytiller/drain/" + zone
+	path := platform.PathDrain + zone
 	if status, _ := operator.Order(http.MethodPost, path, nil, 0, ackLimit); status/100 != 2 {
 		record.Say("the first evacuation is not acknowledged: %d", status)
-		return kit.NotRun
+		return platform.NotRun
 	}
 	time.Sleep(time.Second)
 	thawed := make(chan time.Time, 1)
 	if isFrozen {
 		record.Say("%s is stopped", fleet.Hubs[frozen].Name)
 		if err := fleet.Hubs[frozen].Signal(syscall.SIGSTOP); err != nil {
-			return kit.NotRun
+			return platform.NotRun
 		}
 		time.AfterFunc(freeze, func() {
 			_ = fleet.Hubs[frozen].Signal(syscall.SIGCONT)
@@ -121,13 +121,13 @@
 	}
 	if status, _ := operator.Order(http.MethodDelete, path, nil, frozen, ackLimit); status/100 != 2 {
 		record.Say("the withdrawal is not acknowledged: %d", status)
-		return kit.NotRun
+		return platform.NotRun
 	}
 	time.Sleep(500 * time.Millisecond)
 	status, at := operator.Order(http.MethodPost, path, nil, 0, ackLimit)
 	if status/100 != 2 {
 		record.Say("the second evacuation is not acknowledged: %d", status)
-		return kit.NotRun
+		return platform.NotRun
 	}
 	record.Say("the second evacuation of %s is acknowledged with %d; it is not taken back", zone, status)
 	from := at.Add(evacuate)
@@ -146,12 +146,12 @@
 	record.Say("requests that reached %s in the evacuated zone: %d", replica.ID, count)
 	if count > 0 {
 		record.Say("EVAC is broken")
-		return kit.Broken
+		return platform.Broken
 	}
 	record.Say("EVAC held")
 	if status, _ := operator.Order(http.MethodDelete, path, nil, 0, ackLimit); status/100 != 2 {
 		record.Say("the last withdrawal is not acknowledged: %d", status)
-		return kit.NotRun
+		return platform.NotRun
 	}
-	return kit.Held
+	return platform.Held
 }
--- a/review/kit/config.go
+++ b/review/platform/config.go
@@ -1,4 +1,4 @@
-package kit
+package platform
 
 import (
 	"encoding/json"
@@ -57,7 +57,7 @@
 
 // Configure sends a configuration until it is acknowledged.
 func (o *Operator) Configure(config Config, first int, limit time.Duration) (at time.Time, ok bool) {
-	status, at := o.Order(http.MethodPut, "/comfreytiller/config", config.Encode(), first, limit)
+	status, at := o.Order(http.MethodPut, PathConfig, config.Encode(), first, limit)
 	return at, status == http.StatusOK
 }
 
--- a/review/kit/fleet.go
+++ b/review/platform/fleet.go
@@ -1,12 +1,12 @@
-// Package kit starts a small fleet of the built daemons for the cases of the review, with
+// Package platform starts a small fleet of the built daemons for the cases of the review, with
 // stand-ins for the platform: replicas, the operator and clients. They follow the users'
 // pages and use loopback addresses alone.
 //
 // # Usage
 //
-//	fleet, err := kit.Start(kit.Options{Hubs: 5, Entries: 3, Record: record})
+//	fleet, err := platform.Start(platform.Options{Hubs: 5, Entries: 3, Record: record})
 //	defer fleet.Stop()
-package kit
+package platform
 
 import (
 	"bytes"
--- a/review/kit/operator.go
+++ b/review/platform/operator.go
@@ -1,4 +1,4 @@
-package kit
+package platform
 
 import (
 	"bytes"
--- a/review/kit/replica.go
+++ b/review/platform/replica.go
@@ -1,7 +1,6 @@
-package kit
+package platform
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -43,7 +42,7 @@
 	stopped  sync.WaitGroup
 
 	mu    sync.Mutex
-	born  int64
+	born  time.Time
 	seq   int
 	state string
 	runs  []Run
@@ -60,7 +59,7 @@
 		return err
 	}
 	r.fleet, r.listener, r.stop = f, listener, make(chan struct{})
-	r.born, r.state, r.news = time.Now().UnixMilli(), stateReady, make(chan struct{}, 1)
+	r.born, r.state, r.news = time.Now(), stateReady, make(chan struct{}, 1)
 	if r.Slots == 0 {
 		r.Slots = 64
 	}
@@ -85,12 +84,11 @@
 		r.mu.Lock()
 		r.seq++
 		state := r.state
-		body, _ := json.Marshal(map[string]any{
-			"service": r.Service, "address": r.listener.Addr().String(), "zone": r.Zone, "version": "v1", "slots": r.Slots,
-			"state": state, "warmupLeftMs": 0, "seq": r.seq, "born": r.born,
-		})
+		body := Heartbeat{
+			Service: r.Service, Address: r.listener.Addr().String(), Zone: r.Zone, State: state, Slots: r.Slots, Seq: r.seq, Born: r.born,
+		}.Encode()
 		r.mu.Unlock()
-		status, _ := operator.once(http.MethodPut, r.fleet.Hubs[hub%len(r.fleet.Hubs)].Control, "/comfreytiller/replicas/"+r.ID, body, operatorPatience)
+		status, _ := operator.once(http.MethodPut, r.fleet.Hubs[hub%len(r.fleet.Hubs)].Control, PathReplicas+r.ID, body, operatorPatience)
 		wait := interval
 		if status/100 != 2 {
 			hub++
@@ -140,7 +138,7 @@
 	close(r.stop)
 	r.stopped.Wait()
 	operator := &Operator{Fleet: r.fleet}
-	status, _ := operator.Order(http.MethodDelete, "/comfreytiller/replicas/"+r.ID, nil, 0, AckTimeout)
+	status, _ := operator.Order(http.MethodDelete, PathReplicas+r.ID, nil, 0, AckTimeout)
 	r.fleet.Record.Printf("replica %s (%s): leaves, %d", r.ID, r.Zone, status)
 	_ = r.server.Close()
 }
