Log what a hub finds in its folder when it starts

Callers saw requests handled as by an older configuration after all hubs had restarted at once.

A new identity in a folder that wasn't empty is a warning.

--- a/hub/membership.go
+++ b/hub/membership.go
@@ -81,11 +81,29 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if _, known := m.joinRequests[request.ID]; !known {
+		m.logJoin(request)
+	}
 	// A former replica at the address has lost its disk.
 	maps.DeleteFunc(m.joinRequests, func(_ string, other joinRequest) bool { return other.Address == request.Address })
 	m.joinRequests[request.ID] = joinRequest{JoinRequest: request, receivedAt: m.hub.Clock.Now()}
 }
 
+// logJoin logs the first join request of a replica: a new one has lost its disk or never had
+// one, a voter has only lost contact with the majority.
+func (m *membershipManager) logJoin(request peer.JoinRequest) {
+	role := "no member"
+	for _, member := range m.hub.replica.Quorum.Status().Members {
+		switch {
+		case member.ID == request.ID && member.Voter:
+			role = "a voter"
+		case member.ID == request.ID:
+			role = "a learner"
+		}
+	}
+	m.hub.log.Infof("Replica %s of host %s requests membership: it is %s of the cluster.", request.ID, request.Host, role)
+}
+
 // reportLostVoters reports the voters that a join request proves to be lost: a replica
 // with another ID uses their address, so their process has ended and their disk is gone.
 // A forwarded request may be older than the sender's present replica.
--- a/hub/origin_log.go
+++ b/hub/origin_log.go
@@ -155,6 +155,11 @@
 // open opens the log and adds its records to the table. A damaged log is deleted: the other
 // hubs have the same records, and a stream without one is refused.
 func (l *originLog) open() error {
+	if found, err := ledger.Inspect(l.dir, l.options...); err != nil {
+		l.log.WithError(err).Warn("Folder of streams can't be listed.")
+	} else {
+		l.log.Infof("Folder %s %v.", l.dir, found)
+	}
 	opened, err := ledger.Open(l.dir, l.options...)
 	if errors.Is(err, ledger.ErrCorrupt) {
 		l.log.WithError(err).Warn("Log of streams is damaged and will be deleted.")
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -89,10 +89,7 @@
 // from a crash and checks every record. It returns ErrLocked when another ledger
 // holds the lock and ErrCorrupt when acknowledged records are damaged.
 func Open(dir string, options ...Option) (*Ledger, error) {
-	j := &Ledger{dir: dir, files: osFileSystem{}, segmentBytes: defaultSegmentBytes}
-	for _, option := range options {
-		option(j)
-	}
+	j := newLedger(dir, options)
 	lock, err := lockDir(dir)
 	if err != nil {
 		return nil, err
@@ -105,6 +102,15 @@
 	return j, nil
 }
 
+// newLedger returns a ledger that is not open yet.
+func newLedger(dir string, options []Option) *Ledger {
+	j := &Ledger{dir: dir, files: osFileSystem{}, segmentBytes: defaultSegmentBytes}
+	for _, option := range options {
+		option(j)
+	}
+	return j
+}
+
 // Append writes the state and the records and returns once they are durable. A
 // nil state keeps the stored one. The indexes must be contiguous and start at
 // most one above the last index; a start at or below the last index replaces the
--- a/ledger/recovery.go
+++ b/ledger/recovery.go
@@ -14,6 +14,8 @@
 	temporary []string
 	snapshots []uint64
 	segments  []uint64
+	// others are the names that don't belong to a ledger.
+	others []string
 }
 
 // repair checks the latest snapshot and all segments before it removes partially
@@ -45,7 +47,7 @@
 	return j.openActive()
 }
 
-// classifyNames groups the files of the ledger by kind and ignores other names.
+// classifyNames groups the names by kind.
 func classifyNames(names []string) dirFiles {
 	var all dirFiles
 	for _, name := range names {
@@ -57,6 +59,8 @@
 			all.snapshots = append(all.snapshots, number)
 		case parseNumberedName(name, segmentFormat, &number):
 			all.segments = append(all.segments, number)
+		case name != lockName:
+			all.others = append(all.others, name)
 		}
 	}
 	return all
--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -43,6 +43,8 @@
 	writing    bool
 	writeStart time.Time
 	host       string
+	// isNew is set if Start created the ID.
+	isNew bool
 	// pendingProposals are the proposals without an outcome, by log index.
 	pendingProposals map[uint64]*proposal
 	applied          appliedStats
@@ -87,7 +89,7 @@
 // that of another cluster.
 func Start(config Config, storage Storage, transport Transport, machine StateMachine, options ...Option) (*Replica, error) {
 	config = config.withDefaults()
-	state, snapshot, entries, err := loadOrCreateIdentity(storage, config.Cluster, config.Host)
+	state, snapshot, entries, created, err := loadOrCreateIdentity(storage, config.Cluster, config.Host)
 	if err != nil {
 		return nil, errors.Wrapf(err, "start the replica of host %q", config.Host)
 	}
@@ -99,6 +101,7 @@
 		clock: clockwork.NewRealClock(), logger: logs.Discard(),
 		node:             NewNode(config.Node, state, snapshot, entries),
 		host:             state.Host,
+		isNew:            created,
 		pendingProposals: map[uint64]*proposal{}, lastContact: map[string]time.Time{},
 		writeResult: make(chan error, 1), wake: make(chan struct{}, 1), changeSignal: make(chan struct{}, 1),
 		stop: make(chan struct{}), done: make(chan struct{}),
@@ -108,6 +111,7 @@
 	for _, option := range options {
 		option(r)
 	}
+	r.logIdentity(state, snapshot, entries)
 	if err := r.restoreMachine(snapshot); err != nil {
 		return nil, err
 	}
@@ -119,6 +123,23 @@
 	return r, nil
 }
 
+// logIdentity logs what the storage held when the replica started.
+func (r *Replica) logIdentity(state HardState, snapshot Snapshot, entries []Entry) {
+	if r.isNew {
+		r.logger.Infof("Identity changed: replica %s is new, since the storage held none.", state.ID)
+		return
+	}
+	last := snapshot.Index
+	if len(entries) > 0 {
+		last = entries[len(entries)-1].Index
+	}
+	r.logger.Infof("Identity loaded: replica %s of cluster %q and host %q, term %d, vote %q, commit index %d, snapshot index %d, last index %d.",
+		state.ID, state.Cluster, state.Host, state.Term, state.Vote, state.Commit, snapshot.Index, last)
+}
+
+// IsNew reports whether Start found no identity in the storage and created one.
+func (r *Replica) IsNew() bool { return r.isNew }
+
 // restoreMachine restores the state machine from a snapshot. The snapshot of an
 // empty bootstrap has no data.
 func (r *Replica) restoreMachine(s Snapshot) error {
--- a/quorum/sim_test.go
+++ b/quorum/sim_test.go
@@ -140,7 +140,7 @@
 // startNode starts a node with the contents of the host's disk.
 func (s *sim) startNode(n *simNode) {
 	n.ledger.writesLeft = -1
-	state, snapshot, entries, err := loadOrCreateIdentity(n.storage, "", n.host)
+	state, snapshot, entries, _, err := loadOrCreateIdentity(n.storage, "", n.host)
 	require.NoError(s.t, err)
 	config := s.config
 	config.Seed = s.random.Uint64()
--- a/quorum/state.go
+++ b/quorum/state.go
@@ -82,25 +82,25 @@
 	return wrapf(storage.Save(identity, nil), "save the identity")
 }
 
-// loadOrCreateIdentity loads the storage and writes a new ID to an empty one.
-// It returns ErrCorrupt with ErrBootstrapIncomplete, ErrHostMismatch and ErrClusterMismatch.
-func loadOrCreateIdentity(storage Storage, cluster, host string) (HardState, Snapshot, []Entry, error) {
-	state, snapshot, entries, err := storage.Load()
+// loadOrCreateIdentity loads the storage and writes a new ID to an empty one, in which case
+// created is set. It returns ErrCorrupt with ErrBootstrapIncomplete, ErrHostMismatch and ErrClusterMismatch.
+func loadOrCreateIdentity(storage Storage, cluster, host string) (state HardState, snapshot Snapshot, entries []Entry, created bool, err error) {
+	state, snapshot, entries, err = storage.Load()
 	if err != nil {
-		return state, snapshot, entries, errors.Wrap(err, "load storage")
+		return state, snapshot, entries, false, errors.Wrap(err, "load storage")
 	}
 	if state.ID == "" && snapshot.Index > 0 {
-		return state, snapshot, entries, errors.Wrapf(errors.Join(ErrCorrupt, ErrBootstrapIncomplete), "snapshot at index %d without an identity", snapshot.Index)
+		return state, snapshot, entries, false, errors.Wrapf(errors.Join(ErrCorrupt, ErrBootstrapIncomplete), "snapshot at index %d without an identity", snapshot.Index)
 	}
 	if state.ID == "" {
 		state = HardState{Cluster: cluster, ID: NewID(), Host: host}
-		return state, Snapshot{}, nil, wrapf(storage.Save(state, nil), "save a new identity")
+		return state, Snapshot{}, nil, true, wrapf(storage.Save(state, nil), "save a new identity")
 	}
 	if state.Host != host {
-		return state, snapshot, entries, errors.Wrapf(ErrHostMismatch, "written by host %q, started on host %q", state.Host, host)
+		return state, snapshot, entries, false, errors.Wrapf(ErrHostMismatch, "written by host %q, started on host %q", state.Host, host)
 	}
 	if cluster != "" && state.Cluster != "" && state.Cluster != cluster {
-		return state, snapshot, entries, errors.Wrapf(ErrClusterMismatch, "written for cluster %q, started for cluster %q", state.Cluster, cluster)
+		return state, snapshot, entries, false, errors.Wrapf(ErrClusterMismatch, "written for cluster %q, started for cluster %q", state.Cluster, cluster)
 	}
-	return state, snapshot, entries, nil
+	return state, snapshot, entries, false, nil
 }
--- a/state/state.go
+++ b/state/state.go
@@ -70,6 +70,7 @@
 		config.Machine = registry.NewMachine()
 	}
 	r := &Replica{Machine: config.Machine, log: config.Log, clock: config.Clock}
+	found := r.inspect(config.DataDir)
 	opened, err := ledger.Open(config.DataDir)
 	if err != nil {
 		return nil, errors.Wrapf(err, "open ledger in %s", config.DataDir)
@@ -88,9 +89,23 @@
 		return nil, errors.Join(errors.Wrapf(err, "start state replica of %s", config.Host), opened.Close())
 	}
 	r.Quorum = started
+	if started.IsNew() && !found.IsEmpty() {
+		r.log.Warnf("Replica %s is new, but its folder %s was not empty: it %v.", started.Status().ID, config.DataDir, found)
+	}
 	return r, nil
 }
 
+// inspect logs what the folder of the ledger holds before it is opened.
+func (r *Replica) inspect(folder string) ledger.Inventory {
+	found, err := ledger.Inspect(folder)
+	if err != nil {
+		r.log.Warnf("Folder %s can't be listed: %v.", folder, err)
+		return found
+	}
+	r.log.Infof("Folder %s %v.", folder, found)
+	return found
+}
+
 // ErrClusterExists reports that no cluster was created because one exists
 // already.
 var ErrClusterExists = errors.New("a cluster runs already")
