--- a/hub/membership.go
+++ b/hub/membership.go
@@ -90,10 +90,15 @@
 }
 
 // logJoin logs the first join request of a replica: a new one has lost its disk or never had
-// one, a voter has only lost contact with the majority.
+// one, a voter has only lost contact with the majority. A replica that has not joined yet
+// can't tell.
 func (m *membershipManager) logJoin(request peer.JoinRequest) {
+	status := m.hub.replica.Quorum.Status()
+	if len(status.Members) == 0 {
+		return
+	}
 	role := "no member"
-	for _, member := range m.hub.replica.Quorum.Status().Members {
+	for _, member := range status.Members {
 		switch {
 		case member.ID == request.ID && member.Voter:
 			role = "a voter"
