Sync the ledger's directory before recovery removes files

A hub that was killed between a rename and the sync of the directory, and lost power while it started again, did not start any more, or lost the record of its identity.

A loss of power keeps or loses each of these changes independently, and could lose the rename alone.

Recovery now syncs the directory first.

--- a/ledger/recovery.go
+++ b/ledger/recovery.go
@@ -38,6 +38,11 @@
 	if err := j.checkSegments(all.segments); err != nil {
 		return err
 	}
+	// A process that was killed may have renamed a file without a sync of the directory. What
+	// the file replaces must not be removed before the new name is durable.
+	if err := j.files.SyncDir(j.dir); err != nil {
+		return errors.Wrap(err, "sync directory")
+	}
 	if err := j.removeLeftoverFiles(&all); err != nil {
 		return err
 	}
