Replace a voter only by a learner that still responds

Operators would get 503 for every change until another host came, with four of five voters there.

Cause: a silent voter was removed if a learner held all that is committed and had asked for membership in the last 2 s. A learner that stopped meanwhile meets both. It is never promoted, and the removed voter doesn't come back if its host is gone, so the cluster stayed at four voters.

Change: the learner must have been heard of in the last 700 ms. One that stops after that still leaves four voters.

Tests: replicas and membership managers of slow hosts in one synctest bubble (writes and links that stall, processes that stand still).

--- a/hub/membership.go
+++ b/hub/membership.go
@@ -30,12 +30,17 @@
 	// successor has started, so that two others may be lost by then; an election may
 	// take 1 s of that. A voter that is replaced while it is only slow becomes a learner.
 	voterLostAfter = 2 * time.Second
+	// replacementContactWithin is how recently a learner must have been heard of to replace a
+	// voter. It is above the time of two heartbeats.
+	replacementContactWithin = 700 * time.Millisecond
 )
 
 // membershipManager keeps the cluster's membership: it requests membership for
 // this host's replica, and on the leader it adds the replicas that request it.
 type membershipManager struct {
 	hub *Hub
+	// send sends a message to the hub at an address.
+	send func(address string, message peer.Message)
 
 	mu sync.Mutex
 	// configuredReplicas are the addresses of the state replicas in the
@@ -58,7 +63,8 @@
 }
 
 func newMembershipManager(h *Hub) *membershipManager {
-	return &membershipManager{hub: h, configuredReplicas: h.Settings.StateReplicas, joinRequests: map[string]joinRequest{}, lostVoters: map[string]bool{}}
+	send := func(address string, message peer.Message) { h.node.Send(address, message) }
+	return &membershipManager{hub: h, send: send, configuredReplicas: h.Settings.StateReplicas, joinRequests: map[string]joinRequest{}, lostVoters: map[string]bool{}}
 }
 
 // setConfiguredReplicas replaces the configured addresses of the state
@@ -76,7 +82,7 @@
 	leader := m.hub.replica.LeaderAddress()
 	if !request.Forwarded && leader != "" && leader != m.hub.Settings.Peers {
 		request.Forwarded = true
-		m.hub.node.Send(leader, request)
+		m.send(leader, request)
 		return
 	}
 	m.mu.Lock()
@@ -146,7 +152,7 @@
 			continue
 		}
 		contacted[address] = true
-		m.hub.node.Send(address, request)
+		m.send(address, request)
 	}
 }
 
@@ -187,6 +193,9 @@
 			m.logChange(change, member)
 			return func(ctx context.Context) error { return replica.Admit(ctx, member) }
 		case StepReplace:
+			if !IsResponsive(status, request.ID, m.hub.Clock.Now(), replacementContactWithin) {
+				continue
+			}
 			m.logChange(change, member)
 			return func(ctx context.Context) error { return m.replace(ctx, change.Replaced, member) }
 		case StepAddLearner:
--- /dev/null
+++ b/hub/slow_voters_test.go
@@ -0,0 +1,110 @@
+package hub
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"comfreytiller.dev/quorum"
+)
+
+// settleTime is how long a cluster of quick hosts takes to get a leader and to add a learner.
+const settleTime = 5 * time.Second
+
+// runSlowCluster runs a test with five voters and a learner, all of them quick at first, once
+// with each seed.
+func runSlowCluster(t *testing.T, seeds int, test func(t *testing.T, c *slowCluster, learner *slowHost)) {
+	for seed := range seeds {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newSlowCluster(t, uint64(seed))
+				defer c.stopAll()
+				learner := c.add("learner")
+				time.Sleep(settleTime)
+				require.NotNil(t, c.leader())
+				require.Len(t, c.leader().hub.replica.Quorum.Status().Members, slowVoters+1)
+				test(t, c, learner)
+			})
+		})
+	}
+}
+
+// follower returns a voter that doesn't lead.
+func (c *slowCluster) follower() *slowHost {
+	if c.hosts[0] == c.leader() {
+		return c.hosts[1]
+	}
+	return c.hosts[0]
+}
+
+// voters returns the hosts of the voters according to the leader.
+func (c *slowCluster) voters() []string {
+	var hosts []string
+	for _, member := range c.leader().hub.replica.Quorum.Status().Members {
+		if member.Voter {
+			hosts = append(hosts, member.Host)
+		}
+	}
+	return hosts
+}
+
+// commits reports whether the leader accepts a change by an operator.
+func (c *slowCluster) commits() bool {
+	leader := c.leader()
+	if leader == nil || !leader.hub.hasAllVoters() {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(c.t.Context(), operatorCallTimeout)
+	defer cancel()
+	_, err := leader.hub.replica.Quorum.Propose(ctx, []byte("change"))
+	return err == nil
+}
+
+// Guards against changes that are refused until another host comes: a voter is gone, and the
+// learner that was to replace it stopped a moment later. Four of five voters are left.
+func TestMembership_VoterStaysIfItsReplacementStopped(t *testing.T) {
+	runSlowCluster(t, 5, func(t *testing.T, c *slowCluster, learner *slowHost) {
+		c.lose(c.follower())
+		time.Sleep(voterLostAfter / 2)
+		c.lose(learner)
+		time.Sleep(settleTime)
+		require.True(t, c.commits(), "the voters are %v", c.voters())
+	})
+}
+
+// A cluster whose hosts are all slow must have its voters and a leader, and keep them, once the
+// hosts are quick again.
+func TestMembership_SettlesAfterAllWereSlow(t *testing.T) {
+	runSlowCluster(t, 3, func(t *testing.T, c *slowCluster, _ *slowHost) {
+		const slowTime = 20 * time.Second
+		c.setSlowness(slowness{
+			linkStall: 5, writeStall: 20, pauseInterval: 10 * time.Second, minStall: 500 * time.Millisecond, maxStall: 3 * time.Second,
+		})
+		time.Sleep(slowTime)
+		c.setSlowness(slowness{})
+		time.Sleep(2 * settleTime)
+		require.True(t, c.commits())
+		settled := c.voters()
+		require.Len(t, settled, slowVoters)
+		time.Sleep(2 * settleTime)
+		require.ElementsMatch(t, settled, c.voters())
+	})
+}
+
+// A learner that was heard of in the last heartbeats may replace a voter, no other member.
+func TestIsResponsive(t *testing.T) {
+	now := time.Unix(100, 0)
+	status := quorum.Status{Members: []quorum.MemberStatus{
+		{Member: quorum.Member{ID: "heard"}, LastContact: now.Add(-replacementContactWithin)},
+		{Member: quorum.Member{ID: "stopped"}, LastContact: now.Add(-replacementContactWithin - 1)},
+		{Member: quorum.Member{ID: "never"}},
+	}}
+	require.True(t, IsResponsive(status, "heard", now, replacementContactWithin))
+	for _, id := range []string{"stopped", "never", "unknown"} {
+		require.False(t, IsResponsive(status, id, now, replacementContactWithin), id)
+	}
+}
