Don't count a leader's standstill as its voters' silence

A living voter was replaced by a learner; its hub got no reads confirmed until it was a learner itself, and changes got 503 until the learner had its vote.

Cause: silence was measured by the clock. A leader that stands still for more than 2 s, together with its voters, is confirmed again by the first two answers. Any voter that answers later was "silent" for the whole standstill and was replaced at the next check.

Change: silence counts from the end of the standstill.

The tests of gone voters pass as before.

--- a/hub/membership.go
+++ b/hub/membership.go
@@ -33,6 +33,9 @@
 	// replacementContactWithin is how recently a learner must have been heard of to replace a
 	// voter. It is above the time of two heartbeats.
 	replacementContactWithin = 700 * time.Millisecond
+	// maxCheckGap is the time between two checks of the membership after which the leader
+	// counts as having stood still. It is above the intervals of a busy process.
+	maxCheckGap = 5 * membershipInterval
 )
 
 // membershipManager keeps the cluster's membership: it requests membership for
@@ -50,10 +53,9 @@
 	joinRequests map[string]joinRequest
 	// lostVoters are the IDs of the voters that were reported as lost.
 	lostVoters map[string]bool
-	// leaderSince is when this replica became leader; zero on a follower. The
-	// silence of a voter is measured from then on. It is not guarded by mu,
-	// since only run uses it.
-	leaderSince time.Time
+	// listening is the time in which this leader would have heard of its voters. It is not
+	// guarded by mu, since only run uses it.
+	listening listeningTime
 }
 
 // joinRequest is a replica's request for membership.
@@ -119,13 +121,11 @@
 	ticks.Every(ctx, m.hub.Clock, membershipInterval, func(ctx context.Context) {
 		leadership := m.hub.replica.Quorum.Leadership()
 		if !leadership.IsLeader {
-			m.leaderSince = time.Time{}
+			m.listening = listeningTime{}
 			m.requestMembership()
 			return
 		}
-		if m.leaderSince.IsZero() {
-			m.leaderSince = m.hub.Clock.Now()
-		}
+		m.listening = m.listening.extend(m.hub.Clock.Now(), maxCheckGap)
 		for leadership.Confirmed && m.applyNextChange(ctx) {
 			leadership = m.hub.replica.Quorum.Leadership()
 		}
@@ -164,7 +164,9 @@
 	}
 	ctx, cancel := clockwork.WithTimeout(ctx, m.hub.Clock, changeTimeout)
 	defer cancel()
-	if err := change(ctx); err != nil {
+	err := change(ctx)
+	m.listening = m.listening.extend(m.hub.Clock.Now(), changeTimeout+maxCheckGap)
+	if err != nil {
 		m.hub.log.Warnf("Membership change failed: %v.", err)
 		return false
 	}
@@ -243,13 +245,8 @@
 // lostVoter returns a voter that has been silent for longer than
 // voterLostAfter; "" for none.
 func (m *membershipManager) lostVoter(status quorum.Status) string {
-	now := m.hub.Clock.Now()
 	for _, member := range status.Members {
-		lastContact := member.LastContact
-		if lastContact.Before(m.leaderSince) {
-			lastContact = m.leaderSince
-		}
-		if member.Voter && member.ID != status.ID && now.Sub(lastContact) > voterLostAfter {
+		if member.Voter && member.ID != status.ID && m.listening.silence(member.LastContact) > voterLostAfter {
 			return member.ID
 		}
 	}
--- a/hub/slow_voters_test.go
+++ b/hub/slow_voters_test.go
@@ -76,6 +76,27 @@
 	})
 }
 
+// Guards against a living voter that is replaced because the leader heard of nobody while it
+// stood still itself.
+func TestMembership_LeaderThatStoodStillReplacesNoVoter(t *testing.T) {
+	runSlowCluster(t, 10, func(t *testing.T, c *slowCluster, learner *slowHost) {
+		const standstill = voterLostAfter + 500*time.Millisecond
+		before, leader, last := c.voters(), c.leader(), c.follower()
+		for _, h := range c.hosts {
+			pause := standstill + 100*time.Millisecond
+			switch h {
+			case leader, learner:
+				pause = standstill
+			case last:
+				pause = standstill + 400*time.Millisecond
+			}
+			go h.pause(pause)
+		}
+		time.Sleep(settleTime)
+		require.ElementsMatch(t, before, c.voters())
+	})
+}
+
 // A cluster whose hosts are all slow must have its voters and a leader, and keep them, once the
 // hosts are quick again.
 func TestMembership_SettlesAfterAllWereSlow(t *testing.T) {
@@ -108,3 +129,18 @@
 		require.False(t, IsResponsive(status, id, now, replacementContactWithin), id)
 	}
 }
+
+// A voter is silent only while the leader listens: not before it leads, nor while it stands still.
+func TestListeningTime_Silence(t *testing.T) {
+	start := time.Unix(100, 0)
+	var l listeningTime
+	l = l.extend(start, time.Second)
+	require.Zero(t, l.silence(start.Add(-time.Hour)))
+	l = l.extend(start.Add(time.Second), time.Second)
+	require.Equal(t, time.Second, l.silence(time.Time{}))
+	require.Equal(t, 300*time.Millisecond, l.silence(start.Add(700*time.Millisecond)))
+	l = l.extend(start.Add(time.Minute), time.Second)
+	require.Zero(t, l.silence(start), "the leader stood still")
+	l = l.extend(start.Add(time.Minute+time.Second), time.Second)
+	require.Equal(t, time.Second, l.silence(start))
+}
--- a/hub/voter_silence.go
+++ b/hub/voter_silence.go
@@ -16,3 +16,29 @@
 	}
 	return false
 }
+
+// listeningTime is the time in which a leader would have heard of its voters. The zero value is
+// that of a replica that doesn't lead.
+type listeningTime struct {
+	// since is when it became leader or last stood still, until when it was last known to run.
+	since, until time.Time
+}
+
+// extend returns the time extended until now. It starts anew after a gap longer than maxGap:
+// the process stood still, and messages from then may still wait to be read.
+func (l listeningTime) extend(now time.Time, maxGap time.Duration) listeningTime {
+	if l.since.IsZero() || now.Sub(l.until) > maxGap {
+		l.since = now
+	}
+	l.until = now
+	return l
+}
+
+// silence returns how long the leader has listened without hearing of a member whose last
+// message arrived at lastContact.
+func (l listeningTime) silence(lastContact time.Time) time.Duration {
+	if lastContact.Before(l.since) {
+		lastContact = l.since
+	}
+	return l.until.Sub(lastContact)
+}
