Replace the voter that has been silent for longest

A host that was gone for good kept its vote for seconds although its successor had caught up: the successor replaced another voter, which only stood still. With two more lost then, as may happen from 4 s after the start of the successor, the majority is lost.

Cause: of several silent voters the first by its ID was replaced.

Change: one that is known to be lost goes first, then the one that was heard of last the longest time ago.

--- a/hub/membership.go
+++ b/hub/membership.go
@@ -242,13 +242,9 @@
 	return requests
 }
 
-// lostVoter returns a voter that has been silent for longer than
-// voterLostAfter; "" for none.
+// lostVoter returns the voter to replace because of its silence; "" for none.
 func (m *membershipManager) lostVoter(status quorum.Status) string {
-	for _, member := range status.Members {
-		if member.Voter && member.ID != status.ID && m.listening.silence(member.LastContact) > voterLostAfter {
-			return member.ID
-		}
-	}
-	return ""
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return LongestSilentVoter(status, m.listening, m.lostVoters)
 }
--- a/hub/slow_voters_test.go
+++ b/hub/slow_voters_test.go
@@ -90,13 +90,40 @@
 			case last:
 				pause = standstill + 400*time.Millisecond
 			}
-			go h.pause(pause)
+			c.running.Go(func() { h.pause(pause) })
 		}
 		time.Sleep(settleTime)
 		require.ElementsMatch(t, before, c.voters())
 	})
 }
 
+// Guards against a gone voter that keeps its vote although its successor is there: a voter that
+// stood still for a moment was replaced instead, since it came first among the members.
+func TestMembership_LongestSilentVoterIsReplaced(t *testing.T) {
+	for seed := range uint64(5) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newSlowCluster(t, seed)
+				defer c.stopAll()
+				time.Sleep(settleTime)
+				paused, gone := c.follower(), c.hosts[slowVoters-1]
+				if gone == c.leader() {
+					gone = c.hosts[slowVoters-2]
+				}
+				c.lose(gone)
+				time.Sleep(time.Second)
+				c.running.Go(func() { paused.pause(voterLostAfter + 2*time.Second) })
+				time.Sleep(voterLostAfter + 200*time.Millisecond)
+				c.add("successor")
+				time.Sleep(time.Second)
+				require.Contains(t, c.voters(), "successor")
+				require.NotContains(t, c.voters(), gone.hub.Settings.Host)
+				require.Contains(t, c.voters(), paused.hub.Settings.Host)
+			})
+		})
+	}
+}
+
 // A cluster whose hosts are all slow must have its voters and a leader, and keep them, once the
 // hosts are quick again.
 func TestMembership_SettlesAfterAllWereSlow(t *testing.T) {
@@ -144,3 +171,23 @@
 	l = l.extend(start.Add(time.Minute+time.Second), time.Second)
 	require.Equal(t, time.Second, l.silence(start))
 }
+
+// Of the voters that are silent, one known to be lost goes first, then the one that has been
+// silent for longest, also if all were silent since before this replica led.
+func TestLongestSilentVoter(t *testing.T) {
+	now := time.Unix(100, 0)
+	listening := listeningTime{since: now.Add(-voterLostAfter - time.Second), until: now}
+	voter := func(id string, silence time.Duration) quorum.MemberStatus {
+		return quorum.MemberStatus{Member: quorum.Member{ID: id, Voter: true}, LastContact: now.Add(-silence)}
+	}
+	learner := quorum.MemberStatus{Member: quorum.Member{ID: "learner"}}
+	status := quorum.Status{ID: "leader", Members: []quorum.MemberStatus{
+		learner, voter("leader", time.Hour), voter("quick", voterLostAfter), voter("slow", voterLostAfter+1),
+	}}
+	require.Equal(t, "slow", LongestSilentVoter(status, listening, nil))
+	status.Members = append(status.Members, voter("gone", time.Minute), voter("later", 30*time.Second))
+	require.Equal(t, "gone", LongestSilentVoter(status, listening, nil))
+	require.Equal(t, "later", LongestSilentVoter(status, listening, map[string]bool{"later": true, "quick": true}))
+	listening.since = now.Add(-voterLostAfter)
+	require.Empty(t, LongestSilentVoter(status, listening, nil), "the leader has not listened for long enough")
+}
--- a/hub/voter_silence.go
+++ b/hub/voter_silence.go
@@ -42,3 +42,20 @@
 	}
 	return l.until.Sub(lastContact)
 }
+
+// LongestSilentVoter returns the ID of the voter that has been silent for longer than
+// voterLostAfter and should be replaced first: one that is known to be lost, or else the one
+// that was heard of last the longest time ago. It returns "" if there is none.
+func LongestSilentVoter(status quorum.Status, listening listeningTime, knownLost map[string]bool) string {
+	var longest quorum.MemberStatus
+	for _, member := range status.Members {
+		if !member.Voter || member.ID == status.ID || listening.silence(member.LastContact) <= voterLostAfter {
+			continue
+		}
+		isLost, longestIsLost := knownLost[member.ID], knownLost[longest.ID]
+		if longest.ID == "" || isLost && !longestIsLost || isLost == longestIsLost && member.LastContact.Before(longest.LastContact) {
+			longest = member
+		}
+	}
+	return longest.ID
+}
