--- a/hub/membership.go
+++ b/hub/membership.go
@@ -30,12 +30,20 @@
 	// successor has started, so that two others may be lost by then; an election may
 	// take 1 s of that. A voter that is replaced while it is only slow becomes a learner.
 	voterLostAfter = 2 * time.Second
+	// replacementContactWithin is how recently a learner must have been heard of to replace a
+	// voter. It is above the time of two heartbeats.
+	replacementContactWithin = 700 * time.Millisecond
+	// maxCheckGap is the time between two checks of the membership after which the leader
+	// counts as having stood still. It is above the intervals of a busy process.
+	maxCheckGap = 5 * membershipInterval
 )
 
 // membershipManager keeps the cluster's membership: it requests membership for
 // this host's replica, and on the leader it adds the replicas that request it.
 type membershipManager struct {
 	hub *Hub
+	// send sends a message to the hub at an address.
+	send func(address string, message peer.Message)
 
 	mu sync.Mutex
 	// configuredReplicas are the addresses of the state replicas in the
@@ -45,10 +53,9 @@
 	joinRequests map[string]joinRequest
 	// lostVoters are the IDs of the voters that were reported as lost.
 	lostVoters map[string]bool
-	// leaderSince is when this replica became leader; zero on a follower. The
-	// silence of a voter is measured from then on. It is not guarded by mu,
-	// since only run uses it.
-	leaderSince time.Time
+	// listening is the time in which this leader would have heard of its voters. It is not
+	// guarded by mu, since only run uses it.
+	listening listeningTime
 }
 
 // joinRequest is a replica's request for membership.
@@ -58,7 +65,8 @@
 }
 
 func newMembershipManager(h *Hub) *membershipManager {
-	return &membershipManager{hub: h, configuredReplicas: h.Settings.StateReplicas, joinRequests: map[string]joinRequest{}, lostVoters: map[string]bool{}}
+	send := func(address string, message peer.Message) { h.node.Send(address, message) }
+	return &membershipManager{hub: h, send: send, configuredReplicas: h.Settings.StateReplicas, joinRequests: map[string]joinRequest{}, lostVoters: map[string]bool{}}
 }
 
 // setConfiguredReplicas replaces the configured addresses of the state
@@ -83,7 +91,7 @@
 	leader := m.hub.replica.LeaderAddress()
 	if !request.Forwarded && leader != "" && leader != m.hub.Settings.Peers {
 		request.Forwarded = true
-		m.hub.node.Send(leader, request)
+		m.send(leader, request)
 		return
 	}
 	m.mu.Lock()
@@ -143,13 +151,11 @@
 	ticks.Every(ctx, m.hub.Clock, membershipInterval, func(ctx context.Context) {
 		leadership := m.hub.replica.Quorum.Leadership()
 		if !leadership.IsLeader {
-			m.leaderSince = time.Time{}
+			m.listening = listeningTime{}
 			m.requestMembership()
 			return
 		}
-		if m.leaderSince.IsZero() {
-			m.leaderSince = m.hub.Clock.Now()
-		}
+		m.listening = m.listening.extend(m.hub.Clock.Now(), maxCheckGap)
 		for leadership.Confirmed && m.applyNextChange(ctx) {
 			leadership = m.hub.replica.Quorum.Leadership()
 		}
@@ -176,7 +182,7 @@
 			continue
 		}
 		contacted[address] = true
-		m.hub.node.Send(address, request)
+		m.send(address, request)
 	}
 }
 
@@ -188,7 +194,9 @@
 	}
 	ctx, cancel := clockwork.WithTimeout(ctx, m.hub.Clock, changeTimeout)
 	defer cancel()
-	if err := change(ctx); err != nil {
+	err := change(ctx)
+	m.listening = m.listening.extend(m.hub.Clock.Now(), changeTimeout+maxCheckGap)
+	if err != nil {
 		m.hub.log.Warnf("Membership change failed: %v.", err)
 		return false
 	}
@@ -217,6 +225,9 @@
 			m.logChange(change, member)
 			return func(ctx context.Context) error { return replica.Admit(ctx, member) }
 		case StepReplace:
+			if !IsResponsive(status, request.ID, m.hub.Clock.Now(), replacementContactWithin) {
+				continue
+			}
 			m.logChange(change, member)
 			return func(ctx context.Context) error { return m.replace(ctx, change.Replaced, member) }
 		case StepAddLearner:
@@ -261,18 +272,9 @@
 	return requests
 }
 
-// lostVoter returns a voter that has been silent for longer than
-// voterLostAfter; "" for none.
+// lostVoter returns the voter to replace because of its silence; "" for none.
 func (m *membershipManager) lostVoter(status quorum.Status) string {
-	now := m.hub.Clock.Now()
-	for _, member := range status.Members {
-		lastContact := member.LastContact
-		if lastContact.Before(m.leaderSince) {
-			lastContact = m.leaderSince
-		}
-		if member.Voter && member.ID != status.ID && now.Sub(lastContact) > voterLostAfter {
-			return member.ID
-		}
-	}
-	return ""
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return LongestSilentVoter(status, m.listening, m.lostVoters)
 }
