Take no late join request for the proof that a voter is lost

By reading, not reported: a join request that a former replica of a host sent before it lost its disk as well could arrive after its successor had got its vote. The successor then counted as lost for good, and the others elected a leader after a restart without waiting for it, although it may have been one.

A hub asks the replica at the address for its identity before it reports a voter.

Before: TestLostVoters_LateJoinRequestOfFormerReplicaIsNoProof needs the list of addresses that are being asked; without the question the voter is reported at once (the code reported every voter that a join request named). After: passed.

--- a/hub/membership.go
+++ b/hub/membership.go
@@ -18,8 +18,8 @@
 const (
 	// membershipInterval is the interval between checks of the membership.
 	membershipInterval = 100 * time.Millisecond
-	// joinTimeout limits one request to another hub.
-	joinTimeout = 500 * time.Millisecond
+	// identityTimeout limits one request for a replica's identity.
+	identityTimeout = 500 * time.Millisecond
 	// joinRequestTTL is how long a join request is valid unless it is resent.
 	joinRequestTTL = 2 * time.Second
 	// changeTimeout limits one membership change. It is short because the replicas that
@@ -44,6 +44,8 @@
 	hub *Hub
 	// send sends a message to the hub at an address.
 	send func(address string, message peer.Message)
+	// identify asks the replica at an address for its identity.
+	identify func(ctx context.Context, address string) (peer.IdentityResponse, error)
 
 	mu sync.Mutex
 	// configuredReplicas are the addresses of the state replicas in the
@@ -53,6 +55,8 @@
 	joinRequests map[string]joinRequest
 	// lostVoters are the IDs of the voters that were reported as lost.
 	lostVoters map[string]bool
+	// verifying has the addresses whose replica is being asked for its identity.
+	verifying map[string]bool
 	// listening is the time in which this leader would have heard of its voters. It is not
 	// guarded by mu, since only run uses it.
 	listening listeningTime
@@ -66,7 +70,7 @@
 
 func newMembershipManager(h *Hub) *membershipManager {
 	send := func(address string, message peer.Message) { h.node.Send(address, message) }
-	return &membershipManager{hub: h, send: send, configuredReplicas: h.Settings.StateReplicas, joinRequests: map[string]joinRequest{}, lostVoters: map[string]bool{}}
+	return &membershipManager{hub: h, send: send, identify: h.identify, verifying: map[string]bool{}, configuredReplicas: h.Settings.StateReplicas, joinRequests: map[string]joinRequest{}, lostVoters: map[string]bool{}}
 }
 
 // setConfiguredReplicas replaces the configured addresses of the state
@@ -124,14 +128,39 @@
 	m.hub.log.Infof("Replica %s of host %s requests membership: it is %s of the cluster.", request.ID, request.Host, role)
 }
 
-// reportLostVoters reports the voters that a join request proves to be lost: a replica
-// with another ID uses their address, so their process has ended and their disk is gone.
-// A forwarded request may be older than the sender's present replica.
+// reportLostVoters reports the voters that are lost because a replica with another ID uses
+// their address. The join request may be that of a former replica and late, so that the
+// present one is asked first.
 func (m *membershipManager) reportLostVoters(request peer.JoinRequest) {
-	if request.Forwarded {
+	if request.Forwarded || len(m.unreportedVoters(request.Address, request.ID)) == 0 {
 		return
 	}
-	for _, id := range LostVoters(m.hub.replica.Quorum.Status(), request) {
+	m.mu.Lock()
+	isVerified := m.verifying[request.Address]
+	m.verifying[request.Address] = true
+	m.mu.Unlock()
+	if !isVerified {
+		go m.verifyLostVoters(request.Address)
+	}
+}
+
+// verifyLostVoters asks the replica at an address for its identity, and reports the voters
+// that had the address under another ID.
+func (m *membershipManager) verifyLostVoters(address string) {
+	defer func() {
+		m.mu.Lock()
+		delete(m.verifying, address)
+		m.mu.Unlock()
+	}()
+	status := m.hub.replica.Quorum.Status()
+	ctx, cancel := clockwork.WithTimeout(context.Background(), m.hub.Clock, identityTimeout)
+	defer cancel()
+	present, err := m.identify(ctx, address)
+	if err != nil || present.ID == "" {
+		m.hub.log.WithField("Address", address).Debugf("A voter is not known to be lost: the replica at its address doesn't tell its identity: %v.", err)
+		return
+	}
+	for _, id := range LostVoters(status, peer.JoinRequest{ID: present.ID, Address: address}) {
 		m.mu.Lock()
 		known := m.lostVoters[id]
 		m.lostVoters[id] = true
@@ -139,12 +168,21 @@
 		if known {
 			continue
 		}
-		m.hub.log.WithFields(map[string]any{"Replica": id, "Address": request.Address, "Host": request.Host, "Successor": request.ID}).
+		m.hub.log.WithFields(map[string]any{"Replica": id, "Address": address, "Host": present.Host, "Successor": present.ID}).
 			Infof("Voter %s is lost: another replica uses its address.", id)
 		m.hub.replica.Quorum.ReportLost(id)
 	}
 }
 
+// unreportedVoters returns the voters that would be lost if the replica had the address, and
+// are not reported as such.
+func (m *membershipManager) unreportedVoters(address, id string) []string {
+	lost := LostVoters(m.hub.replica.Quorum.Status(), peer.JoinRequest{ID: id, Address: address})
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.DeleteFunc(lost, func(id string) bool { return m.lostVoters[id] })
+}
+
 // run requests membership for this replica and, on the leader, changes the
 // membership.
 func (m *membershipManager) run(ctx context.Context) {
--- a/hub/recovery.go
+++ b/hub/recovery.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/jonboulle/clockwork"
 
 	"comfreytiller.dev/common/ticks"
@@ -18,8 +19,6 @@
 	// recoveryDelay is how long there must be no leader before voters are checked. A leader
 	// that the new replicas can reach has them in its cluster by then.
 	recoveryDelay = time.Second
-	// identityTimeout limits one request for a replica's identity.
-	identityTimeout = 500 * time.Millisecond
 )
 
 // recoveryObserver lets the replica elect a leader without the lost voters if these leave no
@@ -73,22 +72,34 @@
 	var asked sync.WaitGroup
 	for _, address := range o.hub.knownReplicaAddresses() {
 		asked.Go(func() {
-			reply, err := o.hub.node.Call(ctx, address, peer.IdentityRequest{})
+			identity, err := o.hub.identify(ctx, address)
 			if err != nil {
 				o.hub.log.WithError(err).Debugf("The replica at %s doesn't tell its identity.", address)
 				return
 			}
-			if identity, ok := reply.(peer.IdentityResponse); ok {
-				mu.Lock()
-				responses[address] = identity
-				mu.Unlock()
-			}
+			mu.Lock()
+			responses[address] = identity
+			mu.Unlock()
 		})
 	}
 	asked.Wait()
 	return responses
 }
 
+// identify asks the replica at an address for its identity. It returns the error of the
+// call, and one for an unexpected reply.
+func (h *Hub) identify(ctx context.Context, address string) (peer.IdentityResponse, error) {
+	reply, err := h.node.Call(ctx, address, peer.IdentityRequest{})
+	if err != nil {
+		return peer.IdentityResponse{}, errors.Wrapf(err, "ask %s for its identity", address)
+	}
+	identity, ok := reply.(peer.IdentityResponse)
+	if !ok {
+		return peer.IdentityResponse{}, errors.Errorf("ask %s for its identity: unexpected reply of type %T", address, reply)
+	}
+	return identity, nil
+}
+
 // knownReplicaAddresses returns the addresses of the other members, of those that may still be
 // voters, and of the replicas in the settings.
 func (h *Hub) knownReplicaAddresses() []string {
