Read a long line of an event as one line

A caller of a stream whose event has a line of exactly 8,192 bytes, the size of the read buffer, or of a multiple of it, got the event without the empty line that ends it, so that it was joined with the next one.

Cause: PassthroughEvents judged each part of a line that the buffer returned as a line of its own. The last part of such a line is its line end alone, which ended the event; the real empty line was then dropped as one between events. Elsewhere the rest of a line could be read as a field, such as an ID.

The line is now taken from the event as collected, from its beginning.

--- a/target/web/passthrough_events.go
+++ b/target/web/passthrough_events.go
@@ -81,10 +81,10 @@
 // returns its ID.
 func (p *PassthroughEvents) readEvent() (id []byte, err error) {
 	p.raw = p.raw[:0]
-	fields, skipped := 0, 0
+	fields, skipped, lineStart := 0, 0, 0
 	for {
-		line, err := p.reader.ReadSlice('\n')
-		p.raw = append(p.raw, line...)
+		part, err := p.reader.ReadSlice('\n')
+		p.raw = append(p.raw, part...)
 		switch {
 		case len(p.raw) > maxEventBytes:
 			return nil, errors.Wrap(target.ErrResponseTooLarge, "read event")
@@ -95,13 +95,14 @@
 		case err != nil:
 			return nil, err
 		}
-		line = bytes.TrimRight(line, "\r\n")
+		line := bytes.TrimRight(p.raw[lineStart:], "\r\n")
+		lineStart = len(p.raw)
 		if len(line) == 0 {
 			if fields == 0 {
 				if skipped += len(p.raw); skipped > maxSkippedBytes {
 					return nil, errors.Wrap(target.ErrResponseTooLarge, "empty lines")
 				}
-				p.raw = p.raw[:0]
+				p.raw, lineStart = p.raw[:0], 0
 				continue
 			}
 			return id, nil
--- a/target/web/passthrough_events_test.go
+++ b/target/web/passthrough_events_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -78,3 +79,28 @@
 		}
 	})
 }
+
+// A line was as long as the read buffer or a multiple of it. Its line end was read as the
+// empty line that ends the event, so that callers got this event joined with the next one;
+// or its rest was read as a line of its own, such as another ID.
+func TestPassthroughEvents_LineLongerThanReadBuffer(t *testing.T) {
+	const bufferBytes = 16
+	for _, filler := range []string{"x", "id: 7 "} {
+		for size := range 4 * bufferBytes {
+			var want []string
+			for i := range 3 {
+				data := strings.Repeat(filler, size)[:size]
+				want = append(want, fmt.Sprintf("id: %d\ndata: %s\n\n", i+1, data))
+			}
+			reader := bufio.NewReaderSize(strings.NewReader(strings.Join(want, "")), bufferBytes)
+			events := NewPassthroughEvents(reader, "")
+			for i, raw := range want {
+				event, err := events.Next()
+				require.NoError(t, err, "event %d with %d bytes", i, size)
+				require.Equal(t, raw, string(event.Raw), "%d bytes", size)
+			}
+			_, err := events.Next()
+			require.ErrorIs(t, err, io.EOF)
+		}
+	}
+}
