Reject a response header within an event

A target that fails may write the header of an error response into the stream that it had begun, within an event or before the next one, and a target that takes a stream up may repeat its header there.

Cause: PassthroughEvents took any line for a line of an event, so that an event with an ID was forwarded whatever else it held.

Evidence: streams that break off after 1 or 3 of 5 events in 20 ways, each followed by malformed rests, and three of them by responses with 14 statuses in several framings. Of these, only a header within an event reached callers. Other errors of the next target, a gap and a repeated event did not.

Lines of an event are now checked: the name of a field has only lower case letters, digits, hyphens and underscores. A status line and the usual header fields have others. Unknown fields and comments go on being forwarded. A status line at the end of a data line, with header fields whose names are all in lower case after it, can't be told from an event.

--- a/target/web/passthrough_events.go
+++ b/target/web/passthrough_events.go
@@ -48,8 +48,8 @@
 }
 
 // Next returns the next event. It drops duplicate events. It returns
-// target.ErrTruncated if an event is missing, and io.ErrUnexpectedEOF if the body ends
-// within an event.
+// target.ErrTruncated if an event is missing, target.ErrMalformedResponse if an event holds
+// anything but fields, and io.ErrUnexpectedEOF if the body ends within an event.
 func (p *PassthroughEvents) Next() (target.Event, error) {
 	skipped := 0
 	for {
@@ -77,6 +77,19 @@
 	}
 }
 
+// isEventField reports whether a line may be a field or a comment of an event. A target that
+// fails may write a response header into its stream. The names of fields are in lower case,
+// also of those that a reader must ignore because it doesn't know them.
+func isEventField(line []byte) bool {
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	for _, c := range name {
+		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' && c != '_' {
+			return false
+		}
+	}
+	return true
+}
+
 // readEvent reads one event into raw, including the empty line after it, and
 // returns its ID.
 func (p *PassthroughEvents) readEvent() (id []byte, err error) {
@@ -107,6 +120,9 @@
 			}
 			return id, nil
 		}
+		if !isEventField(line) {
+			return nil, errors.Wrapf(target.ErrMalformedResponse, "line %.40q within an event", line)
+		}
 		fields++
 		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
 			id = append([]byte(nil), bytes.TrimSpace(value)...)
--- a/target/web/passthrough_events_test.go
+++ b/target/web/passthrough_events_test.go
@@ -104,3 +104,29 @@
 		}
 	}
 }
+
+// A target wrote the header of an error response into an event that it had begun, or one
+// of its header lines before an event. Callers got it as a part of the event.
+func TestPassthroughEvents_ResponseHeaderIsNoPartOfAnEvent(t *testing.T) {
+	const header = "HTTP/1.1 500 Oops\r\nContent-Type: text/plain\r\n"
+	for _, text := range []string{
+		header + "id: 1\ndata: a\n\n",
+		"Content-Type: text/plain\r\nid: 1\ndata: a\n\n",
+		"id: 1\n" + header + "\r\n",
+		"id: 1\nda" + header + "\r\n",
+		"id: 1\ndata: a" + header + "\r\n",
+		"id: 1\noops\nno such stream\n\n",
+	} {
+		_, err := newTestEvents(text, "").Next()
+		require.ErrorIs(t, err, target.ErrMalformedResponse, text)
+	}
+	for _, text := range []string{
+		"x-weight-versions: 3\nid: 1\ndata: a\n\n",
+		": Comment 1/2\nid:1\nevent: A\nretry: 5\ndata\n\n",
+		"id: 1\ndata: HTTP/1.1 500 Oops\ndata: Content-Type: text/plain\n\n",
+	} {
+		event, err := newTestEvents(text, "").Next()
+		require.NoError(t, err)
+		require.Equal(t, text, string(event.Raw))
+	}
+}
