Reject an empty rest of a stream with an event missing

A stream broke off within an event, and the next target answered with a successful stream of no events.

Cause: an empty rest ends a stream, since a stream may break off after its last event. That the broken attempt had begun another event, or had one behind a gap, was forgotten.

Event streams now tell that they failed within an event or before a gap, and the relay then takes an empty rest for a malformed one. It goes on elsewhere while attempts are left, and the stream looks incomplete otherwise. A stream that breaks off between two events still ends with an empty rest: nothing tells whether its last event has come. In the product's own protocol only a gap counts, since an event that was begun may be the end of the stream.

--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -61,6 +61,9 @@
 	// relaying is set once a response is being relayed as a stream, which continues at
 	// its offset on another target.
 	relaying bool
+	// eventMissing is set if an attempt failed within the next event of the stream or behind
+	// it, so that the stream is not complete.
+	eventMissing bool
 	// version is the software version of the target that began the stream, if requiresVersion
 	// is set: the stream goes on only at targets of that version.
 	version         string
@@ -202,6 +205,7 @@
 	a.firstEvent, err = response.Next()
 	a.emptyStream = errors.Is(err, errStreamEnd)
 	if err != nil && !a.emptyStream {
+		d.eventMissing = d.eventMissing || response.End().EventMissing
 		return err
 	}
 	d.lastDataAt = d.gateway.Clock.Now()
--- a/gateway/stream_relay.go
+++ b/gateway/stream_relay.go
@@ -62,6 +62,7 @@
 	switch {
 	case err == nil:
 		r.nextOffset++
+		r.eventMissing = false
 		begin := len(r.buffer)
 		r.lastEventID = event.ID
 		r.buffer = r.gateway.Codec.AppendEvent(r.buffer, event)
@@ -134,6 +135,7 @@
 	if r.gateway.settings.strictRetryBudget && !r.takeRetry() {
 		return obstacleRetryBudget
 	}
+	r.eventMissing = r.eventMissing || r.attempt.response.End().EventMissing
 	r.abandonFailed(cause)
 	for r.resumes < r.gateway.settings.maxResumes {
 		r.resumes++
@@ -162,17 +164,22 @@
 }
 
 // sendRest makes one attempt to continue the stream. A response of another kind or
-// status than that of the stream is no part of it.
+// status than that of the stream is no part of it, nor is an empty one the rest of a stream
+// of which an event is missing.
 func (r *streamRelay) sendRest() (*attempt, error) {
 	a, err := r.sendAttempt(r.ctx, r.nextOffset, true)
 	if err != nil {
 		return nil, err
 	}
 	header := a.response.Header()
-	if header.Stream && header.Status == r.attempt.response.Header().Status {
+	switch {
+	case !header.Stream || header.Status != r.attempt.response.Header().Status:
+		err = errors.Wrapf(target.ErrMalformedResponse, "status %d, stream %t, for the rest of a stream", header.Status, header.Stream)
+	case a.emptyStream && r.eventMissing:
+		err = errors.Wrap(target.ErrMalformedResponse, "no events for the rest of a stream with an event missing")
+	default:
 		return a, nil
 	}
-	err = errors.Wrapf(target.ErrMalformedResponse, "status %d, stream %t, for the rest of a stream", header.Status, header.Stream)
 	r.excludeTarget(a, err)
 	r.finish(a, admission.OutcomeDone)
 	return nil, err
--- a/target/call.go
+++ b/target/call.go
@@ -190,6 +190,9 @@
 	CacheHit bool
 	// DuplicateEvents is the number of events that were received again and dropped.
 	DuplicateEvents int
+	// EventMissing is set if the response is known to have another event than those that
+	// were returned, since the stream failed within it or before it.
+	EventMissing bool
 }
 
 // Response is a response that is being received. Its methods except Close must be
@@ -205,7 +208,8 @@
 	Next() (Event, error)
 	// EventBuffered reports whether Next can return an event without waiting.
 	EventBuffered() bool
-	// End returns the end mark after Next has returned io.EOF.
+	// End returns the end mark after Next has returned io.EOF. After another error, only
+	// EventMissing is set.
 	End() StreamEnd
 	// Close releases the connection. It is kept for reuse if the response was read
 	// completely.
--- a/target/web/dialect.go
+++ b/target/web/dialect.go
@@ -33,6 +33,7 @@
 	Next() (target.Event, error)
 	// EventBuffered reports whether Next can return a whole event without waiting.
 	EventBuffered() bool
-	// End returns the end of the stream once Next has returned io.EOF.
+	// End returns the end of the stream once Next has returned io.EOF. After another error,
+	// only EventMissing is set.
 	End() target.StreamEnd
 }
--- a/target/web/native.go
+++ b/target/web/native.go
@@ -128,6 +128,7 @@
 			continue
 		}
 		if offset > e.nextOffset {
+			e.end.EventMissing = true
 			return target.Event{}, errors.Wrapf(target.ErrTruncated, "event %d after %d", offset, e.nextOffset-1)
 		}
 		e.nextOffset++
--- a/target/web/passthrough_events.go
+++ b/target/web/passthrough_events.go
@@ -24,6 +24,8 @@
 	count int
 	// duplicates is the number of dropped duplicate events.
 	duplicates int
+	// eventMissing is set if the stream failed within an event or before a gap.
+	eventMissing bool
 }
 
 // NewPassthroughEvents returns a reader of the events that follow the event with
@@ -42,9 +44,10 @@
 	return err == nil && bytes.Contains(buffered, []byte("\n\n"))
 }
 
-// End returns the numbers of returned and of duplicate events.
+// End returns the numbers of returned and of duplicate events, and whether the stream has
+// another event that was not returned.
 func (p *PassthroughEvents) End() target.StreamEnd {
-	return target.StreamEnd{Events: p.count, DuplicateEvents: p.duplicates}
+	return target.StreamEnd{Events: p.count, DuplicateEvents: p.duplicates, EventMissing: p.eventMissing}
 }
 
 // Next returns the next event. It drops duplicate events. It returns
@@ -69,6 +72,7 @@
 			continue
 		}
 		if p.hasLastID && number > p.lastID+1 {
+			p.eventMissing = true
 			return target.Event{}, errors.Wrapf(target.ErrTruncated, "event %d after %d", number, p.lastID)
 		}
 		p.lastID, p.hasLastID = number, true
@@ -103,9 +107,11 @@
 			return nil, errors.Wrap(target.ErrResponseTooLarge, "read event")
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
-		case errors.Is(err, io.EOF) && len(p.raw) > 0:
-			return nil, io.ErrUnexpectedEOF
 		case err != nil:
+			p.eventMissing = fields > 0 || isEventField(part) && len(bytes.TrimRight(p.raw, "\r")) > 0
+			if errors.Is(err, io.EOF) && len(p.raw) > 0 {
+				return nil, io.ErrUnexpectedEOF
+			}
 			return nil, err
 		}
 		line := bytes.TrimRight(p.raw[lineStart:], "\r\n")
--- a/target/web/response.go
+++ b/target/web/response.go
@@ -270,7 +270,8 @@
 // EventBuffered reports whether Next can return a whole event without waiting.
 func (r *Response) EventBuffered() bool { return r.events != nil && r.events.EventBuffered() }
 
-// End returns the end of the stream once Next has returned io.EOF.
+// End returns the end of the stream once Next has returned io.EOF. After another error, only
+// EventMissing is set.
 func (r *Response) End() target.StreamEnd {
 	if r.events == nil {
 		return target.StreamEnd{}
