--- a/target/web/passthrough_events.go
+++ b/target/web/passthrough_events.go
@@ -24,6 +24,8 @@
 	count int
 	// duplicates is the number of dropped duplicate events.
 	duplicates int
+	// eventMissing is set if the stream failed within an event or before a gap.
+	eventMissing bool
 }
 
 // NewPassthroughEvents returns a reader of the events that follow the event with
@@ -42,14 +44,15 @@
 	return err == nil && bytes.Contains(buffered, []byte("\n\n"))
 }
 
-// End returns the numbers of returned and of duplicate events.
+// End returns the numbers of returned and of duplicate events, and whether the stream has
+// another event that was not returned.
 func (p *PassthroughEvents) End() target.StreamEnd {
-	return target.StreamEnd{Events: p.count, DuplicateEvents: p.duplicates}
+	return target.StreamEnd{Events: p.count, DuplicateEvents: p.duplicates, EventMissing: p.eventMissing}
 }
 
 // Next returns the next event. It drops duplicate events. It returns
-// target.ErrTruncated if an event is missing, and io.ErrUnexpectedEOF if the body ends
-// within an event.
+// target.ErrTruncated if an event is missing, target.ErrMalformedResponse if an event holds
+// anything but fields, and io.ErrUnexpectedEOF if the body ends within an event.
 func (p *PassthroughEvents) Next() (target.Event, error) {
 	skipped := 0
 	for {
@@ -69,6 +72,7 @@
 			continue
 		}
 		if p.hasLastID && number > p.lastID+1 {
+			p.eventMissing = true
 			return target.Event{}, errors.Wrapf(target.ErrTruncated, "event %d after %d", number, p.lastID)
 		}
 		p.lastID, p.hasLastID = number, true
@@ -77,35 +81,54 @@
 	}
 }
 
+// isEventField reports whether a line may be a field or a comment of an event. A target that
+// fails may write a response header into its stream. The names of fields are in lower case,
+// also of those that a reader must ignore because it doesn't know them.
+func isEventField(line []byte) bool {
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	for _, c := range name {
+		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' && c != '_' {
+			return false
+		}
+	}
+	return true
+}
+
 // readEvent reads one event into raw, including the empty line after it, and
 // returns its ID.
 func (p *PassthroughEvents) readEvent() (id []byte, err error) {
 	p.raw = p.raw[:0]
-	fields, skipped := 0, 0
+	fields, skipped, lineStart := 0, 0, 0
 	for {
-		line, err := p.reader.ReadSlice('\n')
-		p.raw = append(p.raw, line...)
+		part, err := p.reader.ReadSlice('\n')
+		p.raw = append(p.raw, part...)
 		switch {
 		case len(p.raw) > maxEventBytes:
 			return nil, errors.Wrap(target.ErrResponseTooLarge, "read event")
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
-		case errors.Is(err, io.EOF) && len(p.raw) > 0:
-			return nil, io.ErrUnexpectedEOF
 		case err != nil:
+			p.eventMissing = fields > 0 || isEventField(part) && len(bytes.TrimRight(p.raw, "\r")) > 0
+			if errors.Is(err, io.EOF) && len(p.raw) > 0 {
+				return nil, io.ErrUnexpectedEOF
+			}
 			return nil, err
 		}
-		line = bytes.TrimRight(line, "\r\n")
+		line := bytes.TrimRight(p.raw[lineStart:], "\r\n")
+		lineStart = len(p.raw)
 		if len(line) == 0 {
 			if fields == 0 {
 				if skipped += len(p.raw); skipped > maxSkippedBytes {
 					return nil, errors.Wrap(target.ErrResponseTooLarge, "empty lines")
 				}
-				p.raw = p.raw[:0]
+				p.raw, lineStart = p.raw[:0], 0
 				continue
 			}
 			return id, nil
 		}
+		if !isEventField(line) {
+			return nil, errors.Wrapf(target.ErrMalformedResponse, "line %.40q within an event", line)
+		}
 		fields++
 		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
 			id = append([]byte(nil), bytes.TrimSpace(value)...)
--- a/target/web/passthrough_events_test.go
+++ b/target/web/passthrough_events_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -78,3 +79,54 @@
 		}
 	})
 }
+
+// A line was as long as the read buffer or a multiple of it. Its line end was read as the
+// empty line that ends the event, so that callers got this event joined with the next one;
+// or its rest was read as a line of its own, such as another ID.
+func TestPassthroughEvents_LineLongerThanReadBuffer(t *testing.T) {
+	const bufferBytes = 16
+	for _, filler := range []string{"x", "id: 7 "} {
+		for size := range 4 * bufferBytes {
+			var want []string
+			for i := range 3 {
+				data := strings.Repeat(filler, size)[:size]
+				want = append(want, fmt.Sprintf("id: %d\ndata: %s\n\n", i+1, data))
+			}
+			reader := bufio.NewReaderSize(strings.NewReader(strings.Join(want, "")), bufferBytes)
+			events := NewPassthroughEvents(reader, "")
+			for i, raw := range want {
+				event, err := events.Next()
+				require.NoError(t, err, "event %d with %d bytes", i, size)
+				require.Equal(t, raw, string(event.Raw), "%d bytes", size)
+			}
+			_, err := events.Next()
+			require.ErrorIs(t, err, io.EOF)
+		}
+	}
+}
+
+// A target wrote the header of an error response into an event that it had begun, or one
+// of its header lines before an event. Callers got it as a part of the event.
+func TestPassthroughEvents_ResponseHeaderIsNoPartOfAnEvent(t *testing.T) {
+	const header = "HTTP/1.1 500 Oops\r\nContent-Type: text/plain\r\n"
+	for _, text := range []string{
+		header + "id: 1\ndata: a\n\n",
+		"Content-Type: text/plain\r\nid: 1\ndata: a\n\n",
+		"id: 1\n" + header + "\r\n",
+		"id: 1\nda" + header + "\r\n",
+		"id: 1\ndata: a" + header + "\r\n",
+		"id: 1\noops\nno such stream\n\n",
+	} {
+		_, err := newTestEvents(text, "").Next()
+		require.ErrorIs(t, err, target.ErrMalformedResponse, text)
+	}
+	for _, text := range []string{
+		"x-weight-versions: 3\nid: 1\ndata: a\n\n",
+		": Comment 1/2\nid:1\nevent: A\nretry: 5\ndata\n\n",
+		"id: 1\ndata: HTTP/1.1 500 Oops\ndata: Content-Type: text/plain\n\n",
+	} {
+		event, err := newTestEvents(text, "").Next()
+		require.NoError(t, err)
+		require.Equal(t, text, string(event.Raw))
+	}
+}
