Recover the ledger in place after a failed write

Cause: after a failed fsync, a failed truncation of a partial write, or any error other than a full disk, the ledger returned ErrFailed until the process restarted, and nothing restarted it. The replica retried with each tick, dropped all messages, and stayed without storage. Each full disk left one more such replica until no majority was left. ENOSPC from fsync or from the truncation sufficed.

Change: Ledger.Recover drops what the failed call left behind: bytes behind the valid data of the active segment, and a file that may have got its final name, which would take effect at the next start otherwise. The records before were synced, so that nothing acknowledged depends on the failed fsync. LedgerStorage calls it before the next write; until it succeeds the storage still counts as failed. Without Recover the ledger rejects all calls as before.

--- a/ledger/errors.go
+++ b/ledger/errors.go
@@ -20,7 +20,7 @@
 	// ErrDiskFull is returned when the disk is full. The call had no effect.
 	ErrDiskFull = errors.New("ledger disk is full")
 	// ErrFailed is returned when a write or fsync failed, and by every call after
-	// that. The ledger has to be opened again by a new process.
+	// that until Recover succeeds.
 	ErrFailed = errors.New("ledger has failed")
 	// ErrClosed is returned after Close.
 	ErrClosed = errors.New("ledger is closed")
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -19,8 +19,8 @@
 // On a full disk, Append returns ErrDiskFull and keeps all acknowledged records;
 // the batch may be retried once space is available. After any other failed
 // write, and after a failed fsync, every call returns ErrFailed, because the
-// kernel may have dropped the unsynced pages: the process must restart and read
-// what is actually on disk.
+// kernel may have dropped the unsynced pages. Recover drops the write that failed;
+// the records before it are durable.
 //
 // Damage to the last write can't be distinguished from an incomplete write. The
 // records before it are intact, and a replica receives the lost records from its
@@ -32,6 +32,9 @@
 //	state, snapshotIndex, snapshot, indexes, records, err := log.Load()
 //	err = log.Append(state, []uint64{8, 9}, [][]byte{eight, nine})
 //	err = log.SaveSnapshot(9, snapshot)
+//	if errors.Is(err, ledger.ErrFailed) {
+//		err = log.Recover()
+//	}
 //	err = log.Close()
 package ledger
 
@@ -66,6 +69,9 @@
 	sealed     []segment
 	active     segment
 	activeFile File
+	// stale are the names of files that no longer belong to the ledger and were not
+	// removed yet.
+	stale []string
 	// failure is returned by every call once it is set.
 	failure error
 }
@@ -110,8 +116,8 @@
 // most one above the last index; a start at or below the last index replaces the
 // tail of the log from there. It returns ErrInvalidIndex for other indexes,
 // ErrTooLarge when a size limit is exceeded, ErrDiskFull when the disk is full
-// (no part of the batch is kept) and ErrFailed after a failure that requires a
-// restart.
+// (no part of the batch is kept) and ErrFailed after a failure that requires
+// Recover.
 func (j *Ledger) Append(state []byte, indexes []uint64, records [][]byte) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -189,6 +195,23 @@
 	return r.state, j.snapshotIndex, snapshot, indexes, records, nil
 }
 
+// Recover makes the ledger usable after ErrFailed. It drops what the failed call left on
+// disk, so that the call may be retried, and returns once this is durable. It returns
+// ErrFailed while the disk still refuses writes and ErrClosed after Close. A ledger that
+// has not failed is left unchanged.
+func (j *Ledger) Recover() error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if !errors.Is(j.failure, ErrFailed) {
+		return j.failure
+	}
+	if err := j.dropFailedWrite(); err != nil {
+		return errors.Wrapf(ErrFailed, "recover: %v", err)
+	}
+	j.failure = nil
+	return nil
+}
+
 // Close releases the directory lock. Acknowledged records are already durable.
 func (j *Ledger) Close() error {
 	j.mu.Lock()
--- a/ledger/segment.go
+++ b/ledger/segment.go
@@ -1,9 +1,11 @@
 package ledger
 
 import (
+	"cmp"
 	"encoding/binary"
 	"fmt"
 	"hash/crc32"
+	"io/fs"
 	"path/filepath"
 
 	"github.com/go-faster/errors"
@@ -75,6 +77,39 @@
 	return j.failure
 }
 
+// dropFailedWrite durably removes what a failed call wrote. The pages that its sync may
+// have marked clean are those behind the valid data of the active segment; the records
+// before were synced.
+func (j *Ledger) dropFailedWrite() error {
+	if err := j.activeFile.Truncate(j.active.size); err != nil {
+		return errors.Wrap(err, "truncate segment")
+	}
+	if err := j.activeFile.Sync(); err != nil {
+		return errors.Wrap(err, "sync segment")
+	}
+	if err := j.removeStale(); err != nil {
+		return err
+	}
+	if err := j.files.SyncDir(j.dir); err != nil {
+		return errors.Wrap(err, "sync directory")
+	}
+	return nil
+}
+
+// removeStale removes the stale files. Those that can't be removed stay listed.
+func (j *Ledger) removeStale() error {
+	var failed []string
+	var firstErr error
+	for _, name := range j.stale {
+		if err := j.files.Remove(j.path(name)); err != nil && !errors.Is(err, fs.ErrNotExist) {
+			failed = append(failed, name)
+			firstErr = cmp.Or(firstErr, errors.Wrapf(err, "remove %s", name))
+		}
+	}
+	j.stale = failed
+	return firstErr
+}
+
 // rotateIfNeeded starts the next segment once the active one has reached the
 // segment size.
 func (j *Ledger) rotateIfNeeded() error {
@@ -102,7 +137,7 @@
 	}
 	f, err := j.files.Open(j.path(segmentName(sequence)))
 	if err != nil {
-		return j.fail(errors.Wrap(err, "open new segment"))
+		return j.failRename(segmentName(sequence), j.fail(errors.Wrap(err, "open new segment")))
 	}
 	if j.activeFile != nil {
 		_ = j.activeFile.Close()
@@ -116,19 +151,29 @@
 // writeFileAtomically writes a temporary file and renames it to name. On a full disk
 // it returns ErrDiskFull, and an existing file of that name stays unchanged.
 func (j *Ledger) writeFileAtomically(name string, parts ...[]byte) error {
-	temporary := j.path(name + temporarySuffix)
-	if err := j.writeTemporaryFile(temporary, parts); err != nil {
+	temporary := name + temporarySuffix
+	if err := j.writeTemporaryFile(j.path(temporary), parts); err != nil {
 		return err
 	}
-	if err := j.files.Rename(temporary, j.path(name)); err != nil {
-		return j.failUnlessDiskFull(err, "rename "+name)
+	if err := j.files.Rename(j.path(temporary), j.path(name)); err != nil {
+		return j.failRename(name, j.failUnlessDiskFull(err, "rename "+name))
 	}
 	if err := j.files.SyncDir(j.dir); err != nil {
-		return j.fail(errors.Wrap(err, "sync folder"))
+		return j.failRename(name, j.fail(errors.Wrap(err, "sync folder")))
 	}
 	return nil
 }
 
+// failRename returns the error of a call that may have given a file its final name. The
+// file must not outlast Recover: it would take effect at the next start, after calls that
+// don't know of it.
+func (j *Ledger) failRename(name string, err error) error {
+	if errors.Is(err, ErrFailed) && name != snapshotName(j.snapshotIndex) {
+		j.stale = append(j.stale, name)
+	}
+	return err
+}
+
 // writeTemporaryFile writes and syncs the parts to the temporary file.
 func (j *Ledger) writeTemporaryFile(temporary string, parts [][]byte) error {
 	f, err := j.files.Create(temporary)
--- a/quorum/ledger_test.go
+++ b/quorum/ledger_test.go
@@ -164,3 +164,45 @@
 	_, _, _, err := s.Load()
 	require.ErrorIs(t, err, ErrCorrupt)
 }
+
+// failingLedger rejects all calls from a failed write until it recovers.
+type failingLedger struct {
+	*memoryLedger
+	recoverErr error
+	recoveries int
+}
+
+func (j *failingLedger) Recover() error {
+	j.recoveries++
+	if j.recoverErr == nil {
+		j.writesLeft = -1
+	}
+	return j.recoverErr
+}
+
+// Guards against a storage that never accepts a write again after one has failed.
+func TestLedgerStorage_RecoversBeforeNextWrite(t *testing.T) {
+	j := &failingLedger{memoryLedger: newMemoryLedger()}
+	s := NewLedgerStorage(j)
+	state := HardState{ID: "a", Host: "h", Term: 2}
+	require.NoError(t, s.Save(state, makeEntries(1, 1, 2)))
+	snapshot := Snapshot{Index: 1, Term: 1, Members: []Member{{ID: "a", Voter: true}}}
+	for _, write := range []func() error{
+		func() error { return s.Save(state, makeEntries(2, 3)) },
+		func() error { return s.SaveSnapshot(snapshot) },
+	} {
+		j.writesLeft, j.recoverErr, j.recoveries = 0, errCrash, 0
+		require.ErrorIs(t, write(), errCrash)
+		require.Zero(t, j.recoveries)
+		require.ErrorIs(t, write(), errCrash)
+		require.Equal(t, 1, j.recoveries)
+		j.recoverErr = nil
+		require.NoError(t, write())
+		require.NoError(t, write())
+		require.Equal(t, 2, j.recoveries, "a ledger that accepts writes needs no recovery")
+	}
+	_, loaded, entries, err := s.Load()
+	require.NoError(t, err)
+	require.Equal(t, uint64(1), loaded.Index)
+	require.Equal(t, append(makeEntries(1, 2), makeEntries(2, 3)...), entries)
+}
--- a/quorum/ledgerstorage.go
+++ b/quorum/ledgerstorage.go
@@ -22,14 +22,24 @@
 	Close() error
 }
 
+// RecoverableLedger is a Ledger that may reject all calls after a failed write.
+type RecoverableLedger interface {
+	Ledger
+	// Recover durably drops what the failed write left behind, and makes the ledger
+	// accept calls again.
+	Recover() error
+}
+
 // LedgerStorage is a Storage that uses a Ledger.
 type LedgerStorage struct {
 	ledger Ledger
 	terms  termRuns
+	// failed is set after a failed write until the ledger has recovered.
+	failed bool
 }
 
-// NewLedgerStorage returns a storage that uses the ledger. The caller closes
-// the ledger.
+// NewLedgerStorage returns a storage that uses the ledger. After a failed write, a
+// RecoverableLedger recovers before the next one. The caller closes the ledger.
 func NewLedgerStorage(ledger Ledger) *LedgerStorage {
 	return &LedgerStorage{ledger: ledger}
 }
@@ -42,7 +52,7 @@
 		indexes[i] = entries[i].Index
 		records[i] = EncodeEntry(entries[i])
 	}
-	if err := s.ledger.Append(EncodeHardState(state), indexes, records); err != nil {
+	if err := s.append(EncodeHardState(state), indexes, records); err != nil {
 		return errors.Wrap(err, "append to the ledger")
 	}
 	for i := range entries {
@@ -58,18 +68,38 @@
 	term, held := s.terms.term(snapshot.Index)
 	conflict := held && term != snapshot.Term
 	if conflict {
-		if err := s.ledger.Append(nil, []uint64{snapshot.Index}, [][]byte{{}}); err != nil {
+		if err := s.append(nil, []uint64{snapshot.Index}, [][]byte{{}}); err != nil {
 			return errors.Wrap(err, "cut the ledger")
 		}
 		s.terms.truncate(snapshot.Index)
 	}
-	if err := s.ledger.SaveSnapshot(snapshot.Index, EncodeSnapshot(snapshot)); err != nil {
+	if err := s.saveSnapshot(snapshot.Index, EncodeSnapshot(snapshot)); err != nil {
 		return errors.Wrap(err, "save a snapshot in the ledger")
 	}
 	s.terms.compact(snapshot.Index)
 	return nil
 }
 
+func (s *LedgerStorage) append(state []byte, indexes []uint64, records [][]byte) error {
+	return s.write(func() error { return s.ledger.Append(state, indexes, records) })
+}
+
+func (s *LedgerStorage) saveSnapshot(index uint64, data []byte) error {
+	return s.write(func() error { return s.ledger.SaveSnapshot(index, data) })
+}
+
+// write writes to the ledger, which recovers first if the last write failed.
+func (s *LedgerStorage) write(write func() error) error {
+	if ledger, ok := s.ledger.(RecoverableLedger); ok && s.failed {
+		if err := ledger.Recover(); err != nil {
+			return err
+		}
+	}
+	err := write()
+	s.failed = err != nil
+	return err
+}
+
 // Load implements Storage. It returns ErrCorrupt for invalid records.
 func (s *LedgerStorage) Load() (HardState, Snapshot, []Entry, error) {
 	var (
