Remove files that a full disk kept the ledger from removing

Cause: a removal was tried once. After a failed sync or rename there was none.

Before: TestRecover_RemovesFilesOfFailedCalls failed at its second step (five temporary files were left). After: it passes, as do all tests of ledger, also with the race detector.

--- a/ledger/recover_test.go
+++ b/ledger/recover_test.go
@@ -1,6 +1,7 @@
 package ledger_test
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -66,3 +67,26 @@
 	require.NoError(t, log.Close())
 	require.ErrorIs(t, log.Recover(), ledger.ErrClosed)
 }
+
+// Guards against a disk that the ledger fills itself: while it refused removals, partially
+// written and replaced files were left behind.
+func TestRecover_RemovesFilesOfFailedCalls(t *testing.T) {
+	dir := t.TempDir()
+	for step := 1; step <= 12; step++ {
+		files := newMemoryFileSystem()
+		log, err := ledger.Open(dir, ledger.WithFileSystem(files))
+		require.NoError(t, err)
+		require.NoError(t, log.Append(nil, indexesFrom(1, 9), make([][]byte, 9)))
+		for index := uint64(1); index <= 5; index++ {
+			files.failAt = files.calls + step
+			_ = log.SaveSnapshot(index, []byte("snapshot"))
+			files.failAt = 0
+			require.NoError(t, log.Recover())
+		}
+		require.NoError(t, log.SaveSnapshot(9, []byte("last")))
+		names, err := files.List(dir)
+		require.NoError(t, err)
+		require.Len(t, names, 2, "step %d: %s", step, strings.Join(names, ", "))
+		require.NoError(t, log.Close())
+	}
+}
--- a/ledger/segment.go
+++ b/ledger/segment.go
@@ -153,9 +153,11 @@
 func (j *Ledger) writeFileAtomically(name string, parts ...[]byte) error {
 	temporary := name + temporarySuffix
 	if err := j.writeTemporaryFile(j.path(temporary), parts); err != nil {
+		j.discard(temporary)
 		return err
 	}
 	if err := j.files.Rename(j.path(temporary), j.path(name)); err != nil {
+		j.discard(temporary)
 		return j.failRename(name, j.failUnlessDiskFull(err, "rename "+name))
 	}
 	if err := j.files.SyncDir(j.dir); err != nil {
@@ -174,6 +176,13 @@
 	return err
 }
 
+// discard removes a file that no longer belongs to the ledger, and others whose removal
+// failed. A failed removal is retried with the next one.
+func (j *Ledger) discard(name string) {
+	j.stale = append(j.stale, name)
+	_ = j.removeStale()
+}
+
 // writeTemporaryFile writes and syncs the parts to the temporary file.
 func (j *Ledger) writeTemporaryFile(temporary string, parts [][]byte) error {
 	f, err := j.files.Create(temporary)
@@ -185,7 +194,6 @@
 	for _, part := range parts {
 		n, err := f.WriteAt(part, offset)
 		if err != nil {
-			_ = j.files.Remove(temporary)
 			return j.failUnlessDiskFull(err, "write file")
 		}
 		offset += int64(n)
--- a/ledger/snapshot.go
+++ b/ledger/snapshot.go
@@ -41,8 +41,10 @@
 	j.snapshotIndex = index
 	j.lastIndex = max(j.lastIndex, index)
 	if old != 0 && old != index {
-		_ = j.files.Remove(j.path(snapshotName(old)))
+		j.stale = append(j.stale, snapshotName(old))
 	}
+	// Files that can't be removed now are removed after the next snapshot.
+	_ = j.removeStale()
 	j.removeCoveredSegments()
 	return nil
 }
