Acknowledge an operator's change once all voters in contact have it

What callers saw: an acknowledged configuration was not read back after three of five disks were lost, two at once and the third before the first two were replaced.

Cause, as far as it concerns this change: a change is acknowledged with three copies of five. The wait for the hosts that precedes the acknowledgement tells nothing of the disks: hosts get a change from any hub, and without hosts there is no wait.

Evidence: TestAcknowledgement_WaitsForVotersInContact and TestAcknowledgement_BoundedWithStalledDisk, with a follower whose writes take 60 ms, fail without the calls in control.go and outage.go ("acknowledged, but not on the disk of a voter in contact"). TestAwaitPropagation_TellsNothingOfDisks shows what the former wait tells.

Change: hubs tell each other, at once and with each refresh, the ID of their replica and the versions of the configuration and the outages that they have applied; an entry is applied once it is durable. The hub that was called waits, beside the wait for the hosts and for at most 0.4 s, until all voters that it has heard of in the last 1.5 s have the change. A voter for which a change was waited for in vain isn't waited for until it has that change. A resend waits in the same way. A call that ends during the wait is answered 503. The number of copies and the hosts without one are logged. The new fields of RosterUpdate are ignored by an earlier release; its hubs don't report and count as silent. An outage order that is rejected no longer waits for the hosts.

--- a/hub/control.go
+++ b/hub/control.go
@@ -104,7 +104,7 @@
 // sends it again.
 func (c *controlHandler) PutFleet(ctx context.Context, version uint64, config []byte) error {
 	if c.isInForce(ctx, version, config) {
-		return c.checkSpread(ctx, version, config)
+		return c.acknowledgeFleet(ctx, version, version, config)
 	}
 	result, err := c.commit(ctx, registry.NumberFleet{Version: version, Config: config})
 	if err != nil {
@@ -121,7 +121,13 @@
 	case err != nil:
 		return err
 	}
-	return c.checkSpread(ctx, version, config)
+	return c.acknowledgeFleet(ctx, result.Version, version, config)
+}
+
+// acknowledgeFleet returns once a committed configuration may be acknowledged. inForce is the
+// version in force, which may be a later one. It returns ErrUnavailable as PutFleet does.
+func (c *controlHandler) acknowledgeFleet(ctx context.Context, inForce, version uint64, config []byte) error {
+	return c.hub.voters.completeChange(ctx, operatorVersions{Fleet: inForce}, func() error { return c.checkSpread(ctx, version, config) })
 }
 
 // isInForce reports whether the configuration is in force, so that it need not be committed
--- a/hub/gossip.go
+++ b/hub/gossip.go
@@ -170,9 +170,10 @@
 	ticks.Every(ctx, g.hub.Clock, refreshInterval, func(context.Context) {
 		pending := g.takePending()
 		g.dropOldLeaves()
-		message := peer.RosterUpdate{
-			Host: g.hub.Settings.Host, Watchers: g.hub.watchers.localHosts(), LowestRevision: g.hub.watchers.lowestRevision(), Quarantined: g.hub.quarantine.Quarantined(g.hub.Clock.Now()),
-		}
+		g.hub.voters.refresh()
+		message := g.hub.voters.report()
+		message.Watchers, message.LowestRevision = g.hub.watchers.localHosts(), g.hub.watchers.lowestRevision()
+		message.Quarantined = g.hub.quarantine.Quarantined(g.hub.Clock.Now())
 		for name := range pending {
 			if entry, found := g.hub.roster.Get(name); found {
 				message.Entries = append(message.Entries, entry)
@@ -264,6 +265,7 @@
 			g.recordRelay(entry.Name)
 		}
 	}
+	g.hub.voters.record(m)
 	g.hub.origins.record(m)
 	g.hub.watchers.recordHubRevision(m.Host, m.LowestRevision)
 	g.hub.watchers.recordRemote(m.Watchers)
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -95,6 +95,7 @@
 	origins      *originRelay
 	membership   *membershipManager
 	contact      *majorityContact
+	voters       *voters
 	replies      replyCounter
 	deltas       *deltaSpread
 	// fleetVersions tells since when the latest configuration is known here.
@@ -124,6 +125,7 @@
 	h.contact = newMajorityContact(h.Clock)
 	h.watchers = newWatchers(h.Clock)
 	h.gossip = newGossip(h)
+	h.voters = newVoters(h)
 	h.loads = newLoadTracker(h.Clock)
 	h.quarantine = quarantine.NewBoard()
 	h.fleetVersions = &fleetVersions{clock: h.Clock}
@@ -212,7 +214,7 @@
 		err := splitter.Serve(h.servePeer)
 		h.log.Debugf("Peer server stopped: %v.", err)
 	})
-	for _, run := range []func(context.Context){h.maintainContact, h.gossip.runRefresh, h.gossip.runLoads, h.gossip.runRevisions, h.recordFleetVersions, h.membership.run, h.markSilentTargets, h.updateQuarantine, h.origins.run, h.logTraffic} {
+	for _, run := range []func(context.Context){h.maintainContact, h.gossip.runRefresh, h.gossip.runLoads, h.gossip.runRevisions, h.voters.run, h.recordFleetVersions, h.membership.run, h.markSilentTargets, h.updateQuarantine, h.origins.run, h.logTraffic} {
 		served.Go(func() { run(background) })
 	}
 	var stored sync.WaitGroup
--- a/hub/hub_test.go
+++ b/hub/hub_test.go
@@ -69,6 +69,11 @@
 }
 
 func (c *cluster) start(i int, firstStart bool) {
+	c.startPrepared(i, firstStart, func(*Hub) {})
+}
+
+// startPrepared starts a hub that prepare may change before it runs.
+func (c *cluster) startPrepared(i int, firstStart bool, prepare func(*Hub)) {
 	log, err := logs.New(io.Discard, "info", "json")
 	require.NoError(c.t, err)
 	h, err := New(Dependencies{
@@ -83,6 +88,7 @@
 		Clock: clockwork.NewRealClock(), Log: log, Scope: tally.NoopScope,
 	})
 	require.NoError(c.t, err)
+	prepare(h)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/hub/outage.go
+++ b/hub/outage.go
@@ -23,11 +23,16 @@
 	if err != nil {
 		return err
 	}
-	c.awaitPropagation(ctx)
+	if err = result.Err(); err == nil {
+		err = c.hub.voters.completeChange(ctx, operatorVersions{Outage: result.Version}, func() error {
+			c.awaitPropagation(ctx)
+			return nil
+		})
+	}
 	c.hub.log.WithFields(map[string]any{
 		"FailureDomain": failureDomain, "Out": out, "Version": result.Version, "Code": result.Code,
 	}).Infof("Outage change of failure domain %s was processed with result %s.", failureDomain, result.Code)
-	return result.Err()
+	return err
 }
 
 // commitOutage commits the change on the version of the outages in force, and again if
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -83,6 +83,7 @@
 			}}, Watchers: []string{"e"}, Loads: map[roster.Key]int{roster.KeyOf("t"): 3}, CrashReport: sampleCrashReport(), Quarantined: sampleSuspects(),
 			Origins: []origin.Record{{Key: 1, Version: "v1", Until: epoch.Add(time.Second)}, {Key: 2, Version: "v1", Until: epoch.Add(2 * time.Second)}, {Key: 3, Until: epoch.Add(time.Second)}},
 			Relayed: true, WantedOrigin: 4, MaxWait: time.Second, LowestRevision: 5,
+			Replica: "i", FleetVersion: 6, OutageVersion: 7,
 		},
 		WatchRequest{
 			Host: "h", Revision: 1, FleetVersion: 2, RosterSource: 3, RosterVersion: 4, MaxWait: time.Second, Loads: map[roster.Key]int{roster.KeyOf("t"): 3}, CrashReport: sampleCrashReport(), SuspectsVersion: 5, Quarantined: sampleSuspects(), StateOnly: true, MaxDeltaBytes: 6, PeerAddress: "a", PendingRevision: 7, Direct: true,
--- a/peer/codec_watch.go
+++ b/peer/codec_watch.go
@@ -17,6 +17,7 @@
 			Host: m.Host, Entries: entriesToWire(m.Entries, now), Watchers: m.Watchers,
 			Loads: loadsToWire(m.Loads), Evidence: crashReportToWire(m.CrashReport, now), Quarantined: suspectsToWire(m.Quarantined, now),
 			Origins: originsToWire(m.Origins, now), Relayed: m.Relayed, WantedOrigin: uint64(m.WantedOrigin), Wait: int64(m.MaxWait), LowestRevision: m.LowestRevision,
+			Replica: m.Replica, FleetVersion: m.FleetVersion, OutageVersion: m.OutageVersion,
 		}}
 	case WatchRequest:
 		wire.Body = &peerpb.Frame_Watch{Watch: &peerpb.Watch{
@@ -46,6 +47,7 @@
 			Host: b.Roster.Host, Entries: entriesFromWire(b.Roster.Entries, now), Watchers: b.Roster.Watchers, Loads: loadsFromWire(b.Roster.Loads),
 			CrashReport: crashReportFromWire(b.Roster.Evidence, now), Quarantined: suspectsFromWire(b.Roster.Quarantined, now),
 			Origins: originsFromWire(b.Roster.Origins, now), Relayed: b.Roster.Relayed, WantedOrigin: origin.Key(b.Roster.WantedOrigin), MaxWait: time.Duration(b.Roster.Wait), LowestRevision: b.Roster.LowestRevision,
+			Replica: b.Roster.Replica, FleetVersion: b.Roster.FleetVersion, OutageVersion: b.Roster.OutageVersion,
 		}
 	case *peerpb.Frame_Watch:
 		w := b.Watch
--- a/peer/message.go
+++ b/peer/message.go
@@ -256,6 +256,11 @@
 	// LowestRevision is the lowest revision of the state view on the hosts that watch this
 	// replica, the largest number if there are none; 0 if it is not reported.
 	LowestRevision uint64
+	// Replica is the ID of the sender's state replica, "" if not reported. It durably holds
+	// the fleet configuration of FleetVersion and the outages of OutageVersion.
+	Replica       string
+	FleetVersion  uint64
+	OutageVersion uint64
 }
 
 // WatchRequest asks a state replica for changes since the requesting host's view.
