Test hubs whose disks are full one after another

Five hubs in one process, with and without a sixth that stands by, over ledgers that refuse to create, write, truncate and sync files for 4 s each while configurations are sent. Changes must be acknowledged meanwhile, and a configuration and an outage order by each hub within 4 s afterwards. Hubs take options for their ledgers for this.

--- a/hub/hub.go
+++ b/hub/hub.go
@@ -38,6 +38,7 @@
 	"comfreytiller.dev/common/meter"
 	"comfreytiller.dev/common/sniff"
 	"comfreytiller.dev/common/ticks"
+	"comfreytiller.dev/ledger"
 	"comfreytiller.dev/peer"
 	"comfreytiller.dev/quorum"
 	"comfreytiller.dev/registry"
@@ -76,6 +77,8 @@
 	Metrics fasthttp.RequestHandler
 	// WrapConn wraps each connection with another host; nil wraps none.
 	WrapConn func(net.Conn) net.Conn
+	// LedgerOptions configure the ledgers of the state replica and of the log of streams.
+	LedgerOptions []ledger.Option
 }
 
 // Hub is a daemon of the role State.
@@ -156,7 +159,8 @@
 		Host: h.Settings.Host, Address: h.Settings.Peers, DataDir: h.Settings.State.Folder,
 		Node: h.node, Clock: h.Clock, Log: logs.ForComponent(h.Log, "State"),
 		ClusterName: h.Settings.State.Cluster, Replicas: h.Settings.StateReplicas,
-		Machine: registry.NewMachine(registry.WithFleetParser(h.Protocol.ParseFleet)),
+		Machine:       registry.NewMachine(registry.WithFleetParser(h.Protocol.ParseFleet)),
+		LedgerOptions: h.LedgerOptions,
 	}
 	if h.Settings.State.First && h.Settings.Peers == slices.Min(h.Settings.StateReplicas) {
 		config.Bootstrap = true
--- a/hub/hub_test.go
+++ b/hub/hub_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,6 +18,7 @@
 	"comfreytiller.dev/comfreytiller/protocol"
 	"comfreytiller.dev/common/logs"
 	"comfreytiller.dev/fleet"
+	"comfreytiller.dev/ledger"
 	"comfreytiller.dev/peer"
 	"comfreytiller.dev/quorum"
 	"comfreytiller.dev/settings"
@@ -38,6 +40,8 @@
 	dataDirs  []string
 	hubs      []*Hub
 	stops     []func()
+	// disks are the faults of the hubs' disks.
+	disks []faultyDisk
 	// tolerates is how many voters may be lost.
 	tolerates int
 }
@@ -64,6 +68,7 @@
 func (c *cluster) add() int {
 	c.addresses = append(c.addresses, daemons.FreeAddress(c.t))
 	c.dataDirs = append(c.dataDirs, c.t.TempDir())
+	c.disks = append(c.disks, faultyDisk{FileSystem: ledger.OSFileSystem(), refuses: &atomic.Pointer[error]{}})
 	c.hubs, c.stops = append(c.hubs, nil), append(c.stops, nil)
 	return len(c.hubs) - 1
 }
@@ -81,6 +86,7 @@
 			NewControlHandler: func(protocol.Control) fasthttp.RequestHandler { return func(*fasthttp.RequestCtx) {} },
 		},
 		Clock: clockwork.NewRealClock(), Log: log, Scope: tally.NoopScope,
+		LedgerOptions: []ledger.Option{ledger.WithFileSystem(fullDisk{c.disks[i]})},
 	})
 	require.NoError(c.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/hub/origins.go
+++ b/hub/origins.go
@@ -41,7 +41,7 @@
 func newOriginRelay(h *Hub) *originRelay {
 	table := origin.NewTable(maxOrigins)
 	return &originRelay{
-		hub: h, table: table, log: newOriginLog(h.Settings.State.Folder, table, h.Clock, h.Log),
+		hub: h, table: table, log: newOriginLog(h.Settings.State.Folder, table, h.Clock, h.Log, h.LedgerOptions...),
 		pending: map[string][]origin.Record{}, sending: map[string]bool{},
 	}
 }
--- a/state/state.go
+++ b/state/state.go
@@ -48,6 +48,8 @@
 	// Restore is a backup for the initial state of the new cluster; nil for an
 	// empty one.
 	Restore []byte
+	// LedgerOptions configure the ledger.
+	LedgerOptions []ledger.Option
 	// Machine holds the state; nil for a new one.
 	Machine *registry.Machine
 }
@@ -70,7 +72,7 @@
 		config.Machine = registry.NewMachine()
 	}
 	r := &Replica{Machine: config.Machine, log: config.Log, clock: config.Clock}
-	opened, err := ledger.Open(config.DataDir)
+	opened, err := ledger.Open(config.DataDir, config.LedgerOptions...)
 	if err != nil {
 		return nil, errors.Wrapf(err, "open ledger in %s", config.DataDir)
 	}
