Show in each new segment that no records precede it

A segment begins with the last index of its time, which shows recovery whether a gap before it matters. It was left out while there were no records.

The case "states only" of TestKillThenPowerLossWhileOpening_KeepsAcknowledgedRecords failed before and passes now.

--- a/ledger/kill_test.go
+++ b/ledger/kill_test.go
@@ -54,14 +54,11 @@
 	return func(log *ledger.Ledger) error { return log.SaveSnapshot(index, []byte("snapshot")) }
 }
 
-// fillSegment stores the state until the segment is full.
-func fillSegment(log *ledger.Ledger) error {
-	for range killTestSegmentBytes / len("identity") {
-		if err := log.Append([]byte("identity"), nil, nil); err != nil {
-			return err
-		}
+func appendStates(count int) (calls []ledgerCall) {
+	for range count {
+		calls = append(calls, func(log *ledger.Ledger) error { return log.Append([]byte("identity"), nil, nil) })
 	}
-	return nil
+	return calls
 }
 
 // killedLedger returns the file system of a ledger whose process was killed after a number of
@@ -98,6 +95,7 @@
 		"next snapshot":          {append(appendRecords(1, 6), saveSnapshot(3)), []ledgerCall{saveSnapshot(6)}},
 		"next segment":           {appendRecords(1, 2), appendRecords(3, 5)},
 		"next segment, snapshot": {append(appendRecords(1, 2), saveSnapshot(2)), appendRecords(3, 5)},
+		"states only":            {appendStates(7), appendStates(7)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			dir := t.TempDir()
--- a/ledger/segment.go
+++ b/ledger/segment.go
@@ -93,7 +93,7 @@
 	if j.state != nil {
 		b.add(kindState, 0, j.state)
 	}
-	if j.lastIndex > 0 {
+	if sequence > 1 {
 		b.add(kindTruncate, j.lastIndex, nil)
 	}
 	content = append(content, b.bytes...)
