Keep the log of streams in the folder of the state replica

The log of streams made a folder below that of the state replica. The operations that the users' disks support don't include the creation of folders, so that what becomes of one after a loss of power is unknown.

ledger.WithNamePrefix lets ledgers share a folder: each file, also the lock and temporary files, has the prefix, and a ledger ignores all other names. The log of streams uses "streams-". A ledger creates its folder only if it is missing. A damaged log of streams is removed file by file with ledger.Remove. Temporary files of unknown names are no longer removed.

The folder "streams" of an earlier release is read once, when there is no log of streams yet, and stays for a release that is put back.

--- a/hub/origin_log.go
+++ b/hub/origin_log.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"os"
 	"path/filepath"
 	"sync"
 	"time"
@@ -17,8 +16,12 @@
 )
 
 const (
-	// originLogFolder is the directory of the log within that of the state replica.
-	originLogFolder = "streams"
+	// originLogPrefix begins the names of the log's files. They are in the directory of the
+	// state replica, since disks need not support the creation of directories.
+	originLogPrefix = "streams-"
+	// formerLogFolder is the directory of the log in earlier releases, within that of the
+	// state replica.
+	formerLogFolder = "streams"
 	// originWriteInterval is how long records are collected before they are written. A loss
 	// of power of all hubs takes the newest records with it.
 	originWriteInterval = 20 * time.Millisecond
@@ -60,7 +63,7 @@
 // newOriginLog returns a log that adds what it has stored to the table.
 func newOriginLog(stateFolder string, table *origin.Table, clock clockwork.Clock, log *logrus.Logger, options ...ledger.Option) *originLog {
 	l := &originLog{
-		dir: filepath.Join(stateFolder, originLogFolder), options: append([]ledger.Option{ledger.WithSegmentBytes(originSegmentBytes)}, options...),
+		dir: stateFolder, options: append([]ledger.Option{ledger.WithNamePrefix(originLogPrefix), ledger.WithSegmentBytes(originSegmentBytes)}, options...),
 		clock: clock, log: logs.ForComponent(log, "Origin"), table: table, added: make(chan struct{}, 1),
 	}
 	if err := l.open(); err != nil {
@@ -155,15 +158,19 @@
 // open opens the log and adds its records to the table. A damaged log is deleted: the other
 // hubs have the same records, and a stream without one is refused.
 func (l *originLog) open() error {
-	if found, err := ledger.Inspect(l.dir, l.options...); err != nil {
+	found, err := ledger.Inspect(l.dir, l.options...)
+	if err != nil {
 		l.log.WithError(err).Warn("Folder of streams can't be listed.")
 	} else {
-		l.log.Infof("Folder %s %v.", l.dir, found)
+		l.log.Infof("Folder of streams %s %v.", l.dir, found)
+	}
+	if err == nil && found.Segments == 0 {
+		l.readFormer()
 	}
 	opened, err := ledger.Open(l.dir, l.options...)
 	if errors.Is(err, ledger.ErrCorrupt) {
 		l.log.WithError(err).Warn("Log of streams is damaged and will be deleted.")
-		if err := os.RemoveAll(l.dir); err != nil {
+		if err := ledger.Remove(l.dir, l.options...); err != nil {
 			return errors.Wrap(err, "delete damaged log of streams")
 		}
 		opened, err = ledger.Open(l.dir, l.options...)
@@ -171,10 +178,20 @@
 	if err != nil {
 		return err
 	}
-	_, lastIndex, _, indexes, encoded, err := opened.Load()
+	lastIndex, err := l.read(opened)
 	if err != nil {
 		return errors.Join(err, opened.Close())
 	}
+	l.ledger, l.lastIndex = opened, lastIndex
+	return nil
+}
+
+// read adds the records of a ledger to the table and returns its last index.
+func (l *originLog) read(opened *ledger.Ledger) (lastIndex uint64, err error) {
+	_, lastIndex, _, indexes, encoded, err := opened.Load()
+	if err != nil {
+		return 0, err
+	}
 	now, count := l.clock.Now(), 0
 	for i, part := range encoded {
 		records, err := origin.Decode(now, part)
@@ -185,11 +202,33 @@
 		l.table.Add(now, records...)
 		lastIndex, l.written, count = indexes[i], l.written+len(part), count+len(records)
 	}
-	l.ledger, l.lastIndex = opened, lastIndex
 	if count > 0 {
 		l.log.WithField("Streams", count).Info("Versions of streams were read from disk.")
 	}
-	return nil
+	return lastIndex, nil
+}
+
+// readFormer reads the log of an earlier release, which stays as it is, and has the next write
+// store its records here. It is read at the first start only: the time that its records
+// are valid would begin again at each.
+func (l *originLog) readFormer() {
+	folder := filepath.Join(l.dir, formerLogFolder)
+	if found, err := ledger.Inspect(folder); err != nil || found.Segments == 0 {
+		return
+	}
+	former, err := ledger.Open(folder)
+	if err != nil {
+		l.log.WithError(err).Warn("Log of streams of an earlier release can't be opened and is ignored.")
+		return
+	}
+	if _, err := l.read(former); err != nil {
+		l.log.WithError(err).Warn("Log of streams of an earlier release can't be read and is ignored.")
+	}
+	if err := former.Close(); err != nil {
+		l.log.WithError(err).Debug("Closing the log of streams of an earlier release failed.")
+	}
+	l.rewriteDue = true
+	l.wake()
 }
 
 // fail logs a failure, after which the log is opened and written anew.
--- a/ledger/filesystem.go
+++ b/ledger/filesystem.go
@@ -88,16 +88,18 @@
 
 const lockName = "lock"
 
-// lockDir creates the directory if needed and locks it for this process. The
-// lock is released with the file's last descriptor, so a crash releases it.
-func lockDir(dir string) (*os.File, error) {
-	if err := os.MkdirAll(dir, dirMode); err != nil {
-		return nil, errors.Wrap(err, "create ledger directory")
+// lockDir creates the directory if it is missing and locks it for this process with a file of
+// the given name. The lock is released with the file's last descriptor, so a crash releases it.
+func lockDir(dir, name string) (*os.File, error) {
+	if _, err := os.Stat(dir); errors.Is(err, os.ErrNotExist) {
+		if err := os.MkdirAll(dir, dirMode); err != nil {
+			return nil, errors.Wrap(err, "create ledger directory")
+		}
 	}
 	if err := (osFileSystem{}).SyncDir(filepath.Dir(dir)); err != nil {
 		return nil, errors.Wrap(err, "sync parent of ledger directory")
 	}
-	f, err := os.OpenFile(filepath.Join(dir, lockName), os.O_RDWR|os.O_CREATE, fileMode)
+	f, err := os.OpenFile(filepath.Join(dir, name), os.O_RDWR|os.O_CREATE, fileMode)
 	if err != nil {
 		return nil, errors.Wrap(err, "open lock file")
 	}
--- a/ledger/inventory.go
+++ b/ledger/inventory.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		return Inventory{}, errors.Wrapf(err, "list directory %s", dir)
 	}
-	all := classifyNames(names)
+	all := j.classify(names)
 	found := Inventory{
 		Exists: true, Segments: len(all.segments), Snapshots: len(all.snapshots),
 		Temporary: len(all.temporary), Others: len(all.others),
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -50,8 +50,10 @@
 // replaces together with the records. Its methods are safe for concurrent use and
 // run one at a time.
 type Ledger struct {
-	mu           sync.Mutex
-	dir          string
+	mu  sync.Mutex
+	dir string
+	// prefix begins the name of each file.
+	prefix       string
 	files        FileSystem
 	segmentBytes int64
 	lock         *os.File
@@ -79,6 +81,12 @@
 	return func(j *Ledger) { j.segmentBytes = size }
 }
 
+// WithNamePrefix sets what the name of each file begins with, so that several ledgers, each
+// with a prefix of its own, can share a directory. They ignore each other's files.
+func WithNamePrefix(prefix string) Option {
+	return func(j *Ledger) { j.prefix = prefix }
+}
+
 // WithFileSystem replaces the operating system's file system, except for the
 // directory lock.
 func WithFileSystem(files FileSystem) Option {
@@ -90,7 +98,7 @@
 // holds the lock and ErrCorrupt when acknowledged records are damaged.
 func Open(dir string, options ...Option) (*Ledger, error) {
 	j := newLedger(dir, options)
-	lock, err := lockDir(dir)
+	lock, err := lockDir(dir, j.prefix+lockName)
 	if err != nil {
 		return nil, err
 	}
@@ -102,6 +110,25 @@
 	return j, nil
 }
 
+// Remove removes the files of a ledger that is not open, except for the lock file. The
+// directory and its other entries stay.
+func Remove(dir string, options ...Option) error {
+	j := newLedger(dir, options)
+	names, err := j.files.List(dir)
+	if err != nil {
+		return errors.Wrapf(err, "list directory %s", dir)
+	}
+	for _, name := range j.classify(names).own {
+		if err := j.files.Remove(j.path(name)); err != nil {
+			return errors.Wrapf(err, "remove %s", j.path(name))
+		}
+	}
+	if err := j.files.SyncDir(dir); err != nil {
+		return errors.Wrapf(err, "sync directory %s", dir)
+	}
+	return nil
+}
+
 // newLedger returns a ledger that is not open yet.
 func newLedger(dir string, options []Option) *Ledger {
 	j := &Ledger{dir: dir, files: osFileSystem{}, segmentBytes: defaultSegmentBytes}
--- a/ledger/recovery.go
+++ b/ledger/recovery.go
@@ -9,8 +9,11 @@
 	"github.com/go-faster/errors"
 )
 
-// dirFiles lists the files in the directory, with numbers in ascending order.
+// dirFiles lists the files in the directory, with numbers in ascending order. Names of the
+// ledger's files have no prefix here.
 type dirFiles struct {
+	// own are all files of the ledger but the lock file.
+	own       []string
 	temporary []string
 	snapshots []uint64
 	segments  []uint64
@@ -25,7 +28,7 @@
 	if err != nil {
 		return errors.Wrap(err, "list directory")
 	}
-	all := classifyNames(names)
+	all := j.classify(names)
 	if len(all.snapshots) > 0 {
 		j.snapshotIndex = slices.Max(all.snapshots)
 	}
@@ -52,21 +55,28 @@
 	return j.openActive()
 }
 
-// classifyNames groups the names by kind.
-func classifyNames(names []string) dirFiles {
+// classify groups the names by kind.
+func (j *Ledger) classify(names []string) dirFiles {
 	var all dirFiles
-	for _, name := range names {
+	for _, fullName := range names {
 		var number uint64
+		name, hasPrefix := strings.CutPrefix(fullName, j.prefix)
+		final, isTemporary := strings.CutSuffix(name, temporarySuffix)
+		isSnapshot := parseNumberedName(final, snapshotFormat, &number)
 		switch {
-		case strings.HasSuffix(name, temporarySuffix):
+		case hasPrefix && name == lockName:
+			continue
+		case !hasPrefix || !isSnapshot && !parseNumberedName(final, segmentFormat, &number):
+			all.others = append(all.others, fullName)
+			continue
+		case isTemporary:
 			all.temporary = append(all.temporary, name)
-		case parseNumberedName(name, snapshotFormat, &number):
+		case isSnapshot:
 			all.snapshots = append(all.snapshots, number)
-		case parseNumberedName(name, segmentFormat, &number):
+		default:
 			all.segments = append(all.segments, number)
-		case name != lockName:
-			all.others = append(all.others, name)
 		}
+		all.own = append(all.own, name)
 	}
 	return all
 }
--- a/ledger/segment.go
+++ b/ledger/segment.go
@@ -33,8 +33,9 @@
 	return fmt.Sprintf(segmentFormat, sequence)
 }
 
+// path returns the full path of one of the ledger's files.
 func (j *Ledger) path(name string) string {
-	return filepath.Join(j.dir, name)
+	return filepath.Join(j.dir, j.prefix+name)
 }
 
 func segmentHeader(sequence uint64) []byte {
