Refuse to start from a log that has lost its identity

Nobody saw this.

The ledger and the quorum report these as ErrCorrupt.

TestMissingSegments_BesideLaterTemporaryFileIsReported and TestStart_RefusesLogWithoutIdentity failed before (the latter in three of four cases) and pass now, with the tests of ledger, state, quorum and hub.

--- a/ledger/lost_names_test.go
+++ b/ledger/lost_names_test.go
@@ -120,3 +120,25 @@
 		require.True(t, errors.As(err, &corrupt), "%s is missing: %v", missing, err)
 	}
 }
+
+// A file that only an earlier segment can precede is there, but no segment is. Open must report
+// that rather than begin an empty ledger, in which a replica would get a new identity.
+func TestMissingSegments_BesideLaterTemporaryFileIsReported(t *testing.T) {
+	for name, isDamage := range map[string]bool{
+		"segment-0000000000000001.tmp":  false,
+		"segment-0000000000000002.tmp":  true,
+		"snapshot-0000000000000005.tmp": true,
+	} {
+		dir := t.TempDir()
+		files := newMemoryFileSystem()
+		files.cached[dir+"/"+name] = &inode{}
+		log, err := ledger.Open(dir, ledger.WithFileSystem(files))
+		if !isDamage {
+			require.NoError(t, err)
+			require.NoError(t, log.Close())
+			continue
+		}
+		require.ErrorIs(t, err, ledger.ErrCorrupt, name)
+		require.Contains(t, files.cached, dir+"/"+name)
+	}
+}
--- a/ledger/recovery.go
+++ b/ledger/recovery.go
@@ -38,6 +38,11 @@
 	if len(all.segments) == 0 && j.snapshotIndex != 0 {
 		return &CorruptError{File: j.path(snapshotName(j.snapshotIndex)), Reason: "snapshot exists but no segment does"}
 	}
+	for _, name := range all.temporary {
+		if len(all.segments) == 0 && name != segmentName(1)+temporarySuffix {
+			return &CorruptError{File: j.path(name), Reason: "the segment before it is missing"}
+		}
+	}
 	if err := j.checkSegments(all.segments); err != nil {
 		return err
 	}
--- a/quorum/state.go
+++ b/quorum/state.go
@@ -89,6 +89,9 @@
 	if err != nil {
 		return state, snapshot, entries, false, errors.Wrap(err, "load storage")
 	}
+	if state.ID == "" && (snapshot.Index > firstIndex || len(entries) > 0) {
+		return state, snapshot, entries, false, errors.Wrapf(ErrCorrupt, "log with a snapshot at index %d and %d entries, without an identity", snapshot.Index, len(entries))
+	}
 	if state.ID == "" && snapshot.Index > 0 {
 		return state, snapshot, entries, false, errors.Wrapf(errors.Join(ErrCorrupt, ErrBootstrapIncomplete), "snapshot at index %d without an identity", snapshot.Index)
 	}
