--- a/ledger/segment.go
+++ b/ledger/segment.go
@@ -35,8 +35,9 @@
 	return fmt.Sprintf(segmentFormat, sequence)
 }
 
+// path returns the full path of one of the ledger's files.
 func (j *Ledger) path(name string) string {
-	return filepath.Join(j.dir, name)
+	return filepath.Join(j.dir, j.prefix+name)
 }
 
 func segmentHeader(sequence uint64) []byte {
@@ -128,7 +129,7 @@
 	if j.state != nil {
 		b.add(kindState, 0, j.state)
 	}
-	if j.lastIndex > 0 {
+	if sequence > 1 {
 		b.add(kindTruncate, j.lastIndex, nil)
 	}
 	content = append(content, b.bytes...)
