Send a test's join requests without a look at hubs that start

cluster.requestMembership read c.hubs while start wrote it, which the race detector reported in 1 of 15 runs on (TestMembership_UnresponsiveReplicaDoesNotDelayOthers). The requests go to all addresses; those of stopped hubs are lost as before.

--- a/hub/membership_wait_test.go
+++ b/hub/membership_wait_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -25,11 +26,10 @@
 	node := peer.NewNode(peer.Config{Host: host, Clock: clockwork.NewRealClock()}, nil)
 	c.t.Cleanup(node.Close)
 	request := peer.JoinRequest{ID: id, Host: host, Address: daemons.FreeAddress(c.t)}
+	addresses := slices.Clone(c.addresses)
 	go ticks.Every(c.t.Context(), clockwork.NewRealClock(), membershipInterval, func(context.Context) {
-		for i, address := range c.addresses {
-			if c.hubs[i] != nil {
-				node.Send(address, request)
-			}
+		for _, address := range addresses {
+			node.Send(address, request)
 		}
 	})
 }
