Keep the successors of lost voters as learners after a recovery

The recovery removed the lost voters, and with them the only addresses by which the leader could reach the new replicas.

The recovery's membership has the replicas that responded at the lost voters' addresses as learners, which the leader reaches.

--- a/hub/recovery_plan.go
+++ b/hub/recovery_plan.go
@@ -9,9 +9,8 @@
 
 // RecoveryPlan tells without which voters the others may elect a leader.
 type RecoveryPlan struct {
-	// Lost are the IDs of the lost voters; empty if a majority may be left or the election is
-	// not allowed.
-	Lost []string
+	// Lost are the lost voters; empty if a majority may be left or the election is not allowed.
+	Lost []quorum.LostVoter
 	// Obstacle is the reason why the election is not allowed although no majority is left;
 	// empty if it is.
 	Obstacle string
@@ -62,7 +61,8 @@
 	plan := RecoveryPlan{}
 	for _, voter := range status.PossibleVoters {
 		if isLost[voter.ID] {
-			plan.Lost = append(plan.Lost, voter.ID)
+			successor := quorum.Member{ID: responses[voter.Address].ID, Host: voter.Host, Address: voter.Address}
+			plan.Lost = append(plan.Lost, quorum.LostVoter{ID: voter.ID, Successor: successor})
 		}
 	}
 	return plan
--- a/hub/recovery_plan_test.go
+++ b/hub/recovery_plan_test.go
@@ -81,7 +81,12 @@
 				test.change(&status)
 			}
 			plan := PlanRecovery(status, test.responses)
-			require.Equal(t, test.lost, plan.Lost)
+			var lost []string
+			for _, voter := range plan.Lost {
+				lost = append(lost, voter.ID)
+				require.Equal(t, quorum.Member{ID: "new-" + voter.ID, Host: "h-" + voter.ID, Address: voter.ID}, voter.Successor)
+			}
+			require.Equal(t, test.lost, lost)
 			require.Equal(t, test.obstacle, plan.Obstacle)
 		})
 	}
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -96,8 +96,8 @@
 	startupRound       uint64
 	// lostVoters are the IDs of voters that never respond again.
 	lostVoters map[string]bool
-	// provedLost are the IDs of the voters that a recovery may do without.
-	provedLost map[string]bool
+	// provedLost are the voters that a recovery may do without, with their successors.
+	provedLost map[string]Member
 	// recovery is the present campaign's or the leader's recovery; nil for an ordinary one.
 	recovery *recovery
 	// elapsedTicks counts up to timeoutTicks; on a leader, up to the next check
@@ -248,7 +248,7 @@
 // Step handles a message. Messages to other replicas or from other clusters are
 // dropped.
 func (n *Node) Step(m Message) {
-	if m.To != n.state.ID || m.From == n.state.ID || n.provedLost[m.From] || !n.acceptCluster(&m) {
+	if m.To != n.state.ID || m.From == n.state.ID || n.isProvedLost(m.From) || !n.acceptCluster(&m) {
 		return
 	}
 	if m.Term < n.state.Term {
--- a/quorum/recovery.go
+++ b/quorum/recovery.go
@@ -10,6 +10,14 @@
 // or recovered before, without the others, and messages of these terms may still arrive.
 const recoveryTermStep = 1 << 20
 
+// LostVoter is a voter whose disk is gone.
+type LostVoter struct {
+	ID string
+	// Successor is the new replica at the voter's address; after a recovery it is a learner,
+	// so that the leader can reach it.
+	Successor Member
+}
+
 // recovery is a campaign without the voters whose disks are lost, for a cluster that has no
 // majority any more. It needs the vote of every other voter.
 type recovery struct {
@@ -17,6 +25,8 @@
 	term uint64
 	// lost are the IDs of the lost voters, sorted.
 	lost []string
+	// successors are the new replicas at the addresses of the lost voters.
+	successors []Member
 	// remaining are the other voters of each membership that may be in force.
 	remaining []Member
 }
@@ -26,10 +36,10 @@
 // that this node doesn't know. If they leave no majority, the remaining voters elect a
 // leader once all of them agree, and the lost ones are removed. Entries that only lost
 // voters held are lost as well. An empty set forbids it.
-func (n *Node) AllowRecovery(lost []string) {
-	proved := make(map[string]bool, len(lost))
-	for _, id := range lost {
-		proved[id] = true
+func (n *Node) AllowRecovery(lost []LostVoter) {
+	proved := make(map[string]Member, len(lost))
+	for _, voter := range lost {
+		proved[voter.ID] = voter.Successor
 	}
 	if maps.Equal(proved, n.provedLost) {
 		return
@@ -43,12 +53,12 @@
 // newRecovery returns the recovery that the lost voters call for; nil if the others are a
 // majority, or if this node isn't one of them.
 func (n *Node) newRecovery() *recovery {
-	if len(n.provedLost) == 0 || n.provedLost[n.state.ID] {
+	if len(n.provedLost) == 0 || n.isProvedLost(n.state.ID) {
 		return nil
 	}
 	present := 0
 	for _, m := range n.log.members() {
-		if m.Voter && !n.provedLost[m.ID] {
+		if m.Voter && !n.isProvedLost(m.ID) {
 			present++
 		}
 	}
@@ -57,8 +67,9 @@
 	}
 	r := &recovery{term: n.state.Term + recoveryTermStep + n.random.Uint64N(recoveryTermStep)}
 	for _, m := range n.log.possibleVoters() {
-		if n.provedLost[m.ID] {
-			r.lost = append(r.lost, m.ID)
+		if successor, isLost := n.provedLost[m.ID]; isLost {
+			successor.Voter = false
+			r.lost, r.successors = append(r.lost, m.ID), append(r.successors, successor)
 		} else {
 			r.remaining = append(r.remaining, m)
 		}
@@ -78,14 +89,20 @@
 
 // agreesToRecovery reports whether this node has the proof that all of the voters are lost.
 func (n *Node) agreesToRecovery(lost []string) bool {
-	return !slices.ContainsFunc(lost, func(id string) bool { return !n.provedLost[id] })
+	return !slices.ContainsFunc(lost, func(id string) bool { return !n.isProvedLost(id) })
+}
+
+// isProvedLost reports whether a recovery may do without the voter.
+func (n *Node) isProvedLost(id string) bool {
+	_, isLost := n.provedLost[id]
+	return isLost
 }
 
-// members returns the membership after the recovery: the voters that agreed to it and the
-// learners.
+// members returns the membership after the recovery: the voters that agreed to it, and as
+// learners those of before and the successors of the lost voters.
 func (r *recovery) members(latest []Member) []Member {
 	members := slices.Clone(r.remaining)
-	for _, m := range latest {
+	for _, m := range append(slices.Clone(latest), r.successors...) {
 		if findMember(members, m.ID) < 0 && !slices.Contains(r.lost, m.ID) {
 			members = append(members, m)
 		}
--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -67,7 +67,7 @@
 	newLost     []string
 	// newProvedLost is the argument of the last AllowRecovery that the goroutine has not
 	// taken yet; nil for none.
-	newProvedLost *[]string
+	newProvedLost *[]LostVoter
 	published     published
 
 	// writeResult receives the outcome of the write in progress.
@@ -194,7 +194,7 @@
 // AllowRecovery replaces the set of voters that are proved to be lost, as Node.AllowRecovery
 // does. The proof must hold at the time of the call: a voter that is only cut off or
 // stands still is not lost.
-func (r *Replica) AllowRecovery(lost []string) {
+func (r *Replica) AllowRecovery(lost []LostVoter) {
 	r.mu.Lock()
 	r.newProvedLost = &lost
 	r.mu.Unlock()
@@ -329,7 +329,7 @@
 	waiters   []*conditionWaiter
 	lost      []string
 	// provedLost is the argument of AllowRecovery; nil if it was not called.
-	provedLost *[]string
+	provedLost *[]LostVoter
 }
 
 func (r *Replica) takeBatch() batch {
--- a/quorum/simrecovery_test.go
+++ b/quorum/simrecovery_test.go
@@ -9,7 +9,7 @@
 
 // observe lets a node check the replicas at the addresses of the voters, as hubs do.
 func (s *sim) observe(n *simNode) {
-	lost, allowed := []string{}, true
+	lost, allowed := []LostVoter{}, true
 	voters := n.node.log.possibleVoters()
 	for _, other := range s.nodes {
 		if other == n {
@@ -22,7 +22,7 @@
 			case !reached:
 				allowed = allowed && findMember(voters, m.ID) >= 0
 			case m.ID != other.node.ID():
-				lost = append(lost, m.ID)
+				lost = append(lost, LostVoter{ID: m.ID, Successor: Member{ID: other.node.ID(), Host: other.host}})
 			}
 		}
 		if reached && findMember(voters, other.node.ID()) < 0 && other.node.hasNewerLog(n.node) {
