Ask for the replicas at the addresses of silent voters

The leader asks the replica at a silent voter's address for its identity and records a join request for a new one.

--- a/hub/membership.go
+++ b/hub/membership.go
@@ -60,6 +60,8 @@
 	// listening is the time in which this leader would have heard of its voters. It is not
 	// guarded by mu, since only run uses it.
 	listening listeningTime
+	// successorsSoughtAt is when the replicas of silent voters were last asked; only run uses it.
+	successorsSoughtAt time.Time
 }
 
 // joinRequest is a replica's request for membership.
@@ -194,6 +196,7 @@
 			return
 		}
 		m.listening = m.listening.extend(m.hub.Clock.Now(), maxCheckGap)
+		m.findSuccessors(ctx)
 		for leadership.Confirmed && m.applyNextChange(ctx) {
 			leadership = m.hub.replica.Quorum.Leadership()
 		}
--- a/hub/slow_cluster_test.go
+++ b/hub/slow_cluster_test.go
@@ -113,6 +113,12 @@
 			h.sendTo(to, func() { to.hub.membership.recordJoin(m.(peer.JoinRequest)) })
 		}
 	}
+	h.hub.membership.identify = func(_ context.Context, address string) (peer.IdentityResponse, error) {
+		if to := c.byAddress(address); to != nil {
+			return to.hub.replica.Identity(), nil
+		}
+		return peer.IdentityResponse{}, fmt.Errorf("no hub at %s", address)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop = cancel
 	c.mu.Lock()
