Count only votes that agree to a recovery

Found by a review, not seen by callers. A voter of an earlier release ignores which voters a candidate takes for lost, and its vote counted as agreement; a replica that belongs to the cluster but doesn't tell the end of its log, as one of an earlier release, counted as one that has nothing. Vote responses repeat the lost voters, and only those that do count; such a replica forbids the recovery. The obstacle that is logged no longer depends on the order of a map.

Mutations by hand on the code before: TestSimRecovery passes without the agreement of the others, with the latest membership alone, with the messages of lost voters, and without the end of a campaign whose proof is withdrawn. TestRecovery_* hold these; they weren't run with the mutations. Passed, with TestSimRecovery and TestPlanRecovery.

--- a/hub/recovery_plan.go
+++ b/hub/recovery_plan.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 
 	"comfreytiller.dev/peer"
 	"comfreytiller.dev/quorum"
@@ -23,6 +25,9 @@
 // ID as long as its disk. One that doesn't respond is not lost. A replica that has no vote
 // here but more of the log, or that can't be asked, may belong to a majority that has
 // replaced this one.
+//
+// Load: a hub that is cut off, stands still or was replaced sees others start with empty disks;
+// two disks are lost while all hubs restart, and a third one before a leader is elected.
 func PlanRecovery(status quorum.Status, responses map[string]peer.IdentityResponse) RecoveryPlan {
 	isVoter, isLost := map[string]bool{}, map[string]bool{}
 	for _, voter := range status.PossibleVoters {
@@ -49,9 +54,12 @@
 			return RecoveryPlan{Obstacle: fmt.Sprintf("learner %s of host %s doesn't respond", member.ID, member.Host)}
 		}
 	}
-	for address, response := range responses {
+	for _, address := range slices.Sorted(maps.Keys(responses)) {
+		response := responses[address]
 		switch {
 		case isVoter[response.ID] || response.Cluster == "":
+		case response.LastTerm == 0 && !isMember(status, response.ID):
+			return RecoveryPlan{Obstacle: fmt.Sprintf("replica %s at %s is of a cluster, but doesn't tell what it has of the log", response.ID, address)}
 		case response.Cluster != status.Cluster:
 			return RecoveryPlan{Obstacle: fmt.Sprintf("replica %s at %s belongs to cluster %s", response.ID, address, response.Cluster)}
 		case response.LastTerm > status.LastTerm || response.LastTerm == status.LastTerm && response.LastIndex > status.LastIndex:
@@ -68,6 +76,10 @@
 	return plan
 }
 
+func isMember(status quorum.Status, id string) bool {
+	return slices.ContainsFunc(status.Members, func(m quorum.MemberStatus) bool { return m.ID == id })
+}
+
 // isReplaced reports whether another replica of the member's host responds at its address.
 func isReplaced(member quorum.Member, responses map[string]peer.IdentityResponse) bool {
 	response := responses[member.Address]
--- a/hub/recovery_plan_test.go
+++ b/hub/recovery_plan_test.go
@@ -53,9 +53,13 @@
 			obstacle:  "replica new-c at c has no vote and more of the log",
 		},
 		"a successor belongs to another cluster": {
-			responses: replies(own("b"), peer.IdentityResponse{ID: "new-c", Host: "h-c", Cluster: "other"}, blank("d"), blank("e")),
+			responses: replies(own("b"), peer.IdentityResponse{ID: "new-c", Host: "h-c", Cluster: "other", LastTerm: 1, LastIndex: 1}, blank("d"), blank("e")),
 			obstacle:  "replica new-c at c belongs to cluster other",
 		},
+		"successors of an earlier release": {
+			responses: replies(own("b"), peer.IdentityResponse{ID: "new-c", Host: "h-c", Cluster: "c"}, peer.IdentityResponse{ID: "new-d", Host: "h-d", Cluster: "c"}, blank("e")),
+			obstacle:  "replica new-c at c is of a cluster, but doesn't tell what it has of the log",
+		},
 		"a learner is silent": {
 			change: func(status *quorum.Status) {
 				status.Members = append(status.Members, quorum.MemberStatus{Member: quorum.Member{ID: "l", Host: "h-l", Address: "l"}})
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -1,5 +1,7 @@
 package quorum
 
+import "slices"
+
 // canCampaign reports whether the node is a voter, or was one before a
 // membership change that is not committed: this node may be the only one that
 // holds the change, and the others may need its vote to commit it.
@@ -147,7 +149,7 @@
 			response.Round = m.Round
 		}
 		if grant {
-			response.Term = m.Term
+			response.Term, response.Lost = m.Term, m.Lost
 		}
 		n.send(response)
 		return
@@ -158,7 +160,7 @@
 		n.state.Vote = m.From
 		n.resetTimeout()
 	}
-	n.send(Message{Kind: MessageVoteResponse, To: m.From, Reject: !grant})
+	n.send(Message{Kind: MessageVoteResponse, To: m.From, Reject: !grant, Lost: m.Lost})
 }
 
 // handleVoteResponse records a voter's response to the current campaign.
@@ -172,6 +174,10 @@
 	default:
 		return
 	}
+	if n.recovery != nil && !m.Reject && !slices.Equal(m.Lost, n.recovery.lost) {
+		// A replica of an earlier release doesn't know what it would agree to.
+		return
+	}
 	n.votes[m.From] = !m.Reject
 	n.tallyVotes()
 }
--- a/quorum/message.go
+++ b/quorum/message.go
@@ -38,7 +38,7 @@
 	// ReadID identifies a read barrier of the sender.
 	ReadID uint64
 	// Lost are the IDs of the voters that the candidate of a recovery takes for lost, in a
-	// vote request; empty in any other.
+	// vote request; a response repeats them. Empty in any other.
 	Lost  []string
 	Chunk *Chunk
 
--- a/quorum/recovery.go
+++ b/quorum/recovery.go
@@ -51,7 +51,7 @@
 }
 
 // newRecovery returns the recovery that the lost voters call for; nil if the others are a
-// majority, or if this node isn't one of them.
+// majority, or if this node is one of the lost.
 func (n *Node) newRecovery() *recovery {
 	if len(n.provedLost) == 0 || n.isProvedLost(n.state.ID) {
 		return nil
