Wait a whole election timeout after a restarted follower's answer

A replica could lead a newer term while an older leadership still counted as confirmed.

Cause: a node starts with the short timeout of a first campaign, and after a campaign that was rejected it waits as briefly. A follower's contact with a leader cleared the time elapsed, but kept that timeout. The votes of others are held back after an answer; its own was not.

Contact with a leader now starts a whole election timeout.

--- a/quorum/follower.go
+++ b/quorum/follower.go
@@ -9,7 +9,7 @@
 	n.leader = from
 	n.noLeaderSinceStart = false
 	n.ticksSinceLeader = 0
-	n.elapsedTicks = 0
+	n.resetTimeout()
 }
 
 // handleAppend appends the leader's entries if the logs match at the preceding
--- a/quorum/node_test.go
+++ b/quorum/node_test.go
@@ -321,22 +321,52 @@
 func TestConfirmedLeaderIsUnique(t *testing.T) {
 	confirmed := 0
 	for seed := range uint64(100) {
-		s := newSim(t, seed, 3, simFaults{Drop: 100, Duplicate: 50, Transfer: 5})
-		sentAt := map[leaderRound]int64{}
-		paused := map[*simNode]int{}
-		for s.now = 1; s.now < 600; s.now++ {
-			for _, n := range s.nodes {
-				s.tickUnlessPaused(n, paused)
-			}
-			for range 2 * len(s.inFlight) {
-				if len(s.inFlight) > 0 && paused[s.byID(s.inFlight[0].To)] <= 0 {
-					s.deliver()
-				}
+		confirmed += runConfirmedLeaders(t, seed)
+	}
+	require.Greater(t, confirmed, 10_000)
+}
+
+// A follower that answered a leader right after its restart campaigned within its
+// election timeout, while its answer still confirmed the leader.
+func TestRestartedFollowerAwaitsElectionTimeout(t *testing.T) {
+	s := newLockstepSim(t, 3)
+	leader := s.electLeader()
+	for _, n := range s.nodes {
+		if n == leader {
+			continue
+		}
+		s.startNode(n)
+		n.node.Step(Message{
+			Kind: MessageAppend, Cluster: "cluster", From: leader.node.ID(), To: n.node.ID(), Term: leader.node.Term(),
+		})
+		require.Equal(t, leader.node.ID(), n.node.Leader())
+		for range n.node.config.ElectionTicks - 1 {
+			n.node.Tick()
+			require.Equal(t, Follower, n.node.Role())
+		}
+	}
+	runConfirmedLeaders(t, 1100)
+}
+
+// runConfirmedLeaders runs three hosts that pause and restart, and returns how often a
+// leadership was confirmed.
+func runConfirmedLeaders(t *testing.T, seed uint64) int {
+	confirmed := 0
+	s := newSim(t, seed, 3, simFaults{Drop: 100, Duplicate: 50, Transfer: 5})
+	sentAt := map[leaderRound]int64{}
+	paused := map[*simNode]int{}
+	for s.now = 1; s.now < 600; s.now++ {
+		for _, n := range s.nodes {
+			s.tickUnlessPaused(n, paused)
+		}
+		for range 2 * len(s.inFlight) {
+			if len(s.inFlight) > 0 && paused[s.byID(s.inFlight[0].To)] <= 0 {
+				s.deliver()
 			}
-			confirmed += s.checkConfirmed(sentAt)
 		}
+		confirmed += s.checkConfirmed(sentAt)
 	}
-	require.Greater(t, confirmed, 10_000)
+	return confirmed
 }
 
 func (s *sim) tickUnlessPaused(n *simNode, paused map[*simNode]int) {
