Hold back a vote after an answer in every term

Cause: whether a leadership may still be confirmed was checked only when a request for a vote brought a newer term.

The check now also precedes a vote in a term that the node has entered already. A repeated request of the candidate that has the vote is granted as before.

--- a/quorum/election.go
+++ b/quorum/election.go
@@ -152,7 +152,8 @@
 		n.send(response)
 		return
 	}
-	canVote := n.state.Vote == m.From || n.state.Vote == "" && n.leader == ""
+	// The node may have entered the term by another message than a request for its vote.
+	canVote := n.state.Vote == m.From || n.state.Vote == "" && n.leader == "" && n.mayReplaceLeader(m)
 	grant := upToDate && canVote
 	if grant {
 		n.state.Vote = m.From
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -294,7 +294,7 @@
 	case MessagePreVote:
 		return !n.leaderLeaseActive() || n.noLeaderSinceStart && m.Round != 0
 	case MessageVote:
-		if n.leaderLeaseActive() && !m.Transfer && !(n.noLeaderSinceStart && m.Round != 0) {
+		if !n.mayReplaceLeader(m) {
 			return false
 		}
 	case MessagePreVoteResponse:
@@ -317,6 +317,13 @@
 	return n.role == Leader || n.ticksSinceLeader < n.config.ElectionTicks
 }
 
+// mayReplaceLeader reports whether the node may vote for the candidate: no leadership may
+// still be confirmed, or the request is part of a leadership transfer or of a startup
+// campaign.
+func (n *Node) mayReplaceLeader(m *Message) bool {
+	return !n.leaderLeaseActive() || m.Transfer || n.noLeaderSinceStart && m.Round != 0
+}
+
 // rejectStaleTerm informs a leader or candidate of an older term about the
 // current one.
 func (n *Node) rejectStaleTerm(m *Message) {
--- a/quorum/node_test.go
+++ b/quorum/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -348,6 +349,38 @@
 	runConfirmedLeaders(t, 1100)
 }
 
+// A follower that answered a leader, and then learned of a newer term from a rejection,
+// voted in that term while its answer still confirmed the leader.
+func TestVoteIgnoredInTermOfRejection(t *testing.T) {
+	s := newLockstepSim(t, 3)
+	leader := s.electLeader()
+	term := leader.node.Term() + 1
+	for i, n := range s.nodes {
+		if n == leader {
+			continue
+		}
+		candidate := s.nodes[3-i-slices.Index(s.nodes, leader)].node.ID()
+		n.node.Step(Message{
+			Kind: MessageAppend, Cluster: "cluster", From: leader.node.ID(), To: n.node.ID(), Term: leader.node.Term(),
+		})
+		n.node.Step(Message{
+			Kind: MessagePreVoteResponse, Cluster: "cluster", From: candidate, To: n.node.ID(), Term: term, Reject: true,
+		})
+		vote := Message{
+			Kind: MessageVote, Cluster: "cluster", From: candidate, To: n.node.ID(), Term: term, Index: 100, LogTerm: term,
+		}
+		for range n.node.config.ElectionTicks {
+			n.node.Step(vote)
+			require.Equal(t, term, n.node.Term())
+			require.Empty(t, n.node.state.Vote)
+			n.node.Tick()
+		}
+		n.node.Step(vote)
+		require.Equal(t, candidate, n.node.state.Vote)
+	}
+	runConfirmedLeaders(t, 276)
+}
+
 // runConfirmedLeaders runs three hosts that pause and restart, and returns how often a
 // leadership was confirmed.
 func runConfirmedLeaders(t *testing.T, seed uint64) int {
