--- a/quorum/node_test.go
+++ b/quorum/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -321,22 +322,84 @@
 func TestConfirmedLeaderIsUnique(t *testing.T) {
 	confirmed := 0
 	for seed := range uint64(100) {
-		s := newSim(t, seed, 3, simFaults{Drop: 100, Duplicate: 50, Transfer: 5})
-		sentAt := map[leaderRound]int64{}
-		paused := map[*simNode]int{}
-		for s.now = 1; s.now < 600; s.now++ {
-			for _, n := range s.nodes {
-				s.tickUnlessPaused(n, paused)
-			}
-			for range 2 * len(s.inFlight) {
-				if len(s.inFlight) > 0 && paused[s.byID(s.inFlight[0].To)] <= 0 {
-					s.deliver()
-				}
+		confirmed += runConfirmedLeaders(t, seed)
+	}
+	require.Greater(t, confirmed, 10_000)
+}
+
+// A follower that answered a leader right after its restart campaigned within its
+// election timeout, while its answer still confirmed the leader.
+func TestRestartedFollowerAwaitsElectionTimeout(t *testing.T) {
+	s := newLockstepSim(t, 3)
+	leader := s.electLeader()
+	for _, n := range s.nodes {
+		if n == leader {
+			continue
+		}
+		s.startNode(n)
+		n.node.Step(Message{
+			Kind: MessageAppend, Cluster: "cluster", From: leader.node.ID(), To: n.node.ID(), Term: leader.node.Term(),
+		})
+		require.Equal(t, leader.node.ID(), n.node.Leader())
+		for range n.node.config.ElectionTicks - 1 {
+			n.node.Tick()
+			require.Equal(t, Follower, n.node.Role())
+		}
+	}
+	runConfirmedLeaders(t, 1100)
+}
+
+// A follower that answered a leader, and then learned of a newer term from a rejection,
+// voted in that term while its answer still confirmed the leader.
+func TestVoteIgnoredInTermOfRejection(t *testing.T) {
+	s := newLockstepSim(t, 3)
+	leader := s.electLeader()
+	term := leader.node.Term() + 1
+	for i, n := range s.nodes {
+		if n == leader {
+			continue
+		}
+		candidate := s.nodes[3-i-slices.Index(s.nodes, leader)].node.ID()
+		n.node.Step(Message{
+			Kind: MessageAppend, Cluster: "cluster", From: leader.node.ID(), To: n.node.ID(), Term: leader.node.Term(),
+		})
+		n.node.Step(Message{
+			Kind: MessagePreVoteResponse, Cluster: "cluster", From: candidate, To: n.node.ID(), Term: term, Reject: true,
+		})
+		vote := Message{
+			Kind: MessageVote, Cluster: "cluster", From: candidate, To: n.node.ID(), Term: term, Index: 100, LogTerm: term,
+		}
+		for range n.node.config.ElectionTicks {
+			n.node.Step(vote)
+			require.Equal(t, term, n.node.Term())
+			require.Empty(t, n.node.state.Vote)
+			n.node.Tick()
+		}
+		n.node.Step(vote)
+		require.Equal(t, candidate, n.node.state.Vote)
+	}
+	runConfirmedLeaders(t, 276)
+}
+
+// runConfirmedLeaders runs three hosts that pause and restart, and returns how often a
+// leadership was confirmed.
+func runConfirmedLeaders(t *testing.T, seed uint64) int {
+	confirmed := 0
+	s := newSim(t, seed, 3, simFaults{Drop: 100, Duplicate: 50, Transfer: 5})
+	sentAt := map[leaderRound]int64{}
+	paused := map[*simNode]int{}
+	for s.now = 1; s.now < 600; s.now++ {
+		for _, n := range s.nodes {
+			s.tickUnlessPaused(n, paused)
+		}
+		for range 2 * len(s.inFlight) {
+			if len(s.inFlight) > 0 && paused[s.byID(s.inFlight[0].To)] <= 0 {
+				s.deliver()
 			}
-			confirmed += s.checkConfirmed(sentAt)
 		}
+		confirmed += s.checkConfirmed(sentAt)
 	}
-	require.Greater(t, confirmed, 10_000)
+	return confirmed
 }
 
 func (s *sim) tickUnlessPaused(n *simNode, paused map[*simNode]int) {
