--- /dev/null
+++ b/entry/target_roster.go
@@ -0,0 +1,99 @@
+package entry
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"comfreytiller.dev/target/roster"
+)
+
+// readyCount returns the number of targets that admit new requests.
+func (t *targetSelector) readyCount() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ready := 0
+	for _, s := range t.byName {
+		if s.State == roster.Ready {
+			ready++
+		}
+	}
+	return ready
+}
+
+// applyRoster applies changed roster entries and the host count of a hub.
+func (t *targetSelector) applyRoster(entries []roster.Entry, hosts int) {
+	t.hosts.record(hosts)
+	if len(entries) == 0 {
+		return
+	}
+	now := t.clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.firstTargetSeen.IsZero() {
+		t.firstTargetSeen = now
+	}
+	for _, entry := range entries {
+		t.roster.Merge(now, entry)
+	}
+	all, _ := t.roster.ChangedSince(0)
+	for _, entry := range all {
+		t.updateTarget(now, entry)
+	}
+	t.rebuildIndex()
+	t.applyRateLimits(now, entries)
+}
+
+// updateTarget applies one entry of the roster. The caller must hold t.mu.
+func (t *targetSelector) updateTarget(now time.Time, entry roster.Entry) {
+	s := t.byName[entry.Name]
+	switch {
+	case s == nil && entry.State == roster.Gone:
+		return
+	case s == nil || s.Incarnation != entry.Incarnation:
+		added := &targetState{Entry: entry, firstSeen: now, coldSince: now}
+		if s != nil {
+			added.ownInFlight = s.ownInFlight
+		}
+		t.byName[entry.Name] = added
+		t.logChange(entry)
+		return
+	}
+	if s.State != entry.State || s.Silent != entry.Silent || s.Address != entry.Address {
+		t.logChange(entry)
+	}
+	if !s.isCold(now) {
+		s.coldSince = now
+	}
+	s.Entry = entry
+}
+
+func (t *targetSelector) logChange(entry roster.Entry) {
+	t.log.WithFields(logrus.Fields{
+		"Target": entry.Name, "Address": entry.Address, "FailureDomain": entry.FailureDomain, "Service": entry.Service,
+		"State": entry.State, "Silent": entry.Silent, "WarmUp": entry.WarmUpRemaining, "Incarnation": entry.Incarnation,
+		"HeardAge": t.clock.Since(entry.LastSeen),
+	}).Infof("Target %s is %s.", entry.Name, entry.State)
+}
+
+// rebuildIndex rebuilds byService, sorted by name, and removes targets that are
+// gone. The caller must hold t.mu.
+func (t *targetSelector) rebuildIndex() {
+	t.byService = map[string][]*targetState{}
+	for name, s := range t.byName {
+		if s.State == roster.Gone && s.ownInFlight == 0 {
+			delete(t.byName, name)
+			continue
+		}
+		t.byService[s.Service] = append(t.byService[s.Service], s)
+	}
+	for _, list := range t.byService {
+		slices.SortFunc(list, func(a, b *targetState) int {
+			if a.Name < b.Name {
+				return -1
+			}
+			return 1
+		})
+	}
+}
