Report the version of a stream without a delay

Hosts collected the versions of new streams for 5 ms before they reported them. A report is sent at once now, with all records since the one before it.

--- a/entry/stream_origins.go
+++ b/entry/stream_origins.go
@@ -19,9 +19,6 @@
 	// maxOwnOrigins is the maximum number of this host's streams that it knows the version
 	// of.
 	maxOwnOrigins = 20_000
-	// originReportDelay is how long records are collected before they are reported. A host
-	// that stops within this time takes the versions of its newest streams with it.
-	originReportDelay = 5 * time.Millisecond
 	// originReportTimeout limits the wait until a hub has confirmed a report,
 	// originReportBackoff is the pause after none has.
 	originReportTimeout = 400 * time.Millisecond
@@ -82,7 +79,8 @@
 // reportAll reports all records again, to a hub whose process has started since.
 func (s *streamOrigins) reportAll() { s.queue(s.table.All(s.clock.Now())) }
 
-// run reports the records to the hubs until ctx ends.
+// run reports the records to the hubs until ctx ends. A report is sent at once, with all records
+// since the one before it was sent: a host that stops takes those that it has not sent with it.
 func (s *streamOrigins) run(ctx context.Context) {
 	for {
 		select {
@@ -90,17 +88,12 @@
 			return
 		case <-s.recorded:
 		}
-		delay := originReportDelay
-		for ctx.Err() == nil {
+		for !s.report(ctx) {
 			select {
 			case <-ctx.Done():
 				return
-			case <-s.clock.After(delay):
+			case <-s.clock.After(originReportBackoff):
 			}
-			if s.report(ctx) {
-				break
-			}
-			delay = originReportBackoff
 		}
 	}
 }
