--- a/registry/command.go
+++ b/registry/command.go
@@ -192,6 +192,32 @@
 	Time  time.Time
 }
 
+// StartRollout begins a rollout. It succeeds without effect if the service's last rollout has
+// the same version, whatever its state.
+type StartRollout struct {
+	Service  string
+	Version  string
+	Duration time.Duration
+	// Share is the share of the requests that the version gets at first.
+	Share float64
+	// BaseNumber is the number of the service's last rollout, 0 for none. A command that is
+	// committed after another rollout began has no effect.
+	BaseNumber uint64
+}
+
+// StepRollout changes the share or the state of a rollout. The leader proposes it. It has no
+// effect unless the rollout is serving and at step BaseStep.
+type StepRollout struct {
+	Service  string
+	Number   uint64
+	BaseStep uint64
+	State    RolloutState
+	Share    float64
+	// Elapsed is the time since the order, by the leader's monotonic clock.
+	Elapsed time.Duration
+	Counts  RolloutCounts
+}
+
 func (OpenSession) isCommand()  {}
 func (CloseSession) isCommand() {}
 func (MoveOwner) isCommand()    {}
@@ -207,3 +233,5 @@
 func (ExpireClaims) isCommand() {}
 func (RecordOrder) isCommand()  {}
 func (FinishOrder) isCommand()  {}
+func (StartRollout) isCommand() {}
+func (StepRollout) isCommand()  {}
--- a/registry/command_codec.go
+++ b/registry/command_codec.go
@@ -28,6 +28,9 @@
 	if command := operatorCommandFromWire(&wire); command != nil {
 		return command, nil
 	}
+	if command := rolloutCommandFromWire(&wire); command != nil {
+		return command, nil
+	}
 	if command := hostCommandFromWire(&wire); command != nil {
 		return command, nil
 	}
@@ -106,7 +109,7 @@
 			Id: c.ID, State: string(c.State), Time: timeToWire(c.Time),
 		}}}
 	}
-	return &registrypb.Command{}
+	return rolloutCommandToWire(command)
 }
 
 // operatorCommandFromWire returns nil if the message is not an operator command.
--- a/registry/delta.go
+++ b/registry/delta.go
@@ -47,6 +47,8 @@
 	// that no longer have one.
 	OrdersStarted []string
 	OrdersEnded   []string
+	// Rollouts holds the new and changed rollouts by service.
+	Rollouts map[string]Rollout
 }
 
 // DeltaSince returns the delta from the view with the given revision and fleet
@@ -124,6 +126,7 @@
 	delta.TargetsOut, delta.TargetsRestored = diffSets(from.TargetsOut, to.TargetsOut)
 	delta.Pins, delta.Unpinned = diffMaps(from.Pins, to.Pins)
 	delta.OrdersStarted, delta.OrdersEnded = diffSets(from.PendingOrders, to.PendingOrders)
+	delta.Rollouts = changedRollouts(from.Rollouts, to.Rollouts)
 	return delta
 }
 
@@ -203,6 +206,7 @@
 		TargetsOut:    patchSet(base.TargetsOut, d.TargetsOut, d.TargetsRestored),
 		Pins:          patchMap(base.Pins, d.Pins, d.Unpinned),
 		PendingOrders: patchSet(base.PendingOrders, d.OrdersStarted, d.OrdersEnded),
+		Rollouts:      patchMap(base.Rollouts, d.Rollouts, nil),
 	}
 	for _, number := range d.ClosedSessions {
 		delete(sessions, number)
--- a/registry/delta_codec.go
+++ b/registry/delta_codec.go
@@ -25,6 +25,7 @@
 		Unpinned:       d.Unpinned,
 		Ordered:        d.OrdersStarted,
 		Unordered:      d.OrdersEnded,
+		Rollouts:       rolloutsToWire(d.Rollouts),
 	}
 	if d.ConfigPatch != nil {
 		middle, deflated := compressMiddle(d.ConfigPatch)
@@ -78,6 +79,7 @@
 	}
 	delta.Owners = mapFromWire(wire.GetOwners(), (*registrypb.Owner).GetService, ownerFromWire)
 	delta.Pins = mapFromWire(wire.GetPins(), (*registrypb.PinnedTarget).GetTarget, (*registrypb.PinnedTarget).GetService)
+	delta.Rollouts = mapFromWire(wire.GetRollouts(), (*registrypb.Rollout).GetService, rolloutFromWire)
 	return delta, nil
 }
 
--- a/registry/limits.go
+++ b/registry/limits.go
@@ -35,6 +35,15 @@
 	// maxListedServices is the maximum number of services named in the detail of
 	// a refused command.
 	maxListedServices = 10
+	// MaxVersionBytes is the maximum length of a software version in a rollout.
+	MaxVersionBytes = 256
+	// MaxRolloutDuration is the maximum time from the order of a rollout to its deadline.
+	MaxRolloutDuration = 24 * time.Hour
+	// MaxRollouts is the maximum number of services that ever had a rollout.
+	MaxRollouts = 10_000
+	// MaxRevertedVersions is the number of versions that a service remembers as reverted,
+	// beside that of its last rollout.
+	MaxRevertedVersions = 16
 	// MaxOrders is the maximum number of targets that have an order.
 	MaxOrders = 20_000
 )
--- a/registry/snapshot.go
+++ b/registry/snapshot.go
@@ -42,7 +42,7 @@
 	defer m.mutex.Unlock()
 	m.state = restored
 	m.history = history{}
-	m.state.changed = viewChanges{fleet: true, hosts: true, owners: true, outages: true, orders: true}
+	m.state.changed = viewChanges{fleet: true, hosts: true, owners: true, outages: true, orders: true, rollouts: true}
 	m.publish(m.state.nextView(emptyView()))
 	return nil
 }
@@ -109,6 +109,7 @@
 	for _, order := range sortedOrders(s.orders) {
 		wire.Orders = append(wire.Orders, orderToWire(order))
 	}
+	wire.Rollouts = rolloutsToWire(s.rollouts)
 	return wire
 }
 
@@ -146,6 +147,7 @@
 		s.operations.add(completedOperationFromWire(done))
 	}
 	s.claims = claimsFromWire(wire.GetClaims())
+	s.rollouts = rolloutsFromWire(wire.GetRollouts())
 	for _, order := range wire.GetOrders() {
 		restored := orderFromWire(order)
 		s.orders[restored.Target] = restored
--- a/registry/state.go
+++ b/registry/state.go
@@ -44,6 +44,8 @@
 	orders        map[string]Order
 	maxOrders     int
 	pendingOrders map[string]bool
+	// rollouts holds the last rollout of each service.
+	rollouts map[string]Rollout
 
 	changed viewChanges
 	// parseFleet parses and validates a fleet configuration.
@@ -52,11 +54,12 @@
 
 // viewChanges marks the parts of the view that the current command has changed.
 type viewChanges struct {
-	fleet   bool
-	hosts   bool
-	owners  bool
-	outages bool
-	orders  bool
+	fleet    bool
+	hosts    bool
+	owners   bool
+	outages  bool
+	orders   bool
+	rollouts bool
 }
 
 func (c viewChanges) any() bool {
@@ -77,6 +80,7 @@
 		orders:        map[string]Order{},
 		maxOrders:     MaxOrders,
 		pendingOrders: map[string]bool{},
+		rollouts:      map[string]Rollout{},
 	}
 }
 
@@ -122,6 +126,10 @@
 		return s.recordOrder(sequence, command)
 	case FinishOrder:
 		return s.finishOrder(command)
+	case StartRollout:
+		return s.startRollout(sequence, command)
+	case StepRollout:
+		return s.stepRollout(command)
 	}
 	return reject(CodeMalformed, "unknown command")
 }
--- a/registry/view.go
+++ b/registry/view.go
@@ -35,6 +35,8 @@
 	// PendingOrders holds the targets with a pending order. They get no new
 	// requests, since the order may take them out of service.
 	PendingOrders map[string]bool
+	// Rollouts holds the last rollout of each service that ever had one, by service name.
+	Rollouts map[string]Rollout
 }
 
 // Host describes one session of a host.
@@ -77,6 +79,7 @@
 		TargetsOut:    map[string]bool{},
 		Pins:          map[string]string{},
 		PendingOrders: map[string]bool{},
+		Rollouts:      map[string]Rollout{},
 	}
 }
 
@@ -132,6 +135,9 @@
 	if s.changed.orders {
 		view.PendingOrders = maps.Clone(s.pendingOrders)
 	}
+	if s.changed.rollouts {
+		view.Rollouts = maps.Clone(s.rollouts)
+	}
 	return &view
 }
 
