Add the decisions of rollouts and the report of their counts

An entry host assigns requests to the new version within a share and counts what becomes of them; the reports travel with the polls, sums between hubs with the roster updates.

--- a/peer/codec_watch.go
+++ b/peer/codec_watch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"comfreytiller.dev/admission/origin"
+	"comfreytiller.dev/admission/rollout"
 	"comfreytiller.dev/peer/peerpb"
 	"comfreytiller.dev/target/roster"
 )
@@ -18,6 +19,7 @@
 			Loads: loadsToWire(m.Loads), Evidence: crashReportToWire(m.CrashReport, now), Quarantined: suspectsToWire(m.Quarantined, now),
 			Origins: originsToWire(m.Origins, now), Relayed: m.Relayed, WantedOrigin: uint64(m.WantedOrigin), Wait: int64(m.MaxWait), LowestRevision: m.LowestRevision,
 			Replica: m.Replica, FleetVersion: m.FleetVersion, OutageVersion: m.OutageVersion,
+			Rollouts: rolloutsToWire(m.Rollouts), RolloutSource: m.RolloutSource,
 		}}
 	case WatchRequest:
 		wire.Body = &peerpb.Frame_Watch{Watch: &peerpb.Watch{
@@ -25,7 +27,7 @@
 			Source: m.RosterSource, Roster: m.RosterVersion, Wait: int64(m.MaxWait), Loads: loadsToWire(m.Loads),
 			Evidence: crashReportToWire(m.CrashReport, now), Suspects: m.SuspectsVersion, Quarantined: suspectsToWire(m.Quarantined, now),
 			RateLimits: rateLimitReportsToWire(m.RateLimits, now), StateOnly: m.StateOnly, MaxDelta: int32(m.MaxDeltaBytes),
-			PeerAddress: m.PeerAddress, PendingRevision: m.PendingRevision, Direct: m.Direct,
+			PeerAddress: m.PeerAddress, PendingRevision: m.PendingRevision, Direct: m.Direct, Rollouts: rolloutsToWire(m.Rollout.Services),
 		}}
 	case WatchResponse:
 		wire.Body = &peerpb.Frame_Watched{Watched: &peerpb.Watched{
@@ -48,6 +50,7 @@
 			CrashReport: crashReportFromWire(b.Roster.Evidence, now), Quarantined: suspectsFromWire(b.Roster.Quarantined, now),
 			Origins: originsFromWire(b.Roster.Origins, now), Relayed: b.Roster.Relayed, WantedOrigin: origin.Key(b.Roster.WantedOrigin), MaxWait: time.Duration(b.Roster.Wait), LowestRevision: b.Roster.LowestRevision,
 			Replica: b.Roster.Replica, FleetVersion: b.Roster.FleetVersion, OutageVersion: b.Roster.OutageVersion,
+			Rollouts: rolloutsFromWire(b.Roster.Rollouts), RolloutSource: b.Roster.RolloutSource,
 		}
 	case *peerpb.Frame_Watch:
 		w := b.Watch
@@ -56,7 +59,7 @@
 			RosterSource: w.Source, RosterVersion: w.Roster, MaxWait: time.Duration(w.Wait), Loads: loadsFromWire(w.Loads),
 			CrashReport: crashReportFromWire(w.Evidence, now), SuspectsVersion: w.Suspects, Quarantined: suspectsFromWire(w.Quarantined, now),
 			RateLimits: rateLimitReportsFromWire(w.RateLimits, now), StateOnly: w.StateOnly, MaxDeltaBytes: int(w.MaxDelta),
-			PeerAddress: w.PeerAddress, PendingRevision: w.PendingRevision, Direct: w.Direct,
+			PeerAddress: w.PeerAddress, PendingRevision: w.PendingRevision, Direct: w.Direct, Rollout: rollout.Report{Services: rolloutsFromWire(w.Rollouts)},
 		}
 	case *peerpb.Frame_Watched:
 		w := b.Watched
--- a/peer/message.go
+++ b/peer/message.go
@@ -6,6 +6,7 @@
 	"comfreytiller.dev/admission"
 	"comfreytiller.dev/admission/origin"
 	"comfreytiller.dev/admission/quarantine"
+	"comfreytiller.dev/admission/rollout"
 	"comfreytiller.dev/target"
 	"comfreytiller.dev/target/ratelimit"
 	"comfreytiller.dev/target/roster"
@@ -265,6 +266,10 @@
 	Replica       string
 	FleetVersion  uint64
 	OutageVersion uint64
+	// Rollouts are the sums of what hosts reported to the process RolloutSource of this
+	// replica; nil if they are not reported.
+	Rollouts      []rollout.ServiceReport
+	RolloutSource uint64
 }
 
 // WatchRequest asks a state replica for changes since the requesting host's view.
@@ -300,6 +305,8 @@
 	PendingRevision uint64
 	// Direct asks the replica for a large delta itself, not for hosts that have it.
 	Direct bool
+	// Rollout is what the host counted of services in rollout since its last request.
+	Rollout rollout.Report
 }
 
 // WatchResponse is the reply to a WatchRequest.
--- a/settings/load.go
+++ b/settings/load.go
@@ -24,6 +24,11 @@
 	// maxBandwidth is the highest Bandwidth, in Mbit/s.
 	maxBandwidth  = 1_000_000
 	maxRetryExtra = 1_000_000
+	// maxExposedExtra is the highest Rollouts.ExposedExtra; minRevertWithin and maxRevertWithin
+	// bound Rollouts.RevertWithin.
+	maxExposedExtra = 1_000_000
+	minRevertWithin = 100 * time.Millisecond
+	maxRevertWithin = time.Hour
 )
 
 // Default values.
@@ -33,6 +38,10 @@
 	// defaultRetryShare and defaultRetryWindow match the defaults of the gateway.
 	defaultRetryShare  = 0.1
 	defaultRetryWindow = 10 * time.Second
+	// The defaults of Rollouts are what callers of the larger fleets accept.
+	defaultExposedShare = 0.1
+	defaultExposedExtra = 50
+	defaultRevertWithin = 5 * time.Second
 )
 
 // Values of Log.Output.
@@ -108,6 +117,9 @@
 			readRetries(r, value, at, &into.Retries)
 		}},
 		jsonc.Field{Name: "Bandwidth", Read: jsonc.Number(r, &into.Bandwidth, 0, maxBandwidth)},
+		jsonc.Field{Name: "Rollouts", Read: func(value *hujson.Value, at *jsonc.FieldPath) {
+			into.Rollouts = readRollouts(r, value, at)
+		}},
 	)
 }
 
@@ -141,6 +153,17 @@
 	)
 }
 
+func readRollouts(r *jsonc.Reader, value *hujson.Value, at *jsonc.FieldPath) *Rollouts {
+	rollouts := &Rollouts{ExposedShare: defaultExposedShare, ExposedExtra: defaultExposedExtra, RevertWithin: defaultRevertWithin}
+	r.Object(
+		value, at,
+		jsonc.Field{Name: "ExposedShare", Read: jsonc.Number(r, &rollouts.ExposedShare, 0, 1)},
+		jsonc.Field{Name: "ExposedExtra", Read: jsonc.Integer(r, &rollouts.ExposedExtra, 0, maxExposedExtra)},
+		jsonc.Field{Name: "RevertWithin", Read: jsonc.Duration(r, &rollouts.RevertWithin, minRevertWithin, maxRevertWithin)},
+	)
+	return rollouts
+}
+
 // checkRole reports keys that are missing or not allowed in the role.
 func checkRole(r *jsonc.Reader, root *hujson.Value, parsed *Settings) {
 	if len(r.Faults) > 0 {
@@ -152,6 +175,9 @@
 	if parsed.Role == RoleState && parsed.State == nil {
 		r.Faultf(root.StartOffset, "State", "this key is required in the role State, which keeps a state replica")
 	}
+	if parsed.Role == RoleWhole && parsed.Rollouts != nil {
+		r.Faultf(root.StartOffset, "Rollouts", "this key is not allowed in the role Whole, which has no rollouts")
+	}
 	if parsed.Role == RoleEntry && parsed.State != nil {
 		r.Faultf(root.StartOffset, "State", "this key is not allowed in the role Entry, which has no state replica")
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -57,6 +57,8 @@
 	Retries Retries
 	// Bandwidth is the rate of the host's network link, in Mbit/s; 0 if unknown.
 	Bandwidth float64
+	// Rollouts allows orders of rollouts, in the roles Entry and State; nil if they are off.
+	Rollouts *Rollouts
 }
 
 // Role is the role of a host in the fleet.
@@ -82,6 +84,17 @@
 	Window time.Duration
 }
 
+// Rollouts bounds what the callers of a service notice of a rollout to a bad version.
+type Rollouts struct {
+	// ExposedShare is the share of all requests to the service, from the order to the
+	// deadline, that a bad version may get beyond ExposedExtra requests.
+	ExposedShare float64
+	ExposedExtra int
+	// RevertWithin is the time after its 50th bad response within which all hosts must have
+	// left a bad version.
+	RevertWithin time.Duration
+}
+
 // State describes a host's state replica.
 type State struct {
 	// Folder is the data directory on the host's disk. It must exist.
