Choose targets by the rollout of their service on entry hosts

The selector keeps a request to the versions that the rollout in force allows, and counts outcomes by route and version while one is serving. The gateway tells when a response begins, and the route and the status with the release.

--- a/admission/request.go
+++ b/admission/request.go
@@ -28,6 +28,9 @@
 	// what two versions write of one response does not fit together.
 	Version         string
 	RequiresVersion bool
+	// Attempt is the number of the attempt, 1 for the first; 0 for unknown. It is not sent to the
+	// owner of a service on another host.
+	Attempt int
 	// Started is when the request arrived. Objective is the time to first byte that
 	// its caller expects; 0 for unknown.
 	Started   time.Time
@@ -207,4 +210,7 @@
 	// if the target closed the connection before the response was complete.
 	Succeeded      bool
 	ConnectionLost bool
+	// Route is the name of the call. Status is that of the response; 0 if none began.
+	Route  string
+	Status int
 }
--- a/admission/rollout/exposure.go
+++ b/admission/rollout/exposure.go
@@ -107,5 +107,5 @@
 
 // seconds converts a number of seconds, which may be very large.
 func seconds(number float64) time.Duration {
-	return time.Duration(min(number, (1000 * time.Hour).Seconds()) * float64(time.Second))
+	return time.Duration(min(number, (1000*time.Hour).Seconds()) * float64(time.Second))
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -145,6 +145,7 @@
 		OnTargetResponse: e.selector.recordResponse,
 		StreamOrigins:    e.origins,
 		OnTargetSilence:  e.selector.recordSilence,
+		OnFirstByte:      e.selector.recordFirstByte,
 	},
 		gateway.WithCallsOnly(),
 		gateway.WithTargetErrors(),
--- a/entry/hub_watcher.go
+++ b/entry/hub_watcher.go
@@ -229,11 +229,16 @@
 	if w.rosterSource == 0 {
 		slack = initialSlack
 	}
-	request.CrashReport = observer.TakeReport()
+	rollouts := w.daemon.selector.rollouts.observer
+	request.CrashReport, request.Rollout = observer.TakeReport(), rollouts.TakeReport()
+	restoreReports := func() {
+		observer.RestoreReport(request.CrashReport)
+		rollouts.RestoreReport(request.Rollout)
+	}
 	sentAt := w.clock.Now()
 	reply, err := w.callWhileAlive(ctx, address, request, request.MaxWait+slack)
 	if err != nil {
-		observer.RestoreReport(request.CrashReport)
+		restoreReports()
 		return err
 	}
 	response, ok := reply.(peer.WatchResponse)
@@ -241,11 +246,11 @@
 		return errors.Errorf("unexpected reply of type %T to a watch request", reply)
 	}
 	if !response.QuorumConfirmed {
-		observer.RestoreReport(request.CrashReport)
+		restoreReports()
 		return errHubNotCurrent
 	}
 	if current := w.daemon.checker.currentHub(); response.ConfirmedAge > maxUnconfirmedAge && current != "" && current != address {
-		observer.RestoreReport(request.CrashReport)
+		restoreReports()
 		return errHubBehind
 	}
 	if response.OmittedRevision > 0 {
--- a/entry/target_roster.go
+++ b/entry/target_roster.go
@@ -42,6 +42,7 @@
 		t.updateTarget(now, entry)
 	}
 	t.rebuildIndex()
+	t.rollouts.noteVersions(now.Sub(t.firstTargetSeen) <= startupSlack, t.byService)
 	t.applyRateLimits(now, entries)
 }
 
--- a/entry/target_selector.go
+++ b/entry/target_selector.go
@@ -75,6 +75,7 @@
 	roster      *roster.Table
 	notices     *notice.Board
 	reports     reportClock
+	rollouts    *rolloutGuide
 	// durations holds the mean duration of requests by service, demand the rate of
 	// requests of this host.
 	durations map[string]time.Duration
@@ -90,7 +91,7 @@
 	return &targetSelector{
 		daemon: e, log: logs.ForComponent(e.Log, "Target"), clock: e.Clock, hosts: &hostCount{clock: e.Clock},
 		byName: map[string]*targetState{}, byService: map[string][]*targetState{}, throttles: map[string]*route.Throttle{}, durations: map[string]time.Duration{}, demand: map[string]*demandRate{}, prefixCache: newPrefixCacheIndex(), roster: roster.NewTable(),
-		notices: notice.NewBoard(), leavingNotices: e.Scope.Counter("targets_leaving_in_response"), pauseNotices: e.Scope.Counter("target_pauses"),
+		notices: notice.NewBoard(), rollouts: newRolloutGuide(e), leavingNotices: e.Scope.Counter("targets_leaving_in_response"), pauseNotices: e.Scope.Counter("target_pauses"),
 	}
 }
 
@@ -137,7 +138,9 @@
 	if key != 0 {
 		traffic.PromptRate = t.prefixCache.recordRequest(now, key) * float64(loads.hosts)
 	}
-	choice := route.ChooseLocal(key, rand.Uint64(), traffic, tokens, candidates, costs)
+	choice := t.chooseVersion(view, &request, key, list, candidates, func() route.LocalChoice {
+		return route.ChooseLocal(key, rand.Uint64(), traffic, tokens, candidates, costs)
+	})
 	if choice.Target == route.None {
 		if refusal := t.refusePaused(now, &request, list, candidates); refusal != nil {
 			return admission.Permit{}, refusal
@@ -272,6 +275,7 @@
 	}
 	t.daemon.crashes.record(now, &release, s.Address)
 	s.adjustInFlight(now, -1)
+	t.recordOutcome(&release, s)
 	switch release.Outcome {
 	case admission.OutcomeDone:
 		s.recordSuccess(now)
--- a/entry/throttle.go
+++ b/entry/throttle.go
@@ -33,7 +33,7 @@
 		inFlight, slots := 0.0, 0
 		loads := t.serviceLoads(now, name, list)
 		for _, s := range list {
-			if s.State != roster.Ready || view.IsOutOfService(s.Name, s.FailureDomain) || s.isAvoided(now) {
+			if s.State != roster.Ready || view.IsOutOfService(s.Name, s.FailureDomain) || s.isAvoided(now) || t.rollouts.isUnused(view, s) {
 				continue
 			}
 			estimated, _ := s.estimateLoad(now, loads)
--- a/gateway/dependencies.go
+++ b/gateway/dependencies.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"comfreytiller.dev/admission"
 	"comfreytiller.dev/fleet"
@@ -39,6 +40,10 @@
 	// request goes on waiting for it, then several times per timeout; nil to ignore
 	// silent targets until their requests end. The permit names the target.
 	OnTargetSilence func(permit admission.Permit)
+	// OnFirstByte is called when the response to a call has begun: with the header of a
+	// complete response or the first event of a stream; nil to ignore it. The permit names the
+	// target.
+	OnFirstByte func(permit admission.Permit, call string, firstByte time.Duration)
 	// StreamOrigins knows which software version began the streams that callers take up;
 	// nil to let them go on at any.
 	StreamOrigins StreamOrigins
