--- a/hub/durable_copies.go
+++ b/hub/durable_copies.go
@@ -12,17 +12,17 @@
 
 // operatorVersions are the versions of what operators change.
 type operatorVersions struct {
-	Fleet, Outage uint64
+	Fleet, Outage, Rollout uint64
 }
 
 // holds reports whether a disk with these versions has a change, or a later one.
 func (v operatorVersions) holds(change operatorVersions) bool {
-	return v.Fleet >= change.Fleet && v.Outage >= change.Outage
+	return v.Fleet >= change.Fleet && v.Outage >= change.Outage && v.Rollout >= change.Rollout
 }
 
 // latest returns the higher ones of two versions.
 func (v operatorVersions) latest(other operatorVersions) operatorVersions {
-	return operatorVersions{Fleet: max(v.Fleet, other.Fleet), Outage: max(v.Outage, other.Outage)}
+	return operatorVersions{Fleet: max(v.Fleet, other.Fleet), Outage: max(v.Outage, other.Outage), Rollout: max(v.Rollout, other.Rollout)}
 }
 
 // voterReport is what is known of a voter.
--- a/hub/gossip.go
+++ b/hub/gossip.go
@@ -266,6 +266,7 @@
 		}
 	}
 	g.hub.voters.record(m)
+	g.hub.rollouts.merge(m.RolloutSource, m.Rollouts)
 	g.hub.origins.record(m)
 	g.hub.watchers.recordHubRevision(m.Host, m.LowestRevision)
 	g.hub.watchers.recordRemote(m.Watchers)
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -104,6 +104,7 @@
 	deltas       *deltaSpread
 	// fleetVersions tells since when the latest configuration is known here.
 	fleetVersions *fleetVersions
+	rollouts      *rolloutManager
 
 	peerListener  net.Listener
 	adminListener net.Listener
@@ -133,6 +134,7 @@
 	h.loads = newLoadTracker(h.Clock)
 	h.quarantine = quarantine.NewBoard()
 	h.fleetVersions = &fleetVersions{clock: h.Clock}
+	h.rollouts = newRolloutManager(h)
 	h.deltas = newDeltaSpread(h.Clock, maxBulkShare*own.Bandwidth*bytesPerMegabit)
 	h.membership = newMembershipManager(h)
 	h.recovery = &recoveryObserver{hub: h}
@@ -203,7 +205,7 @@
 	defer stop()
 	splitter := sniff.NewSplitter(h.peerListener, peer.Magic, h.Clock)
 	control := &fasthttp.Server{
-		Handler:               h.Protocol.NewControlHandler(&controlHandler{hub: h}),
+		Handler:               h.Protocol.NewControlHandler(h.newControl()),
 		MaxRequestBodySize:    maxControlBodyBytes,
 		ReadTimeout:           controlReadTimeout,
 		NoDefaultServerHeader: true,
@@ -220,7 +222,7 @@
 		err := splitter.Serve(h.servePeer)
 		h.log.Debugf("Peer server stopped: %v.", err)
 	})
-	for _, run := range []func(context.Context){h.maintainContact, h.gossip.runRefresh, h.gossip.runLoads, h.gossip.runRevisions, h.voters.run, h.recordFleetVersions, h.membership.run, h.recovery.run, h.markSilentTargets, h.updateQuarantine, h.origins.run, h.logTraffic} {
+	for _, run := range []func(context.Context){h.maintainContact, h.gossip.runRefresh, h.gossip.runLoads, h.gossip.runRevisions, h.voters.run, h.recordFleetVersions, h.membership.run, h.recovery.run, h.markSilentTargets, h.updateQuarantine, h.rollouts.run, h.rollouts.runSums, h.origins.run, h.logTraffic} {
 		served.Go(func() { run(background) })
 	}
 	var stored sync.WaitGroup
--- a/hub/voters.go
+++ b/hub/voters.go
@@ -37,14 +37,18 @@
 // durable.
 func (h *Hub) durableVersions() operatorVersions {
 	view := h.replica.Machine.View()
-	return operatorVersions{Fleet: view.FleetVersion, Outage: view.OutageVersion}
+	versions := operatorVersions{Fleet: view.FleetVersion, Outage: view.OutageVersion}
+	for _, rollout := range view.Rollouts {
+		versions.Rollout = max(versions.Rollout, rollout.Number)
+	}
+	return versions
 }
 
 // report returns a message that tells what this hub has on its disk.
 func (v *voters) report() peer.RosterUpdate {
 	durable := v.hub.durableVersions()
 	return peer.RosterUpdate{
-		Host: v.hub.Settings.Host, Replica: v.hub.replica.Quorum.Status().ID, FleetVersion: durable.Fleet, OutageVersion: durable.Outage,
+		Host: v.hub.Settings.Host, Replica: v.hub.replica.Quorum.Status().ID, FleetVersion: durable.Fleet, OutageVersion: durable.Outage, RolloutVersion: durable.Rollout,
 	}
 }
 
@@ -74,7 +78,7 @@
 	defer v.mu.Unlock()
 	report := v.reports[m.Replica]
 	report.HeardAt = v.hub.Clock.Now()
-	durable := report.Durable.latest(operatorVersions{Fleet: m.FleetVersion, Outage: m.OutageVersion})
+	durable := report.Durable.latest(operatorVersions{Fleet: m.FleetVersion, Outage: m.OutageVersion, Rollout: m.RolloutVersion})
 	if durable != report.Durable {
 		close(v.changed)
 		v.changed = make(chan struct{})
--- a/hub/watchers.go
+++ b/hub/watchers.go
@@ -189,6 +189,7 @@
 	h.loads.recordHost(m.Host, m.Loads)
 	h.recordCrashReport(m.Host, m.CrashReport, m.Quarantined)
 	h.recordRateLimits(m.Host, m.RateLimits)
+	h.rollouts.record(m.Rollout)
 	startedAt := h.Clock.Now()
 	if !h.contact.await(min(m.MaxWait, maxLongPollWait)) {
 		// The host will poll another hub. After an outage of all hosts,
--- a/peer/codec_watch.go
+++ b/peer/codec_watch.go
@@ -19,7 +19,7 @@
 			Loads: loadsToWire(m.Loads), Evidence: crashReportToWire(m.CrashReport, now), Quarantined: suspectsToWire(m.Quarantined, now),
 			Origins: originsToWire(m.Origins, now), Relayed: m.Relayed, WantedOrigin: uint64(m.WantedOrigin), Wait: int64(m.MaxWait), LowestRevision: m.LowestRevision,
 			Replica: m.Replica, FleetVersion: m.FleetVersion, OutageVersion: m.OutageVersion,
-			Rollouts: rolloutsToWire(m.Rollouts), RolloutSource: m.RolloutSource,
+			Rollouts: rolloutsToWire(m.Rollouts), RolloutSource: m.RolloutSource, RolloutVersion: m.RolloutVersion,
 		}}
 	case WatchRequest:
 		wire.Body = &peerpb.Frame_Watch{Watch: &peerpb.Watch{
@@ -50,7 +50,7 @@
 			CrashReport: crashReportFromWire(b.Roster.Evidence, now), Quarantined: suspectsFromWire(b.Roster.Quarantined, now),
 			Origins: originsFromWire(b.Roster.Origins, now), Relayed: b.Roster.Relayed, WantedOrigin: origin.Key(b.Roster.WantedOrigin), MaxWait: time.Duration(b.Roster.Wait), LowestRevision: b.Roster.LowestRevision,
 			Replica: b.Roster.Replica, FleetVersion: b.Roster.FleetVersion, OutageVersion: b.Roster.OutageVersion,
-			Rollouts: rolloutsFromWire(b.Roster.Rollouts), RolloutSource: b.Roster.RolloutSource,
+			Rollouts: rolloutsFromWire(b.Roster.Rollouts), RolloutSource: b.Roster.RolloutSource, RolloutVersion: b.Roster.RolloutVersion,
 		}
 	case *peerpb.Frame_Watch:
 		w := b.Watch
--- a/peer/message.go
+++ b/peer/message.go
@@ -262,10 +262,12 @@
 	// replica, the largest number if there are none; 0 if it is not reported.
 	LowestRevision uint64
 	// Replica is the ID of the sender's state replica, "" if not reported. It durably holds
-	// the fleet configuration of FleetVersion and the outages of OutageVersion.
-	Replica       string
-	FleetVersion  uint64
-	OutageVersion uint64
+	// the fleet configuration of FleetVersion, the outages of OutageVersion and the rollouts
+	// up to the number RolloutVersion.
+	Replica        string
+	FleetVersion   uint64
+	OutageVersion  uint64
+	RolloutVersion uint64
 	// Rollouts are the sums of what hosts reported to the process RolloutSource of this
 	// replica; nil if they are not reported.
 	Rollouts      []rollout.ServiceReport
--- a/protocol/protocol.go
+++ b/protocol/protocol.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/jonboulle/clockwork"
@@ -67,6 +68,12 @@
 	// ErrVersionConflict reports that a different configuration has the same
 	// version.
 	ErrVersionConflict = errors.New("the version has another text")
+	// ErrInvalidRollout reports an order of a rollout that can't be carried out, and
+	// ErrRolloutConflict one that an earlier rollout rules out.
+	ErrInvalidRollout  = errors.New("invalid rollout")
+	ErrRolloutConflict = errors.New("an earlier rollout of the service rules this one out")
+	// ErrNoRollout reports a service that never had a rollout.
+	ErrNoRollout = errors.New("the service has no rollout")
 )
 
 // Control handles the calls of targets and operators on a state host.
@@ -88,6 +95,17 @@
 	SetOutage(ctx context.Context, caller Caller, failureDomain string, out bool) error
 }
 
+// RolloutControl is implemented by a Control that takes orders of rollouts.
+type RolloutControl interface {
+	// StartRollout orders that the requests of a service move to the targets of a software
+	// version within a time. A repeated order succeeds without effect. It returns
+	// ErrInvalidRollout or ErrRolloutConflict if the order is rejected, and ErrUnavailable
+	// without an effect if the caller no longer waits.
+	StartRollout(ctx context.Context, caller Caller, service, version string, duration time.Duration) error
+	// Rollout returns the last rollout of a service, or ErrNoRollout.
+	Rollout(ctx context.Context, service string) (registry.Rollout, error)
+}
+
 // Caller is the sender of a call.
 type Caller interface {
 	// IsWaiting reports whether the caller still waits for the response, as far as it is
