--- a/admission/rollout/analysis.go
+++ b/admission/rollout/analysis.go
@@ -10,11 +10,7 @@
 const (
 	// maxChance is the probability below which a difference is no chance. Each rollout makes
 	// some thousands of comparisons, most of them of nearly the same counts.
-	maxChance = 1e-6
-	// maxChanceOfMany is that for at least manyBad bad responses, from which on the hosts must
-	// leave a bad version soon.
-	maxChanceOfMany = 1e-5
-	manyBad         = 50
+	maxChance = 1e-5
 	// minBad is the minimum number of bad responses for a verdict.
 	minBad = 5
 	// The rate of failures of a bad version is more than failureFactor times that of the
@@ -31,17 +27,17 @@
 
 // thresholds are what a verdict needs.
 type thresholds struct {
-	maxChance, maxChanceOfMany float64
-	minBad                     uint64
-	slowSteps                  int
-	minSlowRate                float64
+	maxChance   float64
+	minBad      uint64
+	slowSteps   int
+	minSlowRate float64
 }
 
 var (
-	judging = thresholds{maxChance, maxChanceOfMany, minBad, slowSteps, minSlowRate}
+	judging = thresholds{maxChance, minBad, slowSteps, minSlowRate}
 	// moving applies once all requests go to the new version. There are no responses of the
 	// others at the same time, and the caches of most new targets are cold.
-	moving = thresholds{1e-8, 1e-8, 10, 4, 0.25}
+	moving = thresholds{1e-7, 10, 4, 0.25}
 )
 
 // compareFailures returns why the new version is bad, "" if it is not: its failures are more
@@ -84,8 +80,7 @@
 	if rate := float64(badOthers) / float64(totalOthers); float64(bad)/float64(total) < factor*rate+margin {
 		return false
 	}
-	chance := chanceOf(bad, total, badOthers, totalOthers)
-	return chance < limits.maxChance || bad >= manyBad && chance < limits.maxChanceOfMany
+	return chanceOf(bad, total, badOthers, totalOthers) < limits.maxChance
 }
 
 // chanceOf returns the probability that at least bad of all bad ones are among total, if both
--- a/admission/rollout/controller.go
+++ b/admission/rollout/controller.go
@@ -17,7 +17,9 @@
 	// minJudged is the number of responses that a verdict needs, minJudgedShare the share of
 	// the requests that suffices if there are few.
 	minJudged      = 20
-	minJudgedShare = 0.1
+	minJudgedShare = 0.02
+	// minJudgedLast replaces minJudged when no time is left: the move is within the bounds.
+	minJudgedLast = 5
 )
 
 // Bounds are what callers accept.
@@ -42,16 +44,19 @@
 	Duration time.Duration
 	// Share is the share in force. With 1, everything moves.
 	Share float64
+	// PromptShare is the share of the prompts that belong to the new version.
+	PromptShare float64
 	// Counts are the sums of all reports.
 	Counts *ServiceReport
 	// HostsHaveShare is set if all hosts in contact have the share in force.
 	HostsHaveShare bool
 	// RunningOnOthers is the number of requests in flight on the other versions.
 	RunningOnOthers int
-	// CommitTime is how long a step takes to be committed, SpreadTime until all hosts have
-	// it.
-	CommitTime time.Duration
-	SpreadTime time.Duration
+	// CommitTime is how long a step usually takes to be committed, SlowCommitTime how long the
+	// slower ones of the latest took, and SpreadTime how long it takes until all hosts have it.
+	CommitTime     time.Duration
+	SlowCommitTime time.Duration
+	SpreadTime     time.Duration
 }
 
 // remaining returns the time until the deadline.
@@ -75,7 +80,9 @@
 // Decision is the result of Controller.Decide.
 type Decision struct {
 	Action Action
-	Share  float64
+	// Share and PromptShare are those from now on.
+	Share       float64
+	PromptShare float64
 	// Reason tells what decided, for the log.
 	Reason string
 	// Rate is the estimated number of requests per second.
@@ -98,6 +105,8 @@
 	firstResponseAt time.Time
 	warm            *sample
 	moved           *sample
+	// movedBefore is how long before the deadline everything moved.
+	movedBefore time.Duration
 }
 
 // sample holds counts at a time.
@@ -137,35 +146,43 @@
 	}
 	plan := c.plan(input, counts, rate)
 	if plan.isDue {
-		if reason := missingEvidence(counts); reason != "" {
+		if reason := missingEvidence(counts, plan.isLast); reason != "" {
 			return Decision{Action: Keep, Reason: reason}
 		}
-		return Decision{Action: SetShare, Share: 1, Reason: fmt.Sprintf("no fault in %d responses, and %s are left", newSide.Responses, input.remaining())}
+		return Decision{Action: SetShare, Share: 1, PromptShare: 1, Reason: fmt.Sprintf("no fault in %d responses, and %s are left", newSide.Responses, input.remaining())}
 	}
-	if share, changes := c.nextShare(input, plan); changes {
-		return Decision{Action: SetShare, Share: share, Reason: "the share is fitted to the rate of requests"}
+	if share, promptShare, changes := c.nextShare(input, plan); changes {
+		return Decision{Action: SetShare, Share: share, PromptShare: promptShare, Reason: "the share is fitted to the rate of requests"}
 	}
 	return Decision{Action: Keep}
 }
 
-// decideCompletion decides once everything moves. The rollout stays open until shortly before
-// the deadline, so that a fault can still revert it and streams on the old targets can end.
+// decideCompletion decides once everything moves. The rollout stays open for a while, so that a
+// fault can still revert it, and until shortly before the deadline if streams on the old targets
+// have not ended.
 func (c *Controller) decideCompletion(input *Input, hasServed bool) Decision {
+	reserve := input.completionReserve()
+	if input.RunningOnOthers == 0 {
+		reserve = max(reserve, time.Duration(completedPart*float64(c.movedBefore)))
+	}
 	switch {
 	case input.remaining() <= 0 && !hasServed:
 		return Decision{Action: Revert, Reason: "no target of the version has taken traffic by the deadline"}
 	case input.remaining() <= -c.bounds.RevertWithin:
 		return Decision{Action: Revert, Reason: "hosts lack the last share long after the deadline"}
-	case !hasServed || !input.HostsHaveShare || input.remaining() > input.completionReserve():
+	case !hasServed || !input.HostsHaveShare || input.remaining() > reserve:
 		return Decision{Action: Keep}
 	}
-	return Decision{Action: Complete, Share: 1, Reason: fmt.Sprintf("all hosts have left the other versions, on which %d requests still run", input.RunningOnOthers)}
+	return Decision{Action: Complete, Share: 1, PromptShare: 1, Reason: fmt.Sprintf("all hosts have left the other versions, on which %d requests still run", input.RunningOnOthers)}
 }
 
 // missingEvidence returns what a verdict lacks; "" for nothing.
-func missingEvidence(counts *ServiceReport) string {
+func missingEvidence(counts *ServiceReport, isLast bool) string {
 	newSide, others := counts.totals()
 	needed := min(minJudged, uint64(minJudgedShare*float64(counts.Requests)))
+	if isLast {
+		needed = min(needed, minJudgedLast)
+	}
 	if newSide.Responses < needed {
 		return fmt.Sprintf("%d responses of %d that a verdict needs", newSide.Responses, needed)
 	}
@@ -243,7 +260,7 @@
 		c.warm = &sample{input.Now, counts.Clone()}
 	}
 	if c.moved == nil && input.Share >= 1 {
-		c.moved = &sample{input.Now, counts.Clone()}
+		c.moved, c.movedBefore = &sample{input.Now, counts.Clone()}, input.remaining()
 	}
 	if c.moved != nil && c.warm != nil && c.warm.at.Before(c.moved.at) && input.Now.Sub(c.moved.at) >= cold {
 		c.warm = &sample{input.Now, counts.Clone()}
--- a/admission/rollout/losses.go
+++ b/admission/rollout/losses.go
@@ -79,7 +79,7 @@
 	if bad < limits.minBad || float64(bad) < failureFactor*c.expected+minFailureRate*float64(c.newSide.Responses) {
 		return ""
 	}
-	if chance := poissonTail(bad, c.expected); chance >= limits.maxChance && (bad < manyBad || chance >= limits.maxChanceOfMany) {
+	if poissonTail(bad, c.expected) >= limits.maxChance {
 		return ""
 	}
 	return fmt.Sprintf("%d of %d responses of all routes failed, where %.1f were expected", bad, c.newSide.Responses, c.expected)
--- a/admission/rollout/rollout.go
+++ b/admission/rollout/rollout.go
@@ -18,8 +18,8 @@
 //
 // On an entry host:
 //
-//	if assignment.Prefers(number, share, promptKey, random) { ... }
-//	assignment.Record(share, wentToVersion)
+//	if assignment.Prefers(share, promptShare, promptKey) { ... }
+//	assignment.Record(share, wentToVersion, random)
 //	observer.RecordRequest(service, number, wentToVersion)
 //	observer.RecordFirstByte(service, number, route, isVersion, firstByte)
 //	observer.RecordFailure(service, number, route, isVersion, failure)
--- a/entry/rollout.go
+++ b/entry/rollout.go
@@ -133,7 +133,7 @@
 // otherwise one of the others.
 func (t *targetSelector) chooseShare(limits *versionLimits, request *admission.Request, key uint64, choose func() route.LocalChoice) route.LocalChoice {
 	r := limits.rollout
-	if isFirst(request) && t.rollouts.assignment(request.Service, r.Number).Prefers(r.Share, key, rand.Uint64()) {
+	if isFirst(request) && t.rollouts.assignment(request.Service, r.Number).Prefers(r.Share, r.PromptShare, key) {
 		if limits.allowCanaries() {
 			if choice := choose(); choice.Target != route.None {
 				return choice
@@ -158,7 +158,7 @@
 		g.assignments[service] = assignment
 	}
 	if assignment.Number() != number {
-		assignment.Reset(number, rand.Float64())
+		assignment.Reset(number, rand.Uint64())
 	}
 	return assignment
 }
@@ -166,7 +166,7 @@
 // recordAssigned records that a request is sent to a target. The caller must hold t.mu.
 func (t *targetSelector) recordAssigned(r *registry.Rollout, request *admission.Request, isNew bool) {
 	if isFirst(request) {
-		t.rollouts.assignment(request.Service, r.Number).Record(r.Share, isNew)
+		t.rollouts.assignment(request.Service, r.Number).Record(r.Share, isNew, rand.Uint64())
 		t.rollouts.observer.RecordRequest(request.Service, r.Number, isNew)
 	} else if isNew {
 		t.rollouts.observer.RecordExposed(request.Service, r.Number)
--- a/hub/rollout.go
+++ b/hub/rollout.go
@@ -31,10 +31,12 @@
 	// initialCommitTime and initialSpreadTime are assumed until a step has been measured.
 	// maxMeasuredSpread limits what is measured: a host that stops is awaited for longer. The
 	// spread of one step counts as at most maxMeasuredStepRatio times that of the last one.
-	initialCommitTime    = 50 * time.Millisecond
-	initialSpreadTime    = 150 * time.Millisecond
-	maxMeasuredSpread    = time.Second
-	commitTimeWeight     = 0.3
+	initialCommitTime = 50 * time.Millisecond
+	initialSpreadTime = 150 * time.Millisecond
+	maxMeasuredSpread = time.Second
+	commitTimeWeight  = 0.3
+	// slowCommitDecay is how much of the longest commit is left with each later one.
+	slowCommitDecay      = 0.85
 	minMeasuredStep      = 10 * time.Millisecond
 	maxMeasuredStepRatio = 4
 )
@@ -56,6 +58,8 @@
 	orderedAt  map[string]orderTime
 	led        map[string]*ledRollout
 	commitTime time.Duration
+	// slowCommit is the longest of the latest commits.
+	slowCommit time.Duration
 	spreadTime time.Duration
 }
 
@@ -86,7 +90,7 @@
 func newRolloutManager(h *Hub) *rolloutManager {
 	m := &rolloutManager{
 		hub: h, log: logs.ForComponent(h.Log, "Rollout"), sums: map[uint64]serviceSums{}, orderedAt: map[string]orderTime{},
-		led: map[string]*ledRollout{}, commitTime: initialCommitTime, spreadTime: initialSpreadTime,
+		led: map[string]*ledRollout{}, commitTime: initialCommitTime, slowCommit: initialCommitTime, spreadTime: initialSpreadTime,
 	}
 	if settings := h.Settings.Rollouts; settings != nil {
 		m.bounds = rollout.Bounds{ExposedShare: settings.ExposedShare, ExposedExtra: settings.ExposedExtra, RevertWithin: settings.RevertWithin}
@@ -147,8 +151,8 @@
 	counts.Exposed += led.missing.Exposed
 	m.trackSpread(now, led, &current, view)
 	input := rollout.Input{
-		Now: now, Elapsed: now.Sub(m.orderedAt[service].at), Duration: current.Duration, Share: current.Share, Counts: &counts,
-		HostsHaveShare: led.spread, RunningOnOthers: m.runningOnOthers(service, current.Version), CommitTime: m.commitTime, SpreadTime: m.spreadTime,
+		Now: now, Elapsed: now.Sub(m.orderedAt[service].at), Duration: current.Duration, Share: current.Share, PromptShare: current.PromptShare, Counts: &counts,
+		HostsHaveShare: led.spread, RunningOnOthers: m.runningOnOthers(service, current.Version), CommitTime: m.commitTime, SlowCommitTime: m.slowCommit, SpreadTime: m.spreadTime,
 	}
 	decision := led.controller.Decide(input)
 	if decision.Action == rollout.Keep {
@@ -217,16 +221,16 @@
 func (m *rolloutManager) commitStep(ctx context.Context, service string, current *registry.Rollout, input *rollout.Input, decision *rollout.Decision) {
 	responses, bad := input.Counts.Responses()
 	command := registry.StepRollout{
-		Service: service, Number: current.Number, BaseStep: current.Step, State: registry.RolloutServing, Share: current.Share, Elapsed: input.Elapsed,
+		Service: service, Number: current.Number, BaseStep: current.Step, State: registry.RolloutServing, Share: current.Share, PromptShare: current.PromptShare, Elapsed: input.Elapsed,
 		Counts: registry.RolloutCounts{Requests: input.Counts.Requests, Exposed: input.Counts.Exposed, Responses: responses, Failures: bad},
 	}
 	switch decision.Action {
 	case rollout.SetShare:
-		command.Share = decision.Share
+		command.Share, command.PromptShare = decision.Share, decision.PromptShare
 	case rollout.Complete:
-		command.State, command.Share = registry.RolloutComplete, 1
+		command.State, command.Share, command.PromptShare = registry.RolloutComplete, 1, 1
 	case rollout.Revert:
-		command.State, command.Share = registry.RolloutReverted, 0
+		command.State, command.Share, command.PromptShare = registry.RolloutReverted, 0, 0
 	case rollout.Keep:
 	}
 	ctx, cancel := clockwork.WithTimeout(ctx, m.hub.Clock, operatorCallTimeout)
@@ -240,7 +244,8 @@
 			Warnf("Step of the rollout of service %q was not committed.", service)
 		return
 	}
-	m.commitTime += time.Duration(commitTimeWeight * float64(max(took, minMeasuredStep)-m.commitTime))
+	m.commitTime += time.Duration(commitTimeWeight * float64(max(min(took, maxMeasuredStepRatio*m.commitTime), minMeasuredStep)-m.commitTime))
+	m.slowCommit = max(took, time.Duration(slowCommitDecay*float64(m.slowCommit)))
 	m.recordStep(service, current.Version, &command, decision)
 	if decision.Action == rollout.Keep {
 		return
@@ -251,7 +256,7 @@
 func (m *rolloutManager) stepFields(service string, current *registry.Rollout, input *rollout.Input, decision *rollout.Decision, command *registry.StepRollout) logrus.Fields {
 	return logrus.Fields{
 		"Service": service, "Version": current.Version, "Number": current.Number, "Step": current.Step + 1, "Action": decision.Action,
-		"Reason": decision.Reason, "Share": command.Share, "LastShare": current.Share, "Elapsed": input.Elapsed, "Duration": current.Duration,
+		"Reason": decision.Reason, "Share": command.Share, "LastShare": current.Share, "PromptShare": command.PromptShare, "Elapsed": input.Elapsed, "Duration": current.Duration,
 		"Requests": command.Counts.Requests, "Exposed": command.Counts.Exposed, "Responses": command.Counts.Responses, "Failures": command.Counts.Failures,
 		"Rate": decision.Rate, "OnOthers": input.RunningOnOthers, "CommitTime": input.CommitTime, "SpreadTime": input.SpreadTime,
 	}
--- a/registry/command.go
+++ b/registry/command.go
@@ -213,6 +213,8 @@
 	BaseStep uint64
 	State    RolloutState
 	Share    float64
+	// PromptShare is the share of the prompts that belong to the version.
+	PromptShare float64
 	// Elapsed is the time since the order, by the leader's monotonic clock.
 	Elapsed time.Duration
 	Counts  RolloutCounts
--- a/registry/rollout.go
+++ b/registry/rollout.go
@@ -33,6 +33,9 @@
 	// Share is the largest share of the requests that the version may get, from 0 to 1. With
 	// 1, the other versions get no requests while a target of the version is ready.
 	Share float64
+	// PromptShare is the share of the shared prompts whose requests may go to the version. It is
+	// larger than Share if there are few prompts.
+	PromptShare float64
 	// Elapsed is the time since the order at the last step.
 	Elapsed time.Duration
 	Counts  RolloutCounts
@@ -70,7 +73,7 @@
 		reverted = reverted[max(len(reverted)-MaxRevertedVersions, 0):]
 	}
 	s.rollouts[command.Service] = Rollout{
-		Number: sequence, Version: command.Version, Duration: command.Duration, State: RolloutServing, Share: command.Share, Reverted: reverted,
+		Number: sequence, Version: command.Version, Duration: command.Duration, State: RolloutServing, Share: command.Share, PromptShare: command.Share, Reverted: reverted,
 	}
 	s.changed.rollouts = true
 	return Result{Code: CodeOK, Version: sequence}
@@ -116,11 +119,11 @@
 		return Result{Code: CodeConflict, Detail: detail, Version: current.Step}
 	}
 	known := command.State == RolloutServing || command.State == RolloutComplete || command.State == RolloutReverted
-	if !known || !(command.Share >= 0 && command.Share <= 1) {
+	if !known || !(command.Share >= 0 && command.Share <= 1) || !(command.PromptShare >= 0 && command.PromptShare <= 1) {
 		return reject(CodeMalformed, "a step needs a known state and a share between 0 and 1")
 	}
 	current.Step++
-	current.State, current.Share = command.State, command.Share
+	current.State, current.Share, current.PromptShare = command.State, command.Share, command.PromptShare
 	current.Elapsed = max(current.Elapsed, command.Elapsed)
 	current.Counts = current.Counts.atLeast(command.Counts)
 	s.rollouts[command.Service] = current
--- a/registry/rollout_codec.go
+++ b/registry/rollout_codec.go
@@ -15,7 +15,7 @@
 	case StepRollout:
 		return &registrypb.Command{Kind: &registrypb.Command_StepRollout{StepRollout: &registrypb.StepRollout{
 			Service: c.Service, Number: c.Number, Base: c.BaseStep, State: string(c.State), Share: c.Share, Elapsed: int64(c.Elapsed),
-			Counts: rolloutCountsToWire(c.Counts),
+			Counts: rolloutCountsToWire(c.Counts), PromptShare: c.PromptShare,
 		}}}
 	}
 	return &registrypb.Command{}
@@ -31,7 +31,7 @@
 		c := kind.StepRollout
 		return StepRollout{
 			Service: c.GetService(), Number: c.GetNumber(), BaseStep: c.GetBase(), State: RolloutState(c.GetState()), Share: c.GetShare(),
-			Elapsed: time.Duration(c.GetElapsed()), Counts: rolloutCountsFromWire(c.GetCounts()),
+			Elapsed: time.Duration(c.GetElapsed()), Counts: rolloutCountsFromWire(c.GetCounts()), PromptShare: c.GetPromptShare(),
 		}
 	}
 	return nil
@@ -60,7 +60,7 @@
 		r := rollouts[service]
 		wire = append(wire, &registrypb.Rollout{
 			Service: service, Number: r.Number, Step: r.Step, Version: r.Version, Duration: int64(r.Duration), State: string(r.State),
-			Share: r.Share, Elapsed: int64(r.Elapsed), Counts: rolloutCountsToWire(r.Counts), Reverted: r.Reverted,
+			Share: r.Share, Elapsed: int64(r.Elapsed), Counts: rolloutCountsToWire(r.Counts), Reverted: r.Reverted, PromptShare: r.PromptShare,
 		})
 	}
 	return wire
@@ -70,7 +70,7 @@
 	return Rollout{
 		Number: wire.GetNumber(), Step: wire.GetStep(), Version: wire.GetVersion(), Duration: time.Duration(wire.GetDuration()),
 		State: RolloutState(wire.GetState()), Share: wire.GetShare(), Elapsed: time.Duration(wire.GetElapsed()),
-		Counts: rolloutCountsFromWire(wire.GetCounts()), Reverted: wire.GetReverted(),
+		Counts: rolloutCountsFromWire(wire.GetCounts()), Reverted: wire.GetReverted(), PromptShare: wire.GetPromptShare(),
 	}
 }
 
