Use how long work takes on a target in its choice

Cause: on some deployments the load header has a fourth figure, how long work takes on the target at this moment. Such a header was dropped as malformed, so that no load report was used at all.

Change: three or four figures are read; a malformed header is ignored, counted (malformed_target_loads) and logged once a minute for each target. The figure is clamped to 0.25..8, weighed by its age and by the requests since, and pulled towards the average of its target. It scales the load that is compared with the bounds, the costs of the choice and the slots of the throttle, but never the bounds or the home of a prompt. Requests without a prompt spread over targets of about the same cost, since other hosts read the same figure.

--- a/admission/request.go
+++ b/admission/request.go
@@ -119,6 +119,16 @@
 	Cold         bool
 	// LastSeenAge is the time since the target's last message.
 	LastSeenAge time.Duration
+	// Slowdown is how long work takes on the target, as a multiple of the usual time, as
+	// it counted in the decision; 0 for unknown. ToldSlowdown is what the target reported
+	// last, MeasuredSlowdown what its response times say of the targets compared with each
+	// other; 0 for unknown.
+	Slowdown         float64
+	ToldSlowdown     float64
+	MeasuredSlowdown float64
+	// HeldTokens is the estimated number of tokens of prompts and responses in the
+	// target's memory; 0 for unknown.
+	HeldTokens float64
 }
 
 // RefusalCode is the reason why a request got no permit.
--- a/entry/notices.go
+++ b/entry/notices.go
@@ -24,6 +24,7 @@
 	if s != nil && header.Load != nil {
 		s.recordLoad(now, *header.Load)
 	}
+	t.recordLoadProblem(now, s, header.LoadProblem, permit)
 	if s != nil && s.Incarnation == permit.Incarnation && header.Status != 0 {
 		s.silentUntil = time.Time{}
 	}
--- a/entry/target_selector.go
+++ b/entry/target_selector.go
@@ -84,6 +84,8 @@
 
 	leavingNotices tally.Counter
 	pauseNotices   tally.Counter
+	// malformedLoads counts the load headers that were ignored.
+	malformedLoads tally.Counter
 }
 
 func newTargetSelector(e *Entry) *targetSelector {
@@ -91,6 +93,7 @@
 		daemon: e, log: logs.ForComponent(e.Log, "Target"), clock: e.Clock, hosts: &hostCount{clock: e.Clock},
 		byName: map[string]*targetState{}, byService: map[string][]*targetState{}, throttles: map[string]*route.Throttle{}, durations: map[string]time.Duration{}, demand: map[string]*demandRate{}, prefixCache: newPrefixCacheIndex(), roster: roster.NewTable(),
 		notices: notice.NewBoard(), leavingNotices: e.Scope.Counter("targets_leaving_in_response"), pauseNotices: e.Scope.Counter("target_pauses"),
+		malformedLoads: e.Scope.Counter("malformed_target_loads"),
 	}
 }
 
@@ -183,6 +186,7 @@
 		AtCapacity:     now.Before(s.atCapacityUntil) || !s.hasSlot(now, loads) || t.isPaused(now, s) || s.isCold(now) && now.Before(t.earliestColdRequest(s, service, loads.hosts)),
 	}
 	local.InFlight, local.Queued = s.estimateLoad(now, loads)
+	s.describeSpeed(now, &local)
 	local.SlotsInUse = s.hasReportedLoad(now) && s.Capacity > 0 && local.InFlight+1 > float64(s.Capacity)
 	if request.Prompt != nil {
 		local.CachedTokens = t.prefixCache.cachedTokens(now, local.Key, request.Prompt.Parts)
@@ -212,6 +216,7 @@
 	}
 	s.useSlot(now, loads)
 	s.adjustInFlight(now, 1)
+	s.speed.told.RecordSent()
 	if request.Prompt != nil {
 		t.prefixCache.recordSent(now, local.Key, request.Prompt.Parts)
 	}
@@ -226,6 +231,7 @@
 		Inputs: &admission.DecisionInputs{
 			FleetVersion: view.FleetVersion, Candidates: available, InFlight: local.InFlight, Queued: local.Queued,
 			LoadReportAge: loadAge, OwnInFlight: s.ownInFlight, CachedTokens: local.CachedTokens, Cold: cold, LastSeenAge: now.Sub(s.LastSeen),
+			Slowdown: local.Slowdown, ToldSlowdown: s.lastLoad.Slowdown,
 		},
 	}
 }
--- a/entry/target_state.go
+++ b/entry/target_state.go
@@ -77,6 +77,8 @@
 	slots    *ratelimit.Schedule
 	// coldSince is when this host learned that the target is cold.
 	coldSince time.Time
+	// speed is what this host knows of how long work takes on the target.
+	speed targetSpeed
 }
 
 // adjustInFlight changes the number of own requests in flight and updates its
@@ -188,6 +190,7 @@
 // recordLoad records a load report of the target.
 func (s *targetState) recordLoad(now time.Time, load target.Load) {
 	s.lastLoad, s.lastLoadAt, s.ownAtLastLoad = load, now, s.ownInFlight
+	s.speed.told.ObserveFigure(now, load.Slowdown)
 }
 
 // recordSuccess records a response.
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -119,6 +119,7 @@
 	if in := a.permit.Inputs; in != nil {
 		fields["FleetVersion"], fields["Candidates"], fields["Running"], fields["Queued"] = in.FleetVersion, in.Candidates, in.InFlight, in.Queued
 		fields["CacheFrom"], fields["LoadAge"], fields["Own"], fields["Kept"], fields["Cold"], fields["HeardAge"] = a.permit.CacheSource, in.LoadReportAge, in.OwnInFlight, in.CachedTokens, in.Cold, in.LastSeenAge
+		fields["Slowdown"], fields["ToldSlowdown"], fields["MeasuredSlowdown"], fields["HeldTokens"] = in.Slowdown, in.ToldSlowdown, in.MeasuredSlowdown, in.HeldTokens
 	}
 	return g.log.WithFields(fields)
 }
--- a/route/local.go
+++ b/route/local.go
@@ -39,6 +39,13 @@
 	CachedTokens int
 	// FailureRate is the fraction of recent calls that failed, from 0 to 1.
 	FailureRate float64
+	// Slowdown is how long work takes on the target, as a multiple of the usual time; 0 for
+	// unknown. HomeSlowdown is the one that counts when requests leave the target although
+	// it is the home of their prompt.
+	Slowdown     float64
+	HomeSlowdown float64
+	// SharedFigure is set if other hosts know the same Slowdown.
+	SharedFigure bool
 }
 
 // LocalCosts are the costs of a local choice, as times.
@@ -96,8 +103,9 @@
 	order := newRendezvousOrder(key, targets)
 	mean, meanUnlimited := meanInFlight(targets)
 	low, high := traffic.targetBounds(mean, targets)
-	if order.home != None && targets[order.home].InFlight+1 > low {
-		if at := spread(key, random, traffic.promptArrivals(), low, targets); at != None {
+	uneven := newUnevenness(targets)
+	if order.home != None && uneven.homeLoad(&targets[order.home])+1 > low {
+		if at := spread(key, random, traffic.promptArrivals(), low, targets, uneven); at != None {
 			return LocalChoice{Target: at, CacheSource: order.cacheSource(at, targets), Home: at == order.home}
 		}
 	}
@@ -106,18 +114,31 @@
 	// Beside targets with a rate limit, which leave the rest of the load to a few others, a
 	// prompt that waits for a slot would wait until its deadline, behind ever more of them.
 	takesRest := key != 0 && slotsBesideLimits(targets) > 0
-	for i := range targets {
+	costOf := func(i int) (time.Duration, bool) {
 		target := &targets[i]
 		if target.Availability != Available || target.AtCapacity || takesRest && target.SlotsInUse {
+			return 0, false
+		}
+		slowdown, load := uneven.relative(target), uneven.load(target)
+		if i == order.home {
+			slowdown, load = uneven.homeSlowdown(target), uneven.homeLoad(target)
+		}
+		return loadCost(target, slowdown, load, low, high, costs) + promptCost(i, order.cacheSource(i, targets), tokens, slowdown, targets, &order, costs), true
+	}
+	for i := range targets {
+		cost, hasCapacity := costOf(i)
+		if !hasCapacity {
 			continue
 		}
 		source := order.cacheSource(i, targets)
-		cost := loadCost(target, low, high, costs) + promptCost(i, source, tokens, targets, &order, costs)
 		if choice.Target == None || cost < best {
 			best = cost
 			choice = LocalChoice{Target: i, CacheSource: source, Home: i == order.home}
 		}
 	}
+	if key == 0 && uneven.isShared && choice.Target != None {
+		choice.Target = pickEqual(random, best, uneven.tolerance(mean, costs), targets, costOf)
+	}
 	if choice.Target != None && shouldRefuse(&targets[choice.Target], random, meanUnlimited, targets) {
 		return LocalChoice{Target: None, CacheSource: None}
 	}
@@ -150,13 +171,13 @@
 
 // promptCost returns the time to prefill or transfer the part of a prompt that the
 // target has not cached.
-func promptCost(i, source, tokens int, targets []LocalTarget, order *rendezvousOrder, costs *LocalCosts) time.Duration {
+func promptCost(i, source, tokens int, slowdown float64, targets []LocalTarget, order *rendezvousOrder, costs *LocalCosts) time.Duration {
 	cached := targets[i].CachedTokens
 	if i == order.home && source == None {
 		cached = tokens
 	}
 	missing := time.Duration(tokens - min(cached, tokens))
-	cost := missing * costs.PrefillToken
+	cost := time.Duration(float64(missing*costs.PrefillToken) * slowdown)
 	if source != None {
 		cost = missing * costs.TransferToken
 	}
@@ -168,16 +189,16 @@
 }
 
 // loadCost returns the delay that a request is expected to suffer from other requests
-// on the target.
-func loadCost(target *LocalTarget, low, high float64, costs *LocalCosts) time.Duration {
-	cost := time.Duration(target.InFlight*float64(costs.InFlight)) +
-		time.Duration(target.Queued*float64(costs.Queued)) +
+// on the target. load is the number in flight that is compared with the bounds.
+func loadCost(target *LocalTarget, slowdown, load, low, high float64, costs *LocalCosts) time.Duration {
+	cost := time.Duration(target.InFlight*float64(costs.InFlight)*slowdown) +
+		time.Duration(target.Queued*float64(costs.Queued)*slowdown) +
 		time.Duration(target.FailureRate*float64(costs.FailureRate))
 	if target.Slots > 0 && target.InFlight >= float64(target.Slots) {
 		queued := target.InFlight - float64(target.Slots) + 1
-		cost += time.Duration(queued * float64(costs.Queued))
+		cost += time.Duration(queued * float64(costs.Queued) * slowdown)
 	}
-	if overload := (target.InFlight + 1 - low) / (high - low); overload > 0 {
+	if overload := (load + 1 - low) / (high - low); overload > 0 {
 		cost += time.Duration(min(overload, maxOverload) * float64(costs.Overload))
 	}
 	if !target.SameDomain {
--- a/route/spread.go
+++ b/route/spread.go
@@ -21,7 +21,7 @@
 // It is designed for a prompt that gets tens of requests per second on a hundred hosts,
 // each of which receives only a few. If all hosts chose the next target in order, or
 // the least loaded one, they would overload that target until the next load report.
-func spread(key, random uint64, arrivals, bound float64, targets []LocalTarget) int {
+func spread(key, random uint64, arrivals, bound float64, targets []LocalTarget, uneven unevenness) int {
 	var order [maxSpreadTargets]rankedCandidate
 	count := 0
 	for i := range targets {
@@ -35,7 +35,7 @@
 	total, used := 0.0, 0
 	capacity := max(spreadMargin*arrivals, minSpreadCapacity)
 	for used < count && total < capacity {
-		free[used] = max(bound-targets[order[used].target].InFlight, 0)
+		free[used] = max(bound-uneven.load(&targets[order[used].target]), 0)
 		total += free[used]
 		used++
 	}
--- a/target/call.go
+++ b/target/call.go
@@ -140,8 +140,10 @@
 	Headers []Header
 	// NotExecuted is set when the target reports that it did not execute the call.
 	NotExecuted bool
-	// Load is the load that the target reports; nil if it reports none.
-	Load *Load
+	// Load is the load that the target reports; nil if it reports none. LoadProblem is why
+	// the target's value was ignored; empty if it was used or if there is none.
+	Load        *Load
+	LoadProblem string
 	// Leaving is set when the target is about to stop and wants no new requests.
 	Leaving bool
 	// RetryAfter is how long the target wants no requests from this host; 0 for no
@@ -167,6 +169,9 @@
 	Queued int
 	// Slots is the maximum of Running.
 	Slots int
+	// Slowdown is how long work takes on the target at this moment, as a multiple of the
+	// usual time; 0 if the target does not report it.
+	Slowdown float64
 }
 
 // Event is one event of a stream.
