Judge plain targets by their response times

Cause: targets of plain services report no load. On one fleet a seventh of them take 2.5 times as long for some hundred milliseconds, on another those of one failure domain take 1.3 times as long all the time. Hosts chose them like others.

Change: each host compares the logarithms of the response times of a target, less the part for which it waited in the queue, with those of the other targets of the service: over 150 ms where the host sees the whole queue, and over a minute. Only what exceeds the usual differences counts, in the choice and in the slots of the throttle. Where a target tells its speed, response times correct it as far as they contradict it. Engines that tell nothing are not judged.

--- a/admission/request.go
+++ b/admission/request.go
@@ -217,4 +217,6 @@
 	// if the target closed the connection before the response was complete.
 	Succeeded      bool
 	ConnectionLost bool
+	// Inputs are those of the permit; nil for unknown.
+	Inputs *DecisionInputs
 }
--- a/entry/target_selector.go
+++ b/entry/target_selector.go
@@ -86,6 +86,11 @@
 	pauseNotices   tally.Counter
 	// malformedLoads counts the load headers that were ignored.
 	malformedLoads tally.Counter
+	// responseTimes holds those of each service.
+	responseTimes map[string]*route.ServiceTimes
+	// measuredSlowdowns is the histogram of the slowdowns of targets by their response
+	// times.
+	measuredSlowdowns tally.Histogram
 }
 
 func newTargetSelector(e *Entry) *targetSelector {
@@ -94,6 +99,7 @@
 		byName: map[string]*targetState{}, byService: map[string][]*targetState{}, throttles: map[string]*route.Throttle{}, durations: map[string]time.Duration{}, demand: map[string]*demandRate{}, prefixCache: newPrefixCacheIndex(), roster: roster.NewTable(),
 		notices: notice.NewBoard(), leavingNotices: e.Scope.Counter("targets_leaving_in_response"), pauseNotices: e.Scope.Counter("target_pauses"),
 		malformedLoads: e.Scope.Counter("malformed_target_loads"),
+		responseTimes:  map[string]*route.ServiceTimes{}, measuredSlowdowns: e.Scope.Histogram("measured_target_slowdown", slowdownBuckets),
 	}
 }
 
@@ -186,7 +192,7 @@
 		AtCapacity:     now.Before(s.atCapacityUntil) || !s.hasSlot(now, loads) || t.isPaused(now, s) || s.isCold(now) && now.Before(t.earliestColdRequest(s, service, loads.hosts)),
 	}
 	local.InFlight, local.Queued = s.estimateLoad(now, loads)
-	s.describeSpeed(now, &local)
+	t.describeSpeed(now, s, service, &local)
 	local.SlotsInUse = s.hasReportedLoad(now) && s.Capacity > 0 && local.InFlight+1 > float64(s.Capacity)
 	if request.Prompt != nil {
 		local.CachedTokens = t.prefixCache.cachedTokens(now, local.Key, request.Prompt.Parts)
@@ -231,7 +237,7 @@
 		Inputs: &admission.DecisionInputs{
 			FleetVersion: view.FleetVersion, Candidates: available, InFlight: local.InFlight, Queued: local.Queued,
 			LoadReportAge: loadAge, OwnInFlight: s.ownInFlight, CachedTokens: local.CachedTokens, Cold: cold, LastSeenAge: now.Sub(s.LastSeen),
-			Slowdown: local.Slowdown, ToldSlowdown: s.lastLoad.Slowdown,
+			Slowdown: local.Slowdown, ToldSlowdown: s.lastLoad.Slowdown, MeasuredSlowdown: s.speed.measured,
 		},
 	}
 }
@@ -281,6 +287,7 @@
 	switch release.Outcome {
 	case admission.OutcomeDone:
 		s.recordSuccess(now)
+		t.recordWorkTime(now, s, &release)
 		if release.Duration > 0 {
 			t.durations[release.Service] = movingAverage(t.durations[release.Service], release.Duration, durationWeight)
 		}
--- a/entry/throttle.go
+++ b/entry/throttle.go
@@ -38,7 +38,7 @@
 			}
 			estimated, _ := s.estimateLoad(now, loads)
 			inFlight += estimated
-			slots += s.usableSlotsNow(now, loads)
+			slots += t.usableSlotsNow(now, s, service, loads)
 		}
 		throttle := t.throttles[name]
 		if throttle == nil {
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -297,7 +297,7 @@
 	release := admission.Release{
 		RequestID: a.permit.RequestID, Service: d.Service.Name, Target: a.permit.Target,
 		Outcome: outcome, FirstByte: a.firstByte, Incarnation: a.permit.Incarnation, Prompt: d.Prompt, ContentKey: d.key,
-		Succeeded: outcome == admission.OutcomeDone && a.isSuccess(), ConnectionLost: a.connectionLost,
+		Succeeded: outcome == admission.OutcomeDone && a.isSuccess(), ConnectionLost: a.connectionLost, Inputs: a.permit.Inputs,
 	}
 	if !a.sentAt.IsZero() {
 		release.Duration = d.gateway.Clock.Since(a.sentAt)
--- a/route/local_cost.go
+++ b/route/local_cost.go
@@ -20,6 +20,9 @@
 	uneven    unevenness
 	// takesRest excludes targets whose slots are all in use.
 	takesRest bool
+	// work is the duration of the request on a target at the usual speed, in ns; 0 leaves it
+	// out.
+	work float64
 	// random chooses the cost of up to noise that is added to each target.
 	random uint64
 	noise  time.Duration
@@ -73,16 +76,16 @@
 	if m.uneven.scale != 0 {
 		slowdown, load = m.uneven.inChoice(target, i == m.order.home)
 	}
-	cost = time.Duration(target.InFlight * float64(m.costs.InFlight) * slowdown)
+	cost = time.Duration(target.InFlight*float64(m.costs.InFlight)*slowdown + m.work*slowdown)
+	if cost > limit {
+		return 0, false
+	}
 	if m.noise > 0 {
 		cost += time.Duration(uniform(Score(m.random, target.Key)) * float64(m.noise))
 	}
 	if m.tokens > 0 {
 		cost += m.promptCost(i, target.CachedTokens, slowdown)
 	}
-	if cost > limit {
-		return 0, false
-	}
 	cost += m.loadCost(target, slowdown, load)
 	return cost, cost <= limit
 }
--- a/route/rendezvous.go
+++ b/route/rendezvous.go
@@ -32,6 +32,7 @@
 	}
 	var firstScore, secondScore uint64
 	preferred, unlimited, withSlot := topTarget{at: None}, topTarget{at: None}, topTarget{at: None}
+	hasLimits := s.unlimited < s.admitting
 	for i := range targets {
 		target := &targets[i]
 		if target.Unhealthy || target.Availability == Gone || s.hasEstablished && target.RecentlyJoined {
@@ -49,6 +50,9 @@
 			continue
 		}
 		preferred.offer(i, score)
+		if !hasLimits {
+			continue
+		}
 		if !target.RateLimited {
 			unlimited.offer(i, score)
 		}
--- a/route/spread.go
+++ b/route/spread.go
@@ -46,7 +46,11 @@
 		if target.Availability != Available || target.AtCapacity || target.Unhealthy {
 			continue
 		}
-		count = insert(order, count, rankedCandidate{target: i, score: Score(key, target.Key)})
+		score := Score(key, target.Key)
+		if count == len(order) && score <= order[count-1].score {
+			continue
+		}
+		count = insert(order, count, rankedCandidate{target: i, score: score})
 	}
 	return count
 }
