Copy shared parts of prompts from targets that hold them

Cause: the home of a prompt had no cache source, since it is expected to hold the prompt. It does not hold a new prompt whose first part other targets hold, the prompts of a target that crashed or left, nor those that it gets after it joined. The index of what targets hold did not know of restarts either.

Change: the cache source is the target that this host knows to hold most of the prompt, if the chosen one holds less and the home isn't the source. A home that joined lately gets its prompts from the former home. An incarnation begins without a cache. The chosen targets are the same; only services whose configuration says that engines copy cache are concerned. The home counts as slow only above 1.8 times the usual time, so that fewer prompts leave it in phases.

--- a/entry/target_selector.go
+++ b/entry/target_selector.go
@@ -28,6 +28,10 @@
 	// assumed to be older than this host and do not count.
 	newTargetPeriod = 45 * time.Second
 	startupSlack    = 3 * time.Second
+	// movedPromptsPeriod is how long after it joined a target may lack prompts of which it
+	// has become the home. It becomes their home after newTargetPeriod, and has most of
+	// them within a minute.
+	movedPromptsPeriod = newTargetPeriod + time.Minute
 	// noTargetRetryAfter is the delay after which a caller may retry when no
 	// target is available. A target that restarts or returns is in the roster
 	// of this host within this time.
@@ -86,6 +90,8 @@
 	pauseNotices   tally.Counter
 	// malformedLoads counts the load headers that were ignored.
 	malformedLoads tally.Counter
+	// otherCacheSources counts the cache sources that are not the home of the prompt.
+	otherCacheSources tally.Counter
 	// responseTimes holds those of each service.
 	responseTimes map[string]*route.ServiceTimes
 	// measuredSlowdowns is the histogram of the slowdowns of targets by their response
@@ -98,8 +104,8 @@
 		daemon: e, log: logs.ForComponent(e.Log, "Target"), clock: e.Clock, hosts: &hostCount{clock: e.Clock},
 		byName: map[string]*targetState{}, byService: map[string][]*targetState{}, throttles: map[string]*route.Throttle{}, durations: map[string]time.Duration{}, demand: map[string]*demandRate{}, prefixCache: newPrefixCacheIndex(), roster: roster.NewTable(),
 		notices: notice.NewBoard(), leavingNotices: e.Scope.Counter("targets_leaving_in_response"), pauseNotices: e.Scope.Counter("target_pauses"),
-		malformedLoads: e.Scope.Counter("malformed_target_loads"),
-		responseTimes:  map[string]*route.ServiceTimes{}, measuredSlowdowns: e.Scope.Histogram("measured_target_slowdown", slowdownBuckets),
+		malformedLoads:    e.Scope.Counter("malformed_target_loads"),
+		otherCacheSources: e.Scope.Counter("cache_sources_beside_home"), responseTimes: map[string]*route.ServiceTimes{}, measuredSlowdowns: e.Scope.Histogram("measured_target_slowdown", slowdownBuckets),
 	}
 }
 
@@ -157,8 +163,8 @@
 	if choice.Home {
 		permit.Reason = route.Home.String()
 	}
-	if choice.CacheSource != route.None && service.MovesCache && candidates[choice.Target].CachedTokens < tokens {
-		permit.CacheSource = list[choice.CacheSource].Address
+	if service.MovesCache && candidates[choice.Target].CachedTokens < tokens {
+		permit.CacheSource = t.findCacheSource(&request, key, tokens, choice, list, candidates)
 	}
 	return permit, nil
 }
@@ -187,6 +193,7 @@
 		Unhealthy:      s.isAvoided(now) || s.Silent && s.consecutiveFailures > 0,
 		Slots:          s.Capacity,
 		RecentlyJoined: now.Sub(s.firstSeen) < newTargetPeriod && s.firstSeen.Sub(t.firstTargetSeen) > startupSlack,
+		JoinedLately:   now.Sub(s.firstSeen) < movedPromptsPeriod && s.firstSeen.Sub(t.firstTargetSeen) > startupSlack,
 		FailureRate:    s.decayedFailureRate(now),
 		RateLimited:    s.limit.IsLimited,
 		AtCapacity:     now.Before(s.atCapacityUntil) || !s.hasSlot(now, loads) || t.isPaused(now, s) || s.isCold(now) && now.Before(t.earliestColdRequest(s, service, loads.hosts)),
@@ -195,7 +202,7 @@
 	t.describeSpeed(now, s, service, &local)
 	local.SlotsInUse = s.hasReportedLoad(now) && s.Capacity > 0 && local.InFlight+1 > float64(s.Capacity)
 	if request.Prompt != nil {
-		local.CachedTokens = t.prefixCache.cachedTokens(now, local.Key, request.Prompt.Parts)
+		local.CachedTokens = t.prefixCache.cachedTokens(now, s.cacheKey(local.Key), request.Prompt.Parts)
 	}
 	switch {
 	case s.State == roster.Gone:
@@ -224,7 +231,7 @@
 	s.adjustInFlight(now, 1)
 	s.speed.told.RecordSent()
 	if request.Prompt != nil {
-		t.prefixCache.recordSent(now, local.Key, request.Prompt.Parts)
+		t.prefixCache.recordSent(now, s.cacheKey(local.Key), request.Prompt.Parts)
 	}
 	loadAge := time.Duration(-1)
 	if !s.lastLoadAt.IsZero() {
--- a/route/local.go
+++ b/route/local.go
@@ -22,6 +22,10 @@
 	// RecentlyJoined is set for a target that joined a short time ago and has cached
 	// nothing yet.
 	RecentlyJoined bool
+	// JoinedLately is set for a target that joined after this host learned of the others,
+	// and may not have cached yet all prompts that it is the home of. It has no influence on
+	// the choice.
+	JoinedLately bool
 	// Slots is the number of requests that the target runs at once; 0 for unknown.
 	// InFlight is the estimated number of requests of all hosts that are in flight on
 	// the target, and Queued the number of them in its queue.
--- a/route/slowdown.go
+++ b/route/slowdown.go
@@ -30,7 +30,7 @@
 	// slowHomeStart, until it falls below slowHomeEnd. A phase of some hundred
 	// milliseconds must not move prompts, each of which would be transferred there and
 	// back.
-	slowHomeStart = 1.5
+	slowHomeStart = 1.8
 	slowHomeEnd   = 1.2
 )
 
