--- a/gateway/release.go
+++ b/gateway/release.go
@@ -34,6 +34,7 @@
 		RequestID: a.permit.RequestID, Service: d.Service.Name, Target: a.permit.Target,
 		Outcome: outcome, FirstByte: a.firstByte, Incarnation: a.permit.Incarnation, Prompt: d.Prompt, ContentKey: d.key,
 		Succeeded: outcome == admission.OutcomeDone && a.isSuccess(), ConnectionLost: a.connectionLost, Route: d.Call.Name,
+		Inputs: a.permit.Inputs,
 	}
 	if a.response != nil {
 		release.Status = a.response.Header().Status
