Let first views and rosters travel between hosts

Cause: after a loss of power each host got the whole view (25 kB) and the roster from a hub, over a link of 6 Mbit/s, and again when it came back to a hub whose reply it had not waited for. 141 hosts needed 8 s and more.

Change: a host without a view asks a hub with the new field first. The hub sends the view and the roster to two hosts at a time and names hosts that have them to the others; each host that has them is a source with its next poll. A source encodes its view once and keeps to a part of its link. Only the replies of hubs confirm a view. Waiting hosts are served in order when a source or the link is free, instead of by a timer for each of them. Replies that were abandoned are dropped before they are encoded. Deltas that lead to an older outage version are rejected like the others.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -89,6 +89,7 @@
 	checker  *viewChecker
 	origins  *streamOrigins
 	deltas   recentDeltas
+	views    *viewSource
 	sender   protocol.Sender
 	gateway  *gateway.Gateway
 
@@ -124,6 +125,7 @@
 	e.budget = newRetryBudget(e.Settings.Retries, e.selector.hosts.count, e.Clock)
 	e.watcher = newHubWatcher(e)
 	e.checker = newViewChecker(e)
+	e.views = newViewSource(e)
 	e.origins = newStreamOrigins(e)
 	e.gateway = e.newGateway()
 	return e, nil
@@ -236,9 +238,14 @@
 	}
 }
 
-// receive handles the messages of other hosts, which ask for large deltas of the state view.
+// receive handles the messages of other hosts, which ask for large deltas of the state view and
+// for the whole view.
 func (e *Entry) receive(from string, message peer.Message, reply peer.Reply) {
 	if request, ok := message.(peer.WatchRequest); ok && request.StateOnly && reply != nil {
+		if request.IsFirst {
+			reply(e.views.response(request))
+			return
+		}
 		reply(e.deltas.response(request))
 		return
 	}
--- a/entry/hub_watcher.go
+++ b/entry/hub_watcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -65,9 +66,15 @@
 	// currentHub is the hub that replied to the last poll; "" while there is none.
 	currentHub string
 
+	// position is the roster that this host has; nil before the first one.
+	position atomic.Pointer[rosterPosition]
+
 	// The fields below are used only by run.
+	startedAt      time.Time
 	candidateIndex int
 	failedPolls    int
+	// suspectsSource is the process of the hub that sent the last list of suspects.
+	suspectsSource uint64
 	rosterSource   uint64
 	rosterVersion  uint64
 	failback       failback
@@ -78,7 +85,7 @@
 }
 
 func newHubWatcher(e *Entry) *hubWatcher {
-	return &hubWatcher{daemon: e, log: logs.ForComponent(e.Log, "Watch"), clock: e.Clock, configuredHubs: e.Settings.StateReplicas, failback: newFailback(e.Settings.Host), probeResult: make(chan error, 1)}
+	return &hubWatcher{daemon: e, log: logs.ForComponent(e.Log, "Watch"), clock: e.Clock, configuredHubs: e.Settings.StateReplicas, failback: newFailback(e.Settings.Host), probeResult: make(chan error, 1), startedAt: e.Clock.Now()}
 }
 
 // setConfiguredHubs replaces the configured hub addresses.
@@ -115,7 +122,7 @@
 		// After an outage of all hosts, no hub has contact with a majority for
 		// a while. A host that has been rejected by each hub waits at one of
 		// them.
-		err := w.poll(ctx, address, w.failedPolls >= len(candidates))
+		err := w.receive(ctx, address, w.failedPolls >= len(candidates))
 		if err == nil {
 			w.failedPolls = 0
 			w.recordHub(address, address == candidates[0])
@@ -219,9 +226,11 @@
 		request.Revision, request.FleetVersion = view.Revision, view.FleetVersion
 		request.MaxDeltaBytes, request.PendingRevision = maxCheckedDeltaBytes, w.daemon.checker.pending()
 	}
-	if w.daemon.peerListener != nil {
-		request.PeerAddress = w.daemon.peerListener.Addr().String()
+	if view == nil {
+		// The hub omits the view, and the host asks for it by fetchFirst.
+		request.MaxDeltaBytes = maxCheckedDeltaBytes
 	}
+	request.PeerAddress, request.PassesViews = w.peerAddress(), true
 	slack := longPollSlack
 	if w.watchedHub() != address && !waitForMajority {
 		request.MaxWait = 0
@@ -231,15 +240,11 @@
 	}
 	request.CrashReport = observer.TakeReport()
 	sentAt := w.clock.Now()
-	reply, err := w.callWhileAlive(ctx, address, request, request.MaxWait+slack)
+	response, err := w.callWhileAlive(ctx, address, request, request.MaxWait+slack)
 	if err != nil {
 		observer.RestoreReport(request.CrashReport)
 		return err
 	}
-	response, ok := reply.(peer.WatchResponse)
-	if !ok {
-		return errors.Errorf("unexpected reply of type %T to a watch request", reply)
-	}
 	if !response.QuorumConfirmed {
 		observer.RestoreReport(request.CrashReport)
 		return errHubNotCurrent
@@ -248,7 +253,7 @@
 		observer.RestoreReport(request.CrashReport)
 		return errHubBehind
 	}
-	if response.OmittedRevision > 0 {
+	if response.OmittedRevision > 0 && view != nil && w.daemon.view.isBehind(response.OmittedRevision) {
 		go w.daemon.checker.fetch(context.WithoutCancel(ctx), address, response.OmittedRevision)
 	}
 	return w.applyResponse(response, sentAt, request.Loads)
@@ -257,8 +262,9 @@
 // callWhileAlive calls a hub and waits for the reply for the given time, and longer while the
 // hub is alive: after the loss of other hubs, hundreds of hosts wait for their rosters, and
 // another hub has no more time for them.
-func (w *hubWatcher) callWhileAlive(ctx context.Context, address string, request peer.WatchRequest, wait time.Duration) (peer.Message, error) {
-	ctx, cancel := clockwork.WithTimeout(ctx, w.clock, max(wait, maxPollWait))
+func (w *hubWatcher) callWhileAlive(ctx context.Context, address string, request peer.WatchRequest, wait time.Duration) (peer.WatchResponse, error) {
+	request.Patience = max(wait, maxPollWait)
+	ctx, cancel := clockwork.WithTimeout(ctx, w.clock, request.Patience)
 	defer cancel()
 	go func() {
 		timer := w.clock.NewTimer(wait)
@@ -276,7 +282,15 @@
 			timer.Reset(aliveCheckInterval)
 		}
 	}()
-	return w.daemon.node.Call(ctx, address, request) //nolint:wrapcheck // It names the hub.
+	reply, err := w.daemon.node.Call(ctx, address, request)
+	if err != nil {
+		return peer.WatchResponse{}, err //nolint:wrapcheck // It names the hub.
+	}
+	response, ok := reply.(peer.WatchResponse)
+	if !ok {
+		return peer.WatchResponse{}, errors.Errorf("unexpected reply of type %T to a watch request", reply)
+	}
+	return response, nil
 }
 
 // applyResponse applies the changes that a hub sent. sentAt is when the poll was sent,
@@ -288,22 +302,29 @@
 	}
 	w.needsWholeView = false
 	w.daemon.selector.applyRoster(response.Entries, response.WatcherCount)
-	w.daemon.crashes.apply(&response, response.RosterSource != w.rosterSource)
+	w.daemon.crashes.apply(&response, response.RosterSource != w.suspectsSource)
+	w.suspectsSource = response.RosterSource
 	if !response.WithoutLoads {
 		w.daemon.selector.applyLoads(response.Loads, response.MeanLoad, reportedLoads)
 	}
 	if origins := w.daemon.origins; origins != nil && w.rosterSource != 0 && w.rosterSource != response.RosterSource {
 		origins.reportAll()
 	}
-	w.rosterSource, w.rosterVersion = response.RosterSource, response.RosterVersion
-	if len(response.ReplicaAddresses) > 0 {
-		w.mu.Lock()
-		w.memberHubs = response.ReplicaAddresses
-		w.mu.Unlock()
-	}
+	w.recordPosition(&response)
+	w.recordMembers(&response)
 	return nil
 }
 
+// recordMembers records the hubs that a reply names.
+func (w *hubWatcher) recordMembers(response *peer.WatchResponse) {
+	if len(response.ReplicaAddresses) == 0 {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.memberHubs = response.ReplicaAddresses
+}
+
 // applyState applies the state view of a hub's reply to a request that was sent at sentAt,
 // and records when the hub confirmed it. The hub sent the reply no earlier than it could
 // have received the request and kept it.
@@ -316,7 +337,7 @@
 			return err
 		}
 	}
-	if response.ConfirmedAge > 0 && response.OmittedRevision == 0 {
+	if response.ConfirmedAge > 0 && !w.daemon.view.isBehind(response.OmittedRevision) {
 		w.daemon.view.confirm(sentAt.Add(response.Held - response.ConfirmedAge))
 	}
 	return nil
--- a/entry/target_roster.go
+++ b/entry/target_roster.go
@@ -22,6 +22,12 @@
 	return ready
 }
 
+// rosterEntries returns the entries of all targets that this host has heard of.
+func (t *targetSelector) rosterEntries() []roster.Entry {
+	entries, _ := t.roster.ChangedSince(0)
+	return entries
+}
+
 // applyRoster applies changed roster entries and the host count of a hub.
 func (t *targetSelector) applyRoster(entries []roster.Entry, hosts int) {
 	t.hosts.record(hosts)
--- a/entry/view.go
+++ b/entry/view.go
@@ -112,6 +112,12 @@
 	return nil
 }
 
+// isBehind reports whether the view is older than the revision; false for revision 0.
+func (v *stateView) isBehind(revision uint64) bool {
+	view := v.latest()
+	return revision > 0 && (view == nil || view.Revision < revision)
+}
+
 // Table implements protocol.Catalog.
 func (v *stateView) Table() *fleet.Table {
 	if current := v.current.Load(); current != nil {
--- a/entry/view_checker.go
+++ b/entry/view_checker.go
@@ -127,9 +127,9 @@
 		c.pendingRevision = 0
 	}()
 	response, err := c.request(ctx, hub, peer.WatchRequest{}, largeDeltaTimeout)
-	if err == nil && c.isBehind(revision) {
+	if err == nil && c.daemon.view.isBehind(revision) {
 		for _, source := range response.Sources {
-			if _, err = c.request(ctx, source, peer.WatchRequest{}, sourceTimeout); err == nil && !c.isBehind(revision) {
+			if _, err = c.request(ctx, source, peer.WatchRequest{}, sourceTimeout); err == nil && !c.daemon.view.isBehind(revision) {
 				return
 			}
 		}
@@ -140,12 +140,6 @@
 	}
 }
 
-// isBehind reports whether the view is older than the revision.
-func (c *viewChecker) isBehind(revision uint64) bool {
-	view := c.daemon.view.latest()
-	return view == nil || view.Revision < revision
-}
-
 // pending returns the revision that is being fetched; 0 for none.
 func (c *viewChecker) pending() uint64 {
 	c.mu.Lock()
--- a/hub/delta_spread_test.go
+++ b/hub/delta_spread_test.go
@@ -29,7 +29,7 @@
 	request := peer.WatchRequest{Host: host, PeerAddress: host}
 	for {
 		replies := make(chan peer.WatchResponse, 1)
-		go r.spread.reply(request, peer.WatchResponse{Delta: r.delta}, 7, func(m peer.Message) { replies <- m.(peer.WatchResponse) })
+		go r.spread.reply(request, peer.WatchResponse{Delta: r.delta}, 7, len(r.delta), func(m peer.Message) { replies <- m.(peer.WatchResponse) })
 		response := <-replies
 		r.mu.Lock()
 		switch {
@@ -45,7 +45,7 @@
 		}
 		if len(response.Delta) > 0 || len(response.Sources) > 0 {
 			time.Sleep(applyTime)
-			r.spread.recordPoll(host, host, 7)
+			r.spread.recordPoll(peer.WatchRequest{Host: host, PeerAddress: host, Revision: 7}, true)
 			return
 		}
 	}
@@ -76,18 +76,18 @@
 func TestDeltaSpread_DirectAndExpiredSources(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newDeltaSpread(clockwork.NewRealClock(), 450_000)
-		s.recordPoll("e-1", "a:1", 7)
-		s.recordPoll("e-2", "", 7)
-		s.recordPoll("e-3", "c:1", 6)
+		s.recordPoll(peer.WatchRequest{Host: "e-1", PeerAddress: "a:1", Revision: 7}, true)
+		s.recordPoll(peer.WatchRequest{Host: "e-2", PeerAddress: "", Revision: 7}, true)
+		s.recordPoll(peer.WatchRequest{Host: "e-3", PeerAddress: "c:1", Revision: 6}, true)
 		ask := func(m peer.WatchRequest) (response peer.WatchResponse) {
-			s.reply(m, peer.WatchResponse{Delta: make([]byte, 10_000)}, 7, func(m peer.Message) { response = m.(peer.WatchResponse) })
+			s.reply(m, peer.WatchResponse{Delta: make([]byte, 10_000)}, 7, 10_000, func(m peer.Message) { response = m.(peer.WatchResponse) })
 			time.Sleep(time.Second)
 			return response
 		}
 		require.Equal(t, []string{"a:1"}, ask(peer.WatchRequest{Host: "e-3"}).Sources)
-		s.recordPoll("e-1", "a:1", 7)
+		s.recordPoll(peer.WatchRequest{Host: "e-1", PeerAddress: "a:1", Revision: 7}, true)
 		require.NotEmpty(t, ask(peer.WatchRequest{Host: "e-3", Direct: true}).Delta)
-		s.recordPoll("e-1", "a:1", 7)
+		s.recordPoll(peer.WatchRequest{Host: "e-1", PeerAddress: "a:1", Revision: 7}, true)
 		require.NotEmpty(t, ask(peer.WatchRequest{Host: "e-1"}).Delta)
 		time.Sleep(sourceTTL)
 		require.NotEmpty(t, ask(peer.WatchRequest{Host: "e-3"}).Delta)
--- /dev/null
+++ b/hub/first_view.go
@@ -0,0 +1,55 @@
+package hub
+
+import (
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+
+	"comfreytiller.dev/peer"
+)
+
+// rosterEntryBytes is about the size of a roster entry in a compressed reply.
+const rosterEntryBytes = 48
+
+// handleFirstRequest replies to a host without a state view: with the view and the roster, or
+// with hosts that have them. A hub without contact with a majority keeps the host waiting, as
+// in handleWatch, and sends neither: its view may be from before changes that are in force.
+func (h *Hub) handleFirstRequest(m peer.WatchRequest, reply peer.Reply) {
+	h.watchers.recordWatch(m.Host, m.Revision)
+	isWanted := h.watchers.recordRequest(m)
+	startedAt := h.Clock.Now()
+	if !h.contact.await(min(m.MaxWait, maxLongPollWait)) {
+		reply(peer.WatchResponse{ReplicaAddresses: h.replicaAddresses()})
+		return
+	}
+	m.MaxDeltaBytes = 0
+	response := h.stateResponse(m)
+	response.Held, response.ReplicaAddresses, response.IsWanted = h.Clock.Since(startedAt), h.replicaAddresses(), isWanted
+	if len(response.Delta) == 0 {
+		reply(response)
+		return
+	}
+	size := len(response.Delta) + rosterEntryBytes*h.roster.Count()
+	if size <= maxPolledDeltaBytes {
+		reply(h.withRoster(m, response))
+		return
+	}
+	h.deltas.reply(m, response, h.replica.Machine.View().Revision, size, func(message peer.Message) {
+		if sent, ok := message.(peer.WatchResponse); ok && len(sent.Delta) > 0 {
+			message = h.withRoster(m, sent)
+		}
+		reply(message)
+	})
+}
+
+// withRoster adds the roster to a reply with a whole view. The host asks for changes of this
+// roster with its next poll.
+func (h *Hub) withRoster(m peer.WatchRequest, response peer.WatchResponse) peer.WatchResponse {
+	response.Checksum = xxhash.Sum64(response.Delta)
+	response.RosterSource, response.WatcherCount = h.rosterSource, h.watchers.count()
+	response.Entries, response.RosterVersion = h.roster.ChangedSince(0)
+	h.replies.record(&response, true)
+	h.replies.recordFirst(len(response.Delta))
+	h.log.WithFields(logrus.Fields{"From": m.Host, "Bytes": len(response.Delta), "Entries": len(response.Entries), "Direct": m.Direct, "WaitingHosts": h.deltas.waiting()}).
+		Debug("Sending a first view to a host.")
+	return response
+}
--- a/hub/traffic_log.go
+++ b/hub/traffic_log.go
@@ -13,7 +13,9 @@
 
 // replyCounts counts what the replies to hosts contain: whole rosters, entries of targets,
 // digests of loads and state deltas.
-type replyCounts struct{ rosters, entries, digests, deltas, deltaBytes int }
+//
+// firstViews and firstBytes count the whole views for hosts without one.
+type replyCounts struct{ rosters, entries, digests, deltas, deltaBytes, firstViews, firstBytes int }
 
 // replyCounter counts the replies since the last log line.
 type replyCounter struct {
@@ -38,6 +40,14 @@
 	}
 }
 
+// recordFirst records a whole view that is sent to a host without one.
+func (c *replyCounter) recordFirst(bytes int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts.firstViews++
+	c.counts.firstBytes += bytes
+}
+
 // take returns the counts since the last call.
 func (c *replyCounter) take() replyCounts {
 	c.mu.Lock()
@@ -70,6 +80,7 @@
 		replies := h.replies.take()
 		fields["Rosters"], fields["Entries"], fields["Digests"] = replies.rosters, replies.entries, replies.digests
 		fields["Deltas"], fields["DeltaBytes"], fields["Waiting"] = replies.deltas, replies.deltaBytes, h.node.BulkWaiting()
+		fields["FirstViews"], fields["FirstBytes"], fields["WaitingHosts"] = replies.firstViews, replies.firstBytes, h.deltas.waiting()
 		h.log.WithFields(fields).Info("Traffic with hosts and hubs: frames and bytes sent, frames and bytes received.")
 	})
 }
--- a/hub/watchers.go
+++ b/hub/watchers.go
@@ -44,6 +44,10 @@
 	// revisions are the state revisions that the hosts had at their last poll
 	// here.
 	revisions map[string]uint64
+	// requests are the numbers of the last requests of the hosts here, lastRequest is the
+	// latest number.
+	requests    map[string]uint64
+	lastRequest uint64
 	// hubRevisions are the last reports of the other hubs.
 	hubRevisions map[string]hubRevision
 	// digestAt is when the hosts were last sent a digest of the loads here.
@@ -57,7 +61,7 @@
 }
 
 func newWatchers(clock clockwork.Clock) *watchers {
-	return &watchers{clock: clock, started: clock.Now(), localSeen: map[string]time.Time{}, remoteSeen: map[string]time.Time{}, revisions: map[string]uint64{}, hubRevisions: map[string]hubRevision{}, digestAt: map[string]time.Time{}}
+	return &watchers{clock: clock, started: clock.Now(), localSeen: map[string]time.Time{}, remoteSeen: map[string]time.Time{}, revisions: map[string]uint64{}, requests: map[string]uint64{}, hubRevisions: map[string]hubRevision{}, digestAt: map[string]time.Time{}}
 }
 
 // recordWatch records a poll of a host and the state revision that it has.
@@ -68,6 +72,23 @@
 	w.revisions[host] = revision
 }
 
+// recordRequest records a request that replaces the earlier ones of the host. The result
+// reports whether the host still waits for the reply: it has not sent another request, and its
+// patience has not ended.
+func (w *watchers) recordRequest(m peer.WatchRequest) (isWanted func() bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.clock.Now()
+	w.lastRequest++
+	request := w.lastRequest
+	w.requests[m.Host] = request
+	return func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return w.requests[m.Host] == request && (m.Patience <= 0 || w.clock.Since(now) <= m.Patience)
+	}
+}
+
 // untilDigest returns the time until the host is due for the next digest; zero or less
 // if it is now.
 func (w *watchers) untilDigest(host string, interval time.Duration) time.Duration {
@@ -145,6 +166,7 @@
 		if now.Sub(at) > watcherTTL {
 			delete(w.localSeen, host)
 			delete(w.revisions, host)
+			delete(w.requests, host)
 			delete(w.digestAt, host)
 			continue
 		}
@@ -184,8 +206,9 @@
 		h.handleStateRequest(m, reply)
 		return
 	}
-	h.deltas.recordPoll(m.Host, m.PeerAddress, m.Revision)
+	h.deltas.recordPoll(m, m.RosterSource == h.rosterSource)
 	h.watchers.recordWatch(m.Host, m.Revision)
+	isWanted := h.watchers.recordRequest(m)
 	h.loads.recordHost(m.Host, m.Loads)
 	h.recordCrashReport(m.Host, m.CrashReport, m.Quarantined)
 	h.recordRateLimits(m.Host, m.RateLimits)
@@ -202,7 +225,11 @@
 	}
 	m.MaxWait -= h.Clock.Since(startedAt)
 	h.awaitChanges(m)
+	if !isWanted() {
+		return
+	}
 	response := h.stateResponse(m)
+	response.IsWanted = isWanted
 	response.RosterSource, response.WatcherCount, response.ReplicaAddresses = h.rosterSource, h.watchers.count(), h.replicaAddresses()
 	response.Held = h.Clock.Since(startedAt)
 	h.addDigest(m.Host, &response)
@@ -217,9 +244,13 @@
 
 // handleStateRequest replies to a request for the state view alone.
 func (h *Hub) handleStateRequest(m peer.WatchRequest, reply peer.Reply) {
+	if m.IsFirst {
+		h.handleFirstRequest(m, reply)
+		return
+	}
 	response := h.stateResponse(m)
 	if len(response.Delta) > maxPolledDeltaBytes {
-		h.deltas.reply(m, response, h.replica.Machine.View().Revision, func(message peer.Message) {
+		h.deltas.reply(m, response, h.replica.Machine.View().Revision, len(response.Delta), func(message peer.Message) {
 			if sent, ok := message.(peer.WatchResponse); ok {
 				h.replies.record(&sent, false)
 			}
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -87,6 +87,7 @@
 		},
 		WatchRequest{
 			Host: "h", Revision: 1, FleetVersion: 2, RosterSource: 3, RosterVersion: 4, MaxWait: time.Second, Loads: map[roster.Key]int{roster.KeyOf("t"): 3}, CrashReport: sampleCrashReport(), SuspectsVersion: 5, Quarantined: sampleSuspects(), StateOnly: true, MaxDeltaBytes: 6, PeerAddress: "a", PendingRevision: 7, Direct: true,
+			IsFirst: true, Patience: time.Second, PassesViews: true,
 			RateLimits: []ratelimit.Report{
 				{Target: "t", Incarnation: 7, Limit: ratelimit.Limit{SaidAt: epoch.Add(-time.Second)}},
 				{Target: "u", Incarnation: 8, Limit: ratelimit.Limit{IsLimited: true, PerSecond: 0.5, SaidAt: epoch}},
@@ -95,7 +96,7 @@
 		WatchResponse{
 			QuorumConfirmed: true, Delta: []byte{1}, RosterSource: 2, RosterVersion: 3, Entries: []roster.Entry{{State: roster.Gone, LastSeen: epoch}},
 			WatcherCount: 4, ReplicaAddresses: []string{"a"}, Loads: map[roster.Key]int{roster.KeyOf("t"): 3}, MeanLoad: 1.5, WithoutLoads: true,
-			SuspectsVersion: 5, Suspects: sampleSuspects(), ConfirmedAge: 6, Held: 7, OmittedRevision: 8, Sources: []string{"b"},
+			SuspectsVersion: 5, Suspects: sampleSuspects(), ConfirmedAge: 6, Held: 7, OmittedRevision: 8, Sources: []string{"b"}, Checksum: 9,
 		},
 		JoinRequest{ID: "i", Host: "h", Address: "a", Forwarded: true},
 		Ack{},
--- a/peer/codec_watch.go
+++ b/peer/codec_watch.go
@@ -26,6 +26,7 @@
 			Evidence: crashReportToWire(m.CrashReport, now), Suspects: m.SuspectsVersion, Quarantined: suspectsToWire(m.Quarantined, now),
 			RateLimits: rateLimitReportsToWire(m.RateLimits, now), StateOnly: m.StateOnly, MaxDelta: int32(m.MaxDeltaBytes),
 			PeerAddress: m.PeerAddress, PendingRevision: m.PendingRevision, Direct: m.Direct,
+			First: m.IsFirst, Patience: int64(m.Patience), PassesViews: m.PassesViews,
 		}}
 	case WatchResponse:
 		wire.Body = &peerpb.Frame_Watched{Watched: &peerpb.Watched{
@@ -33,7 +34,7 @@
 			Entries: entriesToWire(m.Entries, now), Hosts: int32(m.WatcherCount), Replicas: m.ReplicaAddresses,
 			Loads: loadsToWire(m.Loads), MeanLoad: m.MeanLoad, WithoutLoads: m.WithoutLoads,
 			SuspectsVersion: m.SuspectsVersion, Suspects: suspectsToWire(m.Suspects, now),
-			ConfirmedAge: int64(m.ConfirmedAge), Held: int64(m.Held), OmittedRevision: m.OmittedRevision, Sources: m.Sources,
+			ConfirmedAge: int64(m.ConfirmedAge), Held: int64(m.Held), OmittedRevision: m.OmittedRevision, Sources: m.Sources, Checksum: m.Checksum,
 		}}
 	case JoinRequest:
 		wire.Body = &peerpb.Frame_Join{Join: &peerpb.Join{Id: m.ID, Host: m.Host, Address: m.Address, Passed: m.Forwarded}}
@@ -57,6 +58,7 @@
 			CrashReport: crashReportFromWire(w.Evidence, now), SuspectsVersion: w.Suspects, Quarantined: suspectsFromWire(w.Quarantined, now),
 			RateLimits: rateLimitReportsFromWire(w.RateLimits, now), StateOnly: w.StateOnly, MaxDeltaBytes: int(w.MaxDelta),
 			PeerAddress: w.PeerAddress, PendingRevision: w.PendingRevision, Direct: w.Direct,
+			IsFirst: w.First, Patience: time.Duration(w.Patience), PassesViews: w.PassesViews,
 		}
 	case *peerpb.Frame_Watched:
 		w := b.Watched
@@ -65,7 +67,7 @@
 			Entries: entriesFromWire(w.Entries, now), WatcherCount: int(w.Hosts), ReplicaAddresses: w.Replicas,
 			Loads: loadsFromWire(w.Loads), MeanLoad: w.MeanLoad, WithoutLoads: w.WithoutLoads,
 			SuspectsVersion: w.SuspectsVersion, Suspects: suspectsFromWire(w.Suspects, now),
-			ConfirmedAge: time.Duration(w.ConfirmedAge), Held: time.Duration(w.Held), OmittedRevision: w.OmittedRevision, Sources: w.Sources,
+			ConfirmedAge: time.Duration(w.ConfirmedAge), Held: time.Duration(w.Held), OmittedRevision: w.OmittedRevision, Sources: w.Sources, Checksum: w.Checksum,
 		}
 	case *peerpb.Frame_Join:
 		return JoinRequest{ID: b.Join.Id, Host: b.Join.Host, Address: b.Join.Address, Forwarded: b.Join.Passed}
--- a/peer/message.go
+++ b/peer/message.go
@@ -300,6 +300,13 @@
 	PendingRevision uint64
 	// Direct asks the replica for a large delta itself, not for hosts that have it.
 	Direct bool
+	// IsFirst asks for the whole state view and the roster of targets. A host without a view
+	// sends it, with StateOnly for earlier releases, to replicas and to hosts that they name.
+	IsFirst bool
+	// Patience is how long the host waits for the reply; 0 if unknown.
+	Patience time.Duration
+	// PassesViews is set if the host replies to requests with IsFirst.
+	PassesViews bool
 }
 
 // WatchResponse is the reply to a WatchRequest.
@@ -336,6 +343,11 @@
 	OmittedRevision uint64
 	// Sources are the peer addresses of hosts that have the omitted delta.
 	Sources []string
+	// Checksum is the xxHash of Delta in the reply to a request with IsFirst; 0 for none.
+	Checksum uint64
+	// IsWanted reports whether the reply is still waited for; nil for always. It is not sent.
+	// A bulk reply that has waited for the link is dropped if it isn't wanted any more.
+	IsWanted func() bool
 }
 
 // JoinRequest asks the state leader to add a replica to the cluster, or to
--- a/peer/pacer.go
+++ b/peer/pacer.go
@@ -63,6 +63,16 @@
 	frame []byte
 }
 
+// encodeWanted encodes a frame, or returns nil for a reply that is not waited for any more.
+// The link of a hub is the bottleneck when all hosts start at once, and hosts that went to
+// another hub don't read what waited here.
+func (c *Conn) encodeWanted(f *frame) []byte {
+	if response, ok := f.message.(WatchResponse); ok && response.IsWanted != nil && !response.IsWanted() {
+		return nil
+	}
+	return c.encode(f)
+}
+
 // maxUrgentDeltaBytes is the size up to which a state delta is not a bulk message.
 const maxUrgentDeltaBytes = 4 << 10
 
--- a/registry/delta.go
+++ b/registry/delta.go
@@ -14,7 +14,7 @@
 var (
 	// ErrWrongBase: the delta starts from another view.
 	ErrWrongBase = errors.New("delta is based on another view")
-	// ErrStaleDelta: the delta leads to an older view or fleet version.
+	// ErrStaleDelta: the delta leads to an older view, fleet version or outage version.
 	ErrStaleDelta = errors.New("delta leads to an older view")
 	// ErrConfigMismatch: the resulting fleet configuration is not the one that
 	// the state machine accepted.
@@ -86,6 +86,14 @@
 	return encoded
 }
 
+// EncodeView returns an encoded delta that contains a whole view, as EncodedDeltaSince does
+// for a host without one.
+func EncodeView(view *View) []byte {
+	whole := diffViews(emptyView(), view)
+	whole.FromRevision = 0
+	return whole.Encode()
+}
+
 // maxCachedDeltas is the maximum number of encoded deltas cached for one view.
 const maxCachedDeltas = 64
 
@@ -171,9 +179,9 @@
 	if view == nil {
 		view = emptyView()
 	}
-	if d.ToRevision < view.Revision || d.FleetVersion < view.FleetVersion {
-		return nil, errors.Wrapf(ErrStaleDelta, "from revision %d version %d to revision %d version %d",
-			view.Revision, view.FleetVersion, d.ToRevision, d.FleetVersion)
+	if d.ToRevision < view.Revision || d.FleetVersion < view.FleetVersion || d.OutageVersion < view.OutageVersion {
+		return nil, errors.Wrapf(ErrStaleDelta, "from revision %d version %d outage version %d to revision %d version %d outage version %d",
+			view.Revision, view.FleetVersion, view.OutageVersion, d.ToRevision, d.FleetVersion, d.OutageVersion)
 	}
 	base := emptyView()
 	if d.FromRevision != 0 {
--- a/target/roster/roster.go
+++ b/target/roster/roster.go
@@ -307,6 +307,13 @@
 	return keys
 }
 
+// Count returns the number of entries, also of targets that are gone.
+func (t *Table) Count() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.byName)
+}
+
 // Version returns the current version and a channel that is closed at the next
 // change.
 func (t *Table) Version() (uint64, <-chan struct{}) {
