--- a/entry/first_view_test.go
+++ b/entry/first_view_test.go
@@ -163,10 +163,9 @@
 		f.daemon.Protocol = protocol.Protocol{ParseFleet: func([]byte) (*fleet.Fleet, error) { return &fleet.Fleet{}, nil }}
 		hosts := make([]*hubWatcher, 3)
 		for i := range hosts {
-			daemon := *f.daemon
-			daemon.view = newStateView(f.clock)
-			daemon.watcher = newHubWatcher(&daemon)
-			daemon.checker, daemon.views = newViewChecker(&daemon), newViewSource(&daemon)
+			daemon := &Entry{Dependencies: f.daemon.Dependencies, crashes: f.daemon.crashes, view: newStateView(f.clock)}
+			daemon.selector, daemon.watcher = newTargetSelector(daemon), newHubWatcher(daemon)
+			daemon.checker, daemon.views = newViewChecker(daemon), newViewSource(daemon)
 			hosts[i] = daemon.watcher
 		}
 		current := func(w *hubWatcher) versions {
