Send small and urgent things first on a hub's link

Digests of loads waited in one line with rosters, and confirmations with them.

Change: a repeated probe carries no entries, and after it is accepted the replication goes on behind the entries in flight; a follower that lacks them rejects the next message and gets them again. The bytes in flight to a replica are limited to 100 ms of a hub's link. Bulk frames get the link by priority: few changes of targets, then rosters and views, then loads. Hosts get digests less often while many replies wait, so that replies that only confirm the view don't wait.

--- a/hub/first_view_test.go
+++ b/hub/first_view_test.go
@@ -155,3 +155,13 @@
 	clock.Advance(time.Hour)
 	require.True(t, other(), "hosts of earlier releases don't say how long they wait")
 }
+
+// Replies with digests waited for the link of a busy hub, and the confirmations of the views
+// with them.
+func TestPacedDigestInterval_GrowsWithWaitingReplies(t *testing.T) {
+	require.Equal(t, time.Second/10, pacedDigestInterval(time.Second/10, maxWaitingReplies))
+	require.Equal(t, busyDigestInterval, pacedDigestInterval(time.Second/10, maxWaitingReplies+1))
+	require.Equal(t, congestedDigestInterval, pacedDigestInterval(time.Second/10, maxWaitingForDigests+1))
+	require.Equal(t, 2*time.Second, pacedDigestInterval(2*time.Second, maxWaitingForDigests+1))
+	require.Less(t, 2*congestedDigestInterval, 3100*time.Millisecond, "hosts use a digest for 3 s")
+}
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -164,7 +164,7 @@
 		Node: h.node, Clock: h.Clock, Log: logs.ForComponent(h.Log, "State"),
 		ClusterName: h.Settings.State.Cluster, Replicas: h.Settings.StateReplicas,
 		Machine:       registry.NewMachine(registry.WithFleetParser(h.Protocol.ParseFleet)),
-		LedgerOptions: h.LedgerOptions,
+		LedgerOptions: h.LedgerOptions, LinkRate: h.Settings.Bandwidth * bytesPerMegabit,
 	}
 	if h.Settings.State.First && h.Settings.Peers == slices.Min(h.Settings.StateReplicas) {
 		config.Bootstrap = true
--- a/hub/watchers.go
+++ b/hub/watchers.go
@@ -29,6 +29,10 @@
 	// without loads they all choose the same targets.
 	maxWaitingReplies  = 8
 	busyDigestInterval = 500 * time.Millisecond
+	// From maxWaitingForDigests on it is congestedDigestInterval. A reply without a digest does
+	// not wait, and confirms the view at once; loads are used for 3 s.
+	maxWaitingForDigests    = 32
+	congestedDigestInterval = 1500 * time.Millisecond
 	// maxLongPollWait limits the wait for changes.
 	maxLongPollWait = 2 * time.Second
 )
@@ -281,11 +285,7 @@
 // While targets come and go, replies with changes are far more frequent than digests,
 // which would use up the hub's link if they came with each of them.
 func (h *Hub) addDigest(host string, response *peer.WatchResponse) {
-	interval := h.digestInterval()
-	if h.node.BulkWaiting() > maxWaitingReplies {
-		interval = max(interval, busyDigestInterval)
-	}
-	if h.watchers.untilDigest(host, interval) > 0 {
+	if h.watchers.untilDigest(host, pacedDigestInterval(h.digestInterval(), h.node.BulkWaiting())) > 0 {
 		response.WithoutLoads = true
 		return
 	}
@@ -293,6 +293,18 @@
 	response.Loads, response.MeanLoad = h.loads.digest(h.roster.ReadyKeys)
 }
 
+// pacedDigestInterval returns the interval between two digests to a host while a number of
+// replies wait for the link.
+func pacedDigestInterval(interval time.Duration, waiting int) time.Duration {
+	switch {
+	case waiting > maxWaitingForDigests:
+		return max(interval, congestedDigestInterval)
+	case waiting > maxWaitingReplies:
+		return max(interval, busyDigestInterval)
+	}
+	return interval
+}
+
 // awaitChanges returns when there are changes for the host, or when its wait is
 // over.
 func (h *Hub) awaitChanges(m peer.WatchRequest) {
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -282,7 +282,7 @@
 		case <-c.closed:
 			return
 		}
-		data, err := c.pacer.encode(c.closed, func() ([]byte, error) { return c.encodeWanted(&f), nil })
+		data, err := c.pacer.encodeRanked(c.closed, priorityOf(f.message), func() ([]byte, error) { return c.encodeWanted(&f), nil })
 		if err != nil {
 			c.close()
 			return
--- a/peer/pacer.go
+++ b/peer/pacer.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,24 +19,107 @@
 	// waiting is the number of connections with a frame that waits for its turn.
 	waiting atomic.Int64
 
-	// turn is held by the connection whose frame is next.
-	turn sync.Mutex
-	// freeAt is when the link has sent all frames so far. It is guarded by turn.
+	mu sync.Mutex
+	// isTaken is set while a connection has its turn. queues are the connections that wait
+	// for theirs, by priority.
+	isTaken bool
+	queues  [priorities][]chan struct{}
+
+	// freeAt is when the link has sent all frames so far. It belongs to the connection that
+	// has its turn.
 	freeAt time.Time
 }
 
-// encode waits until the link is free, encodes a frame with encode and reserves the time to
-// send it. It returns ErrClosed if closed ends the wait.
+// priority is the order in which bulk messages get the link; lower values come first.
+type priority int
+
+const (
+	// priorityChange is for a few changes of targets, which confirm the view as well.
+	priorityChange priority = iota
+	// priorityState is for rosters, state views and suspects.
+	priorityState
+	// priorityLoads is for load digests and reports, which are replaced by later ones.
+	priorityLoads
+	priorities
+)
+
+// maxChangedEntries is the number of roster entries up to which a reply is a change, not a
+// roster.
+const maxChangedEntries = 8
+
+// priorityOf returns the priority of a bulk message.
+func priorityOf(message Message) priority {
+	response, ok := message.(WatchResponse)
+	switch {
+	case !ok:
+		return priorityLoads
+	case len(response.Delta) > maxUrgentDeltaBytes || len(response.Entries) > maxChangedEntries:
+		return priorityState
+	case len(response.Entries) > 0:
+		return priorityChange
+	case len(response.Suspects) > 0:
+		return priorityState
+	}
+	return priorityLoads
+}
+
+// takeTurn waits for the turn of a connection. It returns ErrClosed if closed ends the wait.
+func (p *pacer) takeTurn(closed <-chan struct{}, rank priority) error {
+	p.mu.Lock()
+	if !p.isTaken {
+		p.isTaken = true
+		p.mu.Unlock()
+		return nil
+	}
+	turn := make(chan struct{})
+	p.queues[rank] = append(p.queues[rank], turn)
+	p.mu.Unlock()
+	select {
+	case <-turn:
+		return nil
+	case <-closed:
+	}
+	p.mu.Lock()
+	at := slices.Index(p.queues[rank], turn)
+	if at >= 0 {
+		p.queues[rank] = slices.Delete(p.queues[rank], at, at+1)
+	}
+	p.mu.Unlock()
+	if at < 0 {
+		// The turn came at the same time.
+		p.passTurn()
+	}
+	return ErrClosed
+}
+
+// passTurn passes the turn to the connection that is next.
+func (p *pacer) passTurn() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for rank, queue := range p.queues {
+		if len(queue) > 0 {
+			close(queue[0])
+			p.queues[rank] = queue[1:]
+			return
+		}
+	}
+	p.isTaken = false
+}
+
+// encode is encodeRanked for state.
 func (p *pacer) encode(closed <-chan struct{}, encode func() ([]byte, error)) ([]byte, error) {
+	return p.encodeRanked(closed, priorityState, encode)
+}
+
+// encodeRanked waits until the link is free, encodes a frame with encode and reserves the time
+// to send it. It returns ErrClosed if closed ends the wait.
+func (p *pacer) encodeRanked(closed <-chan struct{}, rank priority, encode func() ([]byte, error)) ([]byte, error) {
 	p.waiting.Add(1)
 	defer p.waiting.Add(-1)
-	p.turn.Lock()
-	defer p.turn.Unlock()
-	select {
-	case <-closed:
-		return nil, ErrClosed
-	default:
+	if err := p.takeTurn(closed, rank); err != nil {
+		return nil, err
 	}
+	defer p.passTurn()
 	now := p.clock.Now()
 	if wait := p.freeAt.Sub(now); wait > 0 {
 		timer := p.clock.NewTimer(wait)
@@ -46,6 +130,11 @@
 			return nil, ErrClosed
 		}
 	}
+	select {
+	case <-closed:
+		return nil, ErrClosed
+	default:
+	}
 	data, err := encode()
 	if err != nil {
 		return nil, err
--- a/peer/pacer_test.go
+++ b/peer/pacer_test.go
@@ -48,3 +48,65 @@
 		require.True(t, isBulk(bulk), "%T", bulk)
 	}
 }
+
+// Digests of loads kept rosters and confirmations waiting after hundreds of hosts had started
+// at the same time.
+func TestPacer_UrgentMessagesFirst(t *testing.T) {
+	digest := WatchResponse{Loads: map[roster.Key]int{1: 1}}
+	view := WatchResponse{Delta: make([]byte, maxUrgentDeltaBytes+1), Loads: digest.Loads}
+	change := WatchResponse{Entries: []roster.Entry{{}}, Loads: digest.Loads}
+	clock := clockwork.NewFakeClock()
+	p := &pacer{bytesPerSecond: 1000, clock: clock}
+	order := make(chan string, 8)
+	send := func(name string, message Message, closed <-chan struct{}) {
+		_, err := p.encodeRanked(closed, priorityOf(message), func() ([]byte, error) {
+			order <- name
+			return make([]byte, 100), nil
+		})
+		if err != nil {
+			order <- err.Error()
+		}
+	}
+	send("first", digest, nil)
+	require.Equal(t, "first", <-order)
+	waiting := func(count int64) {
+		require.Eventually(t, func() bool {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			queued := 0
+			for _, queue := range p.queues {
+				queued += len(queue)
+			}
+			return int64(queued) == count-1
+		}, 10*time.Second, time.Millisecond)
+	}
+	go send("next", digest, nil)
+	require.NoError(t, clock.BlockUntilContext(t.Context(), 1))
+	closed := make(chan struct{})
+	for i, message := range []struct {
+		name    string
+		message Message
+	}{{"report", RosterUpdate{Loads: digest.Loads}}, {"digest", digest}, {"roster", WatchResponse{Entries: make([]roster.Entry, maxChangedEntries+1)}}, {"view", view}, {"change", change}} {
+		go send(message.name, message.message, nil)
+		waiting(int64(i + 2))
+	}
+	go send("lost", change, closed)
+	waiting(7)
+	close(closed)
+	require.Equal(t, ErrClosed.Error(), <-order)
+	for _, name := range []string{"next", "change", "roster", "view", "report", "digest"} {
+		require.NoError(t, clock.BlockUntilContext(t.Context(), 1))
+		clock.Advance(100 * time.Millisecond)
+		require.Equal(t, name, <-order)
+	}
+}
+
+// A reply that nobody waits for any more takes no time of the link.
+func TestEncodeWanted_DropsAbandonedReplies(t *testing.T) {
+	conn := &Conn{clock: clockwork.NewFakeClock()}
+	wanted := true
+	f := frame{isReply: true, message: WatchResponse{Delta: []byte{1}, IsWanted: func() bool { return wanted }}}
+	require.NotEmpty(t, conn.encodeWanted(&f))
+	wanted = false
+	require.Empty(t, conn.encodeWanted(&f))
+}
--- a/quorum/leader.go
+++ b/quorum/leader.go
@@ -211,8 +211,7 @@
 	case p.state == sendingSnapshot && p.match >= p.snapshot.Index:
 		p.startProbing(p.match + 1)
 	case p.state == probing && index+1 >= p.next:
-		p.state = streaming
-		p.responsePending = false
+		p.startStreaming()
 	}
 	n.maybeCommit()
 }
--- a/quorum/progress.go
+++ b/quorum/progress.go
@@ -68,7 +68,17 @@
 	p.offset = 0
 }
 
-// recordSent records entries as in flight.
+// startStreaming continues behind the entries that the last probe carried. A follower that
+// does not hold them, since the probe was lost, rejects the next message.
+func (p *progress) startStreaming() {
+	p.state = streaming
+	p.responsePending = false
+	if len(p.inFlight) > 0 {
+		p.next = max(p.next, p.inFlight[len(p.inFlight)-1].last+1)
+	}
+}
+
+// recordSent records entries as in flight. While probing, next stays behind them.
 func (p *progress) recordSent(entries []Entry) {
 	if len(entries) == 0 {
 		return
@@ -80,7 +90,9 @@
 	last := entries[len(entries)-1].Index
 	p.inFlight = append(p.inFlight, sentAppend{last: last, bytes: size})
 	p.inFlightBytes += size
-	p.next = last + 1
+	if p.state == streaming {
+		p.next = last + 1
+	}
 }
 
 // acknowledge records that the follower holds all entries up to the index.
--- a/quorum/replicate.go
+++ b/quorum/replicate.go
@@ -58,11 +58,15 @@
 		n.replicate(to, p)
 		return
 	}
+	if p.state == probing && len(p.inFlight) > 0 {
+		// A repeated probe carries no second copy of the entries, which may take longer
+		// than a heartbeat interval on a slow link.
+		n.sendEntries(to, p, prevIndex, term, nil)
+		return
+	}
 	entries := n.log.entriesBetween(prevIndex, n.log.lastIndex(), n.config.MaxAppendBytes)
 	n.sendEntries(to, p, prevIndex, term, entries)
-	if p.state == streaming {
-		p.recordSent(entries)
-	}
+	p.recordSent(entries)
 }
 
 // sendEmptyAppend sends an append without entries. It serves as a heartbeat,
--- a/state/state.go
+++ b/state/state.go
@@ -52,6 +52,9 @@
 	LedgerOptions []ledger.Option
 	// Machine holds the state; nil for a new one.
 	Machine *registry.Machine
+	// LinkRate is the rate of the host's network link in bytes per second; 0 for one that
+	// does not limit the replication.
+	LinkRate float64
 }
 
 // Replica is this host's replica of the state.
@@ -84,7 +87,7 @@
 			return nil, errors.Join(err, opened.Close())
 		}
 	}
-	started, err := quorum.Start(quorum.Config{Host: config.Host}, storage,
+	started, err := quorum.Start(quorum.Config{Host: config.Host, Node: replicationLimits(config.LinkRate)}, storage,
 		&transport{node: config.Node, self: config.Address}, r.Machine,
 		quorum.WithClock(config.Clock), quorum.WithLogger(logs.ForComponent(config.Log, "Quorum")))
 	if err != nil {
@@ -97,6 +100,32 @@
 	return r, nil
 }
 
+const (
+	// maxReplicationTime is the time of the link that unacknowledged entries for one replica
+	// may take. The heartbeats of the quorum and the probes of the connection, which is closed
+	// after 700 ms without a reply, wait behind them.
+	maxReplicationTime = 100 * time.Millisecond
+	// minInflightBytes leaves room for a few small entries on the slowest links.
+	minInflightBytes = 16 << 10
+	// appendsInflight is the number of messages into which these entries are divided.
+	appendsInflight = 2
+)
+
+// replicationLimits returns the limits of the entries in flight for a link.
+//
+// Load: two replicas that lost their disks need the whole log while hundreds of hosts need
+// their first views over the same link.
+func replicationLimits(linkRate float64) quorum.NodeConfig {
+	if linkRate <= 0 {
+		return quorum.NodeConfig{}
+	}
+	inflight := min(max(int(linkRate*maxReplicationTime.Seconds()), minInflightBytes), quorum.DefaultMaxInflightBytes)
+	return quorum.NodeConfig{
+		MaxInflightBytes: inflight,
+		MaxAppendBytes:   min(inflight/appendsInflight, quorum.DefaultMaxAppendBytes),
+	}
+}
+
 // inspect logs what the folder of the ledger holds before it is opened.
 func (r *Replica) inspect(folder string) ledger.Inventory {
 	found, err := ledger.Inspect(folder)
