Spread starting hosts over the hubs that can serve

Cause: the hub that had contact with a majority first got all hosts of the fleet, and a hub that lost contact for a moment sent its hosts there too.

Change: hubs tell each other how many hosts they serve. One that serves far more than the mean sends a host that comes to it to one that serves fewer, after a pause, once in 10 s. A hub that lost contact less than 3 s ago keeps hosts for a second, one that has just started for 200 ms, if the hosts wait for so long. Pauses of hosts between polls are random.

--- a/entry/first_view.go
+++ b/entry/first_view.go
@@ -70,7 +70,7 @@
 		}
 		if !response.QuorumConfirmed {
 			w.recordMembers(&response)
-			return false, errHubNotCurrent
+			return false, notCurrentError(&response)
 		}
 		if len(response.Delta) == 0 && response.OmittedRevision == 0 {
 			return false, nil
--- a/entry/hub_watcher.go
+++ b/entry/hub_watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -132,12 +133,18 @@
 			w.setWatchedHub("")
 			w.log.WithFields(logrus.Fields{"Hub": address, "Error": err.Error()}).Warn("Lost connection to hub.")
 		}
-		w.candidateIndex = w.nextCandidate(candidates, address)
 		backoff := min(minWatchBackoff<<min(w.failedPolls, 8), maxWatchBackoff)
+		var full *hubFullError
+		if errors.As(err, &full) {
+			w.candidateIndex = w.indexOf(candidates, full.hubs)
+			backoff = full.retryAfter
+		} else {
+			w.candidateIndex = w.nextCandidate(candidates, address)
+		}
 		w.failedPolls++
 		select {
 		case <-ctx.Done():
-		case <-w.clock.After(backoff):
+		case <-w.clock.After(jitter(backoff, rand.Float64())):
 		}
 	}
 }
@@ -247,7 +254,7 @@
 	}
 	if !response.QuorumConfirmed {
 		observer.RestoreReport(request.CrashReport)
-		return errHubNotCurrent
+		return notCurrentError(&response)
 	}
 	if current := w.daemon.checker.currentHub(); response.ConfirmedAge > maxUnconfirmedAge && current != "" && current != address {
 		observer.RestoreReport(request.CrashReport)
--- a/hub/first_view.go
+++ b/hub/first_view.go
@@ -17,10 +17,15 @@
 	h.watchers.recordWatch(m.Host, m.Revision)
 	isWanted := h.watchers.recordRequest(m)
 	startedAt := h.Clock.Now()
-	if !h.contact.await(min(m.MaxWait, maxLongPollWait)) {
+	if !h.contact.await(h.contactWait(m)) {
 		reply(peer.WatchResponse{ReplicaAddresses: h.replicaAddresses()})
 		return
 	}
+	if hubs := h.redirect(m.Host); len(hubs) > 0 {
+		reply(peer.WatchResponse{ReplicaAddresses: h.replicaAddresses(), RetryAfter: redirectDelay, Hubs: hubs})
+		return
+	}
+	h.watchers.recordServed(m.Host)
 	m.MaxDeltaBytes = 0
 	response := h.stateResponse(m)
 	response.Held, response.ReplicaAddresses, response.IsWanted = h.Clock.Since(startedAt), h.replicaAddresses(), isWanted
--- a/hub/gossip.go
+++ b/hub/gossip.go
@@ -269,6 +269,9 @@
 	g.hub.origins.record(m)
 	g.hub.watchers.recordHubRevision(m.Host, m.LowestRevision)
 	g.hub.watchers.recordRemote(m.Watchers)
+	if len(m.Replica) > 0 {
+		g.hub.balance.recordReport(m.Host, m.Served, m.Serves)
+	}
 	g.hub.mergeCrashReport(m.Host, m.CrashReport, m.Quarantined)
 	if len(m.Loads) > 0 {
 		g.hub.loads.recordHub(m.Host, m.Loads)
--- /dev/null
+++ b/hub/host_balance.go
@@ -0,0 +1,131 @@
+package hub
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+const (
+	// fullFactor and fullMargin limit the hosts of a hub: fullFactor times the mean of the hubs
+	// that can serve, and fullMargin more. Hosts that choose their hubs by hash differ less.
+	fullFactor = 1.3
+	fullMargin = 4
+	// redirectTTL is how long a host that was sent to another hub is not sent away again. It
+	// must get an answer somewhere.
+	redirectTTL = 10 * time.Second
+	// redirectDelay is after which time a host that is sent to another hub polls it, on average.
+	redirectDelay = 100 * time.Millisecond
+	// hubReportTTL is how long the report of another hub counts, four refreshes.
+	hubReportTTL = 4 * refreshInterval
+)
+
+// hostBalance decides whether a hub takes a host that comes to it, or sends it to another hub.
+//
+// Load: after a loss of power one of five hubs has contact with a majority first, and gets all
+// hosts of the fleet. The others remain idle when they have contact as well.
+type hostBalance struct {
+	clock clockwork.Clock
+
+	mu      sync.Mutex
+	reports map[string]servedReport
+	// redirected holds when hosts were last sent to another hub.
+	redirected map[string]time.Time
+	// count is the number of hosts sent to other hubs since the last log line.
+	count int
+}
+
+// servedReport is the number of hosts that another hub serves, with those sent there since.
+type servedReport struct {
+	hosts int
+	at    time.Time
+}
+
+func newHostBalance(clock clockwork.Clock) *hostBalance {
+	return &hostBalance{clock: clock, reports: map[string]servedReport{}, redirected: map[string]time.Time{}}
+}
+
+// recordReport records the number of hosts that another hub serves. One that can't serve, or
+// doesn't tell, is no alternative.
+func (b *hostBalance) recordReport(hub string, hosts int, serves bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !serves {
+		delete(b.reports, hub)
+		return
+	}
+	b.reports[hub] = servedReport{hosts: hosts, at: b.clock.Now()}
+}
+
+// redirect returns the hubs to which a host is sent, the best one first; none if this hub takes
+// it. served is the number of hosts that this hub serves.
+func (b *hostBalance) redirect(host string, served int) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	if at, known := b.redirected[host]; known && now.Sub(at) < redirectTTL {
+		return nil
+	}
+	total := served
+	var others []string
+	for hub, report := range b.reports {
+		if now.Sub(report.at) > hubReportTTL {
+			delete(b.reports, hub)
+			continue
+		}
+		total += report.hosts
+		others = append(others, hub)
+	}
+	mean := float64(total) / float64(len(others)+1)
+	if float64(served+1) <= fullFactor*mean+fullMargin {
+		return nil
+	}
+	others = slices.DeleteFunc(others, func(hub string) bool { return float64(b.reports[hub].hosts) >= mean })
+	slices.SortFunc(others, func(x, y string) int {
+		return cmp.Or(cmp.Compare(b.reports[x].hosts, b.reports[y].hosts), cmp.Compare(x, y))
+	})
+	if len(others) == 0 {
+		return nil
+	}
+	best := b.reports[others[0]]
+	best.hosts++
+	b.reports[others[0]] = best
+	for known, at := range b.redirected {
+		if now.Sub(at) >= redirectTTL {
+			delete(b.redirected, known)
+		}
+	}
+	b.redirected[host] = now
+	b.count++
+	return others
+}
+
+// takeCount returns the number of hosts that were sent to other hubs since the last call.
+func (b *hostBalance) takeCount() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	count := b.count
+	b.count = 0
+	return count
+}
+
+// redirect returns the peer addresses of the hubs to which a host that comes to this hub is
+// sent; none if this hub takes it.
+func (h *Hub) redirect(host string) []string {
+	if h.watchers.isServed(host) {
+		return nil
+	}
+	names := h.balance.redirect(host, h.watchers.servedCount())
+	var addresses []string
+	for _, name := range names {
+		for _, member := range h.replica.Quorum.Status().Members {
+			if member.Host == name {
+				addresses = append(addresses, member.Address)
+			}
+		}
+	}
+	return addresses
+}
--- /dev/null
+++ b/hub/host_balance_test.go
@@ -0,0 +1,62 @@
+package hub
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+)
+
+// After a loss of power all 141 hosts came to the one hub of five that had contact first. Those
+// that come once others can serve are spread, and none is sent away twice.
+func TestHostBalance_OneHubOfFiveDoesNotGetAll(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	b := newHostBalance(clock)
+	require.Empty(t, b.redirect("e-0", 141), "no other hub can serve")
+	for i := range 4 {
+		b.recordReport(fmt.Sprint("h-", i), 0, i < 3)
+	}
+	served, sent := 60, map[string]int{}
+	for i := range 81 {
+		host := fmt.Sprint("e-", i)
+		if hubs := b.redirect(host, served); len(hubs) > 0 {
+			sent[hubs[0]]++
+			require.Empty(t, b.redirect(host, served), "a host is sent away once")
+			continue
+		}
+		served++
+	}
+	require.Len(t, sent, 3, "the hub without contact gets none")
+	for hub, hosts := range sent {
+		require.InDelta(t, 26, hosts, 3, hub)
+	}
+	require.Equal(t, 81, sent["h-0"]+sent["h-1"]+sent["h-2"]+served-60)
+	require.Equal(t, sent["h-0"]+sent["h-1"]+sent["h-2"], b.takeCount())
+	clock.Advance(hubReportTTL + time.Millisecond)
+	require.Empty(t, b.redirect("e-200", 1000), "the other hubs are silent")
+}
+
+// Hosts that choose their hubs by hash differ in number; no hub sends them away for that.
+func TestHostBalance_UsualDifferencesAreKept(t *testing.T) {
+	b := newHostBalance(clockwork.NewFakeClock())
+	for i, hosts := range []int{20, 22, 31, 33} {
+		b.recordReport(fmt.Sprint("h-", i), hosts, true)
+	}
+	require.Empty(t, b.redirect("e-1", 35))
+	require.Equal(t, []string{"h-0", "h-1"}, b.redirect("e-2", 60)[:2])
+}
+
+// A hub that lost contact for a moment sent all its hosts to the others. It keeps them while
+// contact may come back, but not once it is lost for good.
+func TestMajorityContact_KeepsHostsForAMoment(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	c := newMajorityContact(clock)
+	require.Equal(t, startWait, c.keep())
+	c.confirm(clock.Now())
+	clock.Advance(contactTTL)
+	require.Equal(t, keptWait, c.keep())
+	clock.Advance(momentaryLoss)
+	require.Zero(t, c.keep())
+}
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -92,6 +92,7 @@
 	proposer     *session.Client
 	roster       *roster.Table
 	watchers     *watchers
+	balance      *hostBalance
 	gossip       *gossip
 	loads        *loadTracker
 	quarantine   *quarantine.Board
@@ -128,6 +129,7 @@
 	}
 	h.contact = newMajorityContact(h.Clock)
 	h.watchers = newWatchers(h.Clock)
+	h.balance = newHostBalance(h.Clock)
 	h.gossip = newGossip(h)
 	h.voters = newVoters(h)
 	h.loads = newLoadTracker(h.Clock)
--- a/hub/majority_contact.go
+++ b/hub/majority_contact.go
@@ -8,6 +8,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"comfreytiller.dev/common/ticks"
+	"comfreytiller.dev/peer"
 )
 
 const (
@@ -25,6 +26,21 @@
 	contactTTL = 2 * time.Second
 )
 
+const (
+	// momentaryLoss is how long after its loss contact may come back in a moment: an election
+	// takes 0.75 to 1 s, and a hub notices the loss after contactTTL.
+	momentaryLoss = 3 * time.Second
+	// keptWait is how long a hub without contact keeps hosts in that time. Another hub would
+	// get all of them at once.
+	keptWait = time.Second
+	// startWait is how long a hub that has had no contact since it started keeps hosts: one
+	// that lost its disk may be without contact for seconds.
+	startWait = 200 * time.Millisecond
+	// patienceMargin is the time between the end of a wait for contact and the end of the
+	// host's patience.
+	patienceMargin = 500 * time.Millisecond
+)
+
 // majorityContact tracks when a read barrier last confirmed that the replica
 // held everything that a majority had committed.
 type majorityContact struct {
@@ -67,6 +83,28 @@
 	return max(c.clock.Since(c.confirmedAt), 1)
 }
 
+// keep returns how long hosts are kept waiting for contact.
+func (c *majorityContact) keep() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch lostFor := c.clock.Since(c.confirmedAt) - contactTTL; {
+	case c.confirmedAt.IsZero():
+		return startWait
+	case lostFor < momentaryLoss:
+		return keptWait
+	}
+	return 0
+}
+
+// contactWait returns how long a request of a host may wait for contact.
+func (h *Hub) contactWait(m peer.WatchRequest) time.Duration {
+	wait := min(m.MaxWait, maxLongPollWait)
+	if kept := h.contact.keep(); m.Patience >= kept+patienceMargin {
+		wait = max(wait, kept)
+	}
+	return wait
+}
+
 // await waits for contact and reports whether it was confirmed in time.
 func (c *majorityContact) await(wait time.Duration) bool {
 	current, changed := c.isCurrent()
--- a/hub/traffic_log.go
+++ b/hub/traffic_log.go
@@ -81,6 +81,7 @@
 		fields["Rosters"], fields["Entries"], fields["Digests"] = replies.rosters, replies.entries, replies.digests
 		fields["Deltas"], fields["DeltaBytes"], fields["Waiting"] = replies.deltas, replies.deltaBytes, h.node.BulkWaiting()
 		fields["FirstViews"], fields["FirstBytes"], fields["WaitingHosts"] = replies.firstViews, replies.firstBytes, h.deltas.waiting()
+		fields["Redirected"] = h.balance.takeCount()
 		h.log.WithFields(fields).Info("Traffic with hosts and hubs: frames and bytes sent, frames and bytes received.")
 	})
 }
--- a/hub/voters.go
+++ b/hub/voters.go
@@ -45,6 +45,7 @@
 	durable := v.hub.durableVersions()
 	return peer.RosterUpdate{
 		Host: v.hub.Settings.Host, Replica: v.hub.replica.Quorum.Status().ID, FleetVersion: durable.Fleet, OutageVersion: durable.Outage,
+		Serves: v.hub.hasMajorityContact(), Served: v.hub.watchers.servedCount(),
 	}
 }
 
--- a/hub/watchers.go
+++ b/hub/watchers.go
@@ -54,6 +54,8 @@
 	lastRequest uint64
 	// hubRevisions are the last reports of the other hubs.
 	hubRevisions map[string]hubRevision
+	// servedAt is when the hosts last got a reply of this hub that confirmed its state.
+	servedAt map[string]time.Time
 	// digestAt is when the hosts were last sent a digest of the loads here.
 	digestAt map[string]time.Time
 }
@@ -65,7 +67,7 @@
 }
 
 func newWatchers(clock clockwork.Clock) *watchers {
-	return &watchers{clock: clock, started: clock.Now(), localSeen: map[string]time.Time{}, remoteSeen: map[string]time.Time{}, revisions: map[string]uint64{}, requests: map[string]uint64{}, hubRevisions: map[string]hubRevision{}, digestAt: map[string]time.Time{}}
+	return &watchers{clock: clock, started: clock.Now(), localSeen: map[string]time.Time{}, remoteSeen: map[string]time.Time{}, revisions: map[string]uint64{}, requests: map[string]uint64{}, hubRevisions: map[string]hubRevision{}, digestAt: map[string]time.Time{}, servedAt: map[string]time.Time{}}
 }
 
 // recordWatch records a poll of a host and the state revision that it has.
@@ -93,6 +95,34 @@
 	}
 }
 
+// recordServed records that a host gets a reply that confirms the state.
+func (w *watchers) recordServed(host string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.servedAt[host] = w.clock.Now()
+}
+
+// isServed reports whether a host got such a reply within watcherTTL.
+func (w *watchers) isServed(host string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	at, served := w.servedAt[host]
+	return served && w.clock.Since(at) <= watcherTTL
+}
+
+// servedCount returns the number of hosts that got such a reply recently.
+func (w *watchers) servedCount() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now, count := w.clock.Now(), 0
+	for _, at := range w.servedAt {
+		if now.Sub(at) < recentWatchPeriod {
+			count++
+		}
+	}
+	return count
+}
+
 // untilDigest returns the time until the host is due for the next digest; zero or less
 // if it is now.
 func (w *watchers) untilDigest(host string, interval time.Duration) time.Duration {
@@ -171,6 +201,7 @@
 			delete(w.localSeen, host)
 			delete(w.revisions, host)
 			delete(w.requests, host)
+			delete(w.servedAt, host)
 			delete(w.digestAt, host)
 			continue
 		}
@@ -217,13 +248,18 @@
 	h.recordCrashReport(m.Host, m.CrashReport, m.Quarantined)
 	h.recordRateLimits(m.Host, m.RateLimits)
 	startedAt := h.Clock.Now()
-	if !h.contact.await(min(m.MaxWait, maxLongPollWait)) {
+	if !h.contact.await(h.contactWait(m)) {
 		// The host will poll another hub. After an outage of all hosts,
 		// hundreds of them poll while the replicas need the link for their
 		// election, so this reply is kept small.
 		reply(peer.WatchResponse{RosterSource: m.RosterSource, RosterVersion: m.RosterVersion, ReplicaAddresses: h.replicaAddresses()})
 		return
 	}
+	if hubs := h.redirect(m.Host); len(hubs) > 0 {
+		reply(peer.WatchResponse{RosterSource: m.RosterSource, RosterVersion: m.RosterVersion, ReplicaAddresses: h.replicaAddresses(), RetryAfter: redirectDelay, Hubs: hubs})
+		return
+	}
+	h.watchers.recordServed(m.Host)
 	if m.RosterSource != h.rosterSource {
 		m.RosterVersion, m.SuspectsVersion = 0, 0
 	}
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -83,7 +83,7 @@
 			}}, Watchers: []string{"e"}, Loads: map[roster.Key]int{roster.KeyOf("t"): 3}, CrashReport: sampleCrashReport(), Quarantined: sampleSuspects(),
 			Origins: []origin.Record{{Key: 1, Version: "v1", Until: epoch.Add(time.Second)}, {Key: 2, Version: "v1", Until: epoch.Add(2 * time.Second)}, {Key: 3, Until: epoch.Add(time.Second)}},
 			Relayed: true, WantedOrigin: 4, MaxWait: time.Second, LowestRevision: 5,
-			Replica: "i", FleetVersion: 6, OutageVersion: 7,
+			Replica: "i", FleetVersion: 6, OutageVersion: 7, Serves: true, Served: 8,
 		},
 		WatchRequest{
 			Host: "h", Revision: 1, FleetVersion: 2, RosterSource: 3, RosterVersion: 4, MaxWait: time.Second, Loads: map[roster.Key]int{roster.KeyOf("t"): 3}, CrashReport: sampleCrashReport(), SuspectsVersion: 5, Quarantined: sampleSuspects(), StateOnly: true, MaxDeltaBytes: 6, PeerAddress: "a", PendingRevision: 7, Direct: true,
@@ -96,7 +96,7 @@
 		WatchResponse{
 			QuorumConfirmed: true, Delta: []byte{1}, RosterSource: 2, RosterVersion: 3, Entries: []roster.Entry{{State: roster.Gone, LastSeen: epoch}},
 			WatcherCount: 4, ReplicaAddresses: []string{"a"}, Loads: map[roster.Key]int{roster.KeyOf("t"): 3}, MeanLoad: 1.5, WithoutLoads: true,
-			SuspectsVersion: 5, Suspects: sampleSuspects(), ConfirmedAge: 6, Held: 7, OmittedRevision: 8, Sources: []string{"b"}, Checksum: 9,
+			SuspectsVersion: 5, Suspects: sampleSuspects(), ConfirmedAge: 6, Held: 7, OmittedRevision: 8, Sources: []string{"b"}, Checksum: 9, RetryAfter: time.Second, Hubs: []string{"c"},
 		},
 		JoinRequest{ID: "i", Host: "h", Address: "a", Forwarded: true},
 		Ack{},
--- a/peer/codec_watch.go
+++ b/peer/codec_watch.go
@@ -18,6 +18,7 @@
 			Loads: loadsToWire(m.Loads), Evidence: crashReportToWire(m.CrashReport, now), Quarantined: suspectsToWire(m.Quarantined, now),
 			Origins: originsToWire(m.Origins, now), Relayed: m.Relayed, WantedOrigin: uint64(m.WantedOrigin), Wait: int64(m.MaxWait), LowestRevision: m.LowestRevision,
 			Replica: m.Replica, FleetVersion: m.FleetVersion, OutageVersion: m.OutageVersion,
+			Serves: m.Serves, Served: int32(m.Served),
 		}}
 	case WatchRequest:
 		wire.Body = &peerpb.Frame_Watch{Watch: &peerpb.Watch{
@@ -35,6 +36,7 @@
 			Loads: loadsToWire(m.Loads), MeanLoad: m.MeanLoad, WithoutLoads: m.WithoutLoads,
 			SuspectsVersion: m.SuspectsVersion, Suspects: suspectsToWire(m.Suspects, now),
 			ConfirmedAge: int64(m.ConfirmedAge), Held: int64(m.Held), OmittedRevision: m.OmittedRevision, Sources: m.Sources, Checksum: m.Checksum,
+			RetryAfter: int64(m.RetryAfter), Hubs: m.Hubs,
 		}}
 	case JoinRequest:
 		wire.Body = &peerpb.Frame_Join{Join: &peerpb.Join{Id: m.ID, Host: m.Host, Address: m.Address, Passed: m.Forwarded}}
@@ -49,6 +51,7 @@
 			CrashReport: crashReportFromWire(b.Roster.Evidence, now), Quarantined: suspectsFromWire(b.Roster.Quarantined, now),
 			Origins: originsFromWire(b.Roster.Origins, now), Relayed: b.Roster.Relayed, WantedOrigin: origin.Key(b.Roster.WantedOrigin), MaxWait: time.Duration(b.Roster.Wait), LowestRevision: b.Roster.LowestRevision,
 			Replica: b.Roster.Replica, FleetVersion: b.Roster.FleetVersion, OutageVersion: b.Roster.OutageVersion,
+			Serves: b.Roster.Serves, Served: int(b.Roster.Served),
 		}
 	case *peerpb.Frame_Watch:
 		w := b.Watch
@@ -68,6 +71,7 @@
 			Loads: loadsFromWire(w.Loads), MeanLoad: w.MeanLoad, WithoutLoads: w.WithoutLoads,
 			SuspectsVersion: w.SuspectsVersion, Suspects: suspectsFromWire(w.Suspects, now),
 			ConfirmedAge: time.Duration(w.ConfirmedAge), Held: time.Duration(w.Held), OmittedRevision: w.OmittedRevision, Sources: w.Sources, Checksum: w.Checksum,
+			RetryAfter: time.Duration(w.RetryAfter), Hubs: w.Hubs,
 		}
 	case *peerpb.Frame_Join:
 		return JoinRequest{ID: b.Join.Id, Host: b.Join.Host, Address: b.Join.Address, Forwarded: b.Join.Passed}
--- a/peer/message.go
+++ b/peer/message.go
@@ -265,6 +265,10 @@
 	Replica       string
 	FleetVersion  uint64
 	OutageVersion uint64
+	// Serves is set if the sender has contact with a majority. Served is then the number of
+	// hosts that it serves.
+	Serves bool
+	Served int
 }
 
 // WatchRequest asks a state replica for changes since the requesting host's view.
@@ -345,6 +349,10 @@
 	Sources []string
 	// Checksum is the xxHash of Delta in the reply to a request with IsFirst; 0 for none.
 	Checksum uint64
+	// RetryAfter is set if the replica serves so many hosts that the host is to poll one of Hubs
+	// after that time. They are peer addresses, the best one first.
+	RetryAfter time.Duration
+	Hubs       []string
 	// IsWanted reports whether the reply is still waited for; nil for always. It is not sent.
 	// A bulk reply that has waited for the link is dropped if it isn't wanted any more.
 	IsWanted func() bool
