Limit hosts that are back first to their share of the targets' room

Cause: the first hosts that were back after a loss of power sent the demand of the whole fleet to the first targets that they learned of.

Change: a hub that has just started, and doesn't know the number of hosts yet, reports how many are back. Until the number is known a host has no more requests in flight to a service than its part of the slots of the known targets, and refuses the rest with a spread Retry-After. Only where the link of the hubs is stated in their settings.

--- a/entry/first_view.go
+++ b/entry/first_view.go
@@ -115,6 +115,7 @@
 	if err := w.applyState(response, sentAt); err != nil {
 		return err
 	}
+	w.daemon.selector.hosts.recordPresent(response.PresentCount)
 	if response.RosterSource != 0 {
 		w.daemon.selector.applyRoster(response.Entries, response.WatcherCount)
 		w.recordPosition(&response)
--- a/entry/hub_watcher.go
+++ b/entry/hub_watcher.go
@@ -308,6 +308,7 @@
 		return err
 	}
 	w.needsWholeView = false
+	w.daemon.selector.hosts.recordPresent(response.PresentCount)
 	w.daemon.selector.applyRoster(response.Entries, response.WatcherCount)
 	w.daemon.crashes.apply(&response, response.RosterSource != w.suspectsSource)
 	w.suspectsSource = response.RosterSource
--- a/entry/target_selector.go
+++ b/entry/target_selector.go
@@ -118,6 +118,11 @@
 	if throttle := t.throttles[request.Service]; throttle != nil && len(request.Exclude) == 0 && !throttle.Admits(rand.Uint64()) {
 		return admission.Permit{}, t.refuseQueueFull(&request, throttle.AdmitRate())
 	}
+	if present := t.hosts.starting(); present > 0 && len(request.Exclude) == 0 {
+		if refusal := t.refuseWhileStarting(now, view, service, &request, list, present); refusal != nil {
+			return admission.Permit{}, refusal
+		}
+	}
 	t.recordDemand(now, request.Service)
 	loads := t.serviceLoads(now, request.Service, list)
 	key, tokens := t.promptKey(&request)
--- a/entry/view_source.go
+++ b/entry/view_source.go
@@ -67,5 +67,6 @@
 	s.freeAt = s.freeAt.Add(time.Duration(float64(size) / sharedViewRate * float64(time.Second)))
 	return peer.WatchResponse{
 		Delta: s.encoded, Checksum: s.checksum, RosterSource: position.source, RosterVersion: position.version, Entries: entries,
+		PresentCount: s.daemon.selector.hosts.starting(),
 	}
 }
--- a/hub/first_view.go
+++ b/hub/first_view.go
@@ -50,7 +50,8 @@
 // roster with its next poll.
 func (h *Hub) withRoster(m peer.WatchRequest, response peer.WatchResponse) peer.WatchResponse {
 	response.Checksum = xxhash.Sum64(response.Delta)
-	response.RosterSource, response.WatcherCount = h.rosterSource, h.watchers.count()
+	response.RosterSource = h.rosterSource
+	h.setHostCount(&response)
 	response.Entries, response.RosterVersion = h.roster.ChangedSince(0)
 	h.replies.record(&response, true)
 	h.replies.recordFirst(len(response.Delta))
--- a/hub/watchers.go
+++ b/hub/watchers.go
@@ -24,15 +24,6 @@
 	// coalesceDelay is how long changes of targets are collected before a
 	// reply.
 	coalesceDelay = 25 * time.Millisecond
-	// maxWaitingReplies is the number of replies that wait for the link from which on the
-	// interval between two digests is busyDigestInterval: the hosts need the changes first, but
-	// without loads they all choose the same targets.
-	maxWaitingReplies  = 8
-	busyDigestInterval = 500 * time.Millisecond
-	// From maxWaitingForDigests on it is congestedDigestInterval. A reply without a digest does
-	// not wait, and confirms the view at once; loads are used for 3 s.
-	maxWaitingForDigests    = 32
-	congestedDigestInterval = 1500 * time.Millisecond
 	// maxLongPollWait limits the wait for changes.
 	maxLongPollWait = 2 * time.Second
 )
@@ -214,14 +205,18 @@
 // count returns the number of entry hosts; 0 while this hub has not run for
 // long enough to know it.
 func (w *watchers) count() int {
+	if w.clock.Since(w.started) < hostCountDelay {
+		return 0
+	}
+	return w.present()
+}
+
+// present returns the number of entry hosts that polled any hub recently.
+func (w *watchers) present() int {
 	local := w.localHosts()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	now := w.clock.Now()
-	if now.Sub(w.started) < hostCountDelay {
-		return 0
-	}
-	remote := 0
+	now, remote := w.clock.Now(), 0
 	for host, at := range w.remoteSeen {
 		if now.Sub(at) > watcherTTL {
 			delete(w.remoteSeen, host)
@@ -234,6 +229,16 @@
 	return len(local) + remote
 }
 
+// setHostCount sets the count of the hosts in a reply. Hosts limit themselves by the number
+// that is back so far only where the link of the hubs is stated, and thus slow enough that a
+// return takes a while.
+func (h *Hub) setHostCount(response *peer.WatchResponse) {
+	response.WatcherCount = h.watchers.count()
+	if response.WatcherCount == 0 && h.Settings.Bandwidth > 0 {
+		response.PresentCount = h.watchers.present()
+	}
+}
+
 // handleWatch replies to the long poll of an entry host as soon as there are
 // changes, or when its wait is over.
 func (h *Hub) handleWatch(m peer.WatchRequest, reply peer.Reply) {
@@ -270,7 +275,8 @@
 	}
 	response := h.stateResponse(m)
 	response.IsWanted = isWanted
-	response.RosterSource, response.WatcherCount, response.ReplicaAddresses = h.rosterSource, h.watchers.count(), h.replicaAddresses()
+	response.RosterSource, response.ReplicaAddresses = h.rosterSource, h.replicaAddresses()
+	h.setHostCount(&response)
 	response.Held = h.Clock.Since(startedAt)
 	h.addDigest(m.Host, &response)
 	suspects, version := h.quarantine.Suspects()
@@ -317,30 +323,6 @@
 	return response
 }
 
-// addDigest adds a digest of the loads to a reply, unless the host had one a moment ago.
-// While targets come and go, replies with changes are far more frequent than digests,
-// which would use up the hub's link if they came with each of them.
-func (h *Hub) addDigest(host string, response *peer.WatchResponse) {
-	if h.watchers.untilDigest(host, pacedDigestInterval(h.digestInterval(), h.node.BulkWaiting())) > 0 {
-		response.WithoutLoads = true
-		return
-	}
-	h.watchers.recordDigest(host)
-	response.Loads, response.MeanLoad = h.loads.digest(h.roster.ReadyKeys)
-}
-
-// pacedDigestInterval returns the interval between two digests to a host while a number of
-// replies wait for the link.
-func pacedDigestInterval(interval time.Duration, waiting int) time.Duration {
-	switch {
-	case waiting > maxWaitingForDigests:
-		return max(interval, congestedDigestInterval)
-	case waiting > maxWaitingReplies:
-		return max(interval, busyDigestInterval)
-	}
-	return interval
-}
-
 // awaitChanges returns when there are changes for the host, or when its wait is
 // over.
 func (h *Hub) awaitChanges(m peer.WatchRequest) {
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -98,6 +98,7 @@
 			WatcherCount: 4, ReplicaAddresses: []string{"a"}, Loads: map[roster.Key]int{roster.KeyOf("t"): 3}, MeanLoad: 1.5, WithoutLoads: true,
 			SuspectsVersion: 5, Suspects: sampleSuspects(), ConfirmedAge: 6, Held: 7, OmittedRevision: 8, Sources: []string{"b"}, Checksum: 9, RetryAfter: time.Second, Hubs: []string{"c"},
 		},
+		WatchResponse{PresentCount: 4},
 		JoinRequest{ID: "i", Host: "h", Address: "a", Forwarded: true},
 		Ack{},
 		Failure{Message: "m"},
--- a/peer/codec_watch.go
+++ b/peer/codec_watch.go
@@ -32,7 +32,7 @@
 	case WatchResponse:
 		wire.Body = &peerpb.Frame_Watched{Watched: &peerpb.Watched{
 			Current: m.QuorumConfirmed, Delta: m.Delta, Source: m.RosterSource, Roster: m.RosterVersion,
-			Entries: entriesToWire(m.Entries, now), Hosts: int32(m.WatcherCount), Replicas: m.ReplicaAddresses,
+			Entries: entriesToWire(m.Entries, now), Hosts: hostsToWire(&m), Replicas: m.ReplicaAddresses,
 			Loads: loadsToWire(m.Loads), MeanLoad: m.MeanLoad, WithoutLoads: m.WithoutLoads,
 			SuspectsVersion: m.SuspectsVersion, Suspects: suspectsToWire(m.Suspects, now),
 			ConfirmedAge: int64(m.ConfirmedAge), Held: int64(m.Held), OmittedRevision: m.OmittedRevision, Sources: m.Sources, Checksum: m.Checksum,
@@ -67,7 +67,7 @@
 		w := b.Watched
 		return WatchResponse{
 			QuorumConfirmed: w.Current, Delta: w.Delta, RosterSource: w.Source, RosterVersion: w.Roster,
-			Entries: entriesFromWire(w.Entries, now), WatcherCount: int(w.Hosts), ReplicaAddresses: w.Replicas,
+			Entries: entriesFromWire(w.Entries, now), WatcherCount: int(max(w.Hosts, 0)), PresentCount: int(max(-w.Hosts, 0)), ReplicaAddresses: w.Replicas,
 			Loads: loadsFromWire(w.Loads), MeanLoad: w.MeanLoad, WithoutLoads: w.WithoutLoads,
 			SuspectsVersion: w.SuspectsVersion, Suspects: suspectsFromWire(w.Suspects, now),
 			ConfirmedAge: time.Duration(w.ConfirmedAge), Held: time.Duration(w.Held), OmittedRevision: w.OmittedRevision, Sources: w.Sources, Checksum: w.Checksum,
@@ -79,6 +79,15 @@
 	return nil
 }
 
+// hostsToWire sends a count that is not final as a negative number, which earlier releases
+// ignore like 0.
+func hostsToWire(m *WatchResponse) int32 {
+	if m.WatcherCount > 0 {
+		return int32(m.WatcherCount)
+	}
+	return -int32(m.PresentCount)
+}
+
 // entriesToWire sends ages instead of timestamps, since the clocks of hosts
 // differ.
 func entriesToWire(entries []roster.Entry, now time.Time) []*peerpb.RosterEntry {
--- a/peer/message.go
+++ b/peer/message.go
@@ -203,36 +203,6 @@
 	Leader string
 }
 
-// Digest reports to the state leader the targets that a host knows and the
-// services that it owns.
-type Digest struct {
-	Host     string
-	Session  uint64
-	Targets  []DigestTarget
-	Services []DigestService
-}
-
-// DigestTarget is the state of one target at the owner of its service.
-type DigestTarget struct {
-	Announcement target.Announcement
-	// Ready is set if the target is healthy, even while it is out of service, Cold
-	// if it has not warmed up, and Leaving if it is leaving.
-	Ready    bool
-	Cold     bool
-	Leaving  bool
-	InFlight int
-	// WarmChats is the number of chats whose context is in the target's prefix
-	// cache.
-	WarmChats int
-}
-
-// DigestService is the load of one service at its owner.
-type DigestService struct {
-	Name     string
-	Queued   int
-	InFlight int
-}
-
 // RosterUpdate distributes what a state replica has received itself to the other state
 // replicas: announcements, and what hosts reported to it. Hosts send it with Origins, or with
 // WantedOrigin, alone.
@@ -325,6 +295,9 @@
 	Entries       []roster.Entry
 	// WatcherCount is the number of hosts that watch any replica; 0 if unknown.
 	WatcherCount int
+	// PresentCount is the number of hosts that watch any replica so far while their number is
+	// unknown, since the replica has just started; 0 otherwise, and from earlier releases.
+	PresentCount int
 	// ReplicaAddresses are the peer addresses of the state replicas.
 	ReplicaAddresses []string
 	// Loads are the requests in flight from all hosts, by target, for targets whose
