--- a/hub/hub.go
+++ b/hub/hub.go
@@ -92,6 +92,7 @@
 	proposer     *session.Client
 	roster       *roster.Table
 	watchers     *watchers
+	balance      *hostBalance
 	gossip       *gossip
 	loads        *loadTracker
 	quarantine   *quarantine.Board
@@ -129,6 +130,7 @@
 	}
 	h.contact = newMajorityContact(h.Clock)
 	h.watchers = newWatchers(h.Clock)
+	h.balance = newHostBalance(h.Clock)
 	h.gossip = newGossip(h)
 	h.voters = newVoters(h)
 	h.loads = newLoadTracker(h.Clock)
@@ -166,7 +168,7 @@
 		Node: h.node, Clock: h.Clock, Log: logs.ForComponent(h.Log, "State"),
 		ClusterName: h.Settings.State.Cluster, Replicas: h.Settings.StateReplicas,
 		Machine:       registry.NewMachine(registry.WithFleetParser(h.Protocol.ParseFleet)),
-		LedgerOptions: h.LedgerOptions,
+		LedgerOptions: h.LedgerOptions, LinkRate: h.Settings.Bandwidth * bytesPerMegabit,
 	}
 	if h.Settings.State.First && h.Settings.Peers == slices.Min(h.Settings.StateReplicas) {
 		config.Bootstrap = true
--- a/hub/watchers.go
+++ b/hub/watchers.go
@@ -24,11 +24,6 @@
 	// coalesceDelay is how long changes of targets are collected before a
 	// reply.
 	coalesceDelay = 25 * time.Millisecond
-	// maxWaitingReplies is the number of replies that wait for the link from which on the
-	// interval between two digests is busyDigestInterval: the hosts need the changes first, but
-	// without loads they all choose the same targets.
-	maxWaitingReplies  = 8
-	busyDigestInterval = 500 * time.Millisecond
 	// maxLongPollWait limits the wait for changes.
 	maxLongPollWait = 2 * time.Second
 )
@@ -44,8 +39,14 @@
 	// revisions are the state revisions that the hosts had at their last poll
 	// here.
 	revisions map[string]uint64
+	// requests are the numbers of the last requests of the hosts here, lastRequest is the
+	// latest number.
+	requests    map[string]uint64
+	lastRequest uint64
 	// hubRevisions are the last reports of the other hubs.
 	hubRevisions map[string]hubRevision
+	// servedAt is when the hosts last got a reply of this hub that confirmed its state.
+	servedAt map[string]time.Time
 	// digestAt is when the hosts were last sent a digest of the loads here.
 	digestAt map[string]time.Time
 }
@@ -57,7 +58,7 @@
 }
 
 func newWatchers(clock clockwork.Clock) *watchers {
-	return &watchers{clock: clock, started: clock.Now(), localSeen: map[string]time.Time{}, remoteSeen: map[string]time.Time{}, revisions: map[string]uint64{}, hubRevisions: map[string]hubRevision{}, digestAt: map[string]time.Time{}}
+	return &watchers{clock: clock, started: clock.Now(), localSeen: map[string]time.Time{}, remoteSeen: map[string]time.Time{}, revisions: map[string]uint64{}, requests: map[string]uint64{}, hubRevisions: map[string]hubRevision{}, digestAt: map[string]time.Time{}, servedAt: map[string]time.Time{}}
 }
 
 // recordWatch records a poll of a host and the state revision that it has.
@@ -68,6 +69,51 @@
 	w.revisions[host] = revision
 }
 
+// recordRequest records a request that replaces the earlier ones of the host. The result
+// reports whether the host still waits for the reply: it has not sent another request, and its
+// patience has not ended.
+func (w *watchers) recordRequest(m peer.WatchRequest) (isWanted func() bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.clock.Now()
+	w.lastRequest++
+	request := w.lastRequest
+	w.requests[m.Host] = request
+	return func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return w.requests[m.Host] == request && (m.Patience <= 0 || w.clock.Since(now) <= m.Patience)
+	}
+}
+
+// recordServed records that a host gets a reply that confirms the state.
+func (w *watchers) recordServed(host string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.servedAt[host] = w.clock.Now()
+}
+
+// isServed reports whether a host got such a reply within watcherTTL.
+func (w *watchers) isServed(host string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	at, served := w.servedAt[host]
+	return served && w.clock.Since(at) <= watcherTTL
+}
+
+// servedCount returns the number of hosts that got such a reply recently.
+func (w *watchers) servedCount() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now, count := w.clock.Now(), 0
+	for _, at := range w.servedAt {
+		if now.Sub(at) < recentWatchPeriod {
+			count++
+		}
+	}
+	return count
+}
+
 // untilDigest returns the time until the host is due for the next digest; zero or less
 // if it is now.
 func (w *watchers) untilDigest(host string, interval time.Duration) time.Duration {
@@ -145,6 +191,8 @@
 		if now.Sub(at) > watcherTTL {
 			delete(w.localSeen, host)
 			delete(w.revisions, host)
+			delete(w.requests, host)
+			delete(w.servedAt, host)
 			delete(w.digestAt, host)
 			continue
 		}
@@ -157,14 +205,18 @@
 // count returns the number of entry hosts; 0 while this hub has not run for
 // long enough to know it.
 func (w *watchers) count() int {
+	if w.clock.Since(w.started) < hostCountDelay {
+		return 0
+	}
+	return w.present()
+}
+
+// present returns the number of entry hosts that polled any hub recently.
+func (w *watchers) present() int {
 	local := w.localHosts()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	now := w.clock.Now()
-	if now.Sub(w.started) < hostCountDelay {
-		return 0
-	}
-	remote := 0
+	now, remote := w.clock.Now(), 0
 	for host, at := range w.remoteSeen {
 		if now.Sub(at) > watcherTTL {
 			delete(w.remoteSeen, host)
@@ -177,6 +229,16 @@
 	return len(local) + remote
 }
 
+// setHostCount sets the count of the hosts in a reply. Hosts limit themselves by the number
+// that is back so far only where the link of the hubs is stated, and thus slow enough that a
+// return takes a while.
+func (h *Hub) setHostCount(response *peer.WatchResponse) {
+	response.WatcherCount = h.watchers.count()
+	if response.WatcherCount == 0 && h.Settings.Bandwidth > 0 {
+		response.PresentCount = h.watchers.present()
+	}
+}
+
 // handleWatch replies to the long poll of an entry host as soon as there are
 // changes, or when its wait is over.
 func (h *Hub) handleWatch(m peer.WatchRequest, reply peer.Reply) {
@@ -184,27 +246,38 @@
 		h.handleStateRequest(m, reply)
 		return
 	}
-	h.deltas.recordPoll(m.Host, m.PeerAddress, m.Revision)
+	h.deltas.recordPoll(m, m.RosterSource == h.rosterSource)
 	h.watchers.recordWatch(m.Host, m.Revision)
+	isWanted := h.watchers.recordRequest(m)
 	h.loads.recordHost(m.Host, m.Loads)
 	h.recordCrashReport(m.Host, m.CrashReport, m.Quarantined)
 	h.recordRateLimits(m.Host, m.RateLimits)
 	h.rollouts.record(m.Rollout)
 	startedAt := h.Clock.Now()
-	if !h.contact.await(min(m.MaxWait, maxLongPollWait)) {
+	if !h.contact.await(h.contactWait(m)) {
 		// The host will poll another hub. After an outage of all hosts,
 		// hundreds of them poll while the replicas need the link for their
 		// election, so this reply is kept small.
 		reply(peer.WatchResponse{RosterSource: m.RosterSource, RosterVersion: m.RosterVersion, ReplicaAddresses: h.replicaAddresses()})
 		return
 	}
+	if hubs := h.redirect(m.Host); len(hubs) > 0 {
+		reply(peer.WatchResponse{RosterSource: m.RosterSource, RosterVersion: m.RosterVersion, ReplicaAddresses: h.replicaAddresses(), RetryAfter: redirectDelay, Hubs: hubs})
+		return
+	}
+	h.watchers.recordServed(m.Host)
 	if m.RosterSource != h.rosterSource {
 		m.RosterVersion, m.SuspectsVersion = 0, 0
 	}
 	m.MaxWait -= h.Clock.Since(startedAt)
 	h.awaitChanges(m)
+	if !isWanted() {
+		return
+	}
 	response := h.stateResponse(m)
-	response.RosterSource, response.WatcherCount, response.ReplicaAddresses = h.rosterSource, h.watchers.count(), h.replicaAddresses()
+	response.IsWanted = isWanted
+	response.RosterSource, response.ReplicaAddresses = h.rosterSource, h.replicaAddresses()
+	h.setHostCount(&response)
 	response.Held = h.Clock.Since(startedAt)
 	h.addDigest(m.Host, &response)
 	suspects, version := h.quarantine.Suspects()
@@ -218,9 +291,13 @@
 
 // handleStateRequest replies to a request for the state view alone.
 func (h *Hub) handleStateRequest(m peer.WatchRequest, reply peer.Reply) {
+	if m.IsFirst {
+		h.handleFirstRequest(m, reply)
+		return
+	}
 	response := h.stateResponse(m)
 	if len(response.Delta) > maxPolledDeltaBytes {
-		h.deltas.reply(m, response, h.replica.Machine.View().Revision, func(message peer.Message) {
+		h.deltas.reply(m, response, h.replica.Machine.View().Revision, len(response.Delta), func(message peer.Message) {
 			if sent, ok := message.(peer.WatchResponse); ok {
 				h.replies.record(&sent, false)
 			}
@@ -247,22 +324,6 @@
 	return response
 }
 
-// addDigest adds a digest of the loads to a reply, unless the host had one a moment ago.
-// While targets come and go, replies with changes are far more frequent than digests,
-// which would use up the hub's link if they came with each of them.
-func (h *Hub) addDigest(host string, response *peer.WatchResponse) {
-	interval := h.digestInterval()
-	if h.node.BulkWaiting() > maxWaitingReplies {
-		interval = max(interval, busyDigestInterval)
-	}
-	if h.watchers.untilDigest(host, interval) > 0 {
-		response.WithoutLoads = true
-		return
-	}
-	h.watchers.recordDigest(host)
-	response.Loads, response.MeanLoad = h.loads.digest(h.roster.ReadyKeys)
-}
-
 // awaitChanges returns when there are changes for the host, or when its wait is
 // over.
 func (h *Hub) awaitChanges(m peer.WatchRequest) {
--- a/peer/codec_watch.go
+++ b/peer/codec_watch.go
@@ -20,6 +20,7 @@
 			Origins: originsToWire(m.Origins, now), Relayed: m.Relayed, WantedOrigin: uint64(m.WantedOrigin), Wait: int64(m.MaxWait), LowestRevision: m.LowestRevision,
 			Replica: m.Replica, FleetVersion: m.FleetVersion, OutageVersion: m.OutageVersion,
 			Rollouts: rolloutsToWire(m.Rollouts), RolloutSource: m.RolloutSource, RolloutVersion: m.RolloutVersion,
+			Serves: m.Serves, Served: int32(m.Served),
 		}}
 	case WatchRequest:
 		wire.Body = &peerpb.Frame_Watch{Watch: &peerpb.Watch{
@@ -28,14 +29,16 @@
 			Evidence: crashReportToWire(m.CrashReport, now), Suspects: m.SuspectsVersion, Quarantined: suspectsToWire(m.Quarantined, now),
 			RateLimits: rateLimitReportsToWire(m.RateLimits, now), StateOnly: m.StateOnly, MaxDelta: int32(m.MaxDeltaBytes),
 			PeerAddress: m.PeerAddress, PendingRevision: m.PendingRevision, Direct: m.Direct, Rollouts: rolloutsToWire(m.Rollout.Services),
+			First: m.IsFirst, Patience: int64(m.Patience), PassesViews: m.PassesViews,
 		}}
 	case WatchResponse:
 		wire.Body = &peerpb.Frame_Watched{Watched: &peerpb.Watched{
 			Current: m.QuorumConfirmed, Delta: m.Delta, Source: m.RosterSource, Roster: m.RosterVersion,
-			Entries: entriesToWire(m.Entries, now), Hosts: int32(m.WatcherCount), Replicas: m.ReplicaAddresses,
+			Entries: entriesToWire(m.Entries, now), Hosts: hostsToWire(&m), Replicas: m.ReplicaAddresses,
 			Loads: loadsToWire(m.Loads), MeanLoad: m.MeanLoad, WithoutLoads: m.WithoutLoads,
 			SuspectsVersion: m.SuspectsVersion, Suspects: suspectsToWire(m.Suspects, now),
-			ConfirmedAge: int64(m.ConfirmedAge), Held: int64(m.Held), OmittedRevision: m.OmittedRevision, Sources: m.Sources,
+			ConfirmedAge: int64(m.ConfirmedAge), Held: int64(m.Held), OmittedRevision: m.OmittedRevision, Sources: m.Sources, Checksum: m.Checksum,
+			RetryAfter: int64(m.RetryAfter), Hubs: m.Hubs,
 		}}
 	case JoinRequest:
 		wire.Body = &peerpb.Frame_Join{Join: &peerpb.Join{Id: m.ID, Host: m.Host, Address: m.Address, Passed: m.Forwarded}}
@@ -51,6 +54,7 @@
 			Origins: originsFromWire(b.Roster.Origins, now), Relayed: b.Roster.Relayed, WantedOrigin: origin.Key(b.Roster.WantedOrigin), MaxWait: time.Duration(b.Roster.Wait), LowestRevision: b.Roster.LowestRevision,
 			Replica: b.Roster.Replica, FleetVersion: b.Roster.FleetVersion, OutageVersion: b.Roster.OutageVersion,
 			Rollouts: rolloutsFromWire(b.Roster.Rollouts), RolloutSource: b.Roster.RolloutSource, RolloutVersion: b.Roster.RolloutVersion,
+			Serves: b.Roster.Serves, Served: int(b.Roster.Served),
 		}
 	case *peerpb.Frame_Watch:
 		w := b.Watch
@@ -60,15 +64,17 @@
 			CrashReport: crashReportFromWire(w.Evidence, now), SuspectsVersion: w.Suspects, Quarantined: suspectsFromWire(w.Quarantined, now),
 			RateLimits: rateLimitReportsFromWire(w.RateLimits, now), StateOnly: w.StateOnly, MaxDeltaBytes: int(w.MaxDelta),
 			PeerAddress: w.PeerAddress, PendingRevision: w.PendingRevision, Direct: w.Direct, Rollout: rollout.Report{Services: rolloutsFromWire(w.Rollouts)},
+			IsFirst: w.First, Patience: time.Duration(w.Patience), PassesViews: w.PassesViews,
 		}
 	case *peerpb.Frame_Watched:
 		w := b.Watched
 		return WatchResponse{
 			QuorumConfirmed: w.Current, Delta: w.Delta, RosterSource: w.Source, RosterVersion: w.Roster,
-			Entries: entriesFromWire(w.Entries, now), WatcherCount: int(w.Hosts), ReplicaAddresses: w.Replicas,
+			Entries: entriesFromWire(w.Entries, now), WatcherCount: int(max(w.Hosts, 0)), PresentCount: int(max(-w.Hosts, 0)), ReplicaAddresses: w.Replicas,
 			Loads: loadsFromWire(w.Loads), MeanLoad: w.MeanLoad, WithoutLoads: w.WithoutLoads,
 			SuspectsVersion: w.SuspectsVersion, Suspects: suspectsFromWire(w.Suspects, now),
-			ConfirmedAge: time.Duration(w.ConfirmedAge), Held: time.Duration(w.Held), OmittedRevision: w.OmittedRevision, Sources: w.Sources,
+			ConfirmedAge: time.Duration(w.ConfirmedAge), Held: time.Duration(w.Held), OmittedRevision: w.OmittedRevision, Sources: w.Sources, Checksum: w.Checksum,
+			RetryAfter: time.Duration(w.RetryAfter), Hubs: w.Hubs,
 		}
 	case *peerpb.Frame_Join:
 		return JoinRequest{ID: b.Join.Id, Host: b.Join.Host, Address: b.Join.Address, Forwarded: b.Join.Passed}
@@ -76,6 +82,15 @@
 	return nil
 }
 
+// hostsToWire sends a count that is not final as a negative number, which earlier releases
+// ignore like 0.
+func hostsToWire(m *WatchResponse) int32 {
+	if m.WatcherCount > 0 {
+		return int32(m.WatcherCount)
+	}
+	return -int32(m.PresentCount)
+}
+
 // entriesToWire sends ages instead of timestamps, since the clocks of hosts
 // differ.
 func entriesToWire(entries []roster.Entry, now time.Time) []*peerpb.RosterEntry {
--- a/peer/message.go
+++ b/peer/message.go
@@ -204,36 +204,6 @@
 	Leader string
 }
 
-// Digest reports to the state leader the targets that a host knows and the
-// services that it owns.
-type Digest struct {
-	Host     string
-	Session  uint64
-	Targets  []DigestTarget
-	Services []DigestService
-}
-
-// DigestTarget is the state of one target at the owner of its service.
-type DigestTarget struct {
-	Announcement target.Announcement
-	// Ready is set if the target is healthy, even while it is out of service, Cold
-	// if it has not warmed up, and Leaving if it is leaving.
-	Ready    bool
-	Cold     bool
-	Leaving  bool
-	InFlight int
-	// WarmChats is the number of chats whose context is in the target's prefix
-	// cache.
-	WarmChats int
-}
-
-// DigestService is the load of one service at its owner.
-type DigestService struct {
-	Name     string
-	Queued   int
-	InFlight int
-}
-
 // RosterUpdate distributes what a state replica has received itself to the other state
 // replicas: announcements, and what hosts reported to it. Hosts send it with Origins, or with
 // WantedOrigin, alone.
@@ -272,6 +242,10 @@
 	// replica; nil if they are not reported.
 	Rollouts      []rollout.ServiceReport
 	RolloutSource uint64
+	// Serves is set if the sender has contact with a majority. Served is then the number of
+	// hosts that it serves.
+	Serves bool
+	Served int
 }
 
 // WatchRequest asks a state replica for changes since the requesting host's view.
@@ -309,6 +283,13 @@
 	Direct bool
 	// Rollout is what the host counted of services in rollout since its last request.
 	Rollout rollout.Report
+	// IsFirst asks for the whole state view and the roster of targets. A host without a view
+	// sends it, with StateOnly for earlier releases, to replicas and to hosts that they name.
+	IsFirst bool
+	// Patience is how long the host waits for the reply; 0 if unknown.
+	Patience time.Duration
+	// PassesViews is set if the host replies to requests with IsFirst.
+	PassesViews bool
 }
 
 // WatchResponse is the reply to a WatchRequest.
@@ -323,6 +304,9 @@
 	Entries       []roster.Entry
 	// WatcherCount is the number of hosts that watch any replica; 0 if unknown.
 	WatcherCount int
+	// PresentCount is the number of hosts that watch any replica so far while their number is
+	// unknown, since the replica has just started; 0 otherwise, and from earlier releases.
+	PresentCount int
 	// ReplicaAddresses are the peer addresses of the state replicas.
 	ReplicaAddresses []string
 	// Loads are the requests in flight from all hosts, by target, for targets whose
@@ -345,6 +329,15 @@
 	OmittedRevision uint64
 	// Sources are the peer addresses of hosts that have the omitted delta.
 	Sources []string
+	// Checksum is the xxHash of Delta in the reply to a request with IsFirst; 0 for none.
+	Checksum uint64
+	// RetryAfter is set if the replica serves so many hosts that the host is to poll one of Hubs
+	// after that time. They are peer addresses, the best one first.
+	RetryAfter time.Duration
+	Hubs       []string
+	// IsWanted reports whether the reply is still waited for; nil for always. It is not sent.
+	// A bulk reply that has waited for the link is dropped if it isn't wanted any more.
+	IsWanted func() bool
 }
 
 // JoinRequest asks the state leader to add a replica to the cluster, or to
