--- a/hub/rollout_sums.go
+++ b/hub/rollout_sums.go
@@ -14,9 +14,10 @@
 
 const (
 	// sumsInterval is the interval at which a hub tells the others its sums if they have
-	// changed, sumsResendInterval that at which it does in any case: a message may be lost.
-	sumsInterval       = 100 * time.Millisecond
-	sumsResendInterval = 500 * time.Millisecond
+	// changed. Each sumsRelayInterval it tells all that it knows: a message may be lost, and a
+	// hub that has started lacks the sums of its former process.
+	sumsInterval      = 100 * time.Millisecond
+	sumsRelayInterval = time.Second
 	// maxSources limits the processes of hubs whose sums are kept.
 	maxSources = 32
 )
@@ -102,24 +103,35 @@
 	}
 }
 
-// runSums tells the other hubs the sums of what hosts reported here until ctx ends.
+// runSums tells the other hubs the sums of what hosts reported until ctx ends.
 func (m *rolloutManager) runSums(ctx context.Context) {
-	var last time.Time
+	var relayedAt time.Time
 	ticks.Every(ctx, m.hub.Clock, sumsInterval, func(context.Context) {
 		now := m.hub.Clock.Now()
-		m.mu.Lock()
-		own := m.sums[m.hub.rosterSource]
-		isDue := len(own) > 0 && (m.changed || now.Sub(last) >= sumsResendInterval)
-		var sums []rollout.ServiceReport
-		if isDue {
-			for _, service := range slices.Sorted(maps.Keys(own)) {
-				sums = append(sums, own[service].Clone())
-			}
-			last, m.changed = now, false
+		isRelay := now.Sub(relayedAt) >= sumsRelayInterval
+		if isRelay {
+			relayedAt = now
 		}
-		m.mu.Unlock()
-		if isDue {
-			m.hub.gossip.broadcast(peer.RosterUpdate{Host: m.hub.Settings.Host, Rollouts: sums, RolloutSource: m.hub.rosterSource})
+		for source, sums := range m.takeSums(isRelay) {
+			m.hub.gossip.broadcast(peer.RosterUpdate{Host: m.hub.Settings.Host, Rollouts: sums, RolloutSource: source})
 		}
 	})
 }
+
+// takeSums returns the sums to tell the other hubs, by the process that they were reported to:
+// all of them, or those of this process if they have changed.
+func (m *rolloutManager) takeSums(all bool) map[uint64][]rollout.ServiceReport {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	taken := map[uint64][]rollout.ServiceReport{}
+	for source, sums := range m.sums {
+		if !all && (source != m.hub.rosterSource || !m.changed) {
+			continue
+		}
+		for _, service := range slices.Sorted(maps.Keys(sums)) {
+			taken[source] = append(taken[source], sums[service].Clone())
+		}
+	}
+	m.changed = false
+	return taken
+}
