--- a/admission/rollout/analysis.go
+++ b/admission/rollout/analysis.go
@@ -10,7 +10,7 @@
 const (
 	// maxChance is the probability below which a difference is no chance. Each rollout makes
 	// some thousands of comparisons, most of them of nearly the same counts.
-	maxChance = 1e-5
+	maxChance = 3e-6
 	// minBad is the minimum number of bad responses for a verdict.
 	minBad = 5
 	// The rate of failures of a bad version is more than failureFactor times that of the
@@ -35,6 +35,9 @@
 
 var (
 	judging = thresholds{maxChance, minBad, slowSteps, minSlowRate}
+	// suspecting applies when everything is due to move: a difference that may be chance holds
+	// the move up, until more responses clear the version or the deadline passes.
+	suspecting = thresholds{1e-3, 2, slowSteps, minSlowRate}
 	// moving applies once all requests go to the new version. There are no responses of the
 	// others at the same time, and the caches of most new targets are cold.
 	moving = thresholds{1e-7, 10, 4, 0.25}
--- a/admission/rollout/controller.go
+++ b/admission/rollout/controller.go
@@ -149,6 +149,9 @@
 		if reason := missingEvidence(counts, plan.isLast); reason != "" {
 			return Decision{Action: Keep, Reason: reason}
 		}
+		if reason := c.difference(counts, &suspecting); reason != "" {
+			return Decision{Action: Keep, Reason: "suspected: " + reason}
+		}
 		return Decision{Action: SetShare, Share: 1, PromptShare: 1, Reason: fmt.Sprintf("no fault in %d responses, and %s are left", newSide.Responses, input.remaining())}
 	}
 	if share, promptShare, changes := c.nextShare(input, plan); changes {
@@ -203,11 +206,16 @@
 	if c.moved != nil {
 		return c.faultAfterMove(counts)
 	}
-	if reason := failures(counts, nil, &judging); reason != "" {
+	return c.difference(counts, &judging)
+}
+
+// difference returns how the version differs from the others for the worse; "" if it does not.
+func (c *Controller) difference(counts *ServiceReport, limits *thresholds) string {
+	if reason := failures(counts, nil, limits); reason != "" {
 		return reason
 	}
 	if c.warm != nil {
-		if reason := slowness(counts, &c.warm.counts, &judging); reason != "" {
+		if reason := slowness(counts, &c.warm.counts, limits); reason != "" {
 			return reason
 		}
 	}
@@ -215,11 +223,11 @@
 		return ""
 	}
 	recent := &c.samples[0]
-	if reason := failures(counts, &recent.counts, &judging); reason != "" {
+	if reason := failures(counts, &recent.counts, limits); reason != "" {
 		return reason
 	}
 	if c.warm != nil && !recent.at.Before(c.warm.at) {
-		return slowness(counts, &recent.counts, &judging)
+		return slowness(counts, &recent.counts, limits)
 	}
 	return ""
 }
--- a/admission/rollout/exposure.go
+++ b/admission/rollout/exposure.go
@@ -9,7 +9,7 @@
 	// judgedPart is the part of the allowed exposure that is used while the version is
 	// judged; minJudgedPart is that if the move of everything needs more than the rest.
 	judgedPart    = 0.5
-	minJudgedPart = 0.15
+	minJudgedPart = 0.33
 	// earliestMove is the part of the duration before which not everything moves.
 	earliestMove = 0.75
 	// maxJudgedShare limits the share while a version is judged, which compares it with the
@@ -57,7 +57,7 @@
 // moveTime returns how long before the deadline everything must move at the latest, if a commit
 // takes the given time.
 func (i *Input) moveTime(commitTime time.Duration) time.Duration {
-	return 2*commitTime + i.SpreadTime*3/2 + decisionTime
+	return 2*commitTime + i.SpreadTime + decisionTime
 }
 
 // movePlan is when everything moves, and what may be exposed until then.
--- a/hub/rollout.go
+++ b/hub/rollout.go
@@ -152,7 +152,10 @@
 	m.trackSpread(now, led, &current, view)
 	input := rollout.Input{
 		Now: now, Elapsed: now.Sub(m.orderedAt[service].at), Duration: current.Duration, Share: current.Share, PromptShare: current.PromptShare, Counts: &counts,
-		HostsHaveShare: led.spread, RunningOnOthers: m.runningOnOthers(service, current.Version), CommitTime: m.commitTime, SlowCommitTime: m.slowCommit, SpreadTime: m.spreadTime,
+		HostsHaveShare: led.spread, CommitTime: m.commitTime, SlowCommitTime: m.slowCommit, SpreadTime: m.spreadTime,
+	}
+	if current.Share >= 1 {
+		input.RunningOnOthers = m.runningOnOthers(service, current.Version)
 	}
 	decision := led.controller.Decide(input)
 	if decision.Action == rollout.Keep {
