--- a/entry/hub_watcher.go
+++ b/entry/hub_watcher.go
@@ -333,6 +333,7 @@
 		return err
 	}
 	w.daemon.deltas.record(last, encoded)
+	w.daemon.selector.applyRollouts(next)
 	if last == nil || last.FleetVersion != next.FleetVersion || last.OutageVersion != next.OutageVersion {
 		w.log.WithFields(logrus.Fields{
 			"Revision": next.Revision, "FleetVersion": next.FleetVersion, "DomainsOut": len(next.DomainsOut),
--- a/entry/rollout.go
+++ b/entry/rollout.go
@@ -60,6 +60,17 @@
 	}
 }
 
+// applyRollouts notes the versions of complete rollouts.
+func (t *targetSelector) applyRollouts(view *registry.View) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for service, r := range view.Rollouts {
+		if r.State == registry.RolloutComplete {
+			t.rollouts.completed(service, r.Version)
+		}
+	}
+}
+
 // completed notes that a rollout is complete.
 func (g *rolloutGuide) completed(service, version string) {
 	if versions := g.established[service]; len(versions) != 1 || !versions[version] {
@@ -106,9 +117,6 @@
 		limits.allowEstablished()
 		choice = choose()
 	case r.State == registry.RolloutComplete || r.Share >= 1:
-		if r.State == registry.RolloutComplete {
-			t.rollouts.completed(request.Service, r.Version)
-		}
 		limits.allowNewFirst()
 		choice = choose()
 	case request.RequiresVersion:
--- a/entry/rollout_test.go
+++ b/entry/rollout_test.go
@@ -41,6 +41,7 @@
 	view := *f.view
 	view.Rollouts = map[string]registry.Rollout{"treasury": rollout}
 	f.daemon.view.replace(&view)
+	f.selector.applyRollouts(&view)
 }
 
 // counts sends requests and returns how many went to each version, "" for refusals.
