Find the target at an address by an index

Cause: each announcement was compared with all targets, and each poll counted the hosts by a sorted list of their names.

Change: the roster has an index by address, answers at once that nothing has changed, and the number of hosts is counted without a list. Targets that a host learns of while the fleet starts, or that have announced themselves often, don't count as recently joined: the first targets got all shared prompts.

--- a/entry/start_share_test.go
+++ b/entry/start_share_test.go
@@ -93,3 +93,27 @@
 	require.Equal(t, 1, startShare(3, 1, 141))
 	require.Equal(t, 28, startShare(60*64, 1, 141))
 }
+
+// After a loss of power, targets that the hubs learned of late counted as recently joined, and
+// the first ones got all shared prompts. A target that has really joined still gets none at
+// first.
+func TestUpdateTarget_ReturningTargetsHaveNotJoined(t *testing.T) {
+	f := newFixture(t)
+	f.applyEntries(f.newRosterEntry("t-1", "engines", "a", 1))
+	f.clock.Advance(startupSlack + time.Second)
+	f.applyEntries(f.newRosterEntry("joined", "engines", "a", returnedSequence-1), f.newRosterEntry("forgotten", "engines", "a", returnedSequence))
+	f.selector.hosts.recordPresent(12)
+	f.applyEntries(f.newRosterEntry("late", "engines", "a", 1))
+	joined := func(name string) bool {
+		request := admission.Request{}
+		state := f.selector.byName[name]
+		return f.selector.describeCandidate(f.clock.Now(), state, f.view, &f.view.Fleet.Services[0], &request, serviceLoads{}).RecentlyJoined
+	}
+	require.False(t, joined("t-1"))
+	require.True(t, joined("joined"))
+	require.False(t, joined("forgotten"))
+	require.False(t, joined("late"), "the fleet starts")
+	f.selector.hosts.record(141)
+	f.applyEntries(f.newRosterEntry("new", "engines", "a", 1))
+	require.True(t, joined("new"))
+}
--- a/entry/target_roster.go
+++ b/entry/target_roster.go
@@ -59,6 +59,9 @@
 		return
 	case s == nil || s.Incarnation != entry.Incarnation:
 		added := &targetState{Entry: entry, firstSeen: now, coldSince: now}
+		if t.isReturning(&entry) {
+			added.firstSeen = t.firstTargetSeen
+		}
 		if s != nil {
 			added.ownInFlight = s.ownInFlight
 		}
@@ -75,6 +78,17 @@
 	s.Entry = entry
 }
 
+// returnedSequence is the number of announcements of a target from which on one that this host
+// learns of has been there before: the hubs had forgotten it, or could not take it.
+const returnedSequence = 8
+
+// isReturning reports whether a target that this host learns of has not just joined. After a
+// loss of power, hubs learn of targets for seconds. If those that come late counted as recently
+// joined, the first ones would get all shared prompts for newTargetPeriod.
+func (t *targetSelector) isReturning(entry *roster.Entry) bool {
+	return entry.Sequence >= returnedSequence || t.hosts.starting() > 0
+}
+
 func (t *targetSelector) logChange(entry roster.Entry) {
 	t.log.WithFields(logrus.Fields{
 		"Target": entry.Name, "Address": entry.Address, "FailureDomain": entry.FailureDomain, "Service": entry.Service,
--- a/entry/view_source.go
+++ b/entry/view_source.go
@@ -19,7 +19,7 @@
 	// host that would wait for longer asks the hub for another source.
 	maxSharedBacklog = 250 * time.Millisecond
 	// sharedEntryBytes is about the size of a roster entry in a compressed reply.
-	sharedEntryBytes = 48
+	sharedEntryBytes = 32
 )
 
 // viewSource passes the state view and the roster of this host on to hosts without a view.
--- a/hub/first_view.go
+++ b/hub/first_view.go
@@ -8,7 +8,7 @@
 )
 
 // rosterEntryBytes is about the size of a roster entry in a compressed reply.
-const rosterEntryBytes = 48
+const rosterEntryBytes = 32
 
 // handleFirstRequest replies to a host without a state view: with the view and the roster, or
 // with hosts that have them. A hub without contact with a majority keeps the host waiting, as
--- a/hub/first_view_test.go
+++ b/hub/first_view_test.go
@@ -12,6 +12,8 @@
 	"github.com/stretchr/testify/require"
 
 	"comfreytiller.dev/peer"
+	"comfreytiller.dev/target"
+	"comfreytiller.dev/target/roster"
 )
 
 // returnReplay replays hosts of one hub that start without a view at the same time. Views take
@@ -165,3 +167,29 @@
 	require.Equal(t, 2*time.Second, pacedDigestInterval(2*time.Second, maxWaitingForDigests+1))
 	require.Less(t, 2*congestedDigestInterval, 3100*time.Millisecond, "hosts use a digest for 3 s")
 }
+
+// The share of the link that rosters take is planned with the size of an entry.
+func TestRosterEntryBytes_AreThoseOfReplies(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for _, targets := range []int{75, 910, 3000} {
+		var response peer.WatchResponse
+		for i := range targets {
+			response.Entries = append(response.Entries, newRandomEntry(random, i))
+		}
+		perEntry := float64(replySize(t, response)) / float64(targets)
+		t.Logf("%d targets: %.1f bytes each", targets, perEntry)
+		require.InDelta(t, rosterEntryBytes, perEntry, rosterEntryBytes/4)
+	}
+}
+
+// newRandomEntry returns the roster entry of a target with a random name and address.
+func newRandomEntry(random *rand.Rand, number int) roster.Entry {
+	return roster.Entry{
+		Announcement: target.Announcement{
+			Name: fmt.Sprintf("i-%010x", random.Uint64()&0xff_ffff_ffff), Service: fmt.Sprintf("service-%d", number%12), FailureDomain: fmt.Sprintf("domain-%d", number%3),
+			Address: fmt.Sprintf("10.%d.%d.%d:8428", number%3, random.IntN(256), random.IntN(256)), Version: "v1", Capacity: 64,
+			Stamp: target.Stamp{Incarnation: 1_776_477_204_400 + random.Uint64N(1000), Sequence: random.Uint64N(1000)},
+		},
+		State: roster.Ready, LastSeen: time.Now().Add(-time.Duration(random.Int64N(int64(time.Second)))),
+	}
+}
--- a/hub/hub_test.go
+++ b/hub/hub_test.go
@@ -35,7 +35,7 @@
 
 // cluster runs several hubs in one process.
 type cluster struct {
-	t         *testing.T
+	t         testing.TB
 	addresses []string
 	dataDirs  []string
 	hubs      []*Hub
@@ -48,7 +48,7 @@
 
 // newCluster starts size hubs; the settings list the first three as state
 // replicas.
-func newCluster(t *testing.T, size int) *cluster {
+func newCluster(t testing.TB, size int) *cluster {
 	c := &cluster{t: t, tolerates: size / 2}
 	for range size {
 		c.add()
--- a/hub/loads.go
+++ b/hub/loads.go
@@ -140,7 +140,7 @@
 // send to one target would be reported.
 func (h *Hub) digestInterval() time.Duration {
 	perHost := max(minDigestTime, time.Duration(float64(time.Second)*float64(h.loads.digestBytes())/maxDigestRate))
-	return max(loadInterval, time.Duration(len(h.watchers.localHosts()))*perHost)
+	return max(loadInterval, time.Duration(h.watchers.localCount())*perHost)
 }
 
 // Limits of the digests to all hosts of a hub together.
--- a/hub/watchers.go
+++ b/hub/watchers.go
@@ -202,6 +202,20 @@
 	return hosts
 }
 
+// localCount returns the number of hosts that polled here recently. It is called with each
+// poll.
+func (w *watchers) localCount() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now, count := w.clock.Now(), 0
+	for _, at := range w.localSeen {
+		if now.Sub(at) <= watcherTTL {
+			count++
+		}
+	}
+	return count
+}
+
 // count returns the number of entry hosts; 0 while this hub has not run for
 // long enough to know it.
 func (w *watchers) count() int {
@@ -213,7 +227,7 @@
 
 // present returns the number of entry hosts that polled any hub recently.
 func (w *watchers) present() int {
-	local := w.localHosts()
+	local := w.localCount()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now, remote := w.clock.Now(), 0
@@ -226,7 +240,7 @@
 			remote++
 		}
 	}
-	return len(local) + remote
+	return local + remote
 }
 
 // setHostCount sets the count of the hosts in a reply. Hosts limit themselves by the number
--- a/target/roster/roster.go
+++ b/target/roster/roster.go
@@ -92,15 +92,17 @@
 // Table holds the entries of the targets by name. It is safe for concurrent
 // use.
 type Table struct {
-	mu      sync.Mutex
-	byName  map[string]*record
-	version uint64
-	changed chan struct{}
+	mu     sync.Mutex
+	byName map[string]*record
+	// byAddress holds the names of the entries at each address.
+	byAddress map[string]map[string]bool
+	version   uint64
+	changed   chan struct{}
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{byName: map[string]*record{}, changed: make(chan struct{})}
+	return &Table{byName: map[string]*record{}, byAddress: map[string]map[string]bool{}, changed: make(chan struct{})}
 }
 
 // Merge merges an entry into the table and reports whether it is a change. A
@@ -165,8 +167,9 @@
 // target at the same address that started earlier must have stopped; its state
 // becomes Gone. The caller must hold t.mu.
 func (t *Table) addressTaken(entry *Entry) bool {
-	for name, other := range t.byName {
-		if name == entry.Name || other.Address != entry.Address || other.State == Gone {
+	for name := range t.byAddress[entry.Address] {
+		other := t.byName[name]
+		if name == entry.Name || other.State == Gone {
 			continue
 		}
 		if other.Incarnation > entry.Incarnation {
@@ -184,11 +187,29 @@
 // put stores an entry as a change. The caller must hold t.mu.
 func (t *Table) put(entry Entry) {
 	t.version++
+	if current := t.byName[entry.Name]; current != nil && current.Address != entry.Address {
+		t.removeAddress(&current.Entry)
+	}
+	names := t.byAddress[entry.Address]
+	if names == nil {
+		names = map[string]bool{}
+		t.byAddress[entry.Address] = names
+	}
+	names[entry.Name] = true
 	t.byName[entry.Name] = &record{Entry: entry, version: t.version}
 	close(t.changed)
 	t.changed = make(chan struct{})
 }
 
+// removeAddress removes an entry from the index by address. The caller must hold t.mu.
+func (t *Table) removeAddress(entry *Entry) {
+	names := t.byAddress[entry.Address]
+	delete(names, entry.Name)
+	if len(names) == 0 {
+		delete(t.byAddress, entry.Address)
+	}
+}
+
 // RecordRateLimit records what a host knows of the rate limit of a target, and reports
 // whether it is a change. A change that follows another one at once is ignored, so that a
 // target whose responses contradict each other does not occupy all hosts; the host reports
@@ -260,6 +281,7 @@
 		silence := now.Sub(current.LastSeen)
 		switch {
 		case silence > entryTTL:
+			t.removeAddress(&current.Entry)
 			delete(t.byName, name)
 		case silence > silentAfter && !current.Silent && current.State != Gone:
 			silent := current.Entry
@@ -284,6 +306,9 @@
 func (t *Table) ChangedSince(version uint64) ([]Entry, uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if version >= t.version {
+		return nil, t.version
+	}
 	var entries []Entry
 	for _, current := range t.byName {
 		if current.version > version {
