--- a/entry/view_source.go
+++ b/entry/view_source.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
 
 	"comfreytiller.dev/peer"
 	"comfreytiller.dev/registry"
@@ -29,6 +30,7 @@
 type viewSource struct {
 	daemon *Entry
 	clock  clockwork.Clock
+	passed tally.Counter
 
 	mu sync.Mutex
 	// view is the view that encoded holds.
@@ -39,7 +41,9 @@
 	freeAt time.Time
 }
 
-func newViewSource(e *Entry) *viewSource { return &viewSource{daemon: e, clock: e.Clock} }
+func newViewSource(e *Entry) *viewSource {
+	return &viewSource{daemon: e, clock: e.Clock, passed: e.Scope.Counter("views_passed_on")}
+}
 
 // response returns the reply to a host that asks for its first view. It is empty if this host
 // has no later view or no roster, or if it is passing on others. It confirms nothing.
@@ -65,6 +69,7 @@
 	}
 	size := len(s.encoded) + sharedEntryBytes*len(entries)
 	s.freeAt = s.freeAt.Add(time.Duration(float64(size) / sharedViewRate * float64(time.Second)))
+	s.passed.Inc(1)
 	return peer.WatchResponse{
 		Delta: s.encoded, Checksum: s.checksum, RosterSource: position.source, RosterVersion: position.version, Entries: entries,
 		PresentCount: s.daemon.selector.hosts.starting(),
--- a/hub/first_view.go
+++ b/hub/first_view.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
 
 	"comfreytiller.dev/peer"
 )
@@ -10,6 +11,19 @@
 // rosterEntryBytes is about the size of a roster entry in a compressed reply.
 const rosterEntryBytes = 32
 
+// firstViewMeters count how hosts without a view are served.
+type firstViewMeters struct {
+	sent, bytes, referred, redirected tally.Counter
+	waiting                           tally.Gauge
+}
+
+func newFirstViewMeters(scope tally.Scope) firstViewMeters {
+	return firstViewMeters{
+		sent: scope.Counter("first_views_sent"), bytes: scope.Counter("first_view_bytes_sent"), referred: scope.Counter("first_views_referred"),
+		redirected: scope.Counter("hosts_redirected"), waiting: scope.Gauge("hosts_waiting_for_view"),
+	}
+}
+
 // handleFirstRequest replies to a host without a state view: with the view and the roster, or
 // with hosts that have them. A hub without contact with a majority keeps the host waiting, as
 // in handleWatch, and sends neither: its view may be from before changes that are in force.
@@ -22,6 +36,7 @@
 		return
 	}
 	if hubs := h.redirect(m.Host); len(hubs) > 0 {
+		h.meters.redirected.Inc(1)
 		reply(peer.WatchResponse{ReplicaAddresses: h.replicaAddresses(), RetryAfter: redirectDelay, Hubs: hubs})
 		return
 	}
@@ -39,8 +54,11 @@
 		return
 	}
 	h.deltas.reply(m, response, h.replica.Machine.View().Revision, size, func(message peer.Message) {
+		h.meters.waiting.Update(float64(h.deltas.waiting()))
 		if sent, ok := message.(peer.WatchResponse); ok && len(sent.Delta) > 0 {
 			message = h.withRoster(m, sent)
+		} else {
+			h.meters.referred.Inc(1)
 		}
 		reply(message)
 	})
@@ -55,6 +73,8 @@
 	response.Entries, response.RosterVersion = h.roster.ChangedSince(0)
 	h.replies.record(&response, true)
 	h.replies.recordFirst(len(response.Delta))
+	h.meters.sent.Inc(1)
+	h.meters.bytes.Inc(int64(len(response.Delta)))
 	h.log.WithFields(logrus.Fields{"From": m.Host, "Bytes": len(response.Delta), "Entries": len(response.Entries), "Direct": m.Direct, "WaitingHosts": h.deltas.waiting()}).
 		Debug("Sending a first view to a host.")
 	return response
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -102,6 +102,7 @@
 	contact      *majorityContact
 	voters       *voters
 	replies      replyCounter
+	meters       firstViewMeters
 	deltas       *deltaSpread
 	// fleetVersions tells since when the latest configuration is known here.
 	fleetVersions *fleetVersions
@@ -130,6 +131,7 @@
 	h.contact = newMajorityContact(h.Clock)
 	h.watchers = newWatchers(h.Clock)
 	h.balance = newHostBalance(h.Clock)
+	h.meters = newFirstViewMeters(h.Scope)
 	h.gossip = newGossip(h)
 	h.voters = newVoters(h)
 	h.loads = newLoadTracker(h.Clock)
--- a/hub/watchers.go
+++ b/hub/watchers.go
@@ -275,6 +275,7 @@
 		return
 	}
 	if hubs := h.redirect(m.Host); len(hubs) > 0 {
+		h.meters.redirected.Inc(1)
 		reply(peer.WatchResponse{RosterSource: m.RosterSource, RosterVersion: m.RosterVersion, ReplicaAddresses: h.replicaAddresses(), RetryAfter: redirectDelay, Hubs: hubs})
 		return
 	}
