--- a/entry/start_share.go
+++ b/entry/start_share.go
@@ -18,6 +18,9 @@
 	// route.Throttle admits once there are load reports. A model engine that holds more than
 	// its slots preempts requests, so that it gets no more than these.
 	startedPerSlot = 2.2
+	// startFreePart is the part of this room up to which a host goes beyond its share if the
+	// digests say that the targets have room: hosts don't have equal demand.
+	startFreePart = 0.7
 	// startRetryAfter is the minimum and half of the maximum delay after which a caller that
 	// was refused in this phase may retry: several hosts are back by then.
 	startRetryAfter = 400 * time.Millisecond
@@ -54,7 +57,7 @@
 		perSlot = startedPerSlot
 	}
 	share := startShare(slots, perSlot, present)
-	if slots == 0 || inFlight < share {
+	if slots == 0 || inFlight < share || t.hasReportedRoom(now, service.Name, list, startFreePart*perSlot*float64(slots)) {
 		return nil
 	}
 	return &admission.Refusal{
@@ -63,3 +66,15 @@
 		RetryAfter: startRetryAfter + rand.N(startRetryAfter),
 	}
 }
+
+// hasReportedRoom reports whether the targets have fewer requests in flight than a bound,
+// according to reports on them. The caller must hold t.mu.
+func (t *targetSelector) hasReportedRoom(now time.Time, service string, list []*targetState, bound float64) bool {
+	loads, total, reported := t.serviceLoads(now, service, list), 0.0, false
+	for _, s := range list {
+		reported = reported || s.hasReportedLoad(now)
+		inFlight, queued := s.estimateLoad(now, loads)
+		total += inFlight + queued
+	}
+	return reported && total < bound
+}
--- a/entry/start_share_test.go
+++ b/entry/start_share_test.go
@@ -117,3 +117,27 @@
 	f.applyEntries(f.newRosterEntry("new", "engines", "a", 1))
 	require.True(t, joined("new"))
 }
+
+// Hosts don't have equal demand: one that has its share goes on while the digests say that the
+// targets have room, and stops before they are full.
+func TestStartShare_ReportedRoomIsUsed(t *testing.T) {
+	f := newFixture(t)
+	const slots = 64
+	entry := f.newRosterEntry("t-1", "engines", "a", 1)
+	entry.Capacity = slots
+	f.applyEntries(entry)
+	f.selector.hosts.recordPresent(slots)
+	admitted := func() (count int) {
+		for i := range slots {
+			if _, refusal := f.acquire(t, fmt.Sprint("r-", i), "engines"); refusal == nil {
+				count++
+			}
+		}
+		return count
+	}
+	require.Equal(t, 1, admitted(), "without a report")
+	f.selector.applyLoads(byKey(map[string]int{"t-1": 20}), 0, nil)
+	require.InDelta(t, startFreePart*slots-20, 1+admitted(), 2)
+	f.selector.applyLoads(byKey(map[string]int{"t-1": 60}), 0, nil)
+	require.Zero(t, admitted())
+}
