--- a/entry/start_share_test.go
+++ b/entry/start_share_test.go
@@ -93,3 +93,51 @@
 	require.Equal(t, 1, startShare(3, 1, 141))
 	require.Equal(t, 28, startShare(60*64, 1, 141))
 }
+
+// After a loss of power, targets that the hubs learned of late counted as recently joined, and
+// the first ones got all shared prompts. A target that has really joined still gets none at
+// first.
+func TestUpdateTarget_ReturningTargetsHaveNotJoined(t *testing.T) {
+	f := newFixture(t)
+	f.applyEntries(f.newRosterEntry("t-1", "engines", "a", 1))
+	f.clock.Advance(startupSlack + time.Second)
+	f.applyEntries(f.newRosterEntry("joined", "engines", "a", returnedSequence-1), f.newRosterEntry("forgotten", "engines", "a", returnedSequence))
+	f.selector.hosts.recordPresent(12)
+	f.applyEntries(f.newRosterEntry("late", "engines", "a", 1))
+	joined := func(name string) bool {
+		request := admission.Request{}
+		state := f.selector.byName[name]
+		return f.selector.describeCandidate(f.clock.Now(), state, f.view, &f.view.Fleet.Services[0], &request, serviceLoads{}).RecentlyJoined
+	}
+	require.False(t, joined("t-1"))
+	require.True(t, joined("joined"))
+	require.False(t, joined("forgotten"))
+	require.False(t, joined("late"), "the fleet starts")
+	f.selector.hosts.record(141)
+	f.applyEntries(f.newRosterEntry("new", "engines", "a", 1))
+	require.True(t, joined("new"))
+}
+
+// Hosts don't have equal demand: one that has its share goes on while the digests say that the
+// targets have room, and stops before they are full.
+func TestStartShare_ReportedRoomIsUsed(t *testing.T) {
+	f := newFixture(t)
+	const slots = 64
+	entry := f.newRosterEntry("t-1", "engines", "a", 1)
+	entry.Capacity = slots
+	f.applyEntries(entry)
+	f.selector.hosts.recordPresent(slots)
+	admitted := func() (count int) {
+		for i := range slots {
+			if _, refusal := f.acquire(t, fmt.Sprint("r-", i), "engines"); refusal == nil {
+				count++
+			}
+		}
+		return count
+	}
+	require.Equal(t, 1, admitted(), "without a report")
+	f.selector.applyLoads(byKey(map[string]int{"t-1": 20}), 0, nil)
+	require.InDelta(t, startFreePart*slots-20, 1+admitted(), 2)
+	f.selector.applyLoads(byKey(map[string]int{"t-1": 60}), 0, nil)
+	require.Zero(t, admitted())
+}
