Keep the bound of a target whatever the others claim

Cause: with figures of 8 for targets with queues, the cost of an overload, which is capped, was lower than theirs, and a target above its high bound was chosen. The property test found it with 3,000 checks, and its condition allowed some such cases.

Change: among targets with slowdowns, one beyond the high bound is chosen only if no healthy one below it can take the request.

--- a/route/local.go
+++ b/route/local.go
@@ -119,6 +119,9 @@
 	}
 	model := newCostModel(targets, tokens, &order, uneven, random, noise, costs)
 	model.low, model.high, model.takesRest = low, high, takesRest
+	if uneven.scale != 0 {
+		model.keepBound()
+	}
 	if key == 0 && uneven.scale != 0 && !uneven.isShared {
 		// Only this host knows these slowdowns, so that no herd follows them.
 		model.work = float64(traffic.Duration)
--- a/route/local_cost.go
+++ b/route/local_cost.go
@@ -20,6 +20,8 @@
 	uneven    unevenness
 	// takesRest excludes targets whose slots are all in use.
 	takesRest bool
+	// keepsBound excludes targets beyond the high bound.
+	keepsBound bool
 	// work is the duration of the request on a target at the usual speed, in ns; 0 leaves it
 	// out.
 	work float64
@@ -38,6 +40,23 @@
 	return m
 }
 
+// hasRoom reports whether a target can take the request.
+func (m *costModel) hasRoom(target *LocalTarget) bool {
+	return target.Availability == Available && !target.AtCapacity && (!m.takesRest || !target.SlotsInUse)
+}
+
+// keepBound excludes the targets beyond the high bound if a healthy one below it can take
+// the request. Otherwise figures that are false would make the cost of the others higher
+// than that of an overload.
+func (m *costModel) keepBound() {
+	for i := range m.targets {
+		if target := &m.targets[i]; m.hasRoom(target) && !target.Unhealthy && target.InFlight+1 <= m.high {
+			m.keepsBound = true
+			return
+		}
+	}
+}
+
 // cheapest returns the target with the lowest cost, the first of equal ones; None if no
 // target can take the request.
 func (m *costModel) cheapest() int {
@@ -69,7 +88,7 @@
 // request or costs more than limit.
 func (m *costModel) cost(i int, limit time.Duration) (cost time.Duration, isCandidate bool) {
 	target := &m.targets[i]
-	if target.Availability != Available || target.AtCapacity || m.takesRest && target.SlotsInUse {
+	if !m.hasRoom(target) || m.keepsBound && target.InFlight+1 > m.high {
 		return 0, false
 	}
 	slowdown, load := 1.0, target.InFlight
