Send no request to an engine that would preempt while another has room

Cause: the memory of engines in the configuration (kvCapacity) was dropped, so that hosts sent large prompts to engines that had slots left but no memory, and these preempted others.

Change: fleet.Service keeps it as MemoryTokens. Where it is known, an engine is full if all of its slots are in use, if the estimated tokens of its requests and of the new one exceed 0.9 of its memory, or if this host has sent it half a second of prefill and the request has more to prefill. Full engines are avoided while a healthy one has room, also as homes. If all are full, the choice is as before. Services whose configuration does not tell the memory are chosen as before.

--- a/entry/target_selector.go
+++ b/entry/target_selector.go
@@ -92,6 +92,8 @@
 	malformedLoads tally.Counter
 	// otherCacheSources counts the cache sources that are not the home of the prompt.
 	otherCacheSources tally.Counter
+	// promptSizes holds those of each service.
+	promptSizes map[string]*promptSizes
 	// responseTimes holds those of each service.
 	responseTimes map[string]*route.ServiceTimes
 	// measuredSlowdowns is the histogram of the slowdowns of targets by their response
@@ -105,7 +107,7 @@
 		byName: map[string]*targetState{}, byService: map[string][]*targetState{}, throttles: map[string]*route.Throttle{}, durations: map[string]time.Duration{}, demand: map[string]*demandRate{}, prefixCache: newPrefixCacheIndex(), roster: roster.NewTable(),
 		notices: notice.NewBoard(), leavingNotices: e.Scope.Counter("targets_leaving_in_response"), pauseNotices: e.Scope.Counter("target_pauses"),
 		malformedLoads:    e.Scope.Counter("malformed_target_loads"),
-		otherCacheSources: e.Scope.Counter("cache_sources_beside_home"), responseTimes: map[string]*route.ServiceTimes{}, measuredSlowdowns: e.Scope.Histogram("measured_target_slowdown", slowdownBuckets),
+		otherCacheSources: e.Scope.Counter("cache_sources_beside_home"), promptSizes: map[string]*promptSizes{}, responseTimes: map[string]*route.ServiceTimes{}, measuredSlowdowns: e.Scope.Histogram("measured_target_slowdown", slowdownBuckets),
 	}
 }
 
@@ -135,6 +137,7 @@
 	}
 	t.recordDemand(now, request.Service)
 	loads := t.serviceLoads(now, request.Service, list)
+	loads.room = t.engineRoom(service)
 	key, tokens := t.promptKey(&request)
 	candidates := make([]route.LocalTarget, len(list))
 	available := 0
@@ -204,6 +207,7 @@
 	if request.Prompt != nil {
 		local.CachedTokens = t.prefixCache.cachedTokens(now, s.cacheKey(local.Key), request.Prompt.Parts)
 	}
+	s.describeRoom(now, &loads.room, request, &local)
 	switch {
 	case s.State == roster.Gone:
 		local.Availability = route.Gone
@@ -232,6 +236,7 @@
 	s.speed.told.RecordSent()
 	if request.Prompt != nil {
 		t.prefixCache.recordSent(now, s.cacheKey(local.Key), request.Prompt.Parts)
+		t.recordPrompt(now, s, service, request.Prompt, local.CachedTokens)
 	}
 	loadAge := time.Duration(-1)
 	if !s.lastLoadAt.IsZero() {
@@ -244,7 +249,7 @@
 		Inputs: &admission.DecisionInputs{
 			FleetVersion: view.FleetVersion, Candidates: available, InFlight: local.InFlight, Queued: local.Queued,
 			LoadReportAge: loadAge, OwnInFlight: s.ownInFlight, CachedTokens: local.CachedTokens, Cold: cold, LastSeenAge: now.Sub(s.LastSeen),
-			Slowdown: local.Slowdown, ToldSlowdown: s.lastLoad.Slowdown, MeasuredSlowdown: s.speed.measured,
+			Slowdown: local.Slowdown, ToldSlowdown: s.lastLoad.Slowdown, MeasuredSlowdown: s.speed.measured, HeldTokens: loads.room.HeldTokens(local.InFlight),
 		},
 	}
 }
--- a/entry/target_state.go
+++ b/entry/target_state.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"comfreytiller.dev/route"
 	"comfreytiller.dev/target"
 	"comfreytiller.dev/target/ratelimit"
 	"comfreytiller.dev/target/roster"
@@ -79,6 +80,8 @@
 	coldSince time.Time
 	// speed is what this host knows of how long work takes on the target.
 	speed targetSpeed
+	// backlog is what this host has sent to be prefilled.
+	backlog prefillBacklog
 }
 
 // adjustInFlight changes the number of own requests in flight and updates its
@@ -149,6 +152,8 @@
 	duration  time.Duration
 	// demand is the number of requests of this host per second.
 	demand float64
+	// room tells whether engines have room; its capacity is 0 if that is unknown.
+	room route.EngineRoom
 }
 
 // estimateLoad estimates the requests of all hosts in flight and queued on the
--- a/fleet/change.go
+++ b/fleet/change.go
@@ -187,6 +187,7 @@
 		{"Timeouts.Gap", before.Timeouts.Gap, after.Timeouts.Gap},
 		{"Timeouts.Total", before.Timeouts.Total, after.Timeouts.Total},
 		{"MovesCache", before.MovesCache, after.MovesCache},
+		{"MemoryTokens", before.MemoryTokens, after.MemoryTokens},
 	})
 	name := func(call Call) string { return after.Name + "." + call.Name }
 	matchByName(d, PartCall, before.Calls, after.Calls, name, func(before, after Call) {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -46,6 +46,9 @@
 	// MovesCache is set if the engines support cache transfer: they can copy KV
 	// cache from each other when a call asks for it.
 	MovesCache bool
+	// MemoryTokens is the number of tokens of prompts and responses that fit in the memory
+	// of an engine; 0 for unknown.
+	MemoryTokens int
 }
 
 // Call is one operation of a service.
--- a/route/local.go
+++ b/route/local.go
@@ -35,6 +35,9 @@
 	// SlotsInUse is set if all slots are in use by what hosts have reported lately; InFlight
 	// may be a guess.
 	SlotsInUse bool
+	// Full is set if the target would queue or preempt a request: all of its slots are in
+	// use, or it lacks memory, or it has much to prefill.
+	Full bool
 	// CachedTokens is the number of the prompt's tokens that this host knows to be
 	// cached on the target.
 	CachedTokens int
@@ -105,8 +108,9 @@
 	order := totals.rendezvousOrder(key, targets)
 	low, high := traffic.boundsFor(&totals)
 	uneven := totals.unevenness()
-	if order.home != None && uneven.homeLoad(&targets[order.home])+1 > low {
-		if at := spread(key, random, traffic.promptArrivals(), low, targets, uneven); at != None {
+	avoidsFull := totals.hasFull && hasTargetWithRoom(targets)
+	if order.home != None && (uneven.homeLoad(&targets[order.home])+1 > low || avoidsFull && targets[order.home].Full) {
+		if at := spread(key, random, traffic.promptArrivals(), low, targets, uneven, avoidsFull); at != None {
 			return LocalChoice{Target: at, CacheSource: order.cacheSource(at, targets), Home: at == order.home}
 		}
 	}
@@ -118,7 +122,7 @@
 		noise = uneven.noise(totals.mean(), costs)
 	}
 	model := newCostModel(targets, tokens, &order, uneven, random, noise, costs)
-	model.low, model.high, model.takesRest = low, high, takesRest
+	model.low, model.high, model.takesRest, model.avoidsFull = low, high, takesRest, avoidsFull
 	if uneven.scale != 0 {
 		model.keepBound()
 	}
--- a/route/local_cost.go
+++ b/route/local_cost.go
@@ -20,6 +20,8 @@
 	uneven    unevenness
 	// takesRest excludes targets whose slots are all in use.
 	takesRest bool
+	// avoidsFull excludes targets that are full.
+	avoidsFull bool
 	// keepsBound excludes targets beyond the high bound.
 	keepsBound bool
 	// work is the duration of the request on a target at the usual speed, in ns; 0 leaves it
@@ -42,7 +44,18 @@
 
 // hasRoom reports whether a target can take the request.
 func (m *costModel) hasRoom(target *LocalTarget) bool {
-	return target.Availability == Available && !target.AtCapacity && (!m.takesRest || !target.SlotsInUse)
+	return target.Availability == Available && !target.AtCapacity && (!m.takesRest || !target.SlotsInUse) && (!m.avoidsFull || !target.Full)
+}
+
+// hasTargetWithRoom reports whether a healthy target can take a request without queueing or
+// preempting it.
+func hasTargetWithRoom(targets []LocalTarget) bool {
+	for i := range targets {
+		if target := &targets[i]; target.Availability == Available && !target.AtCapacity && !target.Unhealthy && !target.Full {
+			return true
+		}
+	}
+	return false
 }
 
 // keepBound excludes the targets beyond the high bound if a healthy one below it can take
--- a/route/spread.go
+++ b/route/spread.go
@@ -24,26 +24,26 @@
 // It is designed for a prompt that gets tens of requests per second on a hundred hosts,
 // each of which receives only a few. If all hosts chose the next target in order, or
 // the least loaded one, they would overload that target until the next load report.
-func spread(key, random uint64, arrivals, bound float64, targets []LocalTarget, uneven unevenness) int {
+func spread(key, random uint64, arrivals, bound float64, targets []LocalTarget, uneven unevenness, avoidsFull bool) int {
 	capacity := max(spreadMargin*arrivals, minSpreadCapacity)
 	var usual [usualSpreadTargets]rankedCandidate
-	count := rankForSpread(key, usual[:], targets)
+	count := rankForSpread(key, usual[:], targets, avoidsFull)
 	if at, enough := spreadOver(usual[:count], random, capacity, bound, targets, uneven); enough || count < usualSpreadTargets {
 		return at
 	}
 	var all [maxSpreadTargets]rankedCandidate
-	count = rankForSpread(key, all[:], targets)
+	count = rankForSpread(key, all[:], targets, avoidsFull)
 	at, _ := spreadOver(all[:count], random, capacity, bound, targets, uneven)
 	return at
 }
 
 // rankForSpread fills order with the first targets in rendezvous order that may take
 // requests, and returns their number.
-func rankForSpread(key uint64, order []rankedCandidate, targets []LocalTarget) int {
+func rankForSpread(key uint64, order []rankedCandidate, targets []LocalTarget, avoidsFull bool) int {
 	count := 0
 	for i := range targets {
 		target := &targets[i]
-		if target.Availability != Available || target.AtCapacity || target.Unhealthy {
+		if target.Availability != Available || target.AtCapacity || target.Unhealthy || avoidsFull && target.Full {
 			continue
 		}
 		score := Score(key, target.Key)
--- a/route/totals.go
+++ b/route/totals.go
@@ -26,6 +26,8 @@
 	slowdowns     float64
 	hasSlowdown   bool
 	sharesFigures bool
+	// hasFull is set if any target that admits new requests is full.
+	hasFull bool
 }
 
 // sumTargets collects the sums over targets. It keeps the sums in local variables, which
@@ -60,6 +62,9 @@
 		if !target.RecentlyJoined && !target.Unhealthy {
 			s.hasEstablished = true
 		}
+		if target.Full {
+			s.hasFull = true
+		}
 		if target.Slowdown != 0 {
 			withSlowdown++
 			slowdowns += ClampSlowdown(target.Slowdown)
