Describe the targets of a decision in memory that is used again

Cause: each request of a service with 204 targets left 13.6 KB of garbage, and hashed the names of all targets.

Change: the descriptions are kept for the next decision, the hashes with the targets. A target without failures needs no exponential function. One figure counts at most 0.3 in the average of a target, so that a host that hears of a target every few seconds does not take each figure for the average.

--- a/entry/target_selector.go
+++ b/entry/target_selector.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
@@ -94,6 +93,8 @@
 	otherCacheSources tally.Counter
 	// promptSizes holds those of each service.
 	promptSizes map[string]*promptSizes
+	// candidates is the memory in which each decision describes its targets.
+	candidates []route.LocalTarget
 	// responseTimes holds those of each service.
 	responseTimes map[string]*route.ServiceTimes
 	// measuredSlowdowns is the histogram of the slowdowns of targets by their response
@@ -139,7 +140,7 @@
 	loads := t.serviceLoads(now, request.Service, list)
 	loads.room = t.engineRoom(service)
 	key, tokens := t.promptKey(&request)
-	candidates := make([]route.LocalTarget, len(list))
+	candidates := t.candidateBuffer(len(list))
 	available := 0
 	for i, s := range list {
 		candidates[i] = t.describeCandidate(now, s, view, service, &request, loads)
@@ -191,7 +192,7 @@
 // hold t.mu.
 func (t *targetSelector) describeCandidate(now time.Time, s *targetState, view *registry.View, service *fleet.Service, request *admission.Request, loads serviceLoads) route.LocalTarget {
 	local := route.LocalTarget{
-		Key:            xxhash.Sum64String(s.Name),
+		Key:            s.nameKey(),
 		SameDomain:     s.FailureDomain == t.daemon.Settings.FailureDomain,
 		Unhealthy:      s.isAvoided(now) || s.Silent && s.consecutiveFailures > 0,
 		Slots:          s.Capacity,
--- a/entry/target_state.go
+++ b/entry/target_state.go
@@ -82,6 +82,8 @@
 	speed targetSpeed
 	// backlog is what this host has sent to be prefilled.
 	backlog prefillBacklog
+	// key is the hash of the target's name; 0 until it is used.
+	key uint64
 }
 
 // adjustInFlight changes the number of own requests in flight and updates its
@@ -207,6 +209,9 @@
 // decayedFailureRate returns the share of calls that failed, reduced as it
 // ages.
 func (s *targetState) decayedFailureRate(now time.Time) float64 {
+	if s.failureRate == 0 {
+		return 0
+	}
 	return s.failureRate * math.Exp2(-float64(now.Sub(s.failureRateAt))/float64(failureRateHalfLife))
 }
 
--- a/route/slowdown.go
+++ b/route/slowdown.go
@@ -24,8 +24,11 @@
 	freshHalfRequests = 4
 	// averagePeriod is the time over which the figures of a target are averaged.
 	// silenceHalfLife is the half-life of that average without a figure.
-	averagePeriod   = 2 * time.Second
-	silenceHalfLife = 3 * time.Second
+	// maxAverageWeight bounds the weight of one figure in the average: where a host hears of
+	// a target every few seconds, each figure would replace the average.
+	averagePeriod    = 2 * time.Second
+	maxAverageWeight = 0.3
+	silenceHalfLife  = 3 * time.Second
 	// The home of a prompt counts as slow for its prompts when the average rises above
 	// slowHomeStart, until it falls below slowHomeEnd. A phase of some hundred
 	// milliseconds must not move prompts, each of which would be transferred there and
@@ -57,14 +60,14 @@
 		return
 	}
 	figure = ClampSlowdown(figure)
+	weight := maxAverageWeight
 	if e.latest == 0 {
-		// A first figure tells no more than any other of this moment.
-		e.average = 1 + (figure-1)*freshWeight
+		e.average = 1
 	} else {
-		weight := 1 - math.Exp(-float64(now.Sub(e.latestAt))/float64(averagePeriod))
+		weight = min(weight, 1-math.Exp(-max(now.Sub(e.latestAt).Seconds(), 0)/averagePeriod.Seconds()))
 		e.average = e.averageAt(now)
-		e.average += (figure - e.average) * weight
 	}
+	e.average += (figure - e.average) * weight
 	e.latest, e.latestAt, e.sent = figure, now, 0
 	switch {
 	case e.average > slowHomeStart:
