--- a/route/local_cost.go
+++ b/route/local_cost.go
@@ -89,6 +89,8 @@
 			continue
 		case isEven && time.Duration(target.InFlight*inFlight) > best:
 			continue
+		case !isEven && time.Duration(target.InFlight*inFlight*m.uneven.relative(target)) > best:
+			continue
 		}
 		if cost, isCandidate := m.cost(i, best); isCandidate && (at == None || cost < best || i < at) {
 			at, best = i, cost
