--- a/entry/target_selector.go
+++ b/entry/target_selector.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
@@ -93,6 +92,10 @@
 	malformedLoads tally.Counter
 	// otherCacheSources counts the cache sources that are not the home of the prompt.
 	otherCacheSources tally.Counter
+	// promptSizes holds those of each service.
+	promptSizes map[string]*promptSizes
+	// candidates is the memory in which each decision describes its targets.
+	candidates []route.LocalTarget
 	// responseTimes holds those of each service.
 	responseTimes map[string]*route.ServiceTimes
 	// measuredSlowdowns is the histogram of the slowdowns of targets by their response
@@ -106,7 +109,7 @@
 		byName: map[string]*targetState{}, byService: map[string][]*targetState{}, throttles: map[string]*route.Throttle{}, durations: map[string]time.Duration{}, demand: map[string]*demandRate{}, prefixCache: newPrefixCacheIndex(), roster: roster.NewTable(),
 		notices: notice.NewBoard(), rollouts: newRolloutGuide(e), leavingNotices: e.Scope.Counter("targets_leaving_in_response"), pauseNotices: e.Scope.Counter("target_pauses"),
 		malformedLoads:    e.Scope.Counter("malformed_target_loads"),
-		otherCacheSources: e.Scope.Counter("cache_sources_beside_home"), responseTimes: map[string]*route.ServiceTimes{}, measuredSlowdowns: e.Scope.Histogram("measured_target_slowdown", slowdownBuckets),
+		otherCacheSources: e.Scope.Counter("cache_sources_beside_home"), promptSizes: map[string]*promptSizes{}, responseTimes: map[string]*route.ServiceTimes{}, measuredSlowdowns: e.Scope.Histogram("measured_target_slowdown", slowdownBuckets),
 	}
 }
 
@@ -141,8 +144,9 @@
 	}
 	t.recordDemand(now, request.Service)
 	loads := t.serviceLoads(now, request.Service, list)
+	loads.room = t.engineRoom(service)
 	key, tokens := t.promptKey(&request)
-	candidates := make([]route.LocalTarget, len(list))
+	candidates := t.candidateBuffer(len(list))
 	available := 0
 	for i, s := range list {
 		candidates[i] = t.describeCandidate(now, s, view, service, &request, loads)
@@ -196,7 +200,7 @@
 // hold t.mu.
 func (t *targetSelector) describeCandidate(now time.Time, s *targetState, view *registry.View, service *fleet.Service, request *admission.Request, loads serviceLoads) route.LocalTarget {
 	local := route.LocalTarget{
-		Key:            xxhash.Sum64String(s.Name),
+		Key:            s.nameKey(),
 		SameDomain:     s.FailureDomain == t.daemon.Settings.FailureDomain,
 		Unhealthy:      s.isAvoided(now) || s.Silent && s.consecutiveFailures > 0,
 		Slots:          s.Capacity,
@@ -212,6 +216,7 @@
 	if request.Prompt != nil {
 		local.CachedTokens = t.prefixCache.cachedTokens(now, s.cacheKey(local.Key), request.Prompt.Parts)
 	}
+	s.describeRoom(now, &loads.room, request, &local)
 	switch {
 	case s.State == roster.Gone:
 		local.Availability = route.Gone
@@ -240,6 +245,7 @@
 	s.speed.told.RecordSent()
 	if request.Prompt != nil {
 		t.prefixCache.recordSent(now, s.cacheKey(local.Key), request.Prompt.Parts)
+		t.recordPrompt(now, s, service, request.Prompt, local.CachedTokens)
 	}
 	loadAge := time.Duration(-1)
 	if !s.lastLoadAt.IsZero() {
@@ -252,7 +258,7 @@
 		Inputs: &admission.DecisionInputs{
 			FleetVersion: view.FleetVersion, Candidates: available, InFlight: local.InFlight, Queued: local.Queued,
 			LoadReportAge: loadAge, OwnInFlight: s.ownInFlight, CachedTokens: local.CachedTokens, Cold: cold, LastSeenAge: now.Sub(s.LastSeen),
-			Slowdown: local.Slowdown, ToldSlowdown: s.lastLoad.Slowdown, MeasuredSlowdown: s.speed.measured,
+			Slowdown: local.Slowdown, ToldSlowdown: s.lastLoad.Slowdown, MeasuredSlowdown: s.speed.measured, HeldTokens: loads.room.HeldTokens(local.InFlight),
 		},
 	}
 }
--- a/entry/target_state.go
+++ b/entry/target_state.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"comfreytiller.dev/route"
 	"comfreytiller.dev/target"
 	"comfreytiller.dev/target/ratelimit"
 	"comfreytiller.dev/target/roster"
@@ -79,6 +80,10 @@
 	coldSince time.Time
 	// speed is what this host knows of how long work takes on the target.
 	speed targetSpeed
+	// backlog is what this host has sent to be prefilled.
+	backlog prefillBacklog
+	// key is the hash of the target's name; 0 until it is used.
+	key uint64
 }
 
 // adjustInFlight changes the number of own requests in flight and updates its
@@ -149,6 +154,8 @@
 	duration  time.Duration
 	// demand is the number of requests of this host per second.
 	demand float64
+	// room tells whether engines have room; its capacity is 0 if that is unknown.
+	room route.EngineRoom
 }
 
 // estimateLoad estimates the requests of all hosts in flight and queued on the
@@ -202,6 +209,9 @@
 // decayedFailureRate returns the share of calls that failed, reduced as it
 // ages.
 func (s *targetState) decayedFailureRate(now time.Time) float64 {
+	if s.failureRate == 0 {
+		return 0
+	}
 	return s.failureRate * math.Exp2(-float64(now.Sub(s.failureRateAt))/float64(failureRateHalfLife))
 }
 
