Share the room of a service by priority and fairness

Cause: the throttle of plain services admits a random share, blind to rank and workspace, and model services have no admission in the role Entry. Nothing waits.

Requests wait for up to an eighth of their objective in a bounded queue. Retries shrink with the room. Without the feature the throttle works as before.

Tests of admission, admission/scarcity, entry and settings pass.

--- a/admission/request.go
+++ b/admission/request.go
@@ -39,9 +39,13 @@
 	// Prompt describes the work for an engine; nil for unknown.
 	Prompt *Prompt
 	// ContentKey is a hash of what the request and its repeats have in common; 0 for
-	// unknown. ContentKey, Prompt, Started, Objective and ServiceConfig are not sent to the
-	// owner of a service on another host.
+	// unknown. ContentKey, Prompt, Started, Objective, ServiceConfig, Idempotent and
+	// BodyBytes are not sent to the owner of a service on another host.
 	ContentKey uint64
+	// Idempotent is set if the request may run more than once. BodyBytes is the length of
+	// its body.
+	Idempotent bool
+	BodyBytes  int
 }
 
 // Prompt describes the tokens that an engine has to process and may have to generate.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -122,6 +122,9 @@
 	e.crashes = newCrashGuard(e)
 	e.selector = newTargetSelector(e)
 	e.budget = newRetryBudget(e.Settings.Retries, e.selector.hosts.count, e.Clock)
+	if e.selector.fair != nil {
+		e.budget.room = e.selector.fair.retryShare
+	}
 	e.watcher = newHubWatcher(e)
 	e.checker = newViewChecker(e)
 	e.origins = newStreamOrigins(e)
@@ -205,6 +208,9 @@
 // drains the gateway.
 func (e *Entry) drain() error {
 	e.log.WithField("InFlight", e.gateway.InFlight()).Info("Draining requests in flight.")
+	if e.selector.fair != nil {
+		e.selector.fair.drain()
+	}
 	e.gateway.DisableKeepAlive()
 	timer := e.Clock.NewTimer(preDrainDelay)
 	<-timer.Chan()
--- a/entry/retry_budget.go
+++ b/entry/retry_budget.go
@@ -25,6 +25,9 @@
 	limits settings.Retries
 	hosts  func() int
 	clock  clockwork.Clock
+	// room returns the part of the budget that the room of a service leaves, from 0 to 1;
+	// nil for all of it.
+	room func(service string) float64
 
 	mu      sync.Mutex
 	buckets map[string]*tokenBucket
@@ -43,7 +46,7 @@
 // bucketFor returns a service's bucket, refilled up to now, and its capacity.
 // The caller must hold b.mu.
 func (b *retryBudget) bucketFor(service string) (*tokenBucket, float64) {
-	share := float64(b.limits.Extra) / float64(b.hosts())
+	share := float64(b.limits.Extra) / float64(b.hosts()) * b.roomOf(service)
 	capacity := max(burstFraction*share, 1)
 	now := b.clock.Now()
 	bucket := b.buckets[service]
@@ -56,12 +59,20 @@
 	return bucket, capacity
 }
 
+// roomOf returns the part of the budget that is left.
+func (b *retryBudget) roomOf(service string) float64 {
+	if b.room == nil {
+		return 1
+	}
+	return b.room(service)
+}
+
 // RecordRequest implements gateway.RetryBudget.
 func (b *retryBudget) RecordRequest(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	bucket, capacity := b.bucketFor(service)
-	bucket.tokens = min(bucket.tokens+earnedFraction*b.limits.Share, capacity)
+	bucket.tokens = min(bucket.tokens+earnedFraction*b.limits.Share*b.roomOf(service), capacity)
 }
 
 // TakeRetry implements gateway.RetryBudget.
--- a/entry/target_selector.go
+++ b/entry/target_selector.go
@@ -67,10 +67,12 @@
 	clock  clockwork.Clock
 	hosts  *hostCount
 
-	mu          sync.Mutex
-	byName      map[string]*targetState
-	byService   map[string][]*targetState
-	throttles   map[string]*route.Throttle
+	mu        sync.Mutex
+	byName    map[string]*targetState
+	byService map[string][]*targetState
+	throttles map[string]*route.Throttle
+	// fair replaces throttles if the feature is on; nil otherwise.
+	fair        *fairAdmission
 	prefixCache *prefixCacheIndex
 	roster      *roster.Table
 	notices     *notice.Board
@@ -87,15 +89,25 @@
 }
 
 func newTargetSelector(e *Entry) *targetSelector {
-	return &targetSelector{
+	t := &targetSelector{
 		daemon: e, log: logs.ForComponent(e.Log, "Target"), clock: e.Clock, hosts: &hostCount{clock: e.Clock},
 		byName: map[string]*targetState{}, byService: map[string][]*targetState{}, throttles: map[string]*route.Throttle{}, durations: map[string]time.Duration{}, demand: map[string]*demandRate{}, prefixCache: newPrefixCacheIndex(), roster: roster.NewTable(),
 		notices: notice.NewBoard(), leavingNotices: e.Scope.Counter("targets_leaving_in_response"), pauseNotices: e.Scope.Counter("target_pauses"),
 	}
+	if e.Protocol.EnabledFeatures(e.Settings.Features).FairAdmission {
+		t.fair = newFairAdmission(e)
+	}
+	return t
 }
 
-// Acquire implements gateway.Admitter. It decides without waiting.
-func (t *targetSelector) Acquire(_ context.Context, request admission.Request) (admission.Permit, error) {
+// Acquire implements gateway.Admitter. It decides without waiting, unless admission is
+// fair.
+func (t *targetSelector) Acquire(ctx context.Context, request admission.Request) (admission.Permit, error) {
+	if t.fair != nil {
+		if err := t.fair.await(ctx, &request); err != nil {
+			return admission.Permit{}, err
+		}
+	}
 	current := t.daemon.view.current.Load()
 	if current == nil {
 		return admission.Permit{}, t.refuse(&request, admission.RefusedNoTarget, "no fleet is in force yet")
@@ -266,6 +278,9 @@
 	now := t.clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.fair != nil {
+		t.fair.recordRelease(now, &release)
+	}
 	s := t.byName[release.Target]
 	if s == nil {
 		return
--- a/entry/throttle.go
+++ b/entry/throttle.go
@@ -27,6 +27,10 @@
 	}
 	for name, list := range t.byService {
 		service := table.Service(name)
+		if t.fair != nil && service != nil {
+			t.fair.observe(now, service, t.fairLoad(now, view, list))
+			continue
+		}
 		if service == nil || service.Kind != fleet.KindPlain {
 			continue
 		}
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -165,7 +165,7 @@
 		ID: d.ID + "." + strconv.Itoa(d.attempts), Host: d.gateway.Host, Service: d.Service.Name,
 		Workspace: d.Workspace, Chat: d.Chat, Priority: d.Call.Priority, Deadline: d.Deadline,
 		Exclude: slices.Clone(d.excludedTargets), Prompt: d.Prompt, ContentKey: d.key, Objective: d.FirstByteObjective, Started: d.Started,
-		ServiceConfig: &d.Service, Version: d.version, RequiresVersion: d.requiresVersion,
+		ServiceConfig: &d.Service, Version: d.version, RequiresVersion: d.requiresVersion, Idempotent: d.Call.Idempotent, BodyBytes: len(d.Body),
 	}
 }
 
--- a/protocol/protocol.go
+++ b/protocol/protocol.go
@@ -37,6 +37,23 @@
 	// ReadinessPath is the path of the readiness check of an entry host, for load
 	// balancers.
 	ReadinessPath string
+	// Features returns the features that the settings name; names that the protocol does
+	// not know are ignored. It may be nil for none.
+	Features func(names []string) Features
+}
+
+// Features are behaviours that a deployment switches on.
+type Features struct {
+	// FairAdmission shares the capacity of a service in need by priority and fairness.
+	FairAdmission bool
+}
+
+// EnabledFeatures returns the features that the settings name.
+func (p *Protocol) EnabledFeatures(names []string) Features {
+	if p.Features == nil {
+		return Features{}
+	}
+	return p.Features(names)
 }
 
 // Sender is a client for targets.
--- a/settings/load.go
+++ b/settings/load.go
@@ -24,6 +24,7 @@
 	// maxBandwidth is the highest Bandwidth, in Mbit/s.
 	maxBandwidth  = 1_000_000
 	maxRetryExtra = 1_000_000
+	maxFeatures   = 64
 )
 
 // Default values.
@@ -107,6 +108,7 @@
 		jsonc.Field{Name: "Retries", Read: func(value *hujson.Value, at *jsonc.FieldPath) {
 			readRetries(r, value, at, &into.Retries)
 		}},
+		jsonc.Field{Name: "Features", Read: features(r, &into.Features)},
 		jsonc.Field{Name: "Bandwidth", Read: jsonc.Number(r, &into.Bandwidth, 0, maxBandwidth)},
 	)
 }
@@ -197,6 +199,20 @@
 	}
 }
 
+// features reads the names of features. A deployment without any may have null.
+func features(r *jsonc.Reader, into *[]string) func(*hujson.Value, *jsonc.FieldPath) {
+	return func(value *hujson.Value, at *jsonc.FieldPath) {
+		if literal, ok := value.Value.(hujson.Literal); ok && literal.Kind() == 'n' {
+			return
+		}
+		r.List(value, at, maxFeatures, func(value *hujson.Value, at *jsonc.FieldPath) {
+			var name string
+			jsonc.String(r, &name)(value, at)
+			*into = append(*into, name)
+		})
+	}
+}
+
 func keyFile(r *jsonc.Reader, into *string) func(*hujson.Value, *jsonc.FieldPath) {
 	return validatedString(r, into, func(file string) string {
 		key, err := ReadKey(file)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -57,6 +57,9 @@
 	Retries Retries
 	// Bandwidth is the rate of the host's network link, in Mbit/s; 0 if unknown.
 	Bandwidth float64
+	// Features are the names of behaviours that the deployment switches on, as the
+	// protocol calls them.
+	Features []string
 }
 
 // Role is the role of a host in the fleet.
