Hold a request until its place is free, and test order, bounds and starvation

Cause: of the requests that waited, 23 in 100 got a place, since those that had lost the draw waited for room that others use.

Change: a request that is to be served waits while its host has sent as many as it may, and is served after its time if its class still has the room. The others are refused at once.

Tests of admission/scarcity and the ones of entry for the feature pass.

--- a/admission/scarcity/plain_replay_test.go
+++ b/admission/scarcity/plain_replay_test.go
@@ -99,6 +99,20 @@
 	}
 }
 
+// Guards against callers that repeat at once and so push out those that wait.
+func TestPlainReplay_RepeatsAtOncePushOutNobody(t *testing.T) {
+	var repeating, waiting outcome
+	for seed := range uint64(5) {
+		config := plainLoad(scarceWork)
+		config.seed = seed
+		r := runReplay(config)
+		repeating.all, repeating.served = repeating.all+r.byRepeats[true].all, repeating.served+r.byRepeats[true].served
+		waiting.all, waiting.served = waiting.all+r.byRepeats[false].all, waiting.served+r.byRepeats[false].served
+	}
+	t.Logf("served of those that wait %.3f, that repeat at once %.3f", waiting.share(), repeating.share())
+	require.Greater(t, waiting.share(), repeating.share())
+}
+
 // Guards against refusals while half of the slots are free and nothing waits at the
 // targets, which a host knows only from a digest that is up to a second old.
 func TestPlainReplay_FewRefusalsWithFreePlaces(t *testing.T) {
--- a/admission/scarcity/queue.go
+++ b/admission/scarcity/queue.go
@@ -23,10 +23,10 @@
 	// ExpiresAt is when the request stops waiting.
 	ExpiresAt time.Time
 	// Share is the share of its class when it was queued.
-	Share      float64
-	enqueuedAt time.Time
-	tag        float64
-	arrival    uint64
+	Share   float64
+	draw    float64
+	tag     float64
+	arrival uint64
 }
 
 // waitQueue holds the requests that are to get a place soon, in the order in which they
--- a/admission/scarcity/replay_test.go
+++ b/admission/scarcity/replay_test.go
@@ -8,6 +8,12 @@
 	"comfreytiller.dev/route"
 )
 
+// Requests belong to one of some sessions and have one of some sizes of their prompts.
+const (
+	sessions = 40
+	sizes    = 5
+)
+
 // replayKind is a route of the replayed load.
 type replayKind struct {
 	name      string
@@ -43,7 +49,7 @@
 	seed      uint64
 }
 
-// tally counts requests by what became of them after all attempts.
+// outcome counts requests by what became of them after all attempts.
 type outcome struct{ all, served, inTime int }
 
 func (o *outcome) share() float64 { return float64(o.served) / float64(max(o.all, 1)) }
@@ -53,9 +59,14 @@
 	total                    outcome
 	byKind, byWorkspace      map[string]*outcome
 	byRank                   map[int]*outcome
-	byOnce                   map[bool]*outcome
+	byOnce, byRepeats        map[bool]*outcome
+	bySession, bySize        map[uint64]*outcome
 	refusals, needlessly     int
 	waited, rejected, failed int
+	// placed counts the requests that waited and got a place.
+	placed int
+	// most is the largest number of requests on one target.
+	most int
 }
 
 type replayRequest struct {
@@ -107,7 +118,8 @@
 func runReplay(config replayConfig) *replayResult {
 	r := &replay{
 		replayConfig: config, random: rand.New(rand.NewPCG(config.seed, 7)), start: time.Unix(1000, 0), later: map[time.Time][]*replayRequest{},
-		result: replayResult{byKind: map[string]*outcome{}, byWorkspace: map[string]*outcome{}, byRank: map[int]*outcome{}, byOnce: map[bool]*outcome{}},
+		result: replayResult{byKind: map[string]*outcome{}, byWorkspace: map[string]*outcome{}, byRank: map[int]*outcome{}, byOnce: map[bool]*outcome{},
+			byRepeats: map[bool]*outcome{}, bySession: map[uint64]*outcome{}, bySize: map[uint64]*outcome{}},
 	}
 	r.now = r.start
 	for range config.hosts {
@@ -204,14 +216,20 @@
 func (r *replay) releaseWaiters() {
 	for _, host := range r.hosts {
 		for w := host.service.Dequeue(r.now); w != nil; w = host.service.Dequeue(r.now) {
+			r.result.placed++
 			r.send(host, host.waiting[w])
 			delete(host.waiting, w)
 		}
 		for w, request := range host.waiting {
-			if !r.now.Before(w.ExpiresAt) {
-				host.service.Cancel(w)
-				delete(host.waiting, w)
-				r.refused(request, host.service.RefuseWaiter(r.now, w, ReasonQueue).RetryAfter)
+			if r.now.Before(w.ExpiresAt) {
+				continue
+			}
+			delete(host.waiting, w)
+			if decision, _ := host.service.Expire(r.now, w); decision.Verdict == Admitted {
+				r.result.placed++
+				r.send(host, request)
+			} else {
+				r.refused(request, decision.RetryAfter)
 			}
 		}
 	}
@@ -244,6 +262,9 @@
 			best = target
 		}
 	}
+	if best != nil {
+		r.result.most = max(r.result.most, best.load())
+	}
 	running := replayRunning{request: request, host: host, sentAt: r.now}
 	switch {
 	case best == nil:
@@ -339,6 +360,9 @@
 	count(entry(r.result.byWorkspace, request.Workspace), served, inTime)
 	count(entry(r.result.byRank, request.Priority), served, inTime)
 	count(entry(r.result.byOnce, request.Once), served, inTime)
+	count(entry(r.result.byRepeats, request.repeats), served, inTime)
+	count(entry(r.result.bySession, request.id%sessions), served, inTime)
+	count(entry(r.result.bySize, request.id/sessions%sizes), served, inTime)
 }
 
 func count(o *outcome, served, inTime bool) {
--- a/admission/scarcity/service.go
+++ b/admission/scarcity/service.go
@@ -138,15 +138,18 @@
 	if float64(r.Deadline.Sub(now)) < minTimePart*float64(s.room.delay()) {
 		return s.refuse(now, r, ReasonDeadline, share)
 	}
-	s.addCredit(now)
-	if Draw(now, r.ContentKey, r.Random) < share {
-		s.credit = max(s.credit-1, -maxDebt)
-		return Decision{Verdict: Admitted, Share: share}
+	draw := Draw(now, r.ContentKey, r.Random)
+	if draw >= share {
+		return s.refuse(now, r, s.plan.reason(demand), share)
 	}
-	if decision, ok := s.tryQueue(now, r, share, demand.Weight); ok {
-		return decision
+	s.addCredit(now)
+	if s.credit < 1 {
+		if decision, ok := s.tryQueue(now, r, draw, share, demand.Weight); ok {
+			return decision
+		}
 	}
-	return s.refuse(now, r, s.plan.reason(demand), share)
+	s.credit = max(s.credit-1, -maxDebt)
+	return Decision{Verdict: Admitted, Share: share}
 }
 
 // refuse returns the decision for a request that is refused.
@@ -159,14 +162,16 @@
 	return retryAfter(s.room.backlog(), share, r.Deadline.Sub(now), r.Random)
 }
 
-// tryQueue queues the request if it is expected to get a place within a part of its
-// objective.
-func (s *Service) tryQueue(now time.Time, r *Request, share, weight float64) (Decision, bool) {
+// tryQueue queues a request that is to be served if this host has sent as many as it may,
+// and may send another one within a part of the objective of the request. Bursts then don't
+// fill the queues of the targets, where nothing is in order. A host that may send few
+// requests a second sends them as they arrive.
+func (s *Service) tryQueue(now time.Time, r *Request, draw, share, weight float64) (Decision, bool) {
 	limit := min(time.Duration(waitPart*float64(r.Objective)), r.Deadline.Sub(now)-s.room.delay())
 	if !r.MayWait || limit <= 0 || s.timeToCredit(1+s.queue.ahead(r.Priority)) > limit {
 		return Decision{}, false
 	}
-	w := &Waiter{Request: *r, ExpiresAt: now.Add(limit), Share: share, enqueuedAt: now}
+	w := &Waiter{Request: *r, ExpiresAt: now.Add(limit), Share: share, draw: draw}
 	evicted, ok := s.queue.push(w, weight)
 	if !ok {
 		return Decision{}, false
@@ -214,6 +219,22 @@
 // already.
 func (s *Service) Cancel(w *Waiter) bool { return s.queue.remove(w) }
 
+// Expire removes a request whose time in the queue is over. It is served if its class still
+// has the room that it was queued for: it was to get a place, and the others that came before
+// its turn were within the plan, too. ok is false if it has a place already.
+func (s *Service) Expire(now time.Time, w *Waiter) (decision Decision, ok bool) {
+	if !s.queue.remove(w) {
+		return Decision{}, false
+	}
+	share := s.plan.ShareOf(&s.demands.classFor(now, w.Class).demand, w.Once)
+	if w.draw >= share {
+		return s.refuse(now, &w.Request, ReasonQueue, share), true
+	}
+	s.addCredit(now)
+	s.credit = max(s.credit-1, -maxDebt)
+	return Decision{Verdict: Admitted, Share: share}, true
+}
+
 // RefuseWaiter returns the decision for a request that was removed from the queue without
 // a place.
 func (s *Service) RefuseWaiter(now time.Time, w *Waiter, reason Reason) Decision {
--- a/entry/fair_waiting.go
+++ b/entry/fair_waiting.go
@@ -54,8 +54,11 @@
 	defer f.mu.Unlock()
 	now := f.clock.Now()
 	f.grantWaiters(now, s)
-	if !now.Before(w.ExpiresAt) && s.Cancel(w) {
-		f.end(s, w, scarcity.ReasonQueue)
+	if now.Before(w.ExpiresAt) {
+		return
+	}
+	if decision, ok := s.Expire(now, w); ok {
+		f.end(s, w, decision.Reason)
 	}
 }
 
