--- a/admission/scarcity/plain_replay_test.go
+++ b/admission/scarcity/plain_replay_test.go
@@ -56,6 +56,11 @@
 		require.Greater(t, r.byRank[0].share(), r.byRank[-1].share()-0.05)
 		require.Greater(t, r.byRank[-1].share(), r.byRank[-2].share()-0.05)
 		require.Greater(t, r.byRank[-2].share(), 0.25*r.total.share(), "the lowest rank doesn't starve")
+		for _, urgent := range []string{"orders", "balances"} {
+			for _, other := range []string{"filings", "lookups"} {
+				require.Greater(t, r.byKind[urgent].share(), r.byKind[other].share()-0.05, "%s before %s", urgent, other)
+			}
+		}
 	}
 }
 
--- a/admission/scarcity/replay_test.go
+++ b/admission/scarcity/replay_test.go
@@ -118,8 +118,10 @@
 func runReplay(config replayConfig) *replayResult {
 	r := &replay{
 		replayConfig: config, random: rand.New(rand.NewPCG(config.seed, 7)), start: time.Unix(1000, 0), later: map[time.Time][]*replayRequest{},
-		result: replayResult{byKind: map[string]*outcome{}, byWorkspace: map[string]*outcome{}, byRank: map[int]*outcome{}, byOnce: map[bool]*outcome{},
-			byRepeats: map[bool]*outcome{}, bySession: map[uint64]*outcome{}, bySize: map[uint64]*outcome{}},
+		result: replayResult{
+			byKind: map[string]*outcome{}, byWorkspace: map[string]*outcome{}, byRank: map[int]*outcome{}, byOnce: map[bool]*outcome{},
+			byRepeats: map[bool]*outcome{}, bySession: map[uint64]*outcome{}, bySize: map[uint64]*outcome{},
+		},
 	}
 	r.now = r.start
 	for range config.hosts {
--- a/admission/scarcity/service.go
+++ b/admission/scarcity/service.go
@@ -80,6 +80,15 @@
 	return retryShare(s.plan.fraction)
 }
 
+// SentPerSecond returns the number of requests a second that all hosts send; 0 while many
+// places are free.
+func (s *Service) SentPerSecond(now time.Time) float64 {
+	if s.room.hasFreePlaces(now) {
+		return 0
+	}
+	return s.room.fraction * s.room.demand
+}
+
 // Load returns the load that was last observed.
 func (s *Service) Load() Load { return s.room.load }
 
--- a/admission/scarcity/service_test.go
+++ b/admission/scarcity/service_test.go
@@ -75,8 +75,22 @@
 	require.Contains(t, table.classes, Class{Workspace: "late"}, "forgotten classes leave room")
 }
 
-// Guards against hosts that come and go and change nothing: the shares follow with the next
-// digest, as they are parts of the demand of each host.
+// Guards against hosts that come and go and upset the shares: the next digest after that
+// changes them little, since they are parts of the demand of each host.
+func TestObserve_HostCountChangesTheSpeedOnly(t *testing.T) {
+	for _, hosts := range []int{2, 10} {
+		now := time.Unix(1000, 0)
+		s := newScarceService(&now)
+		before, load := s.Fraction(), s.Load()
+		now = now.Add(100 * time.Millisecond)
+		load.Hosts = hosts
+		s.Observe(now, load)
+		require.InDelta(t, before, s.Fraction(), 0.1)
+	}
+}
+
+// Guards against a lost target that the others pay for with full queues until the next
+// measurement.
 func TestObserve_LostSlotsReduceTheShareAtOnce(t *testing.T) {
 	now := time.Unix(1000, 0)
 	s := newScarceService(&now)
--- a/entry/fair_admission.go
+++ b/entry/fair_admission.go
@@ -43,6 +43,10 @@
 	waiting      int
 	waitingBytes int
 	draining     bool
+
+	// places and placesAt are buffers of targetSelector.spread, under its lock.
+	places   []scarcity.Place
+	placesAt []int
 }
 
 // fairService is the state of a service.
@@ -97,18 +101,19 @@
 	s.logChange(f.log, now, s.name, s.Service)
 }
 
-// await returns nil once the request may be sent, and a refusal if it may not. A request
-// that another target has failed has had its place and doesn't wait for one again.
-func (f *fairAdmission) await(ctx contextDone, request *admission.Request) error {
+// await returns how long the request has waited once it may be sent, and a refusal if it may
+// not. A request that another target has failed has had its place and doesn't wait for one
+// again.
+func (f *fairAdmission) await(ctx contextDone, request *admission.Request) (time.Duration, error) {
 	if len(request.Exclude) > 0 {
-		return nil
+		return 0, nil
 	}
 	now := f.clock.Now()
 	f.mu.Lock()
 	s := f.services[request.Service]
 	if s == nil {
 		f.mu.Unlock()
-		return nil
+		return 0, nil
 	}
 	r := scarcity.Request{
 		Class: scarcity.Class{Workspace: request.Workspace, Priority: request.Priority}, Once: !request.Idempotent, ContentKey: request.ContentKey,
@@ -122,12 +127,12 @@
 	if decision.Verdict == scarcity.Admitted {
 		s.countAdmitted(r.Priority)
 		f.mu.Unlock()
-		return nil
+		return 0, nil
 	}
 	s.count(decision.Reason, decision.Verdict, request)
 	if decision.Verdict == scarcity.Refused {
 		f.mu.Unlock()
-		return fairRefusal(request, &decision)
+		return 0, fairRefusal(request, &decision)
 	}
 	granted := make(chan scarcity.Reason, 1)
 	s.granted[decision.Waiter] = granted
@@ -135,7 +140,8 @@
 	f.waitingBytes += request.BodyBytes
 	f.grantWaiters(now, s)
 	f.mu.Unlock()
-	return f.wait(ctx, request, s, decision.Waiter, granted)
+	err := f.wait(ctx, request, s, decision.Waiter, granted)
+	return f.clock.Since(now), err
 }
 
 // fairRefusal returns the refusal of a request.
--- /dev/null
+++ b/entry/fair_spread.go
@@ -0,0 +1,45 @@
+package entry
+
+import (
+	"math/rand/v2"
+
+	"comfreytiller.dev/admission/scarcity"
+	"comfreytiller.dev/route"
+)
+
+// spread leaves one of the candidates of a plain service that is in need, or nearly so. With
+// room for everything, the nearest and least loaded target is chosen as before. The caller
+// must hold t.mu.
+func (t *targetSelector) spread(service string, list []*targetState, candidates []route.LocalTarget) {
+	perSecond := t.fair.sentPerSecond(service)
+	if perSecond == 0 {
+		return
+	}
+	places, at := t.fair.places[:0], t.fair.placesAt[:0]
+	for i, s := range list {
+		candidate := &candidates[i]
+		if candidate.Availability == route.Available && !candidate.AtCapacity && !candidate.Unhealthy {
+			places = append(places, scarcity.Place{InFlight: s.othersInFlight + float64(s.ownInFlight), Slots: s.Capacity})
+			at = append(at, i)
+		}
+	}
+	t.fair.places, t.fair.placesAt = places, at
+	chosen := scarcity.Spread(places, perSecond, rand.Uint64())
+	for index, i := range at {
+		if index != chosen {
+			candidates[i].Availability = route.Excluded
+		}
+	}
+}
+
+// sentPerSecond returns the number of requests a second that all hosts send to a service; 0 if
+// it has room for everything.
+func (f *fairAdmission) sentPerSecond(service string) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.services[service]
+	if s == nil {
+		return 0
+	}
+	return s.SentPerSecond(f.clock.Now())
+}
--- a/entry/target_selector.go
+++ b/entry/target_selector.go
@@ -103,8 +103,10 @@
 // Acquire implements gateway.Admitter. It decides without waiting, unless admission is
 // fair.
 func (t *targetSelector) Acquire(ctx context.Context, request admission.Request) (admission.Permit, error) {
+	waited := time.Duration(0)
 	if t.fair != nil {
-		if err := t.fair.await(ctx, &request); err != nil {
+		var err error
+		if waited, err = t.fair.await(ctx, &request); err != nil {
 			return admission.Permit{}, err
 		}
 	}
@@ -141,6 +143,9 @@
 			available++
 		}
 	}
+	if t.fair != nil && service.Kind == fleet.KindPlain {
+		t.spread(request.Service, list, candidates)
+	}
 	costs := &plainCosts
 	if service.Kind == fleet.KindModel {
 		costs = &modelCosts
@@ -157,6 +162,7 @@
 		return admission.Permit{}, t.refuse(&request, admission.RefusedNoTarget, t.explainNoTarget(view, &request, list, candidates))
 	}
 	permit := t.grant(now, view, service, list[choice.Target], &candidates[choice.Target], &request, available, loads)
+	permit.Waited = waited
 	if choice.Home {
 		permit.Reason = route.Home.String()
 	}
