Spread the return of callers that find no target or only full ones

Cause: the pause of 0.7 or 1 s was the same for all callers, which came back together, and could exceed a third of their time.

Change: with fair admission these pauses follow the backlog and are spread, too.

--- a/admission/scarcity/retry.go
+++ b/admission/scarcity/retry.go
@@ -22,13 +22,19 @@
 
 // retryAfter returns when there is likely room for a request that is served with the given
 // share: after the backlog of the targets, and the expected number of draws. It is spread at
-// random from half to one and a half of that.
+// random.
 func retryAfter(backlog time.Duration, share float64, remaining time.Duration, random uint64) time.Duration {
+	pause := float64(minRetryAfter+backlog) / max(share, minShareForRetry)
+	return SpreadPause(time.Duration(min(pause, float64(maxRetryAfter))), remaining, random)
+}
+
+// SpreadPause returns a random pause from half to one and a half of the given one that the
+// caller of a request with the given remaining time honours.
+func SpreadPause(mean, remaining time.Duration, random uint64) time.Duration {
 	const resolution = 1 << 20
 	// The low bits decide the draw of requests without a content key.
 	spread := float64(random>>44%resolution) / resolution
-	pause := float64(minRetryAfter+backlog) / max(share, minShareForRetry)
-	pause = min(pause, float64(maxRetryAfter)) * (0.5 + spread)
+	pause := float64(mean) * (0.5 + spread)
 	limit := honouredPart * honouredMargin * float64(remaining)
 	if pause > limit {
 		pause = limit * (0.5 + spread/2)
--- a/admission/scarcity/service.go
+++ b/admission/scarcity/service.go
@@ -171,6 +171,12 @@
 	return retryAfter(s.room.backlog(), share, r.Deadline.Sub(now), r.Random)
 }
 
+// RetryAfter returns when there is likely room for a request of any class that has the given
+// time left.
+func (s *Service) RetryAfter(remaining time.Duration, random uint64) time.Duration {
+	return retryAfter(s.room.backlog(), s.Fraction(), remaining, random)
+}
+
 // tryQueue queues a request that is to be served if this host has sent as many as it may,
 // and may send another one within a part of the objective of the request. Bursts then don't
 // fill the queues of the targets, where nothing is in order. A host that may send few
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -148,6 +148,7 @@
 		OnTargetResponse: e.selector.recordResponse,
 		StreamOrigins:    e.origins,
 		OnTargetSilence:  e.selector.recordSilence,
+		RetryAfter:       e.selector.fair.retryAfterFunc(),
 	},
 		gateway.WithCallsOnly(),
 		gateway.WithTargetErrors(),
--- a/entry/target_selector.go
+++ b/entry/target_selector.go
@@ -276,7 +276,7 @@
 }
 
 func (t *targetSelector) refuse(request *admission.Request, code admission.RefusalCode, message string) error {
-	return &admission.Refusal{RequestID: request.ID, Code: code, Message: message, RetryAfter: noTargetRetryAfter}
+	return &admission.Refusal{RequestID: request.ID, Code: code, Message: message, RetryAfter: t.fair.spreadPause(noTargetRetryAfter, request.Deadline)}
 }
 
 // Release implements gateway.Admitter.
--- a/gateway/dependencies.go
+++ b/gateway/dependencies.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"comfreytiller.dev/admission"
 	"comfreytiller.dev/fleet"
@@ -42,6 +43,10 @@
 	// StreamOrigins knows which software version began the streams that callers take up;
 	// nil to let them go on at any.
 	StreamOrigins StreamOrigins
+	// RetryAfter returns the delay after which the caller of a request with the given
+	// service and deadline may retry it; nil for the same for all. Refused permits have
+	// their own.
+	RetryAfter func(service string, deadline time.Time) time.Duration
 	// RetryBudget limits retries; nil limits them to a share of the requests on
 	// this host.
 	RetryBudget RetryBudget
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -371,7 +371,7 @@
 
 // classifyError converts err to a failure. The caller sets its field Ran.
 func (d *dispatcher) classifyError(err error) *Failure {
-	retryAfter := d.gateway.settings.retryAfter
+	retryAfter := d.retryAfter()
 	var refusal *admission.Refusal
 	switch {
 	case errors.As(err, &refusal):
