Count rejected requests in the capacity of a service in need

Cause: while the queues of the targets are full, the requests in flight don't grow, so that the hosts took what they sent for the capacity.

Change: the part of its requests that targets rejected is left out of what a host has sent.

Tests of admission/scarcity and the ones of entry for the feature pass.

--- a/admission/scarcity/replay_test.go
+++ b/admission/scarcity/replay_test.go
@@ -279,6 +279,7 @@
 		best.queue = append(best.queue, running)
 	default:
 		r.result.rejected++
+		host.service.RecordRejection(r.now)
 		r.end(request, false)
 	}
 }
--- a/admission/scarcity/room.go
+++ b/admission/scarcity/room.go
@@ -84,6 +84,10 @@
 	previous float64
 	// demand is the number of requests a second of all hosts.
 	demand float64
+	// sent and rejected count the requests of this host since the last measurement, and those
+	// of them that a full target rejected.
+	sent     int
+	rejected int
 	// work is the mean time that a request takes in a slot; 0 for unknown.
 	work time.Duration
 }
@@ -133,7 +137,7 @@
 // the time between two digests, so that the requests in it were sent by the last two
 // fractions.
 func (r *Room) measure(elapsed time.Duration) {
-	sent := (r.fraction + r.previous) / 2
+	sent := (r.fraction + r.previous) / 2 * r.acceptedPart()
 	slots := float64(r.load.Slots)
 	if r.load.InFlight >= slots && r.measured >= slots {
 		growth := (r.load.InFlight - r.measured) / (elapsed.Seconds() * r.demand)
@@ -155,8 +159,20 @@
 	r.capacity, r.previous, r.measuredAt = r.fraction, r.fraction, time.Time{}
 }
 
+// acceptedPart returns the part of the requests that targets have taken since the last
+// measurement. The requests in flight don't grow by the others.
+func (r *Room) acceptedPart() float64 {
+	accepted := 1.0
+	if r.rejected > 0 {
+		accepted = 1 - float64(r.rejected)/float64(max(r.sent, r.rejected)+1)
+	}
+	r.sent, r.rejected = 0, 0
+	return accepted
+}
+
 // recordRejection records that a full target has rejected a request.
 func (r *Room) recordRejection(now time.Time) {
+	r.rejected++
 	if r.isOld(now) {
 		r.fraction = max(r.fraction*rejectionFactor, minFraction)
 	}
--- a/admission/scarcity/service.go
+++ b/admission/scarcity/service.go
@@ -131,6 +131,15 @@
 // Decide decides whether a request is served now, waits or is refused.
 func (s *Service) Decide(now time.Time, r *Request) Decision {
 	demand := s.demands.add(now, r.Class, r.Once)
+	decision := s.decide(now, r, demand)
+	if decision.Verdict != Refused {
+		s.room.sent++
+	}
+	return decision
+}
+
+// decide decides on a request that has been counted.
+func (s *Service) decide(now time.Time, r *Request, demand *Demand) Decision {
 	if !s.plan.IsScarce && s.room.hasFreePlaces(now) {
 		return Decision{Verdict: Admitted, Share: 1}
 	}
