--- a/entry/fair_admission_test.go
+++ b/entry/fair_admission_test.go
@@ -233,6 +233,29 @@
 	}
 }
 
+// Guards against a host that dies with a queue, or a caller that leaves it, when something of
+// the request was sent or holds a place: it takes no permit before it has its place.
+func TestFairAdmission_WaitingRequestHoldsNoPlace(t *testing.T) {
+	f := newFairFixture(t)
+	f.overload(t)
+	inFlight := func() int {
+		f.selector.mu.Lock()
+		defer f.selector.mu.Unlock()
+		sum := 0
+		for _, s := range f.selector.byName {
+			sum += s.ownInFlight
+		}
+		return sum
+	}
+	ctx, leave := context.WithCancel(t.Context())
+	result := f.waitingRequest(ctx, t, "w")
+	require.NotNil(t, result)
+	before := inFlight()
+	leave()
+	require.ErrorIs(t, <-result, context.Canceled)
+	require.Equal(t, before, inFlight())
+}
+
 // Guards against a load header of a target that is ignored: requests that wait there are
 // no free places.
 func TestFairLoad_CountsQueuedRequests(t *testing.T) {
