--- a/admission/request.go
+++ b/admission/request.go
@@ -28,6 +28,9 @@
 	// what two versions write of one response does not fit together.
 	Version         string
 	RequiresVersion bool
+	// Attempt is the number of the attempt, 1 for the first; 0 for unknown. It is not sent to the
+	// owner of a service on another host.
+	Attempt int
 	// Started is when the request arrived. Objective is the time to first byte that
 	// its caller expects; 0 for unknown.
 	Started   time.Time
@@ -123,6 +126,16 @@
 	Cold         bool
 	// LastSeenAge is the time since the target's last message.
 	LastSeenAge time.Duration
+	// Slowdown is how long work takes on the target, as a multiple of the usual time, as
+	// it counted in the decision; 0 for unknown. ToldSlowdown is what the target reported
+	// last, MeasuredSlowdown what its response times say of the targets compared with each
+	// other; 0 for unknown.
+	Slowdown         float64
+	ToldSlowdown     float64
+	MeasuredSlowdown float64
+	// HeldTokens is the estimated number of tokens of prompts and responses in the
+	// target's memory; 0 for unknown.
+	HeldTokens float64
 }
 
 // RefusalCode is the reason why a request got no permit.
@@ -211,4 +224,9 @@
 	// if the target closed the connection before the response was complete.
 	Succeeded      bool
 	ConnectionLost bool
+	// Route is the name of the call. Status is that of the response; 0 if none began.
+	Route  string
+	Status int
+	// Inputs are those of the permit; nil for unknown.
+	Inputs *DecisionInputs
 }
--- a/admission/scarcity/room.go
+++ b/admission/scarcity/room.go
@@ -1,6 +1,9 @@
 package scarcity
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Kind is what the targets of a service are like.
 type Kind struct {
@@ -27,6 +30,9 @@
 	// minMeasuredTime is the minimum time between two loads from which the capacity is
 	// measured. In less, too few requests arrive.
 	minMeasuredTime = 250 * time.Millisecond
+	// slotsTolerance is the part by which the slots may change between two loads from which
+	// the capacity is measured. The usable slots of targets with a rate limit vary.
+	slotsTolerance = 0.1
 	// capacityWeight is the weight of the latest measurement of the capacity.
 	capacityWeight = 0.5
 	// minCapacity and maxCapacity limit the capacity, as a part of the demand.
@@ -117,7 +123,7 @@
 		r.capacity, r.measuredAt = 1, time.Time{}
 	case r.measuredAt.IsZero():
 		r.measuredAt, r.measured = now, load.InFlight
-	case load.Slots != before.Slots && before.Slots > 0:
+	case math.Abs(float64(load.Slots-before.Slots)) > slotsTolerance*float64(before.Slots) && before.Slots > 0:
 		r.capacity *= float64(load.Slots) / float64(before.Slots)
 		r.measuredAt, r.measured = now, load.InFlight
 	case elapsed >= minMeasuredTime:
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -149,6 +149,7 @@
 		StreamOrigins:    e.origins,
 		OnTargetSilence:  e.selector.recordSilence,
 		RetryAfter:       e.selector.fair.retryAfterFunc(),
+		OnFirstByte:      e.selector.recordFirstByte,
 	},
 		gateway.WithCallsOnly(),
 		gateway.WithTargetErrors(),
--- a/entry/fair_admission.go
+++ b/entry/fair_admission.go
@@ -181,11 +181,12 @@
 
 // fairLoad returns the load of a service by the last digest. The estimate by which targets
 // are chosen replaces a part of the digest by an average of some seconds, which would delay
-// each correction by as much. The caller must hold t.mu.
+// each correction by as much. Slowdowns of targets don't count: the room is measured. The caller
+// must hold t.mu.
 func (t *targetSelector) fairLoad(now time.Time, view *registry.View, list []*targetState) scarcity.Load {
 	load := scarcity.Load{Hosts: t.hosts.count()}
 	for _, s := range list {
-		if s.State != roster.Ready || view.IsOutOfService(s.Name, s.FailureDomain) || s.isAvoided(now) {
+		if s.State != roster.Ready || view.IsOutOfService(s.Name, s.FailureDomain) || s.isAvoided(now) || t.rollouts.isUnused(view, s) {
 			continue
 		}
 		load.InFlight += s.othersInFlight + float64(s.ownInFlight)
--- a/entry/target_selector.go
+++ b/entry/target_selector.go
@@ -28,6 +28,10 @@
 	// assumed to be older than this host and do not count.
 	newTargetPeriod = 45 * time.Second
 	startupSlack    = 3 * time.Second
+	// movedPromptsPeriod is how long after it joined a target may lack prompts of which it
+	// has become the home. It becomes their home after newTargetPeriod, and has most of
+	// them within a minute.
+	movedPromptsPeriod = newTargetPeriod + time.Minute
 	// noTargetRetryAfter is the delay after which a caller may retry when no
 	// target is available. A target that restarts or returns is in the roster
 	// of this host within this time.
@@ -77,6 +81,7 @@
 	roster      *roster.Table
 	notices     *notice.Board
 	reports     reportClock
+	rollouts    *rolloutGuide
 	// durations holds the mean duration of requests by service, demand the rate of
 	// requests of this host.
 	durations map[string]time.Duration
@@ -86,13 +91,24 @@
 
 	leavingNotices tally.Counter
 	pauseNotices   tally.Counter
+	// malformedLoads counts the load headers that were ignored.
+	malformedLoads tally.Counter
+	// otherCacheSources counts the cache sources that are not the home of the prompt.
+	otherCacheSources tally.Counter
+	// responseTimes holds those of each service.
+	responseTimes map[string]*route.ServiceTimes
+	// measuredSlowdowns is the histogram of the slowdowns of targets by their response
+	// times.
+	measuredSlowdowns tally.Histogram
 }
 
 func newTargetSelector(e *Entry) *targetSelector {
 	t := &targetSelector{
 		daemon: e, log: logs.ForComponent(e.Log, "Target"), clock: e.Clock, hosts: &hostCount{clock: e.Clock},
 		byName: map[string]*targetState{}, byService: map[string][]*targetState{}, throttles: map[string]*route.Throttle{}, durations: map[string]time.Duration{}, demand: map[string]*demandRate{}, prefixCache: newPrefixCacheIndex(), roster: roster.NewTable(),
-		notices: notice.NewBoard(), leavingNotices: e.Scope.Counter("targets_leaving_in_response"), pauseNotices: e.Scope.Counter("target_pauses"),
+		notices: notice.NewBoard(), rollouts: newRolloutGuide(e), leavingNotices: e.Scope.Counter("targets_leaving_in_response"), pauseNotices: e.Scope.Counter("target_pauses"),
+		malformedLoads:    e.Scope.Counter("malformed_target_loads"),
+		otherCacheSources: e.Scope.Counter("cache_sources_beside_home"), responseTimes: map[string]*route.ServiceTimes{}, measuredSlowdowns: e.Scope.Histogram("measured_target_slowdown", slowdownBuckets),
 	}
 	if e.Protocol.EnabledFeatures(e.Settings.Features).FairAdmission {
 		t.fair = newFairAdmission(e)
@@ -143,9 +159,6 @@
 			available++
 		}
 	}
-	if t.fair != nil && service.Kind == fleet.KindPlain {
-		t.spread(request.Service, list, candidates)
-	}
 	costs := &plainCosts
 	if service.Kind == fleet.KindModel {
 		costs = &modelCosts
@@ -154,7 +167,10 @@
 	if key != 0 {
 		traffic.PromptRate = t.prefixCache.recordRequest(now, key) * float64(loads.hosts)
 	}
-	choice := route.ChooseLocal(key, rand.Uint64(), traffic, tokens, candidates, costs)
+	choice := t.chooseVersion(view, &request, key, list, candidates, func() route.LocalChoice {
+		defer t.spread(service, list, candidates)()
+		return route.ChooseLocal(key, rand.Uint64(), traffic, tokens, candidates, costs)
+	})
 	if choice.Target == route.None {
 		if refusal := t.refusePaused(now, &request, list, candidates); refusal != nil {
 			return admission.Permit{}, refusal
@@ -166,8 +182,8 @@
 	if choice.Home {
 		permit.Reason = route.Home.String()
 	}
-	if choice.CacheSource != route.None && service.MovesCache && candidates[choice.Target].CachedTokens < tokens {
-		permit.CacheSource = list[choice.CacheSource].Address
+	if service.MovesCache && candidates[choice.Target].CachedTokens < tokens {
+		permit.CacheSource = t.findCacheSource(&request, key, tokens, choice, list, candidates)
 	}
 	return permit, nil
 }
@@ -196,14 +212,16 @@
 		Unhealthy:      s.isAvoided(now) || s.Silent && s.consecutiveFailures > 0,
 		Slots:          s.Capacity,
 		RecentlyJoined: now.Sub(s.firstSeen) < newTargetPeriod && s.firstSeen.Sub(t.firstTargetSeen) > startupSlack,
+		JoinedLately:   now.Sub(s.firstSeen) < movedPromptsPeriod && s.firstSeen.Sub(t.firstTargetSeen) > startupSlack,
 		FailureRate:    s.decayedFailureRate(now),
 		RateLimited:    s.limit.IsLimited,
 		AtCapacity:     now.Before(s.atCapacityUntil) || !s.hasSlot(now, loads) || t.isPaused(now, s) || s.isCold(now) && now.Before(t.earliestColdRequest(s, service, loads.hosts)),
 	}
 	local.InFlight, local.Queued = s.estimateLoad(now, loads)
+	t.describeSpeed(now, s, service, &local)
 	local.SlotsInUse = s.hasReportedLoad(now) && s.Capacity > 0 && local.InFlight+1 > float64(s.Capacity)
 	if request.Prompt != nil {
-		local.CachedTokens = t.prefixCache.cachedTokens(now, local.Key, request.Prompt.Parts)
+		local.CachedTokens = t.prefixCache.cachedTokens(now, s.cacheKey(local.Key), request.Prompt.Parts)
 	}
 	switch {
 	case s.State == roster.Gone:
@@ -230,8 +248,9 @@
 	}
 	s.useSlot(now, loads)
 	s.adjustInFlight(now, 1)
+	s.speed.told.RecordSent()
 	if request.Prompt != nil {
-		t.prefixCache.recordSent(now, local.Key, request.Prompt.Parts)
+		t.prefixCache.recordSent(now, s.cacheKey(local.Key), request.Prompt.Parts)
 	}
 	loadAge := time.Duration(-1)
 	if !s.lastLoadAt.IsZero() {
@@ -244,6 +263,7 @@
 		Inputs: &admission.DecisionInputs{
 			FleetVersion: view.FleetVersion, Candidates: available, InFlight: local.InFlight, Queued: local.Queued,
 			LoadReportAge: loadAge, OwnInFlight: s.ownInFlight, CachedTokens: local.CachedTokens, Cold: cold, LastSeenAge: now.Sub(s.LastSeen),
+			Slowdown: local.Slowdown, ToldSlowdown: s.lastLoad.Slowdown, MeasuredSlowdown: s.speed.measured,
 		},
 	}
 }
@@ -293,9 +313,11 @@
 	}
 	t.daemon.crashes.record(now, &release, s.Address)
 	s.adjustInFlight(now, -1)
+	t.recordOutcome(&release, s)
 	switch release.Outcome {
 	case admission.OutcomeDone:
 		s.recordSuccess(now)
+		t.recordWorkTime(now, s, &release)
 		if release.Duration > 0 {
 			t.durations[release.Service] = movingAverage(t.durations[release.Service], release.Duration, durationWeight)
 		}
--- a/entry/throttle.go
+++ b/entry/throttle.go
@@ -37,12 +37,12 @@
 		inFlight, slots := 0.0, 0
 		loads := t.serviceLoads(now, name, list)
 		for _, s := range list {
-			if s.State != roster.Ready || view.IsOutOfService(s.Name, s.FailureDomain) || s.isAvoided(now) {
+			if s.State != roster.Ready || view.IsOutOfService(s.Name, s.FailureDomain) || s.isAvoided(now) || t.rollouts.isUnused(view, s) {
 				continue
 			}
 			estimated, _ := s.estimateLoad(now, loads)
 			inFlight += estimated
-			slots += s.usableSlots(loads.duration)
+			slots += t.usableSlotsNow(now, s, service, loads)
 		}
 		throttle := t.throttles[name]
 		if throttle == nil {
--- a/peer/message.go
+++ b/peer/message.go
@@ -6,6 +6,7 @@
 	"comfreytiller.dev/admission"
 	"comfreytiller.dev/admission/origin"
 	"comfreytiller.dev/admission/quarantine"
+	"comfreytiller.dev/admission/rollout"
 	"comfreytiller.dev/target"
 	"comfreytiller.dev/target/ratelimit"
 	"comfreytiller.dev/target/roster"
@@ -261,10 +262,16 @@
 	// replica, the largest number if there are none; 0 if it is not reported.
 	LowestRevision uint64
 	// Replica is the ID of the sender's state replica, "" if not reported. It durably holds
-	// the fleet configuration of FleetVersion and the outages of OutageVersion.
-	Replica       string
-	FleetVersion  uint64
-	OutageVersion uint64
+	// the fleet configuration of FleetVersion, the outages of OutageVersion and the rollouts
+	// up to the number RolloutVersion.
+	Replica        string
+	FleetVersion   uint64
+	OutageVersion  uint64
+	RolloutVersion uint64
+	// Rollouts are the sums of what hosts reported to the process RolloutSource of this
+	// replica; nil if they are not reported.
+	Rollouts      []rollout.ServiceReport
+	RolloutSource uint64
 }
 
 // WatchRequest asks a state replica for changes since the requesting host's view.
@@ -300,6 +307,8 @@
 	PendingRevision uint64
 	// Direct asks the replica for a large delta itself, not for hosts that have it.
 	Direct bool
+	// Rollout is what the host counted of services in rollout since its last request.
+	Rollout rollout.Report
 }
 
 // WatchResponse is the reply to a WatchRequest.
--- a/settings/load.go
+++ b/settings/load.go
@@ -25,6 +25,11 @@
 	maxBandwidth  = 1_000_000
 	maxRetryExtra = 1_000_000
 	maxFeatures   = 64
+	// maxExposedExtra is the highest Rollouts.ExposedExtra; minRevertWithin and maxRevertWithin
+	// bound Rollouts.RevertWithin.
+	maxExposedExtra = 1_000_000
+	minRevertWithin = 100 * time.Millisecond
+	maxRevertWithin = time.Hour
 )
 
 // Default values.
@@ -34,6 +39,10 @@
 	// defaultRetryShare and defaultRetryWindow match the defaults of the gateway.
 	defaultRetryShare  = 0.1
 	defaultRetryWindow = 10 * time.Second
+	// The defaults of Rollouts are what callers of the larger fleets accept.
+	defaultExposedShare = 0.1
+	defaultExposedExtra = 50
+	defaultRevertWithin = 5 * time.Second
 )
 
 // Values of Log.Output.
@@ -110,6 +119,9 @@
 		}},
 		jsonc.Field{Name: "Features", Read: features(r, &into.Features)},
 		jsonc.Field{Name: "Bandwidth", Read: jsonc.Number(r, &into.Bandwidth, 0, maxBandwidth)},
+		jsonc.Field{Name: "Rollouts", Read: func(value *hujson.Value, at *jsonc.FieldPath) {
+			into.Rollouts = readRollouts(r, value, at)
+		}},
 	)
 }
 
@@ -143,6 +155,17 @@
 	)
 }
 
+func readRollouts(r *jsonc.Reader, value *hujson.Value, at *jsonc.FieldPath) *Rollouts {
+	rollouts := &Rollouts{ExposedShare: defaultExposedShare, ExposedExtra: defaultExposedExtra, RevertWithin: defaultRevertWithin}
+	r.Object(
+		value, at,
+		jsonc.Field{Name: "ExposedShare", Read: jsonc.Number(r, &rollouts.ExposedShare, 0, 1)},
+		jsonc.Field{Name: "ExposedExtra", Read: jsonc.Integer(r, &rollouts.ExposedExtra, 0, maxExposedExtra)},
+		jsonc.Field{Name: "RevertWithin", Read: jsonc.Duration(r, &rollouts.RevertWithin, minRevertWithin, maxRevertWithin)},
+	)
+	return rollouts
+}
+
 // checkRole reports keys that are missing or not allowed in the role.
 func checkRole(r *jsonc.Reader, root *hujson.Value, parsed *Settings) {
 	if len(r.Faults) > 0 {
@@ -154,6 +177,9 @@
 	if parsed.Role == RoleState && parsed.State == nil {
 		r.Faultf(root.StartOffset, "State", "this key is required in the role State, which keeps a state replica")
 	}
+	if parsed.Role == RoleWhole && parsed.Rollouts != nil {
+		r.Faultf(root.StartOffset, "Rollouts", "this key is not allowed in the role Whole, which has no rollouts")
+	}
 	if parsed.Role == RoleEntry && parsed.State != nil {
 		r.Faultf(root.StartOffset, "State", "this key is not allowed in the role Entry, which has no state replica")
 	}
