--- a/entry/entry.go
+++ b/entry/entry.go
@@ -123,6 +123,9 @@
 	e.crashes = newCrashGuard(e)
 	e.selector = newTargetSelector(e)
 	e.budget = newRetryBudget(e.Settings.Retries, e.selector.hosts.count, e.Clock)
+	if e.selector.fair != nil {
+		e.budget.room = e.selector.fair.retryShare
+	}
 	e.watcher = newHubWatcher(e)
 	e.checker = newViewChecker(e)
 	e.views = newViewSource(e)
@@ -147,6 +150,7 @@
 		OnTargetResponse: e.selector.recordResponse,
 		StreamOrigins:    e.origins,
 		OnTargetSilence:  e.selector.recordSilence,
+		RetryAfter:       e.selector.fair.retryAfterFunc(),
 		OnFirstByte:      e.selector.recordFirstByte,
 	},
 		gateway.WithCallsOnly(),
@@ -208,6 +212,9 @@
 // drains the gateway.
 func (e *Entry) drain() error {
 	e.log.WithField("InFlight", e.gateway.InFlight()).Info("Draining requests in flight.")
+	if e.selector.fair != nil {
+		e.selector.fair.drain()
+	}
 	e.gateway.DisableKeepAlive()
 	timer := e.Clock.NewTimer(preDrainDelay)
 	<-timer.Chan()
--- a/entry/target_selector.go
+++ b/entry/target_selector.go
@@ -70,10 +70,12 @@
 	clock  clockwork.Clock
 	hosts  *hostCount
 
-	mu          sync.Mutex
-	byName      map[string]*targetState
-	byService   map[string][]*targetState
-	throttles   map[string]*route.Throttle
+	mu        sync.Mutex
+	byName    map[string]*targetState
+	byService map[string][]*targetState
+	throttles map[string]*route.Throttle
+	// fair replaces throttles if the feature is on; nil otherwise.
+	fair        *fairAdmission
 	prefixCache *prefixCacheIndex
 	roster      *roster.Table
 	notices     *notice.Board
@@ -104,17 +106,29 @@
 }
 
 func newTargetSelector(e *Entry) *targetSelector {
-	return &targetSelector{
+	t := &targetSelector{
 		daemon: e, log: logs.ForComponent(e.Log, "Target"), clock: e.Clock, hosts: &hostCount{clock: e.Clock},
 		byName: map[string]*targetState{}, byService: map[string][]*targetState{}, throttles: map[string]*route.Throttle{}, durations: map[string]time.Duration{}, demand: map[string]*demandRate{}, prefixCache: newPrefixCacheIndex(), roster: roster.NewTable(),
 		notices: notice.NewBoard(), rollouts: newRolloutGuide(e), leavingNotices: e.Scope.Counter("targets_leaving_in_response"), pauseNotices: e.Scope.Counter("target_pauses"),
 		malformedLoads:    e.Scope.Counter("malformed_target_loads"),
 		otherCacheSources: e.Scope.Counter("cache_sources_beside_home"), promptSizes: map[string]*promptSizes{}, responseTimes: map[string]*route.ServiceTimes{}, measuredSlowdowns: e.Scope.Histogram("measured_target_slowdown", slowdownBuckets),
 	}
+	if e.Protocol.EnabledFeatures(e.Settings.Features).FairAdmission {
+		t.fair = newFairAdmission(e)
+	}
+	return t
 }
 
-// Acquire implements gateway.Admitter. It decides without waiting.
-func (t *targetSelector) Acquire(_ context.Context, request admission.Request) (admission.Permit, error) {
+// Acquire implements gateway.Admitter. It decides without waiting, unless admission is
+// fair.
+func (t *targetSelector) Acquire(ctx context.Context, request admission.Request) (admission.Permit, error) {
+	waited := time.Duration(0)
+	if t.fair != nil {
+		var err error
+		if waited, err = t.fair.await(ctx, &request); err != nil {
+			return admission.Permit{}, err
+		}
+	}
 	current := t.daemon.view.current.Load()
 	if current == nil {
 		return admission.Permit{}, t.refuse(&request, admission.RefusedNoTarget, "no fleet is in force yet")
@@ -163,6 +177,7 @@
 		traffic.PromptRate = t.prefixCache.recordRequest(now, key) * float64(loads.hosts)
 	}
 	choice := t.chooseVersion(view, &request, key, list, candidates, func() route.LocalChoice {
+		defer t.spread(service, list, candidates)()
 		return route.ChooseLocal(key, rand.Uint64(), traffic, tokens, candidates, costs)
 	})
 	if choice.Target == route.None {
@@ -172,6 +187,7 @@
 		return admission.Permit{}, t.refuse(&request, admission.RefusedNoTarget, t.explainNoTarget(view, &request, list, candidates))
 	}
 	permit := t.grant(now, view, service, list[choice.Target], &candidates[choice.Target], &request, available, loads)
+	permit.Waited = waited
 	if choice.Home {
 		permit.Reason = route.Home.String()
 	}
@@ -291,7 +307,7 @@
 }
 
 func (t *targetSelector) refuse(request *admission.Request, code admission.RefusalCode, message string) error {
-	return &admission.Refusal{RequestID: request.ID, Code: code, Message: message, RetryAfter: noTargetRetryAfter}
+	return &admission.Refusal{RequestID: request.ID, Code: code, Message: message, RetryAfter: t.fair.spreadPause(noTargetRetryAfter, request.Deadline)}
 }
 
 // Release implements gateway.Admitter.
@@ -299,6 +315,9 @@
 	now := t.clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.fair != nil {
+		t.fair.recordRelease(now, &release)
+	}
 	s := t.byName[release.Target]
 	if s == nil {
 		return
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -165,7 +165,7 @@
 		ID: d.ID + "." + strconv.Itoa(d.attempts), Host: d.gateway.Host, Service: d.Service.Name,
 		Workspace: d.Workspace, Chat: d.Chat, Priority: d.Call.Priority, Deadline: d.Deadline,
 		Exclude: slices.Clone(d.excludedTargets), Prompt: d.Prompt, ContentKey: d.key, Objective: d.FirstByteObjective, Started: d.Started,
-		ServiceConfig: &d.Service, Version: d.version, RequiresVersion: d.requiresVersion, Attempt: d.attempts,
+		ServiceConfig: &d.Service, Version: d.version, RequiresVersion: d.requiresVersion, Attempt: d.attempts, Idempotent: d.Call.Idempotent, BodyBytes: len(d.Body),
 	}
 }
 
@@ -293,7 +293,7 @@
 
 // classifyError converts err to a failure. The caller sets its field Ran.
 func (d *dispatcher) classifyError(err error) *Failure {
-	retryAfter := d.gateway.settings.retryAfter
+	retryAfter := d.retryAfter()
 	var refusal *admission.Refusal
 	switch {
 	case errors.As(err, &refusal):
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -57,6 +57,9 @@
 	Retries Retries
 	// Bandwidth is the rate of the host's network link, in Mbit/s; 0 if unknown.
 	Bandwidth float64
+	// Features are the names of behaviours that the deployment switches on, as the
+	// protocol calls them.
+	Features []string
 	// Rollouts allows orders of rollouts, in the roles Entry and State; nil if they are off.
 	Rollouts *Rollouts
 }
