--- a/integration/daemons/daemons.go
+++ b/integration/daemons/daemons.go
@@ -176,17 +176,30 @@
 }
 
 // PeakMemory returns the largest resident size of the running daemon so far, in bytes.
-func (d *Daemon) PeakMemory() int {
+func (d *Daemon) PeakMemory() int { return d.memoryOf("VmHWM:") }
+
+// ResidentMemory returns the resident size of the running daemon, in bytes.
+func (d *Daemon) ResidentMemory() int { return d.memoryOf("VmRSS:") }
+
+// memoryOf returns a size from the status of the running daemon, in bytes.
+func (d *Daemon) memoryOf(name string) int {
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", d.cmd.Process.Pid))
 	require.NoError(d.t, err)
-	_, rest, found := strings.Cut(string(status), "VmHWM:")
-	require.True(d.t, found)
+	_, rest, found := strings.Cut(string(status), name)
+	require.True(d.t, found, "the daemon runs")
 	kilobytes := 0
 	_, err = fmt.Sscanf(rest, "%d kB", &kilobytes)
 	require.NoError(d.t, err)
 	return kilobytes << 10
 }
 
+// Descriptors returns the number of open descriptors of the running daemon.
+func (d *Daemon) Descriptors() int {
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", d.cmd.Process.Pid))
+	require.NoError(d.t, err)
+	return len(entries)
+}
+
 // Exited returns a channel that is closed when the daemon has exited.
 func (d *Daemon) Exited() <-chan struct{} { return d.exited }
 
