Bound what untrusted clients make a process hold

Cause: bodies, parsed header lines and responses that callers don't read were held without a limit; so were connections of every server.

Change: gateway/intake accounts for each connection in one memory budget per server. When it is short, the largest and slowest unfinished requests are shed with 503 and Retry-After, or closed. Bodies are read into buffers that grow with what has arrived; a head reaches the parser whole; empty lines before a request are dropped, and many of them end the connection. The hub's control address and the admin addresses use the same. Connections are limited by the setting Descriptors, the budgets by Memory, both 0 for unknown.

--- a/commands/daemon_role.go
+++ b/commands/daemon_role.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"os"
+	"runtime/debug"
 	"slices"
 	"time"
 
@@ -31,6 +32,19 @@
 	platform.ProtocolName: platform.Protocol,
 }
 
+// runtimeMemoryShare is the share of the memory of a machine above which the garbage collector
+// works harder. The rest is for what it does not count, such as the program itself.
+const runtimeMemoryShare = 0.75
+
+// limitRuntimeMemory sets the soft memory limit of the runtime on a machine with megabytes of
+// memory. By default a collection begins only when the memory in use has doubled, which is more
+// than a small machine has.
+func limitRuntimeMemory(megabytes int) {
+	if megabytes > 0 {
+		debug.SetMemoryLimit(int64(runtimeMemoryShare * float64(megabytes<<20)))
+	}
+}
+
 // runRole runs a daemon of the role Entry or State until ctx ends.
 func runRole(ctx context.Context, args daemonArguments, loaded *settings.Settings, log *logrus.Logger, hangups <-chan os.Signal, streams Streams) error {
 	newProtocol, known := protocols[loaded.Protocol]
@@ -45,6 +59,7 @@
 		}
 		key = read
 	}
+	limitRuntimeMemory(loaded.Memory)
 	scope, reporter := newScope(loaded, log)
 	metrics := fasthttpadaptor.NewFastHTTPHandler(reporter.HTTPHandler())
 	setReplicas := func([]string) {}
--- a/common/sniff/sniff.go
+++ b/common/sniff/sniff.go
@@ -9,6 +9,7 @@
 package sniff
 
 import (
+	"container/list"
 	"io"
 	"net"
 	"sync"
@@ -27,12 +28,44 @@
 	prefix    string
 	clock     clockwork.Clock
 	unmatched *connListener
+	unknown   unknownConns
+}
+
+// Option configures a Splitter.
+type Option func(*Splitter)
+
+// WithMaxUnknown limits the connections whose first bytes have not arrived. The oldest of them is
+// closed for a new one. By default there is no limit.
+func WithMaxUnknown(n int) Option { return func(s *Splitter) { s.unknown.max = n } }
+
+// unknownConns are the connections whose first bytes have not arrived, the oldest first.
+type unknownConns struct {
+	max   int
+	mu    sync.Mutex
+	conns list.List
+}
+
+// add adds a connection and returns a function that removes it.
+func (u *unknownConns) add(conn net.Conn) (remove func()) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.max > 0 && u.conns.Len() >= u.max {
+		oldest, _ := u.conns.Remove(u.conns.Front()).(net.Conn)
+		// Its reader notices.
+		_ = oldest.Close()
+	}
+	element := u.conns.PushBack(conn)
+	return func() {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		u.conns.Remove(element)
+	}
 }
 
 // NewSplitter returns a splitter that matches connections whose first bytes equal
 // prefix.
-func NewSplitter(listener net.Listener, prefix string, clock clockwork.Clock) *Splitter {
-	return &Splitter{
+func NewSplitter(listener net.Listener, prefix string, clock clockwork.Clock, options ...Option) *Splitter {
+	s := &Splitter{
 		listener: listener,
 		prefix:   prefix,
 		clock:    clock,
@@ -42,6 +75,10 @@
 			closed:  make(chan struct{}),
 		},
 	}
+	for _, option := range options {
+		option(s)
+	}
+	return s
 }
 
 // Unmatched returns a listener for the connections that don't match the prefix.
@@ -57,17 +94,19 @@
 		if err != nil {
 			return err
 		}
-		go s.dispatch(conn, handle)
+		remove := s.unknown.add(conn)
+		go s.dispatch(conn, handle, remove)
 	}
 }
 
 // dispatch reads the first bytes of a connection. It then calls handle if they equal
 // the prefix, and passes the connection to the unmatched listener otherwise.
-func (s *Splitter) dispatch(conn net.Conn, handle func(net.Conn)) {
+func (s *Splitter) dispatch(conn net.Conn, handle func(net.Conn), remove func()) {
 	first := make([]byte, len(s.prefix))
 	// Setting a deadline fails only on a closed connection; the read below reports it.
 	_ = conn.SetReadDeadline(s.clock.Now().Add(firstBytesTimeout))
 	n, err := io.ReadFull(conn, first)
+	remove()
 	if err != nil {
 		// The peer disconnected or timed out before the protocol was known, so no
 		// handler can report the error.
@@ -100,6 +139,15 @@
 	return n, nil
 }
 
+// CloseWrite closes the connection for writing.
+func (r *replayConn) CloseWrite() error {
+	half, ok := r.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return syscall.EINVAL
+	}
+	return half.CloseWrite()
+}
+
 // SyscallConn returns the descriptor of the connection.
 func (r *replayConn) SyscallConn() (syscall.RawConn, error) {
 	systemConn, ok := r.Conn.(syscall.Conn)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -29,6 +29,7 @@
 	"comfreytiller.dev/common/logs"
 	"comfreytiller.dev/common/meter"
 	"comfreytiller.dev/gateway"
+	"comfreytiller.dev/gateway/intake"
 	"comfreytiller.dev/peer"
 	"comfreytiller.dev/settings"
 )
@@ -37,7 +38,9 @@
 	// maxHeaderBytes limits the size of a request's header; the fleet
 	// configuration may set a lower limit.
 	maxHeaderBytes = 32 << 10
-	maxHeaderCount = 128
+	// maxHeaderCount is the number of the shortest fields in maxHeaderBytes: their cost is part of
+	// what is held for callers.
+	maxHeaderCount = maxHeaderBytes / len("a:\r\n")
 	maxURIBytes    = 16 << 10
 	maxBodyBytes   = 8 << 20
 	// maxResponseBytes limits the size of a non-streaming response, maxBufferedBytes
@@ -153,6 +156,8 @@
 		gateway.WithMaxBodyBytes(maxBodyBytes),
 		gateway.WithMaxResponseBytes(maxResponseBytes),
 		gateway.WithMaxBufferedBytes(maxBufferedBytes),
+		gateway.WithRequestMemory(requestMemory(e.Settings.Memory)),
+		gateway.WithMaxConnections(maxCallers(e.Settings.Descriptors)),
 		gateway.WithRetries(maxAttempts, e.Settings.Retries.Share),
 		gateway.WithBackoff(retryBackoff),
 		gateway.WithMinDrainDuration(0),
@@ -259,8 +264,9 @@
 
 // serveAdmin serves readiness and metrics.
 func (e *Entry) serveAdmin() {
-	server := &fasthttp.Server{
-		NoDefaultServerHeader: true,
+	server := intake.NewServer(intake.ServerConfig{
+		MaxBodyBytes:   maxAdminBodyBytes,
+		MaxConnections: maxAdmins(e.Settings.Descriptors),
 		Handler: func(ctx *fasthttp.RequestCtx) {
 			switch path := string(ctx.Path()); {
 			case path == e.Protocol.ReadinessPath:
@@ -275,8 +281,9 @@
 				ctx.SetStatusCode(fasthttp.StatusNotFound)
 			}
 		},
-	}
-	if err := server.Serve(e.adminListener); err != nil {
+	})
+	budget := intake.NewBudget(intake.BudgetConfig{Clock: e.Clock, Limit: adminMemory, Log: e.log, Scope: e.Scope.SubScope("admin")})
+	if err := server.Serve(intake.NewListener(e.adminListener, intake.ListenerConfig{Budget: budget, MaxConnections: maxAdmins(e.Settings.Descriptors)})); err != nil {
 		e.log.Debugf("Admin server stopped: %v.", err)
 	}
 }
--- a/gateway/caller_conn.go
+++ b/gateway/caller_conn.go
@@ -1,11 +1,12 @@
 package gateway
 
 import (
-	"net"
 	"sync"
 	"time"
 
+	"comfreytiller.dev/gateway/intake"
 	"comfreytiller.dev/target/conn"
+	"github.com/go-faster/errors"
 	"github.com/jonboulle/clockwork"
 )
 
@@ -14,7 +15,7 @@
 // the meantime: an EOF or error shows that the caller has disconnected. A byte
 // of the next request is buffered for the server.
 type callerConn struct {
-	net.Conn
+	*intake.Conn
 	clock        clockwork.Clock
 	writeGuard   *conn.Watchdog
 	writeTimeout time.Duration
@@ -43,7 +44,7 @@
 	idleDeadline
 )
 
-func newCallerConn(clock clockwork.Clock, c net.Conn, writeTimeout time.Duration, release func()) *callerConn {
+func newCallerConn(clock clockwork.Clock, c *intake.Conn, writeTimeout time.Duration, release func()) *callerConn {
 	return &callerConn{
 		Conn: c, clock: clock, writeGuard: conn.NewWatchdog(clock, c), writeTimeout: writeTimeout, release: release,
 		readTimeouts: func() (time.Duration, time.Duration) { return 0, 0 },
@@ -57,14 +58,24 @@
 // apart, because the next request may have arrived with the one before.
 func (c *callerConn) SetReadDeadline(deadline time.Time) error {
 	header, idle := c.readTimeouts()
-	limit := time.Duration(0)
+	limit, phase := time.Duration(0), intake.Body
 	switch c.nextDeadline {
 	case headerDeadline:
-		limit, c.nextDeadline = header, bodyDeadline
+		limit, phase, c.nextDeadline = header, intake.Head, bodyDeadline
 	case bodyDeadline:
 		c.nextDeadline = idleDeadline
 	case idleDeadline:
-		limit, c.nextDeadline = idle, headerDeadline
+		limit, phase, c.nextDeadline = idle, intake.Waiting, headerDeadline
+	}
+	if err := c.Enter(phase); err != nil {
+		return errors.Wrap(err, "begin the next part of a request")
+	}
+	if phase == intake.Waiting {
+		c.mu.Lock()
+		if c.hasBuffered {
+			c.Observe([]byte{c.buffered})
+		}
+		c.mu.Unlock()
 	}
 	if limit > 0 {
 		deadline = c.clock.Now().Add(limit)
@@ -72,6 +83,9 @@
 	return c.Conn.SetReadDeadline(deadline) //nolint:wrapcheck // The server recognizes timeouts by their type.
 }
 
+// Accounting implements intake.Accounted.
+func (c *callerConn) Accounting() *intake.Conn { return c.Conn }
+
 // Read reads from the connection, starting with the buffered byte if there is
 // one.
 func (c *callerConn) Read(p []byte) (int, error) {
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -74,6 +74,8 @@
 	reserved *reservedPermit
 	// reservedBytes is the memory that is reserved for responses.
 	reservedBytes int
+	// caller is the caller's connection; nil if it is not accounted for.
+	caller *callerConn
 }
 
 // attempt is a single transmission of a request to one target.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -67,6 +67,7 @@
 	callerCtx, cancelCaller := context.WithCancel(context.Background())
 	x := &exchange{dispatcher: g.newDispatcher(callerCtx, r), cancelCaller: cancelCaller, stopWatch: func() {}, cancelDispatch: func() {}}
 	if caller, ok := ctx.Conn().(*callerConn); ok {
+		x.caller = caller
 		x.stopWatch = caller.watchClose(cancelCaller)
 	}
 	g.metrics.inFlight.Update(float64(g.tracker.inFlight()))
--- a/gateway/failure.go
+++ b/gateway/failure.go
@@ -37,6 +37,7 @@
 	CodeURITooLong         Code = "URITooLong"
 	CodeSlowSender         Code = "SlowSender"
 	CodeTooManyConnections Code = "TooManyConnections"
+	CodeMemory             Code = "Memory"
 	CodeDraining           Code = "Draining"
 	CodeNotReady           Code = "NotReady"
 	CodeNoOwner            Code = "NoOwner"
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,6 +36,7 @@
 	"time"
 
 	"comfreytiller.dev/common/logs"
+	"comfreytiller.dev/gateway/intake"
 	"github.com/go-faster/errors"
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
@@ -54,10 +55,15 @@
 	openClaims   *openClaims
 	// responseMemory is shared by the bodies of all responses.
 	responseMemory responseMemory
-	log            *logrus.Logger
-	started        time.Time
-	idPrefix       string
-	lastID         atomic.Uint64
+	// memory limits what all connections of callers hold.
+	memory *intake.Budget
+	bodies intake.BodyReader
+	// refusals has a place for each connection that is being refused with a response.
+	refusals chan struct{}
+	log      *logrus.Logger
+	started  time.Time
+	idPrefix string
+	lastID   atomic.Uint64
 	// keepAliveDisabled is set while the host still serves requests but closes
 	// each connection after its next response.
 	keepAliveDisabled atomic.Bool
@@ -98,6 +104,8 @@
 	g.tracker = newRequestTracker()
 	g.openClaims = newOpenClaims()
 	g.responseMemory.free = g.settings.maxBufferedBytes
+	g.memory = intake.NewBudget(intake.BudgetConfig{Clock: g.Clock, Limit: g.settings.requestMemory(), Log: g.log, Scope: g.Scope.SubScope("callers")})
+	g.refusals = make(chan struct{}, 1+g.settings.maxConnections/refusalShare)
 	g.idPrefix = g.Host + "-" + nonce() + "-"
 	g.server = g.newServer()
 	return g
@@ -114,6 +122,11 @@
 // Handler serves one request. It is exported for servers that also serve other
 // paths; such a server must accept its connections through WrapListener.
 func (g *Gateway) Handler(ctx *fasthttp.RequestCtx) {
+	defer intake.DropFields(ctx)
+	if err := g.bodies.Read(ctx, g.bodyLimit(&ctx.Request.Header)); err != nil {
+		g.handleUnreadableRequest(ctx, err)
+		return
+	}
 	if g.settings.callsOnly {
 		g.serveCall(ctx)
 		return
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -4,16 +4,21 @@
 	"net"
 	"slices"
 	"strconv"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"comfreytiller.dev/gateway/intake"
 )
 
 // refuseTimeout limits the time to refuse a connection that exceeds the limit.
 const refuseTimeout = time.Second
 
+// refusalShare limits the connections that are being refused with a response: 1 for refusalShare
+// of those that may be open, and one more.
+const refusalShare = 16
+
 // acceptRetryDelay is the pause after a connection could not be accepted for want of a
 // resource.
 const acceptRetryDelay = 50 * time.Millisecond
@@ -26,14 +31,14 @@
 // callerConn.
 type callerListener struct {
 	net.Listener
-	gateway     *Gateway
-	connections atomic.Int64
+	gateway *Gateway
+	gate    *intake.Gate
 }
 
 // WrapListener returns a listener whose connections detect when a caller
 // disconnects. Connections that exceed the connection limit are refused.
 func (g *Gateway) WrapListener(inner net.Listener) net.Listener {
-	return &callerListener{Listener: inner, gateway: g}
+	return &callerListener{Listener: inner, gateway: g, gate: intake.NewGate(g.memory, g.settings.maxConnections, g.settings.maxHeaderBytes)}
 }
 
 // Accept returns the next connection within the limit. It waits while the system has no
@@ -44,13 +49,12 @@
 		if err != nil {
 			return nil, err
 		}
-		if l.connections.Add(1) > int64(l.gateway.settings.maxConnections) {
-			l.connections.Add(-1)
-			go l.gateway.refuseConnection(c)
+		accounted := l.gate.Admit(c)
+		if accounted == nil {
+			l.gateway.refuse(c)
 			continue
 		}
-		release := func() { l.connections.Add(-1) }
-		caller := newCallerConn(l.gateway.Clock, c, l.gateway.settings.writeTimeout, release)
+		caller := newCallerConn(l.gateway.Clock, accounted, l.gateway.settings.writeTimeout, l.gate.Leave)
 		caller.readTimeouts = l.gateway.callerTimeouts
 		return caller, nil
 	}
@@ -68,17 +72,35 @@
 			return nil, errors.Wrap(err, "accept connection")
 		}
 		if failures == 0 {
-			l.gateway.log.WithField("Connections", l.connections.Load()).
+			l.gateway.log.WithField("Connections", l.gate.Open()).
 				Warnf("Connection from a caller could not be accepted and waits: %v.", err)
 		}
 		<-l.gateway.Clock.After(acceptRetryDelay)
 	}
 }
 
+// refuse refuses a connection, without a response if many others are being refused.
+func (g *Gateway) refuse(c net.Conn) {
+	select {
+	case g.refusals <- struct{}{}:
+		go func() {
+			defer func() { <-g.refusals }()
+			g.refuseConnection(c)
+		}()
+	default:
+		_ = c.Close()
+		g.metrics.countFailure(tooManyConnections(g.settings.retryAfter))
+	}
+}
+
+func tooManyConnections(retryAfter time.Duration) *Failure {
+	return failure(503, CodeTooManyConnections, "too many connections").withRetryAfter(retryAfter)
+}
+
 // refuseConnection responds to a connection that exceeds the limit and closes
 // it.
 func (g *Gateway) refuseConnection(c net.Conn) {
-	f := failure(503, CodeTooManyConnections, "too many connections").withRetryAfter(g.settings.retryAfter)
+	f := tooManyConnections(g.settings.retryAfter)
 	body := EncodeFailure(f)
 	head := "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nConnection: close\r\n" +
 		"Retry-After: 1\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n"
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -17,6 +17,8 @@
 	defaultMaxResponseBytes = 32 << 20
 	defaultMaxBufferedBytes = 128 << 20
 	defaultMaxStoredBytes   = 64 << 10
+	// defaultRequestMemory is the memory for requests beside the buffered responses.
+	defaultRequestMemory    = 128 << 20
 	defaultReadTimeout      = 15 * time.Second
 	defaultIdleTimeout      = 60 * time.Second
 	defaultWriteTimeout     = 15 * time.Second
@@ -44,6 +46,7 @@
 	maxResponseBytes    int
 	maxBufferedBytes    int
 	maxStoredBytes      int
+	memoryBytes         int
 	readTimeout         time.Duration
 	idleTimeout         time.Duration
 	writeTimeout        time.Duration
@@ -106,6 +109,18 @@
 // WithMaxBufferedBytes limits the size of all buffered responses together.
 func WithMaxBufferedBytes(n int) Option { return func(s *settings) { s.maxBufferedBytes = n } }
 
+// WithRequestMemory limits what is held for callers in all: heads, bodies and responses that have
+// not been read.
+func WithRequestMemory(bytes int) Option { return func(s *settings) { s.memoryBytes = bytes } }
+
+// requestMemory returns the limit of what is held for callers.
+func (s *settings) requestMemory() int {
+	if s.memoryBytes > 0 {
+		return s.memoryBytes
+	}
+	return defaultRequestMemory + s.maxBufferedBytes
+}
+
 // WithMaxStoredBytes limits the size of a response that is stored with a claim.
 func WithMaxStoredBytes(n int) Option { return func(s *settings) { s.maxStoredBytes = n } }
 
--- a/gateway/response_memory.go
+++ b/gateway/response_memory.go
@@ -41,6 +41,13 @@
 		return err
 	}
 	d.reservedBytes += bytes
+	if d.caller == nil {
+		return nil
+	}
+	// The caller's connection holds the response until it is written.
+	if err := d.caller.Hold(bytes); err != nil {
+		return errors.Wrap(target.ErrResponseTooLarge, err.Error())
+	}
 	return nil
 }
 
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -7,6 +7,8 @@
 
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
+
+	"comfreytiller.dev/gateway/intake"
 )
 
 // Paths served by a gateway.
@@ -50,6 +52,7 @@
 		Concurrency:                  g.settings.maxConnections + concurrencySlack,
 		ReadBufferSize:               g.settings.maxHeaderBytes,
 		MaxRequestBodySize:           g.settings.maxBodyBytes,
+		StreamRequestBody:            true,
 		ReadTimeout:                  g.settings.readTimeout,
 		IdleTimeout:                  g.settings.idleTimeout,
 		NoDefaultServerHeader:        true,
@@ -71,17 +74,23 @@
 // limit of the gateway applies here and the limit of the service after the path
 // is resolved.
 func (g *Gateway) requestConfig(header *fasthttp.RequestHeader) fasthttp.RequestConfig {
-	limit := g.settings.maxBodyBytes
+	limit := g.bodyLimit(header)
+	g.bodies.CheckLength(header, limit)
+	return fasthttp.RequestConfig{MaxRequestBodySize: limit, ReadTimeout: g.settings.readTimeout}
+}
+
+// bodyLimit returns the body limit of a request.
+func (g *Gateway) bodyLimit(header *fasthttp.RequestHeader) int {
 	if g.settings.callsOnly {
-		return fasthttp.RequestConfig{MaxRequestBodySize: limit, ReadTimeout: g.settings.readTimeout}
+		return g.settings.maxBodyBytes
 	}
 	name, _, _ := strings.Cut(strings.TrimPrefix(string(header.RequestURI()), PathServices), "/")
 	if fleet := g.Catalog.Fleet(); fleet != nil {
 		if service, ok := fleet.Service(name); ok && service.Limits.BodyBytes > 0 {
-			limit = service.Limits.BodyBytes
+			return service.Limits.BodyBytes
 		}
 	}
-	return fasthttp.RequestConfig{MaxRequestBodySize: limit, ReadTimeout: g.settings.readTimeout}
+	return g.settings.maxBodyBytes
 }
 
 // callerTimeouts returns the header and idle timeouts of the fleet
@@ -96,9 +105,13 @@
 
 // handleUnreadableRequest responds to a request that could not be read.
 func (g *Gateway) handleUnreadableRequest(ctx *fasthttp.RequestCtx, err error) {
+	defer intake.DropFields(ctx)
+	ctx.SetConnectionClose()
 	var smallBuffer *fasthttp.ErrSmallBuffer
 	var netErr net.Error
 	switch {
+	case intake.Refused(ctx), errors.Is(err, intake.ErrShort):
+		g.fail(ctx, failure(fasthttp.StatusServiceUnavailable, CodeMemory, "the memory for requests is in use").withRetryAfter(g.settings.retryAfter))
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		g.fail(ctx, bodyTooLarge())
 	case errors.As(err, &smallBuffer):
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -38,6 +38,7 @@
 	"comfreytiller.dev/common/meter"
 	"comfreytiller.dev/common/sniff"
 	"comfreytiller.dev/common/ticks"
+	"comfreytiller.dev/gateway/intake"
 	"comfreytiller.dev/ledger"
 	"comfreytiller.dev/peer"
 	"comfreytiller.dev/quorum"
@@ -201,17 +202,19 @@
 func (h *Hub) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
-	splitter := sniff.NewSplitter(h.peerListener, peer.Magic, h.Clock)
-	control := &fasthttp.Server{
-		Handler:               h.Protocol.NewControlHandler(&controlHandler{hub: h}),
-		MaxRequestBodySize:    maxControlBodyBytes,
-		ReadTimeout:           controlReadTimeout,
-		NoDefaultServerHeader: true,
-		Logger:                discardLogger{},
-	}
+	connections := maxConnections(h.Settings.Descriptors)
+	splitter := sniff.NewSplitter(h.peerListener, peer.Magic, h.Clock, sniff.WithMaxUnknown(connections))
+	control := intake.NewServer(intake.ServerConfig{
+		Handler:        h.Protocol.NewControlHandler(&controlHandler{hub: h}),
+		MaxBodyBytes:   maxControlBodyBytes,
+		ReadTimeout:    controlReadTimeout,
+		MaxConnections: connections,
+	})
+	budget := intake.NewBudget(intake.BudgetConfig{Clock: h.Clock, Limit: callMemory(h.Settings.Memory), Log: h.log, Scope: h.Scope.SubScope("control")})
 	var served sync.WaitGroup
 	served.Go(func() {
-		if err := control.Serve(splitter.Unmatched()); err != nil {
+		listener := intake.NewListener(splitter.Unmatched(), intake.ListenerConfig{Budget: budget, MaxConnections: connections})
+		if err := control.Serve(listener); err != nil {
 			h.log.Warnf("Control server stopped: %v.", err)
 		}
 	})
@@ -241,8 +244,9 @@
 
 // serveAdmin serves health and metrics.
 func (h *Hub) serveAdmin() {
-	server := &fasthttp.Server{
-		NoDefaultServerHeader: true,
+	server := intake.NewServer(intake.ServerConfig{
+		MaxBodyBytes:   maxAdminBodyBytes,
+		MaxConnections: maxAdmins(h.Settings.Descriptors),
 		Handler: func(ctx *fasthttp.RequestCtx) {
 			switch path := string(ctx.Path()); {
 			case path == "/healthz" && h.hasMajorityContact():
@@ -255,19 +259,13 @@
 				ctx.SetStatusCode(fasthttp.StatusNotFound)
 			}
 		},
-	}
-	if err := server.Serve(h.adminListener); err != nil {
+	})
+	budget := intake.NewBudget(intake.BudgetConfig{Clock: h.Clock, Limit: adminMemory, Log: h.log, Scope: h.Scope.SubScope("admin")})
+	if err := server.Serve(intake.NewListener(h.adminListener, intake.ListenerConfig{Budget: budget, MaxConnections: maxAdmins(h.Settings.Descriptors)})); err != nil {
 		h.log.Debugf("Admin server stopped: %v.", err)
 	}
 }
 
-// discardLogger drops the log messages of the HTTP server. They are not needed,
-// since the server responds to the requests that it rejects.
-type discardLogger struct{}
-
-// Printf discards the message.
-func (discardLogger) Printf(string, ...any) {}
-
 func (h *Hub) servePeer(conn net.Conn) {
 	if err := h.node.ServeConn(conn); err != nil {
 		h.log.Debugf("Peer connection from %s failed: %v.", conn.RemoteAddr(), err)
--- a/settings/load.go
+++ b/settings/load.go
@@ -22,8 +22,11 @@
 	minKeyBytes     = 16
 	maxTolerates    = 3
 	// maxBandwidth is the highest Bandwidth, in Mbit/s.
-	maxBandwidth  = 1_000_000
-	maxRetryExtra = 1_000_000
+	maxBandwidth = 1_000_000
+	// maxMemory is the highest Memory, in MB.
+	maxMemory      = 1 << 24
+	maxDescriptors = 1 << 24
+	maxRetryExtra  = 1_000_000
 )
 
 // Default values.
@@ -108,6 +111,8 @@
 			readRetries(r, value, at, &into.Retries)
 		}},
 		jsonc.Field{Name: "Bandwidth", Read: jsonc.Number(r, &into.Bandwidth, 0, maxBandwidth)},
+		jsonc.Field{Name: "Memory", Read: jsonc.Integer(r, &into.Memory, 0, maxMemory)},
+		jsonc.Field{Name: "Descriptors", Read: jsonc.Integer(r, &into.Descriptors, 0, maxDescriptors)},
 	)
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -57,6 +57,11 @@
 	Retries Retries
 	// Bandwidth is the rate of the host's network link, in Mbit/s; 0 if unknown.
 	Bandwidth float64
+	// Memory is the memory of the host, in MB, in the roles Entry and State; 0 if unknown.
+	Memory int
+	// Descriptors is the number of files and connections that the host may have open, in the
+	// roles Entry and State; 0 if unknown.
+	Descriptors int
 }
 
 // Role is the role of a host in the fleet.
