--- a/gateway/intake/body.go
+++ b/gateway/intake/body.go
@@ -144,10 +144,9 @@
 			err = fasthttp.ErrBodyTooLarge
 		case err == nil:
 			continue
+		case errors.Is(err, io.EOF) && len(body) < length:
+			err = io.ErrUnexpectedEOF
 		case errors.Is(err, io.EOF):
-			if length >= 0 && len(body) < length {
-				return nil, io.ErrUnexpectedEOF
-			}
 			return body, nil
 		}
 		if conn != nil {
