--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -72,10 +72,7 @@
 	retryReserved bool
 	// reserved is the permit of the next attempt; nil if it must be acquired.
 	reserved *reservedPermit
-	// reservedBytes is the memory that is reserved for responses.
-	reservedBytes int
-	// caller is the caller's connection; nil if it is not accounted for.
-	caller *callerConn
+	responseReservation
 }
 
 // attempt is a single transmission of a request to one target.
--- a/gateway/intake/budget.go
+++ b/gateway/intake/budget.go
@@ -154,6 +154,9 @@
 func (h *holding) take(bytes int, patience time.Duration) error {
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
+	if _, isOpen := h.budget.holdings[h]; !isOpen {
+		return ErrShort
+	}
 	if err := h.budget.reserve(h, bytes, patience); err != nil {
 		if !h.isShed {
 			h.budget.record(reasonOf(h.phase))
--- a/gateway/response_memory.go
+++ b/gateway/response_memory.go
@@ -35,6 +35,13 @@
 	m.free += bytes
 }
 
+// responseReservation is what a request has reserved for its responses.
+type responseReservation struct {
+	reservedBytes int
+	// caller is the caller's connection; nil if it is not accounted for.
+	caller *callerConn
+}
+
 // reserveBody reserves memory for the response until the exchange is closed.
 func (d *dispatcher) reserveBody(bytes int) error {
 	if err := d.gateway.responseMemory.reserve(bytes); err != nil {
