End the timer of a wait for memory

Cause: a timer that fired while its wait ended was armed again, for good. Found by reading.

Change: the timer is dropped under the mutex of the budget. A test of the settings Memory and Descriptors.

--- a/gateway/intake/budget.go
+++ b/gateway/intake/budget.go
@@ -195,8 +195,14 @@
 	if h.bytes+bytes > smallBytes {
 		limit -= b.limit / smallShare
 	}
-	var timer clockwork.Timer
 	isOver := false
+	var timer clockwork.Timer
+	defer func() {
+		if timer != nil {
+			timer.Stop()
+			timer = nil
+		}
+	}()
 	for {
 		if h.isShed {
 			return ErrShort
@@ -220,11 +226,13 @@
 			timer = b.clock.AfterFunc(patience/waitSteps, func() {
 				b.mu.Lock()
 				defer b.mu.Unlock()
+				if timer == nil {
+					return
+				}
 				isOver = !b.clock.Now().Before(end)
 				timer.Reset(patience / waitSteps)
 				b.changed.Broadcast()
 			})
-			defer timer.Stop()
 		}
 		b.changed.Wait()
 	}
--- a/gateway/intake/budget_test.go
+++ b/gateway/intake/budget_test.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -211,3 +212,25 @@
 	require.True(t, b.shedWaiting(nil))
 	require.Equal(t, 1, kept.sheds)
 }
+
+// A wait that ended must leave no timer behind, or each refusal would cost processor time for
+// good. A client that doesn't get memory in time is refused.
+func TestBudget_WaitEndsWithItsTimer(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	b := NewBudget(BudgetConfig{Clock: clock, Limit: testLimit})
+	served := newMember(t, b, testBase)
+	served.enter(Serving, testBase)
+	require.NoError(t, served.take(testLimit/2, 0))
+	waiting := newMember(t, b, testBase)
+	waiting.enter(Serving, testBase)
+	refused := make(chan error, 1)
+	go func() { refused <- waiting.take(testLimit/2, responsePatience) }()
+	for range waitSteps {
+		require.NoError(t, clock.BlockUntilContext(t.Context(), 1))
+		clock.Advance(responsePatience / waitSteps)
+	}
+	require.ErrorIs(t, <-refused, ErrShort)
+	noTimer, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	require.ErrorIs(t, clock.BlockUntilContext(noTimer, 1), context.DeadlineExceeded, "no timer is left")
+}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -82,3 +82,19 @@
 		}
 	})
 }
+
+// A host that doesn't know its machine must start as before, and one that is told a machine that
+// can't be must not.
+func TestParse_Machine(t *testing.T) {
+	parsed, err := Parse([]byte(exampleConfig(t)))
+	require.NoError(t, err)
+	require.Zero(t, parsed.Memory)
+	require.Zero(t, parsed.Descriptors)
+	text := exampleConfig(t)
+	parsed, err = Parse([]byte(text[:len(text)-1] + `"Memory": 136, "Descriptors": 2870}`))
+	require.NoError(t, err)
+	require.Equal(t, 136, parsed.Memory)
+	require.Equal(t, 2870, parsed.Descriptors)
+	_, err = Parse([]byte(text[:len(text)-1] + `"Memory": -1}`))
+	require.ErrorIs(t, err, jsonc.ErrInvalid)
+}
