--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -72,8 +72,7 @@
 	retryReserved bool
 	// reserved is the permit of the next attempt; nil if it must be acquired.
 	reserved *reservedPermit
-	// reservedBytes is the memory that is reserved for responses.
-	reservedBytes int
+	responseReservation
 }
 
 // attempt is a single transmission of a request to one target.
--- a/gateway/response_memory.go
+++ b/gateway/response_memory.go
@@ -35,12 +35,26 @@
 	m.free += bytes
 }
 
+// responseReservation is what a request has reserved for its responses.
+type responseReservation struct {
+	reservedBytes int
+	// caller is the caller's connection; nil if it is not accounted for.
+	caller *callerConn
+}
+
 // reserveBody reserves memory for the response until the exchange is closed.
 func (d *dispatcher) reserveBody(bytes int) error {
 	if err := d.gateway.responseMemory.reserve(bytes); err != nil {
 		return err
 	}
 	d.reservedBytes += bytes
+	if d.caller == nil {
+		return nil
+	}
+	// The caller's connection holds the response until it is written.
+	if err := d.caller.Hold(bytes); err != nil {
+		return errors.Wrap(target.ErrResponseTooLarge, err.Error())
+	}
 	return nil
 }
 
--- a/settings/load.go
+++ b/settings/load.go
@@ -22,9 +22,12 @@
 	minKeyBytes     = 16
 	maxTolerates    = 3
 	// maxBandwidth is the highest Bandwidth, in Mbit/s.
-	maxBandwidth  = 1_000_000
-	maxRetryExtra = 1_000_000
-	maxFeatures   = 64
+	maxBandwidth = 1_000_000
+	// maxMemory is the highest Memory, in MB.
+	maxMemory      = 1 << 24
+	maxDescriptors = 1 << 24
+	maxRetryExtra  = 1_000_000
+	maxFeatures    = 64
 	// maxExposedExtra is the highest Rollouts.ExposedExtra; minRevertWithin and maxRevertWithin
 	// bound Rollouts.RevertWithin.
 	maxExposedExtra = 1_000_000
@@ -122,6 +125,8 @@
 		jsonc.Field{Name: "Rollouts", Read: func(value *hujson.Value, at *jsonc.FieldPath) {
 			into.Rollouts = readRollouts(r, value, at)
 		}},
+		jsonc.Field{Name: "Memory", Read: jsonc.Integer(r, &into.Memory, 0, maxMemory)},
+		jsonc.Field{Name: "Descriptors", Read: jsonc.Integer(r, &into.Descriptors, 0, maxDescriptors)},
 	)
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -62,6 +62,11 @@
 	Features []string
 	// Rollouts allows orders of rollouts, in the roles Entry and State; nil if they are off.
 	Rollouts *Rollouts
+	// Memory is the memory of the host, in MB, in the roles Entry and State; 0 if unknown.
+	Memory int
+	// Descriptors is the number of files and connections that the host may have open, in the
+	// roles Entry and State; 0 if unknown.
+	Descriptors int
 }
 
 // Role is the role of a host in the fleet.
