Never take the time of an earlier rollout for that of the next one

An order that was committed between the measurement of the times and the decision would have been reverted at once, as if its time had passed. A leader that is not confirmed for a moment keeps what it has observed.

--- a/hub/rollout.go
+++ b/hub/rollout.go
@@ -76,7 +76,6 @@
 	// missing is by how much the sums are lower than the committed counts: hubs that were
 	// lost knew more.
 	missing registry.RolloutCounts
-	step    uint64
 	share   float64
 	// revision is that of the view with the share in force, known here since shareAt. spread
 	// is set once the hosts have it.
@@ -107,8 +106,11 @@
 		view := m.hub.replica.Machine.View()
 		m.measureElapsed(view.Rollouts)
 		m.dropOld(view.Rollouts)
-		if leadership := m.hub.replica.Quorum.Leadership(); !leadership.IsLeader || !leadership.Confirmed {
+		leadership := m.hub.replica.Quorum.Leadership()
+		if !leadership.IsLeader {
 			clear(m.led)
+		}
+		if !leadership.IsLeader || !leadership.Confirmed {
 			return
 		}
 		for _, service := range slices.Sorted(maps.Keys(view.Rollouts)) {
@@ -137,7 +139,8 @@
 		delete(m.led, service)
 		return
 	}
-	if _, configured := view.Fleet.Service(service); !configured {
+	ordered := m.orderedAt[service]
+	if _, configured := view.Fleet.Service(service); !configured || ordered.number != current.Number {
 		return
 	}
 	counts := m.total(service, current.Number)
@@ -151,7 +154,7 @@
 	counts.Exposed += led.missing.Exposed
 	m.trackSpread(now, led, &current, view)
 	input := rollout.Input{
-		Now: now, Elapsed: now.Sub(m.orderedAt[service].at), Duration: current.Duration, Share: current.Share, PromptShare: current.PromptShare, Counts: &counts,
+		Now: now, Elapsed: now.Sub(ordered.at), Duration: current.Duration, Share: current.Share, PromptShare: current.PromptShare, Counts: &counts,
 		HostsHaveShare: led.spread, CommitTime: m.commitTime, SlowCommitTime: m.slowCommit, SpreadTime: m.spreadTime,
 	}
 	if current.Share >= 1 {
