Pass on the descriptor of a caller's connection to handlers of a hub

Cause: the hub's listener hid the descriptor, so that the hub carried out calls that their operator had given up.

Change: intake.Conn gives the descriptor of the connection below; a test of it.

--- a/gateway/intake/conn.go
+++ b/gateway/intake/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -253,6 +254,16 @@
 	c.lingers = true
 }
 
+// SyscallConn returns the descriptor of the connection, by which a handler sees whether its client
+// has left.
+func (c *Conn) SyscallConn() (syscall.RawConn, error) {
+	systemConn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, syscall.EINVAL
+	}
+	return systemConn.SyscallConn()
+}
+
 // Close closes the connection and returns what it holds.
 func (c *Conn) Close() error {
 	phase := c.holding.close()
--- a/gateway/intake/server_test.go
+++ b/gateway/intake/server_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -99,3 +100,21 @@
 		return response.StatusCode == http.StatusOK
 	}, testTimeout, 10*time.Millisecond)
 }
+
+// A handler that checks whether its client has left needs the descriptor of the connection. Without
+// it, a hub carried out calls that the operator had given up.
+func TestServer_HandlerReachesDescriptor(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	client, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = client.Close() }()
+	accepted, err := NewListener(listener, ListenerConfig{Budget: NewBudget(BudgetConfig{Limit: 1 << 20})}).Accept()
+	require.NoError(t, err)
+	systemConn, ok := accepted.(syscall.Conn)
+	require.True(t, ok)
+	_, err = systemConn.SyscallConn()
+	require.NoError(t, err)
+	require.NoError(t, accepted.Close())
+}
