--- a/quorum/progress.go
+++ b/quorum/progress.go
@@ -69,12 +69,13 @@
 }
 
 // startStreaming continues behind the entries that the last probe carried. A follower that
-// does not hold them, since the probe was lost, rejects the next message.
+// does not hold them, since the probe was lost, rejects the next message, which is sent at once.
 func (p *progress) startStreaming() {
 	p.state = streaming
 	p.responsePending = false
 	if len(p.inFlight) > 0 {
 		p.next = max(p.next, p.inFlight[len(p.inFlight)-1].last+1)
+		p.sentRound = 0
 	}
 }
 
