Work out the slowdown of a target once in a decision

Cause: among targets with slowdowns each one's slowdown was worked out twice, and the flags that a decision reads were spread over the description of a target.

Change: the slowdown is passed on, and the flags stand together.

--- a/route/local.go
+++ b/route/local.go
@@ -3,7 +3,8 @@
 import "time"
 
 // LocalTarget is what an entry host that makes its own decisions knows of a target.
-// Other hosts have only roughly the same view.
+// Other hosts have only roughly the same view. The flags stand together, since the time of a
+// decision among hundreds of targets is mostly that of reading them.
 type LocalTarget struct {
 	// Key is a hash of the target's name.
 	Key uint64
@@ -26,18 +27,20 @@
 	// and may not have cached yet all prompts that it is the home of. It has no influence on
 	// the choice.
 	JoinedLately bool
-	// Slots is the number of requests that the target runs at once; 0 for unknown.
-	// InFlight is the estimated number of requests of all hosts that are in flight on
-	// the target, and Queued the number of them in its queue.
-	Slots    int
-	InFlight float64
-	Queued   float64
 	// SlotsInUse is set if all slots are in use by what hosts have reported lately; InFlight
 	// may be a guess.
 	SlotsInUse bool
 	// Full is set if the target would queue or preempt a request: all of its slots are in
 	// use, or it lacks memory, or it has much to prefill.
 	Full bool
+	// SharedFigure is set if other hosts know the same Slowdown.
+	SharedFigure bool
+	// Slots is the number of requests that the target runs at once; 0 for unknown.
+	// InFlight is the estimated number of requests of all hosts that are in flight on
+	// the target, and Queued the number of them in its queue.
+	Slots    int
+	InFlight float64
+	Queued   float64
 	// CachedTokens is the number of the prompt's tokens that this host knows to be
 	// cached on the target.
 	CachedTokens int
@@ -48,8 +51,6 @@
 	// it is the home of their prompt.
 	Slowdown     float64
 	HomeSlowdown float64
-	// SharedFigure is set if other hosts know the same Slowdown.
-	SharedFigure bool
 }
 
 // LocalCosts are the costs of a local choice, as times.
--- a/route/local_cost.go
+++ b/route/local_cost.go
@@ -76,47 +76,49 @@
 	at, best := None, time.Duration(math.MaxInt64)
 	// The home is usually the cheapest target. Then the costs of the others need not be
 	// worked out to the end.
-	if m.order.home != None {
-		if cost, isCandidate := m.cost(m.order.home, best); isCandidate {
-			at, best = m.order.home, cost
+	if home := m.order.home; home != None {
+		target := &m.targets[home]
+		if cost, isCandidate := m.cost(home, m.uneven.homeSlowdown(target), m.uneven.homeLoad(target), best); isCandidate {
+			at, best = home, cost
 		}
 	}
 	inFlight, isEven := float64(m.costs.InFlight), m.uneven.scale == 0
 	for i := range m.targets {
 		target := &m.targets[i]
-		switch {
-		case i == m.order.home, target.CachedTokens == 0 && m.farCost > best && i != m.source:
+		if i == m.order.home || m.farCost > best && target.CachedTokens == 0 && i != m.source {
 			continue
-		case isEven && time.Duration(target.InFlight*inFlight) > best:
-			continue
-		case !isEven && time.Duration(target.InFlight*inFlight*m.uneven.relative(target)) > best:
+		}
+		slowdown, load := 1.0, target.InFlight
+		if !isEven {
+			if slowdown = m.uneven.relative(target); slowdown > 1 {
+				load *= slowdown
+			}
+		}
+		if time.Duration(target.InFlight*inFlight*slowdown) > best {
 			continue
 		}
-		if cost, isCandidate := m.cost(i, best); isCandidate && (at == None || cost < best || i < at) {
+		if cost, isCandidate := m.cost(i, slowdown, load, best); isCandidate && (at == None || cost < best || i < at) {
 			at, best = i, cost
 		}
 	}
 	return at
 }
 
-// cost returns the cost of a target. isCandidate is not set if the target can't take the
-// request or costs more than limit.
-func (m *costModel) cost(i int, limit time.Duration) (cost time.Duration, isCandidate bool) {
+// cost returns the cost of a target with the given slowdown, whose load is compared with the
+// bounds. isCandidate is not set if the target can't take the request or costs more than
+// limit.
+func (m *costModel) cost(i int, slowdown, load float64, limit time.Duration) (cost time.Duration, isCandidate bool) {
 	target := &m.targets[i]
 	if !m.hasRoom(target) || m.keepsBound && target.InFlight+1 > m.high {
 		return 0, false
 	}
-	slowdown, load := 1.0, target.InFlight
-	if m.uneven.scale != 0 {
-		slowdown, load = m.uneven.inChoice(target, i == m.order.home)
-	}
 	cost = time.Duration(target.InFlight*float64(m.costs.InFlight)*slowdown + m.work*slowdown)
-	if cost > limit {
-		return 0, false
-	}
 	if m.noise > 0 {
 		cost += time.Duration(uniform(Score(m.random, target.Key)) * float64(m.noise))
 	}
+	if cost > limit {
+		return 0, false
+	}
 	if m.tokens > 0 {
 		cost += m.promptCost(i, target.CachedTokens, slowdown)
 	}
--- a/route/uneven.go
+++ b/route/uneven.go
@@ -58,16 +58,6 @@
 	return target.InFlight * u.homeSlowdown(target)
 }
 
-// inChoice returns the slowdown of a target in a choice and its number in flight that is
-// compared with the bounds.
-func (u unevenness) inChoice(target *LocalTarget, isHome bool) (slowdown, load float64) {
-	if isHome {
-		return u.homeSlowdown(target), u.homeLoad(target)
-	}
-	slowdown = u.relative(target)
-	return slowdown, target.InFlight * max(slowdown, 1)
-}
-
 // noise returns the largest random cost that is added to each target for a request
 // without a prompt: noiseDeviations times the cost of the standard deviation of the load of a target and of
 // the request itself. Targets whose costs differ by less are as good as each other.
