--- a/entry/fair_admission_test.go
+++ b/entry/fair_admission_test.go
@@ -13,6 +13,7 @@
 	"comfreytiller.dev/admission"
 	"comfreytiller.dev/comfreytiller/platform"
 	"comfreytiller.dev/comfreytiller/protocol"
+	"comfreytiller.dev/settings"
 	"comfreytiller.dev/target"
 )
 
@@ -155,6 +156,21 @@
 	f.digest(0)
 	require.InDelta(t, 1, f.selector.fair.retryShare("treasury"), 0)
 	require.InDelta(t, 1, f.selector.fair.retryShare("unknown"), 0)
+
+	retries := func(room float64) int {
+		budget := newRetryBudget(settings.Retries{Share: 0.2, Extra: 100, Window: 10 * time.Second}, func() int { return 1 }, f.clock)
+		budget.room = func(string) float64 { return room }
+		for range 500 {
+			budget.RecordRequest("treasury")
+		}
+		taken := 0
+		for budget.TakeRetry("treasury") {
+			taken++
+		}
+		return taken
+	}
+	require.Equal(t, 40, retries(1))
+	require.LessOrEqual(t, retries(0.1), 4, "what was earned before is cut as well")
 }
 
 // waitingRequest starts a request with an objective that lets it wait, and returns the
