--- a/route/cache_source.go
+++ b/route/cache_source.go
@@ -31,7 +31,8 @@
 	former := topTarget{at: None}
 	for i := range targets {
 		target := &targets[i]
-		if i == choice.Target || target.Unhealthy || target.Availability == Gone {
+		// The cache of another version may not fit.
+		if i == choice.Target || target.Unhealthy || target.Availability == Gone || target.Availability == OtherVersion {
 			continue
 		}
 		if target.CachedTokens > held {
--- a/route/cache_source_test.go
+++ b/route/cache_source_test.go
@@ -14,6 +14,9 @@
 		targets := drawTargets(t)
 		for i := range targets {
 			targets[i].JoinedLately = rapid.Bool().Draw(t, "joined lately")
+			if rapid.IntRange(0, 9).Draw(t, "version") == 0 {
+				targets[i].Availability = OtherVersion
+			}
 		}
 		const tokens = 1000
 		key := rapid.Uint64Min(1).Draw(t, "key")
@@ -30,6 +33,9 @@
 		require.NotEqual(t, choice.Target, source)
 		require.NotEqual(t, Gone, targets[source].Availability)
 		require.False(t, targets[source].Unhealthy)
+		if source != choice.CacheSource {
+			require.NotEqual(t, OtherVersion, targets[source].Availability)
+		}
 		switch {
 		case source == choice.CacheSource:
 		case choice.CacheSource != None:
