--- a/route/cache_source.go
+++ b/route/cache_source.go
@@ -13,8 +13,7 @@
 // others serve the prompt meanwhile, or if the prompt is new and has only its first part in
 // common with others. So the source is a target that is known to hold more of the prompt
 // than the chosen one, and that of the choice otherwise. A home that has joined lately gets
-// the prompt from the target that would be its home without it. A target of a version that is
-// ruled out is no source, since its cache may not fit.
+// the prompt from the target that would be its home without it.
 func FindCacheSource(key uint64, tokens int, choice LocalChoice, targets []LocalTarget) int {
 	if choice.Target == None || targets[choice.Target].CachedTokens >= tokens {
 		return None
@@ -32,6 +31,7 @@
 	former := topTarget{at: None}
 	for i := range targets {
 		target := &targets[i]
+		// The cache of another version may not fit.
 		if i == choice.Target || target.Unhealthy || target.Availability == Gone || target.Availability == OtherVersion {
 			continue
 		}
