Lower the soft limit of the runtime to 0.7 of the memory

Cause: with 0.8, large bodies brought an entry host to 117 and 122 MB of 136.

Change: the share is 0.7.

--- a/commands/daemon_role.go
+++ b/commands/daemon_role.go
@@ -34,7 +34,7 @@
 
 // runtimeMemoryShare is the share of the memory of a machine above which the garbage collector
 // works harder. The rest is for what it does not count, such as the program itself.
-const runtimeMemoryShare = 0.8
+const runtimeMemoryShare = 0.7
 
 // limitRuntimeMemory sets the soft memory limit of the runtime on a machine with megabytes of
 // memory. By default a collection begins only when the memory in use has doubled, which is more
