Name hubs that can serve to hosts without a view

A host that came to hubs without contact asked one after the other, and was kept for 200 ms at each.

--- a/hub/first_view.go
+++ b/hub/first_view.go
@@ -32,7 +32,12 @@
 	isWanted := h.watchers.recordRequest(m)
 	startedAt := h.Clock.Now()
 	if !h.contact.await(h.contactWait(m)) {
-		reply(peer.WatchResponse{ReplicaAddresses: h.replicaAddresses()})
+		// One that lost its disk may be without contact for seconds.
+		response := peer.WatchResponse{ReplicaAddresses: h.replicaAddresses(), Hubs: h.peerAddresses(h.balance.serving())}
+		if len(response.Hubs) > 0 {
+			response.RetryAfter = redirectDelay
+		}
+		reply(response)
 		return
 	}
 	if hubs := h.redirect(m.Host); len(hubs) > 0 {
--- a/hub/first_view_test.go
+++ b/hub/first_view_test.go
@@ -107,6 +107,7 @@
 					})
 				}
 				started.Wait()
+				t.Logf("%d hosts: %d views from the hub, all after %s", hosts, r.direct, r.lastAt.Sub(begun))
 				require.Len(t, r.holds, hosts)
 				require.LessOrEqual(t, r.direct, 20, "whole views that the hub sends")
 				require.Less(t, r.lastAt.Sub(begun), 1200*time.Millisecond, "the time grows with the logarithm of the hosts")
--- a/hub/host_balance.go
+++ b/hub/host_balance.go
@@ -84,15 +84,11 @@
 		return nil
 	}
 	others = slices.DeleteFunc(others, func(hub string) bool { return float64(b.reports[hub].hosts) >= mean })
-	slices.SortFunc(others, func(x, y string) int {
-		return cmp.Or(cmp.Compare(b.reports[x].hosts, b.reports[y].hosts), cmp.Compare(x, y))
-	})
+	slices.SortFunc(others, b.compare)
 	if len(others) == 0 {
 		return nil
 	}
-	best := b.reports[others[0]]
-	best.hosts++
-	b.reports[others[0]] = best
+	b.countSent(others[0])
 	for known, at := range b.redirected {
 		if now.Sub(at) >= redirectTTL {
 			delete(b.redirected, known)
@@ -103,6 +99,38 @@
 	return others
 }
 
+// serving returns the hubs that can serve, the one with the fewest hosts first, and counts a host
+// as sent there.
+func (b *hostBalance) serving() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	var hubs []string
+	for hub, report := range b.reports {
+		if now.Sub(report.at) <= hubReportTTL {
+			hubs = append(hubs, hub)
+		}
+	}
+	slices.SortFunc(hubs, b.compare)
+	if len(hubs) > 0 {
+		b.countSent(hubs[0])
+	}
+	return hubs
+}
+
+// compare orders hubs by the number of their hosts. The caller must hold b.mu.
+func (b *hostBalance) compare(x, y string) int {
+	return cmp.Or(cmp.Compare(b.reports[x].hosts, b.reports[y].hosts), cmp.Compare(x, y))
+}
+
+// countSent counts a host that is sent to a hub until the hub's next report. The caller must
+// hold b.mu.
+func (b *hostBalance) countSent(hub string) {
+	report := b.reports[hub]
+	report.hosts++
+	b.reports[hub] = report
+}
+
 // takeCount returns the number of hosts that were sent to other hubs since the last call.
 func (b *hostBalance) takeCount() int {
 	b.mu.Lock()
@@ -118,7 +146,11 @@
 	if h.watchers.isServed(host) {
 		return nil
 	}
-	names := h.balance.redirect(host, h.watchers.servedCount())
+	return h.peerAddresses(h.balance.redirect(host, h.watchers.servedCount()))
+}
+
+// peerAddresses returns the peer addresses of hubs.
+func (h *Hub) peerAddresses(names []string) []string {
 	var addresses []string
 	for _, name := range names {
 		for _, member := range h.replica.Quorum.Status().Members {
--- a/hub/host_balance_test.go
+++ b/hub/host_balance_test.go
@@ -60,3 +60,19 @@
 	clock.Advance(momentaryLoss)
 	require.Zero(t, c.keep())
 }
+
+// A host without a view that came to hubs without contact asked one after the other. A hub
+// names those that can serve, and not all hosts the same one.
+func TestHostBalance_NamesHubsThatServe(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	b := newHostBalance(clock)
+	require.Empty(t, b.serving())
+	b.recordReport("h-1", 4, true)
+	b.recordReport("h-2", 3, true)
+	b.recordReport("h-3", 0, false)
+	require.Equal(t, []string{"h-2", "h-1"}, b.serving())
+	require.Equal(t, []string{"h-1", "h-2"}, b.serving())
+	require.Equal(t, []string{"h-2", "h-1"}, b.serving())
+	clock.Advance(hubReportTTL + time.Millisecond)
+	require.Empty(t, b.serving())
+}
