--- a/hub/rollout_test.go
+++ b/hub/rollout_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -169,6 +170,26 @@
 	require.GreaterOrEqual(t, current.Counts.Requests, uint64(1000))
 }
 
+// Guards against a rollout that ends, or is lost, because its service has left the configuration
+// for a while.
+func TestRollout_ServiceOutOfTheConfigurationWaits(t *testing.T) {
+	c := newRolloutCluster(t)
+	c.order("v2", 6*time.Second)
+	orderedAt := time.Now()
+	put := func(version uint64, config string) {
+		c.eventually("the configuration is in force", func() bool {
+			return (&controlHandler{hub: c.hubs[0]}).PutFleet(context.Background(), version, []byte(config)) == nil
+		})
+	}
+	put(2, strings.Replace(fleetConfig, `"Name": "s"`, `"Name": "t"`, 1))
+	before := c.rolloutAt(0)
+	require.Equal(t, registry.RolloutServing, before.State)
+	c.eventually("the deadline has passed", func() bool { return time.Since(orderedAt) > 7*time.Second })
+	require.Equal(t, before, c.rolloutAt(0), "without its service the rollout has no steps")
+	put(3, fleetConfig)
+	c.awaitRollout(0, "ends with its deadline", func(r registry.Rollout) bool { return r.State == registry.RolloutReverted })
+}
+
 // Guards against a deadline that moves with the leader: each hub measures the time since the
 // order, and one that has started continues from the last step.
 func TestMeasureElapsed_GoesOnWithoutALeader(t *testing.T) {
