--- a/gateway/intake/conn.go
+++ b/gateway/intake/conn.go
@@ -19,7 +19,7 @@
 	// the state of the HTTP server and a buffer for writing.
 	stackBytes = 12 << 10
 	// lineBytes is the memory of a header line beyond its bytes: fasthttp's field and its
-	// copies, our copy of the field, and that which is sent on. Measured with the shortest lines.
+	// copies, our copy of the field, and that which is sent on. Estimated with the shortest lines.
 	lineBytes = 320
 	// freeLines is the number of lines that are not counted. Ordinary requests have fewer.
 	freeLines = 64
