--- a/entry/hub_watcher.go
+++ b/entry/hub_watcher.go
@@ -275,8 +275,8 @@
 // hub is alive: after the loss of other hubs, hundreds of hosts wait for their rosters, and
 // another hub has no more time for them.
 func (w *hubWatcher) callWhileAlive(ctx context.Context, address string, request peer.WatchRequest, wait time.Duration) (peer.WatchResponse, error) {
-	request.Patience = max(wait, maxPollWait)
-	ctx, cancel := clockwork.WithTimeout(ctx, w.clock, request.Patience)
+	request.ReplyTimeout = max(wait, maxPollWait)
+	ctx, cancel := clockwork.WithTimeout(ctx, w.clock, request.ReplyTimeout)
 	defer cancel()
 	go func() {
 		timer := w.clock.NewTimer(wait)
--- a/gateway/intake/body.go
+++ b/gateway/intake/body.go
@@ -159,7 +159,7 @@
 // grow returns a larger buffer with the same bytes.
 func grow(body []byte, conn *Conn, size int) ([]byte, error) {
 	if conn != nil {
-		if err := conn.holding.take(size, bodyPatience); err != nil {
+		if err := conn.holding.take(size, maxBodyWait); err != nil {
 			conn.refuse()
 			conn.holding.release(cap(body))
 			return nil, err
--- a/gateway/intake/budget.go
+++ b/gateway/intake/budget.go
@@ -25,11 +25,11 @@
 	// overdraftShare limits what may be taken before connections that were shed have let go
 	// of their memory: 1 in overdraftShare of the budget.
 	overdraftShare = 8
-	// bodyPatience and responsePatience limit the wait for the memory of connections that were
+	// maxBodyWait and maxResponseWait limit the wait for the memory of connections that were
 	// shed, or of clients that may have stalled.
-	bodyPatience     = time.Second
-	responsePatience = 2 * stallTime
-	// waitSteps is how often within its patience a waiting connection looks again for clients
+	maxBodyWait     = time.Second
+	maxResponseWait = 2 * stallTime
+	// waitSteps is how often within its maximum wait a waiting connection looks again for clients
 	// that have stalled.
 	waitSteps = 4
 	// logInterval is the least time between two log lines of what was shed.
@@ -150,14 +150,14 @@
 	h.phase = phase
 }
 
-// take reserves bytes. It waits up to patience for the memory of others.
-func (h *holding) take(bytes int, patience time.Duration) error {
+// take reserves bytes. It waits up to maxWait for the memory of others.
+func (h *holding) take(bytes int, maxWait time.Duration) error {
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
 	if _, isOpen := h.budget.holdings[h]; !isOpen {
 		return ErrShort
 	}
-	if err := h.budget.reserve(h, bytes, patience); err != nil {
+	if err := h.budget.reserve(h, bytes, maxWait); err != nil {
 		if !h.isShed {
 			h.budget.record(reasonOf(h.phase))
 		}
@@ -190,7 +190,7 @@
 }
 
 // reserve takes bytes for a connection. Others are shed if that helps.
-func (b *Budget) reserve(h *holding, bytes int, patience time.Duration) error {
+func (b *Budget) reserve(h *holding, bytes int, maxWait time.Duration) error {
 	limit := b.limit
 	if h.bytes+bytes > smallBytes {
 		limit -= b.limit / smallShare
@@ -214,23 +214,23 @@
 			return nil
 		}
 		makesRoom := b.shedFor(h, bytes, b.used-b.leaving+bytes-limit)
-		if makesRoom && (patience == 0 || isOver) && b.used+bytes <= limit+b.limit/overdraftShare {
+		if makesRoom && (maxWait == 0 || isOver) && b.used+bytes <= limit+b.limit/overdraftShare {
 			limit = b.used + bytes
 			continue
 		}
-		if patience == 0 || isOver || (!makesRoom && h.phase != Serving) {
+		if maxWait == 0 || isOver || (!makesRoom && h.phase != Serving) {
 			return ErrShort
 		}
 		if timer == nil {
-			end := b.clock.Now().Add(patience)
-			timer = b.clock.AfterFunc(patience/waitSteps, func() {
+			end := b.clock.Now().Add(maxWait)
+			timer = b.clock.AfterFunc(maxWait/waitSteps, func() {
 				b.mu.Lock()
 				defer b.mu.Unlock()
 				if timer == nil {
 					return
 				}
 				isOver = !b.clock.Now().Before(end)
-				timer.Reset(patience / waitSteps)
+				timer.Reset(maxWait / waitSteps)
 				b.changed.Broadcast()
 			})
 		}
--- a/gateway/intake/budget_test.go
+++ b/gateway/intake/budget_test.go
@@ -136,11 +136,11 @@
 	light := newMember(t, b, testBase)
 	light.enter(Body, testBase)
 	taken := make(chan error, 1)
-	go func() { taken <- light.take(1<<20, bodyPatience) }()
+	go func() { taken <- light.take(1<<20, maxBodyWait) }()
 	require.Eventually(t, func() bool { return heavy.wasShed() }, 10*time.Second, time.Millisecond)
 	heavy.close()
 	require.NoError(t, <-taken)
-	require.ErrorIs(t, light.take(testLimit, bodyPatience), ErrShort)
+	require.ErrorIs(t, light.take(testLimit, maxBodyWait), ErrShort)
 }
 
 // For any order of events, what is held is what the connections hold, within the limit, and a
@@ -224,10 +224,10 @@
 	waiting := newMember(t, b, testBase)
 	waiting.enter(Serving, testBase)
 	refused := make(chan error, 1)
-	go func() { refused <- waiting.take(testLimit/2, responsePatience) }()
+	go func() { refused <- waiting.take(testLimit/2, maxResponseWait) }()
 	for range waitSteps {
 		require.NoError(t, clock.BlockUntilContext(t.Context(), 1))
-		clock.Advance(responsePatience / waitSteps)
+		clock.Advance(maxResponseWait / waitSteps)
 	}
 	require.ErrorIs(t, <-refused, ErrShort)
 	noTimer, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
--- a/gateway/intake/conn.go
+++ b/gateway/intake/conn.go
@@ -223,7 +223,7 @@
 func (c *Conn) progressed() { c.reads, c.framingLines = 0, 0 }
 
 // Hold reserves memory for a response. It waits for clients that don't read theirs.
-func (c *Conn) Hold(bytes int) error { return c.holding.take(bytes, responsePatience) }
+func (c *Conn) Hold(bytes int) error { return c.holding.take(bytes, maxResponseWait) }
 
 // Write writes to the connection in parts, which show that the client reads.
 func (c *Conn) Write(p []byte) (int, error) {
--- a/hub/majority_contact.go
+++ b/hub/majority_contact.go
@@ -36,9 +36,9 @@
 	// startWait is how long a hub that has had no contact since it started keeps hosts: one
 	// that lost its disk may be without contact for seconds.
 	startWait = 200 * time.Millisecond
-	// patienceMargin is the time between the end of a wait for contact and the end of the
-	// host's patience.
-	patienceMargin = 500 * time.Millisecond
+	// replyTimeoutMargin is the time between the end of a wait for contact and the end of the
+	// host's reply timeout.
+	replyTimeoutMargin = 500 * time.Millisecond
 )
 
 // majorityContact tracks when a read barrier last confirmed that the replica
@@ -99,7 +99,7 @@
 // contactWait returns how long a request of a host may wait for contact.
 func (h *Hub) contactWait(m peer.WatchRequest) time.Duration {
 	wait := min(m.MaxWait, maxLongPollWait)
-	if kept := h.contact.keep(); m.Patience >= kept+patienceMargin {
+	if kept := h.contact.keep(); m.ReplyTimeout >= kept+replyTimeoutMargin {
 		wait = max(wait, kept)
 	}
 	return wait
--- a/hub/watchers.go
+++ b/hub/watchers.go
@@ -71,7 +71,7 @@
 
 // recordRequest records a request that replaces the earlier ones of the host. The result
 // reports whether the host still waits for the reply: it has not sent another request, and its
-// patience has not ended.
+// reply timeout has not passed.
 func (w *watchers) recordRequest(m peer.WatchRequest) (isWanted func() bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -82,7 +82,7 @@
 	return func() bool {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		return w.requests[m.Host] == request && (m.Patience <= 0 || w.clock.Since(now) <= m.Patience)
+		return w.requests[m.Host] == request && (m.ReplyTimeout <= 0 || w.clock.Since(now) <= m.ReplyTimeout)
 	}
 }
 
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -87,7 +87,7 @@
 		},
 		WatchRequest{
 			Host: "h", Revision: 1, FleetVersion: 2, RosterSource: 3, RosterVersion: 4, MaxWait: time.Second, Loads: map[roster.Key]int{roster.KeyOf("t"): 3}, CrashReport: sampleCrashReport(), SuspectsVersion: 5, Quarantined: sampleSuspects(), StateOnly: true, MaxDeltaBytes: 6, PeerAddress: "a", PendingRevision: 7, Direct: true,
-			IsFirst: true, Patience: time.Second, PassesViews: true,
+			IsFirst: true, ReplyTimeout: time.Second, PassesViews: true,
 			RateLimits: []ratelimit.Report{
 				{Target: "t", Incarnation: 7, Limit: ratelimit.Limit{SaidAt: epoch.Add(-time.Second)}},
 				{Target: "u", Incarnation: 8, Limit: ratelimit.Limit{IsLimited: true, PerSecond: 0.5, SaidAt: epoch}},
--- a/peer/codec_watch.go
+++ b/peer/codec_watch.go
@@ -29,7 +29,7 @@
 			Evidence: crashReportToWire(m.CrashReport, now), Suspects: m.SuspectsVersion, Quarantined: suspectsToWire(m.Quarantined, now),
 			RateLimits: rateLimitReportsToWire(m.RateLimits, now), StateOnly: m.StateOnly, MaxDelta: int32(m.MaxDeltaBytes),
 			PeerAddress: m.PeerAddress, PendingRevision: m.PendingRevision, Direct: m.Direct, Rollouts: rolloutsToWire(m.Rollout.Services),
-			First: m.IsFirst, Patience: int64(m.Patience), PassesViews: m.PassesViews,
+			First: m.IsFirst, ReplyTimeout: int64(m.ReplyTimeout), PassesViews: m.PassesViews,
 		}}
 	case WatchResponse:
 		wire.Body = &peerpb.Frame_Watched{Watched: &peerpb.Watched{
@@ -64,7 +64,7 @@
 			CrashReport: crashReportFromWire(w.Evidence, now), SuspectsVersion: w.Suspects, Quarantined: suspectsFromWire(w.Quarantined, now),
 			RateLimits: rateLimitReportsFromWire(w.RateLimits, now), StateOnly: w.StateOnly, MaxDeltaBytes: int(w.MaxDelta),
 			PeerAddress: w.PeerAddress, PendingRevision: w.PendingRevision, Direct: w.Direct, Rollout: rollout.Report{Services: rolloutsFromWire(w.Rollouts)},
-			IsFirst: w.First, Patience: time.Duration(w.Patience), PassesViews: w.PassesViews,
+			IsFirst: w.First, ReplyTimeout: time.Duration(w.ReplyTimeout), PassesViews: w.PassesViews,
 		}
 	case *peerpb.Frame_Watched:
 		w := b.Watched
--- a/peer/message.go
+++ b/peer/message.go
@@ -286,8 +286,8 @@
 	// IsFirst asks for the whole state view and the roster of targets. A host without a view
 	// sends it, with StateOnly for earlier releases, to replicas and to hosts that they name.
 	IsFirst bool
-	// Patience is how long the host waits for the reply; 0 if unknown.
-	Patience time.Duration
+	// ReplyTimeout is how long the host waits for the reply; 0 if unknown.
+	ReplyTimeout time.Duration
 	// PassesViews is set if the host replies to requests with IsFirst.
 	PassesViews bool
 }
--- a/route/engine_room.go
+++ b/route/engine_room.go
@@ -2,7 +2,7 @@
 
 const (
 	// usableMemory is the part of an engine's memory that requests are sent for. The rest
-	// is for what other hosts send before this host hears of it.
+	// is for what other hosts send before this host learns of it.
 	usableMemory = 0.9
 	// outputInMemory is the part of a response that is in memory on average while its
 	// request runs.
--- a/route/slowdown.go
+++ b/route/slowdown.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Slowdowns outside of these bounds are not believed.
+// Slowdowns outside of these bounds are clamped to them.
 const (
 	MinSlowdown = 0.25
 	MaxSlowdown = 8
@@ -24,7 +24,7 @@
 	freshHalfRequests = 4
 	// averagePeriod is the time over which the figures of a target are averaged.
 	// silenceHalfLife is the half-life of that average without a figure.
-	// maxAverageWeight bounds the weight of one figure in the average: where a host hears of
+	// maxAverageWeight bounds the weight of one figure in the average: where a host learns of
 	// a target every few seconds, each figure would replace the average.
 	averagePeriod    = 2 * time.Second
 	maxAverageWeight = 0.3
