--- a/gateway/route.go
+++ b/gateway/route.go
@@ -17,7 +17,7 @@
 	patiencePerPause     = 8
 )
 
-// maxSilenceShare is the share of the callers' patience after which a stream leaves a
+// maxSilenceShare is the share of the time that callers wait after which a stream leaves a
 // silent target, so that the rest is left for the next one. A sound target may be silent
 // for about a second.
 const maxSilenceShare = 0.625
