Exchange announcements as renewals, and rosters as differences

Cause: with 300 hosts and 3,000 targets the hubs had no processor time left and lost contact with each other. 258 of the 270 KB a second that a hub sent were whole entries of targets that had announced themselves again; hosts whose hub was late got the whole roster, 90 KB and 7 ms of processor time, from the next one; two of five hubs had most of the hosts.

Change: hubs send each other renewals (fingerprint, sequence, age) and ask for entries that they lack. A host that goes to another hub sends a summary and gets what differs. Whole rosters are encoded once for all hosts. Joining targets are told together. Hubs that gained contact say so at once, and full hubs send served hosts on. Hubs and hosts of earlier releases get entries as before.

--- a/entry/first_view.go
+++ b/entry/first_view.go
@@ -56,7 +56,7 @@
 // fetchFirst gets the first view and roster from a hub, or from hosts that the hub names. It
 // reports false for a hub that has no view either.
 func (w *hubWatcher) fetchFirst(ctx context.Context, hub string, waitForMajority bool) (received bool, err error) {
-	request := peer.WatchRequest{Host: w.daemon.Settings.Host, IsFirst: true, StateOnly: true, PeerAddress: w.peerAddress()}
+	request := peer.WatchRequest{Host: w.daemon.Settings.Host, IsFirst: true, StateOnly: true, PeerAddress: w.peerAddress(), ReadsPacked: true}
 	if waitForMajority {
 		request.MaxWait = longPollMaxWait
 	}
--- a/entry/hub_watcher.go
+++ b/entry/hub_watcher.go
@@ -129,13 +129,18 @@
 			w.recordHub(address, address == candidates[0])
 			continue
 		}
+		var full *hubFullError
+		isFull := errors.As(err, &full)
 		if watched == address {
 			w.setWatchedHub("")
-			w.log.WithFields(logrus.Fields{"Hub": address, "Error": err.Error()}).Warn("Lost connection to hub.")
+			if isFull {
+				w.log.WithFields(logrus.Fields{"Hub": address, "Hubs": full.hubs}).Info("Hub has too many hosts and names others.")
+			} else {
+				w.log.WithFields(logrus.Fields{"Hub": address, "Error": err.Error()}).Warn("Lost connection to hub.")
+			}
 		}
 		backoff := min(minWatchBackoff<<min(w.failedPolls, 8), maxWatchBackoff)
-		var full *hubFullError
-		if errors.As(err, &full) {
+		if isFull {
 			w.candidateIndex = w.indexOf(candidates, full.hubs)
 			backoff = full.retryAfter
 		} else {
@@ -237,11 +242,14 @@
 		// The hub omits the view, and the host asks for it by fetchFirst.
 		request.MaxDeltaBytes = maxCheckedDeltaBytes
 	}
-	request.PeerAddress, request.PassesViews = w.peerAddress(), true
+	request.PeerAddress, request.PassesViews, request.ReadsPacked = w.peerAddress(), true, true
 	slack := longPollSlack
 	if w.watchedHub() != address && !waitForMajority {
 		request.MaxWait = 0
 	}
+	if w.watchedHub() != address && w.rosterSource != 0 {
+		request.RosterSummary = w.daemon.selector.roster.Summary()
+	}
 	if w.rosterSource == 0 {
 		slack = initialSlack
 	}
--- a/hub/first_view.go
+++ b/hub/first_view.go
@@ -75,12 +75,12 @@
 	response.Checksum = xxhash.Sum64(response.Delta)
 	response.RosterSource = h.rosterSource
 	h.setHostCount(&response)
-	response.Entries, response.RosterVersion = h.roster.ChangedSince(0)
+	h.addRoster(peer.WatchRequest{ReadsPacked: m.ReadsPacked}, &response)
 	h.replies.record(&response, true)
 	h.replies.recordFirst(len(response.Delta))
 	h.meters.sent.Inc(1)
 	h.meters.bytes.Inc(int64(len(response.Delta)))
-	h.log.WithFields(logrus.Fields{"From": m.Host, "Bytes": len(response.Delta), "Entries": len(response.Entries), "Direct": m.Direct, "WaitingHosts": h.deltas.waiting()}).
+	h.log.WithFields(logrus.Fields{"From": m.Host, "Bytes": len(response.Delta), "Entries": len(response.Entries) + response.Packed.Count(), "Direct": m.Direct, "WaitingHosts": h.deltas.waiting()}).
 		Debug("Sending a first view to a host.")
 	return response
 }
--- a/hub/gossip.go
+++ b/hub/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,9 +21,12 @@
 	// changeResendPeriod is how long a change is resent with each refresh: the
 	// first message may be lost with its connection.
 	changeResendPeriod = 3 * time.Second
-	// changeRelayPeriod is how long a change that another hub received is sent with each
-	// refresh: nothing may pass between that hub and a third one.
-	changeRelayPeriod = 2 * refreshInterval
+	// relayedRefreshes is the number of refreshes with which a change that another hub received
+	// is sent: nothing may pass between that hub and a third one.
+	relayedRefreshes = 2
+	// maxRelayedRenewals is the number of such changes in a refresh that renewals tell. After a
+	// start all targets have changed, and each hub would pass on those of all others at once.
+	maxRelayedRenewals = 256
 	// revisionInterval is the interval at which hubs tell of the views of their hosts.
 	revisionInterval = 50 * time.Millisecond
 	// shareTimeout limits the wait until a majority of the hubs has confirmed a leave. A
@@ -47,10 +51,16 @@
 	// announced are the targets that announced themselves or left here since
 	// the last refresh.
 	announced map[string]bool
-	// changedAt holds the targets with a change received here, and its time, relayedAt those
-	// with a change received from another hub.
+	// changedAt holds the targets with a change received here, and its time. relays holds those
+	// with a change received from another hub, and with how many refreshes it is still sent.
 	changedAt map[string]time.Time
-	relayedAt map[string]time.Time
+	relays    map[string]int
+	// unsent are the targets with a change received here whose entries have not been sent yet;
+	// wake has a signal if there are any.
+	unsent map[string]bool
+	wake   chan struct{}
+	// readsRenewals holds whether the other hubs understand renewals, by their last reports.
+	readsRenewals map[string]bool
 	// sharedLeaves holds the targets that are leaving or gone, as a majority of the hubs
 	// knows.
 	sharedLeaves map[string]sharedLeave
@@ -64,20 +74,26 @@
 }
 
 func newGossip(h *Hub) *gossip {
-	return &gossip{hub: h, announced: map[string]bool{}, changedAt: map[string]time.Time{}, relayedAt: map[string]time.Time{}, sharedLeaves: map[string]sharedLeave{}}
+	return &gossip{
+		hub: h, announced: map[string]bool{}, changedAt: map[string]time.Time{}, relays: map[string]int{},
+		unsent: map[string]bool{}, wake: make(chan struct{}, 1), readsRenewals: map[string]bool{}, sharedLeaves: map[string]sharedLeave{},
+	}
 }
 
-// recordAnnouncement records that a target announced itself or left here, and
-// broadcasts its entry if it changed.
+// recordAnnouncement records that a target announced itself or left here. If its entry changed,
+// runChanges sends it.
 func (g *gossip) recordAnnouncement(name string, changed bool) {
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.announced[name] = true
-	if changed {
-		g.changedAt[name] = g.hub.Clock.Now()
+	if !changed {
+		return
 	}
-	g.mu.Unlock()
-	if entry, found := g.hub.roster.Get(name); found && changed {
-		g.broadcast(peer.RosterUpdate{Host: g.hub.Settings.Host, Entries: []roster.Entry{entry}})
+	g.changedAt[name] = g.hub.Clock.Now()
+	g.unsent[name] = true
+	select {
+	case g.wake <- struct{}{}:
+	default:
 	}
 }
 
@@ -162,7 +178,7 @@
 func (g *gossip) recordRelay(name string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.relayedAt[name] = g.hub.Clock.Now()
+	g.relays[name] = relayedRefreshes
 }
 
 // runRefresh sends the refreshes until ctx ends.
@@ -174,38 +190,53 @@
 		message := g.hub.voters.report()
 		message.Watchers, message.LowestRevision = g.hub.watchers.localHosts(), g.hub.watchers.lowestRevision()
 		message.Quarantined = g.hub.quarantine.Quarantined(g.hub.Clock.Now())
-		for name := range pending {
-			if entry, found := g.hub.roster.Get(name); found {
-				message.Entries = append(message.Entries, entry)
-			}
-		}
-		g.broadcast(message)
+		g.sendRefresh(message, pending)
 	})
 }
 
-// takePending returns the names of the targets whose entries are sent with a refresh.
+// takePending returns the names of the targets that are sent with a refresh: those that announced
+// themselves since the last one, and those with a recent change.
 func (g *gossip) takePending() map[string]bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	pending := g.announced
 	g.announced = map[string]bool{}
-	g.addRecent(pending, g.changedAt, changeResendPeriod)
-	g.addRecent(pending, g.relayedAt, changeRelayPeriod)
+	g.addRecentChanges(pending)
+	g.addRelays(pending)
 	return pending
 }
 
-// addRecent adds the targets with a change within the period to pending and deletes the
-// others from changes. The caller must hold g.mu.
-func (g *gossip) addRecent(pending map[string]bool, changes map[string]time.Time, period time.Duration) {
-	for name, at := range changes {
-		if g.hub.Clock.Since(at) > period {
-			delete(changes, name)
+// addRecentChanges adds the targets with a recent change received here to pending. A change that
+// a renewal tells is not repeated: the next announcement is the next renewal. The caller must hold
+// g.mu.
+func (g *gossip) addRecentChanges(pending map[string]bool) {
+	for name, at := range g.changedAt {
+		if _, renewable := g.hub.roster.Renewal(name); renewable || g.hub.Clock.Since(at) > changeResendPeriod {
+			delete(g.changedAt, name)
 			continue
 		}
 		pending[name] = true
 	}
 }
 
+// addRelays adds the targets with a change that another hub received to pending, up to
+// maxRelayedRenewals of those that a renewal tells. The caller must hold g.mu.
+func (g *gossip) addRelays(pending map[string]bool) {
+	renewals := 0
+	for name, refreshes := range g.relays {
+		if _, renewable := g.hub.roster.Renewal(name); renewable {
+			if renewals == maxRelayedRenewals {
+				continue
+			}
+			renewals++
+		}
+		pending[name] = true
+		if g.relays[name]--; refreshes <= 1 {
+			delete(g.relays, name)
+		}
+	}
+}
+
 // dropOldLeaves forgets the shared leaves of targets that the roster has forgotten.
 func (g *gossip) dropOldLeaves() {
 	g.mu.Lock()
@@ -249,11 +280,8 @@
 }
 
 func (g *gossip) broadcast(message peer.RosterUpdate) {
-	for _, address := range g.hub.replicaAddresses() {
-		if address != g.hub.Settings.Peers {
-			g.hub.node.Send(address, message)
-		}
-	}
+	others := slices.DeleteFunc(g.hub.replicaAddresses(), func(address string) bool { return address == g.hub.Settings.Peers })
+	g.hub.node.SendAll(others, message)
 }
 
 // merge merges a message of another hub.
@@ -265,6 +293,7 @@
 			g.recordRelay(entry.Name)
 		}
 	}
+	g.mergeRenewals(m)
 	g.hub.voters.record(m)
 	g.hub.rollouts.merge(m.RolloutSource, m.Rollouts)
 	g.hub.origins.record(m)
--- a/hub/host_balance.go
+++ b/hub/host_balance.go
@@ -19,14 +19,19 @@
 	redirectTTL = 10 * time.Second
 	// redirectDelay is after which time a host that is sent to another hub polls it, on average.
 	redirectDelay = 100 * time.Millisecond
+	// moveInterval is the minimum time between two hosts with a reply of this hub that are sent to
+	// another one: the reports of the others follow.
+	moveInterval = 50 * time.Millisecond
 	// hubReportTTL is how long the report of another hub counts, four refreshes.
 	hubReportTTL = 4 * refreshInterval
 )
 
-// hostBalance decides whether a hub takes a host that comes to it, or sends it to another hub.
+// hostBalance decides whether a hub takes a host that comes to it, or sends it to another hub, and
+// whether it keeps those that it has.
 //
 // Load: after a loss of power one of five hubs has contact with a majority first, and gets all
-// hosts of the fleet. The others remain idle when they have contact as well.
+// hosts of the fleet. The others remain idle when they have contact as well. At a first start
+// hosts know three of the hubs, and come before these have reported what they serve.
 type hostBalance struct {
 	clock clockwork.Clock
 
@@ -34,6 +39,8 @@
 	reports map[string]servedReport
 	// redirected holds when hosts were last sent to another hub.
 	redirected map[string]time.Time
+	// movedAt is when a host that was served here was last sent to another hub.
+	movedAt time.Time
 	// count is the number of hosts sent to other hubs since the last log line.
 	count int
 }
@@ -61,11 +68,15 @@
 }
 
 // redirect returns the hubs to which a host is sent, the best one first; none if this hub takes
-// it. served is the number of hosts that this hub serves.
-func (b *hostBalance) redirect(host string, served int) []string {
+// it. served is the number of hosts that this hub serves, isServed is set if the host is one of
+// them.
+func (b *hostBalance) redirect(host string, served int, isServed bool) []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
+	if isServed && now.Sub(b.movedAt) < moveInterval {
+		return nil
+	}
 	if at, known := b.redirected[host]; known && now.Sub(at) < redirectTTL {
 		return nil
 	}
@@ -80,7 +91,10 @@
 		others = append(others, hub)
 	}
 	mean := float64(total) / float64(len(others)+1)
-	if float64(served+1) <= fullFactor*mean+fullMargin {
+	if !isServed {
+		served++
+	}
+	if float64(served) <= fullFactor*mean+fullMargin {
 		return nil
 	}
 	others = slices.DeleteFunc(others, func(hub string) bool { return float64(b.reports[hub].hosts) >= mean })
@@ -89,6 +103,9 @@
 		return nil
 	}
 	b.countSent(others[0])
+	if isServed {
+		b.movedAt = now
+	}
 	for known, at := range b.redirected {
 		if now.Sub(at) >= redirectTTL {
 			delete(b.redirected, known)
@@ -140,13 +157,14 @@
 	return count
 }
 
-// redirect returns the peer addresses of the hubs to which a host that comes to this hub is
-// sent; none if this hub takes it.
+// redirect returns the peer addresses of the hubs to which a host is sent; none if this hub takes
+// or keeps it.
 func (h *Hub) redirect(host string) []string {
-	if h.watchers.isServed(host) {
-		return nil
+	hubs := h.balance.redirect(host, h.watchers.servedCount(), h.watchers.isServed(host))
+	if len(hubs) > 0 {
+		h.watchers.forgetServed(host)
 	}
-	return h.peerAddresses(h.balance.redirect(host, h.watchers.servedCount()))
+	return h.peerAddresses(hubs)
 }
 
 // peerAddresses returns the peer addresses of hubs.
--- a/hub/host_balance_test.go
+++ b/hub/host_balance_test.go
@@ -14,16 +14,16 @@
 func TestHostBalance_OneHubOfFiveDoesNotGetAll(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	b := newHostBalance(clock)
-	require.Empty(t, b.redirect("e-0", 141), "no other hub can serve")
+	require.Empty(t, b.redirect("e-0", 141, false), "no other hub can serve")
 	for i := range 4 {
 		b.recordReport(fmt.Sprint("h-", i), 0, i < 3)
 	}
 	served, sent := 60, map[string]int{}
 	for i := range 81 {
 		host := fmt.Sprint("e-", i)
-		if hubs := b.redirect(host, served); len(hubs) > 0 {
+		if hubs := b.redirect(host, served, false); len(hubs) > 0 {
 			sent[hubs[0]]++
-			require.Empty(t, b.redirect(host, served), "a host is sent away once")
+			require.Empty(t, b.redirect(host, served, false), "a host is sent away once")
 			continue
 		}
 		served++
@@ -35,7 +35,31 @@
 	require.Equal(t, 81, sent["h-0"]+sent["h-1"]+sent["h-2"]+served-60)
 	require.Equal(t, sent["h-0"]+sent["h-1"]+sent["h-2"], b.takeCount())
 	clock.Advance(hubReportTTL + time.Millisecond)
-	require.Empty(t, b.redirect("e-200", 1000), "the other hubs are silent")
+	require.Empty(t, b.redirect("e-200", 1000, false), "the other hubs are silent")
+}
+
+// At a first start hosts know three of five hubs, and came to two of them before any hub had
+// reported what it serves. A hub sends some of them on, a few at a time.
+func TestHostBalance_FullHubSendsServedHostsOn(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	b := newHostBalance(clock)
+	others := map[string]int{"h-0": 40, "h-1": 40, "h-2": 40, "h-3": 40}
+	served := 140
+	for i := range 140 {
+		for hub, hosts := range others {
+			b.recordReport(hub, hosts, true)
+		}
+		host := fmt.Sprint("e-", i)
+		hubs := b.redirect(host, served, true)
+		if len(hubs) == 0 {
+			continue
+		}
+		others[hubs[0]]++
+		served--
+		require.Empty(t, b.redirect(fmt.Sprint(host, "-next"), served, true), "one at a time")
+		clock.Advance(moveInterval)
+	}
+	require.InDelta(t, fullFactor*60+fullMargin, served, 2, "until it is no fuller than others may be")
 }
 
 // Hosts that choose their hubs by hash differ in number; no hub sends them away for that.
@@ -44,8 +68,8 @@
 	for i, hosts := range []int{20, 22, 31, 33} {
 		b.recordReport(fmt.Sprint("h-", i), hosts, true)
 	}
-	require.Empty(t, b.redirect("e-1", 35))
-	require.Equal(t, []string{"h-0", "h-1"}, b.redirect("e-2", 60)[:2])
+	require.Empty(t, b.redirect("e-1", 35, false))
+	require.Equal(t, []string{"h-0", "h-1"}, b.redirect("e-2", 60, false)[:2])
 }
 
 // A hub that lost contact for a moment sent all its hosts to the others. It keeps them while
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -105,6 +105,7 @@
 	replies      replyCounter
 	meters       firstViewMeters
 	deltas       *deltaSpread
+	packed       *packedRoster
 	// fleetVersions tells since when the latest configuration is known here.
 	fleetVersions *fleetVersions
 	rollouts      *rolloutManager
@@ -140,6 +141,7 @@
 	h.quarantine = quarantine.NewBoard()
 	h.fleetVersions = &fleetVersions{clock: h.Clock}
 	h.rollouts = newRolloutManager(h)
+	h.packed = &packedRoster{hub: h}
 	h.deltas = newDeltaSpread(h.Clock, maxBulkShare*own.Bandwidth*bytesPerMegabit)
 	h.membership = newMembershipManager(h)
 	h.recovery = &recoveryObserver{hub: h}
@@ -229,7 +231,7 @@
 		err := splitter.Serve(h.servePeer)
 		h.log.Debugf("Peer server stopped: %v.", err)
 	})
-	for _, run := range []func(context.Context){h.maintainContact, h.gossip.runRefresh, h.gossip.runLoads, h.gossip.runRevisions, h.voters.run, h.recordFleetVersions, h.membership.run, h.recovery.run, h.markSilentTargets, h.updateQuarantine, h.rollouts.run, h.rollouts.runSums, h.origins.run, h.logTraffic} {
+	for _, run := range []func(context.Context){h.maintainContact, h.reportContact, h.gossip.runRefresh, h.gossip.runChanges, h.gossip.runLoads, h.gossip.runRevisions, h.voters.run, h.recordFleetVersions, h.membership.run, h.recovery.run, h.markSilentTargets, h.updateQuarantine, h.rollouts.run, h.rollouts.runSums, h.origins.run, h.logTraffic} {
 		served.Go(func() { run(background) })
 	}
 	var stored sync.WaitGroup
--- a/hub/majority_contact.go
+++ b/hub/majority_contact.go
@@ -154,6 +154,25 @@
 	})
 }
 
+// reportContact tells the other hubs until ctx ends when this hub gains contact. With the next
+// refresh they would learn too late that hosts may be sent here: at a start, all hosts choose
+// their hubs within half a second.
+func (h *Hub) reportContact(ctx context.Context) {
+	reported := false
+	for {
+		current, confirmed := h.contact.isCurrent()
+		if current && !reported {
+			h.gossip.broadcast(h.voters.report())
+		}
+		reported = current
+		select {
+		case <-ctx.Done():
+			return
+		case <-confirmed:
+		}
+	}
+}
+
 // barrier is a read barrier: it returns once the replica holds everything
 // committed before the call.
 func (h *Hub) barrier(ctx context.Context) error {
--- a/hub/traffic_log.go
+++ b/hub/traffic_log.go
@@ -27,10 +27,10 @@
 func (c *replyCounter) record(response *peer.WatchResponse, isWhole bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if isWhole {
+	if isWhole || response.Packed != nil {
 		c.counts.rosters++
 	}
-	c.counts.entries += len(response.Entries)
+	c.counts.entries += len(response.Entries) + response.Packed.Count()
 	if len(response.Loads) > 0 {
 		c.counts.digests++
 	}
--- a/hub/voters.go
+++ b/hub/voters.go
@@ -49,7 +49,7 @@
 	durable := v.hub.durableVersions()
 	return peer.RosterUpdate{
 		Host: v.hub.Settings.Host, Replica: v.hub.replica.Quorum.Status().ID, FleetVersion: durable.Fleet, OutageVersion: durable.Outage, RolloutVersion: durable.Rollout,
-		Serves: v.hub.hasMajorityContact(), Served: v.hub.watchers.servedCount(),
+		Serves: v.hub.hasMajorityContact(), Served: v.hub.watchers.servedCount(), ReadsRenewals: true,
 	}
 }
 
--- a/hub/watchers.go
+++ b/hub/watchers.go
@@ -93,6 +93,13 @@
 	w.servedAt[host] = w.clock.Now()
 }
 
+// forgetServed records that the host is sent to another hub.
+func (w *watchers) forgetServed(host string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.servedAt, host)
+}
+
 // isServed reports whether a host got such a reply within watcherTTL.
 func (w *watchers) isServed(host string) bool {
 	w.mu.Lock()
@@ -299,7 +306,7 @@
 	if response.SuspectsVersion = version; version != m.SuspectsVersion {
 		response.Suspects = suspects
 	}
-	response.Entries, response.RosterVersion = h.roster.ChangedSince(m.RosterVersion)
+	h.addRoster(m, &response)
 	h.replies.record(&response, m.RosterVersion == 0)
 	reply(response)
 }
@@ -359,22 +366,36 @@
 		case <-changed:
 		case <-suspectsPublished:
 		case <-tableChanged:
-			// Changes of targets come in bursts.
-			h.coalesceChanges(timer)
+			h.coalesceChanges(m.RosterVersion, timer)
 		case <-timer.Chan():
 			return
 		}
 	}
 }
 
-// coalesceChanges waits up to coalesceDelay for more changes, or until
-// waitTimer fires.
-func (h *Hub) coalesceChanges(waitTimer clockwork.Timer) {
+// maxPromptChanges is the number of changed targets up to which a host is told of them after
+// coalesceDelay.
+const maxPromptChanges = 8
+
+// coalesceChanges waits for more changes of targets, which come in bursts, or until waitTimer
+// fires: for coalesceDelay, and for the interval of digests if more than maxPromptChanges targets
+// have joined since the version. Otherwise each host would get thousands of them in tens of
+// replies a second after a start, which took all of a hub's processor.
+func (h *Hub) coalesceChanges(version uint64, waitTimer clockwork.Timer) {
 	delay := h.Clock.NewTimer(coalesceDelay)
 	defer delay.Stop()
-	select {
-	case <-delay.Chan():
-	case <-waitTimer.Chan():
+	for prolonged := false; ; prolonged = true {
+		select {
+		case <-delay.Chan():
+		case <-waitTimer.Chan():
+			return
+		}
+		count, urgent := h.roster.PendingChanges(version)
+		more := h.digestInterval() - coalesceDelay
+		if prolonged || urgent || count <= maxPromptChanges || more <= 0 {
+			return
+		}
+		delay.Reset(more)
 	}
 }
 
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -25,6 +25,10 @@
 	if err := encodeBody(wire, f.message, now); err != nil {
 		return nil, err
 	}
+	isPacked, err := attachPacked(wire, f.message, now)
+	if err != nil {
+		return nil, err
+	}
 	data, err := proto.Marshal(wire)
 	if err != nil {
 		return nil, errors.Wrapf(ErrInvalidFrame, "encode frame: %v", err)
@@ -32,6 +36,9 @@
 	if len(data) > MaxFrameBytes {
 		return nil, errors.Wrapf(ErrInvalidFrame, "frame has %d bytes, at most %d are allowed", len(data), MaxFrameBytes)
 	}
+	if isPacked {
+		return data, nil
+	}
 	return compressFrame(data)
 }
 
@@ -51,6 +58,10 @@
 	if message == nil {
 		return frame{}, errors.Wrapf(ErrInvalidFrame, "frame of call %d has no known message type", wire.Call)
 	}
+	message, err := addPacked(wire, message, now)
+	if err != nil {
+		return frame{}, err
+	}
 	return frame{callID: wire.Call, isReply: wire.Answer, message: message}, nil
 }
 
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -84,10 +84,12 @@
 			Origins: []origin.Record{{Key: 1, Version: "v1", Until: epoch.Add(time.Second)}, {Key: 2, Version: "v1", Until: epoch.Add(2 * time.Second)}, {Key: 3, Until: epoch.Add(time.Second)}},
 			Relayed: true, WantedOrigin: 4, MaxWait: time.Second, LowestRevision: 5,
 			Replica: "i", FleetVersion: 6, OutageVersion: 7, Serves: true, Served: 8,
+			Renewals:      []roster.Renewal{{Fingerprint: 1, Sequence: 2, LastSeen: epoch.Add(-time.Second)}, {Fingerprint: 1 << 63, LastSeen: epoch}},
+			ReadsRenewals: true, Wanted: []roster.Fingerprint{3, 1 << 63},
 		},
 		WatchRequest{
 			Host: "h", Revision: 1, FleetVersion: 2, RosterSource: 3, RosterVersion: 4, MaxWait: time.Second, Loads: map[roster.Key]int{roster.KeyOf("t"): 3}, CrashReport: sampleCrashReport(), SuspectsVersion: 5, Quarantined: sampleSuspects(), StateOnly: true, MaxDeltaBytes: 6, PeerAddress: "a", PendingRevision: 7, Direct: true,
-			IsFirst: true, ReplyTimeout: time.Second, PassesViews: true,
+			IsFirst: true, ReplyTimeout: time.Second, PassesViews: true, RosterSummary: roster.Summary{1, 0, 1 << 63}, ReadsPacked: true,
 			RateLimits: []ratelimit.Report{
 				{Target: "t", Incarnation: 7, Limit: ratelimit.Limit{SaidAt: epoch.Add(-time.Second)}},
 				{Target: "u", Incarnation: 8, Limit: ratelimit.Limit{IsLimited: true, PerSecond: 0.5, SaidAt: epoch}},
--- a/peer/codec_watch.go
+++ b/peer/codec_watch.go
@@ -21,6 +21,7 @@
 			Replica: m.Replica, FleetVersion: m.FleetVersion, OutageVersion: m.OutageVersion,
 			Rollouts: rolloutsToWire(m.Rollouts), RolloutSource: m.RolloutSource, RolloutVersion: m.RolloutVersion,
 			Serves: m.Serves, Served: int32(m.Served),
+			Renewals: renewalsToWire(m.Renewals, now), ReadsRenewals: m.ReadsRenewals, Wanted: fingerprintsToWire(m.Wanted),
 		}}
 	case WatchRequest:
 		wire.Body = &peerpb.Frame_Watch{Watch: &peerpb.Watch{
@@ -29,7 +30,7 @@
 			Evidence: crashReportToWire(m.CrashReport, now), Suspects: m.SuspectsVersion, Quarantined: suspectsToWire(m.Quarantined, now),
 			RateLimits: rateLimitReportsToWire(m.RateLimits, now), StateOnly: m.StateOnly, MaxDelta: int32(m.MaxDeltaBytes),
 			PeerAddress: m.PeerAddress, PendingRevision: m.PendingRevision, Direct: m.Direct, Rollouts: rolloutsToWire(m.Rollout.Services),
-			First: m.IsFirst, ReplyTimeout: int64(m.ReplyTimeout), PassesViews: m.PassesViews,
+			First: m.IsFirst, ReplyTimeout: int64(m.ReplyTimeout), PassesViews: m.PassesViews, RosterSummary: fingerprintsToWire(m.RosterSummary), ReadsPacked: m.ReadsPacked,
 		}}
 	case WatchResponse:
 		wire.Body = &peerpb.Frame_Watched{Watched: &peerpb.Watched{
@@ -55,6 +56,7 @@
 			Replica: b.Roster.Replica, FleetVersion: b.Roster.FleetVersion, OutageVersion: b.Roster.OutageVersion,
 			Rollouts: rolloutsFromWire(b.Roster.Rollouts), RolloutSource: b.Roster.RolloutSource, RolloutVersion: b.Roster.RolloutVersion,
 			Serves: b.Roster.Serves, Served: int(b.Roster.Served),
+			Renewals: renewalsFromWire(b.Roster.Renewals, now), ReadsRenewals: b.Roster.ReadsRenewals, Wanted: fingerprintsFromWire(b.Roster.Wanted),
 		}
 	case *peerpb.Frame_Watch:
 		w := b.Watch
@@ -64,7 +66,7 @@
 			CrashReport: crashReportFromWire(w.Evidence, now), SuspectsVersion: w.Suspects, Quarantined: suspectsFromWire(w.Quarantined, now),
 			RateLimits: rateLimitReportsFromWire(w.RateLimits, now), StateOnly: w.StateOnly, MaxDeltaBytes: int(w.MaxDelta),
 			PeerAddress: w.PeerAddress, PendingRevision: w.PendingRevision, Direct: w.Direct, Rollout: rollout.Report{Services: rolloutsFromWire(w.Rollouts)},
-			IsFirst: w.First, ReplyTimeout: time.Duration(w.ReplyTimeout), PassesViews: w.PassesViews,
+			IsFirst: w.First, ReplyTimeout: time.Duration(w.ReplyTimeout), PassesViews: w.PassesViews, RosterSummary: fingerprintsFromWire(w.RosterSummary), ReadsPacked: w.ReadsPacked,
 		}
 	case *peerpb.Frame_Watched:
 		w := b.Watched
@@ -91,6 +93,10 @@
 	return -int32(m.PresentCount)
 }
 
+// ageUnit is the precision of the ages of entries. Nanoseconds would take four bytes of an
+// entry of 30, which compression can't shorten.
+const ageUnit = 10 * time.Millisecond
+
 // entriesToWire sends ages instead of timestamps, since the clocks of hosts
 // differ.
 func entriesToWire(entries []roster.Entry, now time.Time) []*peerpb.RosterEntry {
@@ -98,7 +104,7 @@
 	for _, entry := range entries {
 		wire = append(wire, &peerpb.RosterEntry{
 			Announcement: AnnouncementToWire(entry.Announcement), State: string(entry.State),
-			WarmUp: int64(entry.WarmUpRemaining), Age: int64(now.Sub(entry.LastSeen)), Silent: entry.Silent,
+			WarmUp: int64(entry.WarmUpRemaining), Age: int64(now.Sub(entry.LastSeen).Truncate(ageUnit)), Silent: entry.Silent,
 			RateLimit: rateLimitToWire(entry.RateLimit, now),
 		})
 	}
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -109,7 +109,7 @@
 	default:
 	}
 	queue := c.sendQueue
-	if c.pacer != nil && isBulk(f.message) {
+	if c.pacer != nil && isBulk(unwrapShared(f.message)) {
 		queue = c.bulkQueue
 	}
 	select {
@@ -282,7 +282,7 @@
 		case <-c.closed:
 			return
 		}
-		data, err := c.pacer.encodeRanked(c.closed, priorityOf(f.message), func() ([]byte, error) { return c.encodeWanted(&f), nil })
+		data, err := c.pacer.encodeRanked(c.closed, priorityOf(unwrapShared(f.message)), func() ([]byte, error) { return c.encodeWanted(&f), nil })
 		if err != nil {
 			c.close()
 			return
@@ -315,9 +315,17 @@
 // the connection: a call fails, and a reply becomes a Failure. The result is nil if nothing
 // is to be sent.
 func (c *Conn) encode(f *frame) []byte {
-	if encoded, ok := f.message.(encodedMessage); ok {
-		f.message = encoded.Message
-		return encoded.frame
+	switch m := f.message.(type) {
+	case encodedMessage:
+		f.message = m.Message
+		return m.frame
+	case *sharedMessage:
+		f.message = m.Message
+		data, err := m.encode(c.clock.Now())
+		if err != nil {
+			c.onDropped(c.host, m.Message, err)
+		}
+		return data
 	}
 	data, err := encodeFrame(*f, c.clock.Now())
 	if err == nil {
--- a/peer/message.go
+++ b/peer/message.go
@@ -246,6 +246,13 @@
 	// hosts that it serves.
 	Serves bool
 	Served int
+	// Renewals are targets whose announcements changed nothing since the sender sent their
+	// entries. ReadsRenewals is set if the sender understands them; it is reported together
+	// with Replica.
+	Renewals      []roster.Renewal
+	ReadsRenewals bool
+	// Wanted asks for the entries with these fingerprints, which the sender lacks.
+	Wanted []roster.Fingerprint
 }
 
 // WatchRequest asks a state replica for changes since the requesting host's view.
@@ -257,6 +264,9 @@
 	// the process that sent it and its version.
 	RosterSource  uint64
 	RosterVersion uint64
+	// RosterSummary describes the roster that the host has from another replica; nil for none,
+	// and if this replica sent it.
+	RosterSummary roster.Summary
 	// MaxWait is how long the reply may be delayed until there are changes.
 	MaxWait time.Duration
 	// Loads are the host's own requests in flight by target.
@@ -290,6 +300,8 @@
 	ReplyTimeout time.Duration
 	// PassesViews is set if the host replies to requests with IsFirst.
 	PassesViews bool
+	// ReadsPacked is set if the host understands a reply with PackedEntries.
+	ReadsPacked bool
 }
 
 // WatchResponse is the reply to a WatchRequest.
@@ -338,6 +350,9 @@
 	// IsWanted reports whether the reply is still waited for; nil for always. It is not sent.
 	// A bulk reply that has waited for the link is dropped if it isn't wanted any more.
 	IsWanted func() bool
+	// Packed are further entries, which are sent to several hosts; nil for none. In a received
+	// reply they are among Entries.
+	Packed *PackedEntries
 }
 
 // JoinRequest asks the state leader to add a replica to the cluster, or to
--- a/peer/pacer.go
+++ b/peer/pacer.go
@@ -53,7 +53,7 @@
 	switch {
 	case !ok:
 		return priorityLoads
-	case len(response.Delta) > maxUrgentDeltaBytes || len(response.Entries) > maxChangedEntries:
+	case len(response.Delta) > maxUrgentDeltaBytes || len(response.Entries)+response.Packed.Count() > maxChangedEntries:
 		return priorityState
 	case len(response.Entries) > 0:
 		return priorityChange
@@ -170,7 +170,7 @@
 func isBulk(message Message) bool {
 	switch m := message.(type) {
 	case WatchResponse:
-		return len(m.Entries) > 0 || len(m.Loads) > 0 || len(m.Suspects) > 0 || len(m.Delta) > maxUrgentDeltaBytes
+		return len(m.Entries) > 0 || m.Packed != nil || len(m.Loads) > 0 || len(m.Suspects) > 0 || len(m.Delta) > maxUrgentDeltaBytes
 	case RosterUpdate:
 		return len(m.Loads) > 0
 	}
--- a/target/roster/roster.go
+++ b/target/roster/roster.go
@@ -84,7 +84,10 @@
 // record is an entry with the table version of its last change.
 type record struct {
 	Entry
-	version uint64
+	version     uint64
+	fingerprint Fingerprint
+	// isReplaced is set once another record replaces this one, or its target is forgotten.
+	isReplaced bool
 	// limitChangedAt is when a host's report last changed the rate limit.
 	limitChangedAt time.Time
 }
@@ -96,13 +99,20 @@
 	byName map[string]*record
 	// byAddress holds the names of the entries at each address.
 	byAddress map[string]map[string]bool
-	version   uint64
-	changed   chan struct{}
+	// byFingerprint holds the records of the ready targets.
+	byFingerprint map[Fingerprint]*record
+	// history holds the records in the order of their versions, some replaced ones among them.
+	history []*record
+	version uint64
+	changed chan struct{}
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{byName: map[string]*record{}, byAddress: map[string]map[string]bool{}, changed: make(chan struct{})}
+	return &Table{
+		byName: map[string]*record{}, byAddress: map[string]map[string]bool{}, byFingerprint: map[Fingerprint]*record{},
+		changed: make(chan struct{}),
+	}
 }
 
 // Merge merges an entry into the table and reports whether it is a change. A
@@ -115,6 +125,11 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.merge(now, entry)
+}
+
+// merge merges an entry with valid texts. The caller must hold t.mu.
+func (t *Table) merge(now time.Time, entry Entry) bool {
 	if entry.LastSeen.IsZero() {
 		entry.LastSeen = now
 	}
@@ -134,6 +149,7 @@
 		}
 		if !hasChanged(&entry, &current.Entry) {
 			current.Entry = entry
+			t.index(current, current)
 			return false
 		}
 	}
@@ -187,8 +203,12 @@
 // put stores an entry as a change. The caller must hold t.mu.
 func (t *Table) put(entry Entry) {
 	t.version++
-	if current := t.byName[entry.Name]; current != nil && current.Address != entry.Address {
-		t.removeAddress(&current.Entry)
+	former := t.byName[entry.Name]
+	if former != nil {
+		former.isReplaced = true
+		if former.Address != entry.Address {
+			t.removeAddress(&former.Entry)
+		}
 	}
 	names := t.byAddress[entry.Address]
 	if names == nil {
@@ -196,11 +216,24 @@
 		t.byAddress[entry.Address] = names
 	}
 	names[entry.Name] = true
-	t.byName[entry.Name] = &record{Entry: entry, version: t.version}
+	current := &record{Entry: entry, version: t.version}
+	t.byName[entry.Name] = current
+	t.index(former, current)
+	t.appendHistory(current)
 	close(t.changed)
 	t.changed = make(chan struct{})
 }
 
+// appendHistory appends a record to the history, and drops the replaced ones from it once they are as
+// many as the others. The caller must hold t.mu.
+func (t *Table) appendHistory(current *record) {
+	const minDropped = 64
+	t.history = append(t.history, current)
+	if len(t.history) > 2*len(t.byName)+minDropped {
+		t.history = slices.DeleteFunc(t.history, func(r *record) bool { return r.isReplaced })
+	}
+}
+
 // removeAddress removes an entry from the index by address. The caller must hold t.mu.
 func (t *Table) removeAddress(entry *Entry) {
 	names := t.byAddress[entry.Address]
@@ -282,6 +315,8 @@
 		switch {
 		case silence > entryTTL:
 			t.removeAddress(&current.Entry)
+			t.index(current, nil)
+			current.isReplaced = true
 			delete(t.byName, name)
 		case silence > silentAfter && !current.Silent && current.State != Gone:
 			silent := current.Entry
@@ -301,24 +336,31 @@
 	return Entry{}, false
 }
 
-// ChangedSince returns the entries that changed after the version, ordered by
-// name, and the current version.
+// ChangedSince returns the entries that changed after the version, in the order
+// of their last changes, and the current version.
 func (t *Table) ChangedSince(version uint64) ([]Entry, uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if version >= t.version {
 		return nil, t.version
 	}
-	var entries []Entry
-	for _, current := range t.byName {
-		if current.version > version {
+	changed := t.changedSince(version)
+	entries := make([]Entry, 0, len(changed))
+	for _, current := range changed {
+		if !current.isReplaced {
 			entries = append(entries, current.Entry)
 		}
 	}
-	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.Name, b.Name) })
 	return entries, t.version
 }
 
+// changedSince returns the records with later versions, replaced ones among them. The caller must
+// hold t.mu.
+func (t *Table) changedSince(version uint64) []*record {
+	first, _ := slices.BinarySearchFunc(t.history, version+1, func(r *record, version uint64) int { return cmp.Compare(r.version, version) })
+	return t.history[first:]
+}
+
 // ReadyKeys returns the keys of the targets that admit new requests.
 func (t *Table) ReadyKeys() []Key {
 	t.mu.Lock()
