Give hubs without contact the same time for a read barrier

Cause: after all hosts and hubs were killed at 300 hosts and 3,000 targets, only the leader had contact with a majority. The other hubs gave up each read barrier after 250 ms, which a busy leader exceeds, and so never got contact; all hosts and targets stayed with the leader (trace: for 12 s, until the next election).

Change: 1.2 s, as for hubs with contact. A pending barrier is sent again to the leader of the moment anyway, so that a new leader is no reason to give it up.

--- a/hub/hub_test.go
+++ b/hub/hub_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"sync/atomic"
 	"testing"
@@ -44,6 +45,8 @@
 	disks []faultyDisk
 	// tolerates is how many voters may be lost.
 	tolerates int
+	// wrapConn wraps the connections of hubs that are started; nil wraps none.
+	wrapConn func(net.Conn) net.Conn
 }
 
 // newCluster starts size hubs; the settings list the first three as state
@@ -90,7 +93,7 @@
 			ParseFleet:        fleet.Parse,
 			NewControlHandler: func(protocol.Control) fasthttp.RequestHandler { return func(*fasthttp.RequestCtx) {} },
 		},
-		Clock: clockwork.NewRealClock(), Log: log, Scope: tally.NoopScope,
+		Clock: clockwork.NewRealClock(), Log: log, Scope: tally.NoopScope, WrapConn: c.wrapConn,
 		LedgerOptions: []ledger.Option{ledger.WithFileSystem(fullDisk{c.disks[i]})},
 	})
 	require.NoError(c.t, err)
--- a/hub/majority_contact.go
+++ b/hub/majority_contact.go
@@ -14,11 +14,10 @@
 const (
 	// contactInterval is the interval between read barriers.
 	contactInterval = 250 * time.Millisecond
-	// contactTimeout limits one read barrier, noContactTimeout one of a hub
-	// without contact: a new leader may have been elected since the barrier was
-	// sent.
-	contactTimeout   = 1200 * time.Millisecond
-	noContactTimeout = 250 * time.Millisecond
+	// contactTimeout limits one read barrier. A replica asks again, the leader of the moment,
+	// while a barrier is pending. A shorter timeout kept hubs without contact from ever
+	// getting it while the leader was slow, and all hosts and targets stayed with the leader.
+	contactTimeout = 1200 * time.Millisecond
 	// contactTTL is how long a confirmation is valid. It is long enough that a
 	// hub under load does not send its hosts to the other hubs, which are as
 	// busy, and short enough that hosts leave before decisions of the majority
@@ -137,11 +136,7 @@
 	previous := false
 	ticks.Every(ctx, h.Clock, contactInterval, func(ctx context.Context) {
 		sentAt := h.Clock.Now()
-		timeout := contactTimeout
-		if !h.hasMajorityContact() {
-			timeout = noContactTimeout
-		}
-		barrierCtx, cancel := clockwork.WithTimeout(ctx, h.Clock, timeout)
+		barrierCtx, cancel := clockwork.WithTimeout(ctx, h.Clock, contactTimeout)
 		defer cancel()
 		err := h.replica.Quorum.Barrier(barrierCtx)
 		if err == nil {
