Return hosts to their preferred hubs only once their rosters are settled

Cause: after a start with 3,000 targets, hosts on another hub returned after 3 to 6 s, in the middle of the 12 s that the hubs need to send all entries. They lacked most of them, so that the preferred hub sent each the whole roster, 63 KB (trace: 10 to 35 rosters a second at each hub).

Change: a host returns 2 to 4 s after its hub last sent more than eight changed targets at once. TestFailback_WaitsUntilTheRosterIsSettled covers it.

--- a/entry/failback.go
+++ b/entry/failback.go
@@ -14,6 +14,10 @@
 	// maxFailbackDelay limits the delay, which doubles with each failed
 	// attempt. An attempt is a small request beside the polls of the other hub.
 	maxFailbackDelay = 4 * time.Second
+	// settledAfter is how long the other hub must not have sent more than maxSettledChanges changed
+	// targets at once before the host returns.
+	settledAfter      = 2 * time.Second
+	maxSettledChanges = 8
 )
 
 // failback decides when a host that had to leave its preferred hub, the first
@@ -40,6 +44,19 @@
 	f.schedule(now)
 }
 
+// recordChanges records the number of changed targets that the other hub sent at once. While the
+// hubs send thousands after a start, the preferred one would have to send this host the whole
+// roster again, which takes its link from those that it serves.
+func (f *failback) recordChanges(now time.Time, count int) {
+	if f.nextAttempt.IsZero() || count <= maxSettledChanges {
+		return
+	}
+	settled := now.Add(settledAfter + time.Duration(f.jitter*float64(settledAfter)))
+	if f.nextAttempt.Before(settled) {
+		f.nextAttempt = settled
+	}
+}
+
 // due reports whether to poll the preferred hub now.
 func (f *failback) due(now time.Time) bool {
 	return !f.nextAttempt.IsZero() && !now.Before(f.nextAttempt)
--- a/entry/failback_test.go
+++ b/entry/failback_test.go
@@ -72,3 +72,24 @@
 	f.recordFailback()
 	require.False(t, f.due(now.Add(time.Hour)))
 }
+
+// After a start, hosts returned to their preferred hubs while these were sending the first
+// announcements of 3,000 targets, and got the whole roster again. Guards as well against a host
+// that never returns.
+func TestFailback_WaitsUntilTheRosterIsSettled(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	f := newFailback("e-1")
+	f.recordChanges(clock.Now(), 300)
+	require.False(t, f.due(clock.Now().Add(time.Hour)), "the host is on its preferred hub")
+	f.recordFailover(clock.Now())
+	for range 12 {
+		clock.Advance(time.Second)
+		f.recordChanges(clock.Now(), 300)
+		require.False(t, f.due(clock.Now()))
+	}
+	for range 4 {
+		clock.Advance(time.Second)
+		f.recordChanges(clock.Now(), maxSettledChanges)
+	}
+	require.True(t, f.due(clock.Now()))
+}
--- a/entry/hub_watcher.go
+++ b/entry/hub_watcher.go
@@ -323,6 +323,7 @@
 	w.needsWholeView = false
 	w.daemon.selector.hosts.recordPresent(response.PresentCount)
 	w.daemon.selector.applyRoster(response.Entries, response.WatcherCount)
+	w.failback.recordChanges(w.clock.Now(), len(response.Entries))
 	w.daemon.crashes.apply(&response, response.RosterSource != w.suspectsSource)
 	w.suspectsSource = response.RosterSource
 	if !response.WithoutLoads {
