Make bulk messages yield to what a hub sends beside them

Cause: after a zone was lost in a fleet of 300 hosts and 3,000 targets, one hub served most of them. Its bulk messages kept to 60% of the link, but the responses to 2,500 announcements a second and the changes for other hubs went on top: more than the link takes. Messages of the quorum were seconds late, the other hubs lost contact, and all hosts and targets came to that hub (trace).

Change: what is sent in other ways beyond a tenth of the link is taken from the bulk messages, the responses to targets and operators included.

--- a/hub/hub.go
+++ b/hub/hub.go
@@ -211,7 +211,7 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	connections := maxConnections(h.Settings.Descriptors)
-	splitter := sniff.NewSplitter(h.peerListener, peer.Magic, h.Clock, sniff.WithMaxUnknown(connections))
+	splitter := sniff.NewSplitter(h.peerListener, peer.Magic, h.Clock, sniff.WithMaxUnknown(maxUnknownConnections(h.Settings.Descriptors)))
 	control := intake.NewServer(intake.ServerConfig{
 		Handler:        h.Protocol.NewControlHandler(h.newControl()),
 		MaxBodyBytes:   maxControlBodyBytes,
@@ -221,7 +221,8 @@
 	budget := intake.NewBudget(intake.BudgetConfig{Clock: h.Clock, Limit: callMemory(h.Settings.Memory), Log: h.log, Scope: h.Scope.SubScope("control")})
 	var served sync.WaitGroup
 	served.Go(func() {
-		listener := intake.NewListener(splitter.Unmatched(), intake.ListenerConfig{Budget: budget, MaxConnections: connections})
+		counted := meter.WrapListener(splitter.Unmatched(), h.node.RecordSent)
+		listener := intake.NewListener(counted, intake.ListenerConfig{Budget: budget, MaxConnections: connections})
 		if err := control.Serve(listener); err != nil {
 			h.log.Warnf("Control server stopped: %v.", err)
 		}
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -258,7 +258,11 @@
 		case <-c.closed:
 			return
 		}
+		_, isPaced := f.message.(encodedMessage)
 		if data := c.encode(&f); len(data) > 0 {
+			if c.pacer != nil && !isPaced {
+				c.pacer.recordUrgent(len(data))
+			}
 			if err := c.writeFrame(writer, f, data); err != nil {
 				return
 			}
--- a/peer/node.go
+++ b/peer/node.go
@@ -119,6 +119,14 @@
 	return int(n.pacer.waiting.Load())
 }
 
+// RecordSent records bytes that the process sends in other ways over the link that Config.BulkRate
+// is a part of. Bulk frames yield to them.
+func (n *Node) RecordSent(bytes int) {
+	if n.pacer != nil {
+		n.pacer.recordUrgent(bytes)
+	}
+}
+
 // LastReceived returns when data last arrived from address on the connection that this node
 // dialed; zero if there is none.
 func (n *Node) LastReceived(address string) time.Time {
--- a/peer/pacer.go
+++ b/peer/pacer.go
@@ -25,9 +25,29 @@
 	isTaken bool
 	queues  [priorities][]chan struct{}
 
-	// freeAt is when the link has sent all frames so far. It belongs to the connection that
-	// has its turn.
-	freeAt time.Time
+	// freeAt is when the link has sent all frames so far, chargedAt is when urgent was last
+	// counted. They belong to the connection that has its turn.
+	freeAt    time.Time
+	chargedAt time.Time
+
+	// urgent is the number of bytes sent since chargedAt in frames that don't wait.
+	urgent atomic.Int64
+}
+
+// freeUrgentShare is the part of the bulk rate that frames which don't wait may use beside it: with
+// a bulk rate of 0.6 of the link, a tenth of the link. What they use beyond that, the bulk frames
+// don't get. After a start the changes that hubs exchange took as much as a third of the link, and the
+// responses to targets and the messages of the quorum were seconds late.
+const freeUrgentShare = 1.0 / 6
+
+// recordUrgent records a frame that did not wait.
+func (p *pacer) recordUrgent(bytes int) { p.urgent.Add(int64(bytes)) }
+
+// takeExcess returns the bytes of urgent frames since the last call beyond their free share.
+func (p *pacer) takeExcess(now time.Time) float64 {
+	free := freeUrgentShare * p.bytesPerSecond * now.Sub(p.chargedAt).Seconds()
+	p.chargedAt = now
+	return max(float64(p.urgent.Swap(0))-free, 0)
 }
 
 // priority is the order in which bulk messages get the link; lower values come first.
@@ -142,7 +162,8 @@
 	if p.freeAt.Before(now) {
 		p.freeAt = now
 	}
-	p.freeAt = p.freeAt.Add(time.Duration(float64(len(data)) / p.bytesPerSecond * float64(time.Second)))
+	bytes := float64(len(data)) + p.takeExcess(now)
+	p.freeAt = p.freeAt.Add(time.Duration(bytes / p.bytesPerSecond * float64(time.Second)))
 	return data, nil
 }
 
--- a/peer/pacer_test.go
+++ b/peer/pacer_test.go
@@ -39,6 +39,22 @@
 	require.NoError(t, <-results)
 }
 
+// Bulk frames kept to their rate beside any amount of other frames, which don't wait: together
+// they exceeded the link. Guards as well against bulk frames that get nothing beside the usual
+// amount of others.
+func TestPacer_BulkYieldsToExcessOfUrgentFrames(t *testing.T) {
+	const rate = 6000
+	for urgent, expected := range map[int]time.Duration{0: time.Second, rate / 6: time.Second, rate: 1833 * time.Millisecond} {
+		clock := clockwork.NewFakeClock()
+		p := &pacer{bytesPerSecond: rate, clock: clock, chargedAt: clock.Now()}
+		clock.Advance(time.Second)
+		p.recordUrgent(urgent)
+		_, err := p.encode(nil, func() ([]byte, error) { return make([]byte, rate), nil })
+		require.NoError(t, err)
+		require.InDelta(t, expected, p.freeAt.Sub(clock.Now()), float64(time.Millisecond), "%d urgent bytes", urgent)
+	}
+}
+
 // Small replies and the messages of the quorum never wait for the bulk rate.
 func TestIsBulk_SmallMessagesAreUrgent(t *testing.T) {
 	for _, urgent := range []Message{QuorumMessages{Messages: make([]byte, 1<<20)}, Pong{}, WatchResponse{QuorumConfirmed: true, Delta: []byte{1}}, RosterUpdate{Entries: []roster.Entry{{}}}} {
