Allow more connections of targets at a hub

Cause: a hub with 4,096 descriptors took 1,024 connections for calls, and closed waiting ones for new ones. Each target keeps one. With 3,000 targets and hubs lost, up to 215 connections a second were closed while their targets were about to announce themselves, which then came again (trace).

Change: half of the descriptors are for calls; an eighth, instead of a quarter, for connections that have not sent their first bytes. TestUntrustedClients, with its crowds and bounds unchanged, passes.

--- a/hub/limits.go
+++ b/hub/limits.go
@@ -7,10 +7,15 @@
 	controlMemory      = 48 << 20
 	controlMemoryShare = 0.15
 	// maxControlConnections is the number of connections for such calls if the descriptors of the
-	// machine are unknown, controlConnectionShare the share of those that are known. As many may
-	// be open before it is known whether a host or another client has connected.
+	// machine are unknown, controlConnectionShare the share of those that are known. Each target
+	// keeps one, and while other hubs are lost one hub has most of them: with 1,024 connections it
+	// closed those of 3,000 targets all the time.
 	maxControlConnections  = 2048
-	controlConnectionShare = 0.25
+	controlConnectionShare = 0.5
+	// maxUnknown and unknownShare limit the connections of which it is not known yet whether a
+	// host or another client has connected.
+	maxUnknown   = 512
+	unknownShare = 0.125
 	// adminMemory and maxAdminBodyBytes limit what is held for health checks and readers of
 	// metrics.
 	adminMemory       = 4 << 20
@@ -38,6 +43,15 @@
 	return max(int(controlConnectionShare*float64(descriptors)), 1)
 }
 
+// maxUnknownConnections returns the number of connections whose first bytes have not come, on a
+// machine with descriptors.
+func maxUnknownConnections(descriptors int) int {
+	if descriptors == 0 {
+		return maxUnknown
+	}
+	return max(int(unknownShare*float64(descriptors)), 1)
+}
+
 // maxAdmins returns the number of connections for health checks and readers of metrics on a
 // machine with descriptors.
 func maxAdmins(descriptors int) int {
