Send the summary also to a hub that had no targets yet

A host that came to a hub that had just started got version 0 of its roster, and with the next poll, which had no summary, the whole roster. Found by reading the change.

--- a/entry/hub_watcher.go
+++ b/entry/hub_watcher.go
@@ -247,7 +247,8 @@
 	if w.watchedHub() != address && !waitForMajority {
 		request.MaxWait = 0
 	}
-	if w.watchedHub() != address && w.rosterSource != 0 {
+	if w.rosterSource != 0 && (w.watchedHub() != address || w.rosterVersion == 0) {
+		// A hub that has just started has no targets yet, and version 0.
 		request.RosterSummary = w.daemon.selector.roster.Summary()
 	}
 	if w.rosterSource == 0 {
