Tell hosts of many joined targets in parts

Cause: after a start with 3,000 targets the link of a hub takes 8 s and more for all entries to 60 hosts. A reply contained all changes so far, so that some hosts got everything while others knew no targets and refused requests.

Change: 256 changed targets in a reply, the others with the next ones.

--- a/hub/packed_roster.go
+++ b/hub/packed_roster.go
@@ -12,6 +12,11 @@
 // their next polls.
 const packedRosterTTL = 200 * time.Millisecond
 
+// maxChangedTargets is the number of changed targets in a reply; the others follow with the next
+// ones. After a start, the first hosts got all 3,000 targets, 63 KB each, while the others knew
+// none of them for seconds: so all of them soon know some.
+const maxChangedTargets = 256
+
 // packedRoster holds the whole roster in the form in which it is sent to several hosts.
 type packedRoster struct {
 	hub *Hub
@@ -39,7 +44,7 @@
 // has from this hub, what differs from the one that it has from another hub, or all.
 func (h *Hub) addRoster(m peer.WatchRequest, response *peer.WatchResponse) {
 	if m.RosterVersion > 0 {
-		response.Entries, response.RosterVersion = h.roster.ChangedSince(m.RosterVersion)
+		response.Entries, response.RosterVersion = h.roster.NextChanges(m.RosterVersion, maxChangedTargets)
 		return
 	}
 	entries, version, few := h.roster.MissingFrom(m.RosterSummary)
--- a/target/roster/renewal_test.go
+++ b/target/roster/renewal_test.go
@@ -163,6 +163,39 @@
 	})
 }
 
+// Guards against a host that gets changes in parts and misses one, or gets one without end.
+func TestNextChanges_PartsAreAllChanges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := baseTime
+		table, follower := NewTable(), map[string]Entry{}
+		limit := rapid.IntRange(1, 4).Draw(t, "limit")
+		var version uint64
+		follow := func() bool {
+			entries, next := table.NextChanges(version, limit)
+			require.LessOrEqual(t, len(entries), limit)
+			require.GreaterOrEqual(t, next, version)
+			for _, entry := range entries {
+				follower[entry.Name] = entry
+			}
+			version = next
+			return len(entries) > 0
+		}
+		for range rapid.IntRange(1, 10).Draw(t, "rounds") {
+			drawTable(t, &now, table)
+			follow()
+		}
+		for range 2 * len(table.byName) {
+			follow()
+		}
+		require.False(t, follow(), "it has all changes")
+		for name, current := range table.byName {
+			require.Equal(t, current.State, follower[name].State)
+			require.Equal(t, current.Incarnation, follower[name].Incarnation)
+			require.Equal(t, current.Silent, follower[name].Silent)
+		}
+	})
+}
+
 func TestPendingChanges_LeavingAndColdTargetsAreUrgent(t *testing.T) {
 	table := NewTable()
 	table.Merge(baseTime, Entry{Announcement: target.Announcement{Name: "a", Stamp: target.Stamp{Incarnation: 1}}, State: Ready})
--- a/target/roster/roster.go
+++ b/target/roster/roster.go
@@ -354,6 +354,26 @@
 	return entries, t.version
 }
 
+// NextChanges returns up to limit entries that changed after the version, the earliest changes
+// first, and the version up to which these are all changes.
+func (t *Table) NextChanges(version uint64, limit int) (entries []Entry, next uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if version >= t.version {
+		return nil, t.version
+	}
+	for _, current := range t.changedSince(version) {
+		if current.isReplaced {
+			continue
+		}
+		if len(entries) == limit {
+			return entries, next
+		}
+		entries, next = append(entries, current.Entry), current.version
+	}
+	return entries, t.version
+}
+
 // changedSince returns the records with later versions, replaced ones among them. The caller must
 // hold t.mu.
 func (t *Table) changedSince(version uint64) []*record {
