Don't slow bulk messages by those of the quorum

After a loss of power the replication to hubs with new disks is large; counted as urgent traffic, it took the link from the first views without a limit.

Change: only changes for other hubs and responses to targets count, and bulk messages keep a third of their rate.

--- a/peer/conn.go
+++ b/peer/conn.go
@@ -258,9 +258,8 @@
 		case <-c.closed:
 			return
 		}
-		_, isPaced := f.message.(encodedMessage)
 		if data := c.encode(&f); len(data) > 0 {
-			if c.pacer != nil && !isPaced {
+			if _, isUpdate := f.message.(RosterUpdate); isUpdate && c.pacer != nil && !isBulk(f.message) {
 				c.pacer.recordUrgent(len(data))
 			}
 			if err := c.writeFrame(writer, f, data); err != nil {
--- a/peer/pacer.go
+++ b/peer/pacer.go
@@ -30,24 +30,29 @@
 	freeAt    time.Time
 	chargedAt time.Time
 
-	// urgent is the number of bytes sent since chargedAt in frames that don't wait.
+	// urgent is the number of bytes recorded since chargedAt by recordUrgent.
 	urgent atomic.Int64
 }
 
-// freeUrgentShare is the part of the bulk rate that frames which don't wait may use beside it: with
-// a bulk rate of 0.6 of the link, a tenth of the link. What they use beyond that, the bulk frames
-// don't get. After a start the changes that hubs exchange took as much as a third of the link, and the
-// responses to targets and the messages of the quorum were seconds late.
-const freeUrgentShare = 1.0 / 6
+// freeUrgentShare is the part of the bulk rate that changes for other hubs and the responses to
+// targets may use beside it: with a bulk rate of 0.6 of the link, a tenth of the link. What they
+// use beyond that, the bulk frames don't get. After hubs were lost, they took as much as half of
+// the link, and the messages of the quorum were seconds late. maxUrgentFactor leaves at least a
+// third of its rate to the bulk.
+const (
+	freeUrgentShare = 1.0 / 6
+	maxUrgentFactor = 2
+)
 
-// recordUrgent records a frame that did not wait.
+// recordUrgent records bytes that did not wait.
 func (p *pacer) recordUrgent(bytes int) { p.urgent.Add(int64(bytes)) }
 
-// takeExcess returns the bytes of urgent frames since the last call beyond their free share.
-func (p *pacer) takeExcess(now time.Time) float64 {
+// takeExcess returns the bytes recorded since the last call beyond their free share, up to
+// maxUrgentFactor times those of the bulk frame that is sent now.
+func (p *pacer) takeExcess(now time.Time, bulk int) float64 {
 	free := freeUrgentShare * p.bytesPerSecond * now.Sub(p.chargedAt).Seconds()
 	p.chargedAt = now
-	return max(float64(p.urgent.Swap(0))-free, 0)
+	return min(max(float64(p.urgent.Swap(0))-free, 0), maxUrgentFactor*float64(bulk))
 }
 
 // priority is the order in which bulk messages get the link; lower values come first.
@@ -162,7 +167,7 @@
 	if p.freeAt.Before(now) {
 		p.freeAt = now
 	}
-	bytes := float64(len(data)) + p.takeExcess(now)
+	bytes := float64(len(data)) + p.takeExcess(now, len(data))
 	p.freeAt = p.freeAt.Add(time.Duration(bytes / p.bytesPerSecond * float64(time.Second)))
 	return data, nil
 }
--- a/peer/pacer_test.go
+++ b/peer/pacer_test.go
@@ -44,7 +44,7 @@
 // amount of others.
 func TestPacer_BulkYieldsToExcessOfUrgentFrames(t *testing.T) {
 	const rate = 6000
-	for urgent, expected := range map[int]time.Duration{0: time.Second, rate / 6: time.Second, rate: 1833 * time.Millisecond} {
+	for urgent, expected := range map[int]time.Duration{0: time.Second, rate / 6: time.Second, rate: 1833 * time.Millisecond, 9 * rate: 3 * time.Second} {
 		clock := clockwork.NewFakeClock()
 		p := &pacer{bytesPerSecond: rate, clock: clock, chargedAt: clock.Now()}
 		clock.Advance(time.Second)
