--- a/peer/packed_entries_test.go
+++ b/peer/packed_entries_test.go
@@ -97,6 +97,6 @@
 			}
 		}
 	}).AllocedBytesPerOp()
-	// With the race detector, sync.Pool drops every fourth compressor on purpose.
-	require.Less(t, allocated, int64(400<<10))
+	const compressorBytes = 1200 << 10
+	require.Less(t, float64(allocated), float64(100<<10+droppedByPool*compressorBytes))
 }
--- /dev/null
+++ b/peer/race_off_test.go
@@ -0,0 +1,7 @@
+//go:build !race
+
+package peer
+
+// droppedByPool is the part of the items that sync.Pool drops on purpose: none without the race
+// detector.
+const droppedByPool = 0
