Wait for the hosts also at a hub that has not applied the change

Callers saw a configuration that had been acknowledged, but was not in force on their host yet. An operator's call goes to any hub, which passes the command on to the leader. The result may be back before the called replica has applied the command. The hub then asked whether all hosts have the revision of its own view, which was the one from before the change and which they all had, so that it acknowledged at once.

A hub now waits for a revision that has the change. One that doesn't have it in time can't tell about the hosts, and answers 503 as long as there are any: the operator goes on to another hub. Outages and rollouts wait in the same way. awaitPropagation names the change in the test of disks, which checks what it did. Nothing changes on the wire or on disk.

--- a/hub/control.go
+++ b/hub/control.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"math"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -145,11 +146,14 @@
 // checkSpread waits until the hosts have a committed configuration, and returns ErrUnavailable
 // if they don't within propagationTimeout, unless it takes so long that a host may never do.
 func (c *controlHandler) checkSpread(ctx context.Context, version uint64, config []byte) error {
-	if c.awaitPropagation(ctx) {
+	if c.awaitPropagation(ctx, operatorVersions{Fleet: version}) {
 		return nil
 	}
-	known, age := c.hub.fleetVersions.age(version)
-	if limit := maxSpreadTime(len(config)); !known || age >= limit {
+	latest, age := c.hub.fleetVersions.latestAge()
+	switch {
+	case latest < version:
+		return errors.Wrapf(protocol.ErrUnavailable, "version %d is committed, but not yet on this host", version)
+	case latest > version || age >= maxSpreadTime(len(config)):
 		return nil
 	}
 	return errors.Wrapf(protocol.ErrUnavailable, "version %d is committed, but not yet in force on all hosts", version)
@@ -188,27 +192,41 @@
 	return result, nil
 }
 
-// awaitPropagation waits until the hosts that watch any hub have this hub's state
-// revision, and reports whether they do. An acknowledged change is thus soon in force, even
-// if it takes a while to send it to all of them. A slow or lost host delays the call by at
-// most propagationTimeout, and never beyond ctx.
-func (c *controlHandler) awaitPropagation(ctx context.Context) bool {
+// awaitPropagation waits until the hosts that watch any hub have a committed change, and
+// reports whether they do. An acknowledged change is thus soon in force, even if it takes a
+// while to send it to all of them. A slow or lost host delays the call by at most
+// propagationTimeout, and never beyond ctx.
+func (c *controlHandler) awaitPropagation(ctx context.Context, change operatorVersions) bool {
 	h := c.hub
-	revision := h.replica.Machine.View().Revision
 	waitCtx, cancel := clockwork.WithTimeout(ctx, h.Clock, propagationTimeout)
 	defer cancel()
 	ticker := h.Clock.NewTicker(propagationPollInterval)
 	defer ticker.Stop()
-	for h.watchers.anyBehind(revision) {
+	for revision := h.revisionWith(change); h.watchers.anyBehind(revision); {
 		select {
 		case <-waitCtx.Done():
 			return false
 		case <-ticker.Chan():
 		}
+		if revision == unknownRevision {
+			revision = h.revisionWith(change)
+		}
 	}
 	return true
 }
 
+// unknownRevision is a revision that no host has.
+const unknownRevision = math.MaxUint64
+
+// revisionWith returns a revision of the state view that has a change; unknownRevision if this
+// replica has not applied the change yet, although others have committed it.
+func (h *Hub) revisionWith(change operatorVersions) uint64 {
+	if !h.durableVersions().holds(change) {
+		return unknownRevision
+	}
+	return h.replica.Machine.View().Revision
+}
+
 // hasAllVoters reports whether the cluster has the desired number of voters.
 func (h *Hub) hasAllVoters() bool {
 	voters := 0
--- a/hub/durable_ack_test.go
+++ b/hub/durable_ack_test.go
@@ -280,9 +280,9 @@
 	disk.stall(t)
 	_, err := o.control.commit(t.Context(), registry.NumberFleet{Version: 2, Config: versionedConfig(2)})
 	require.NoError(t, err)
-	require.True(t, o.control.awaitPropagation(t.Context()), "there is no host")
+	require.True(t, o.control.awaitPropagation(t.Context(), operatorVersions{Fleet: 2}), "there is no host")
 	voter.watchers.recordWatch("e-1", math.MaxUint64)
-	require.True(t, o.control.awaitPropagation(t.Context()), "the only host has the change from another hub")
+	require.True(t, o.control.awaitPropagation(t.Context(), operatorVersions{Fleet: 2}), "the only host has the change from another hub")
 	require.Less(t, voter.fleetVersion(), uint64(2))
 }
 
--- a/hub/fleet_versions.go
+++ b/hub/fleet_versions.go
@@ -26,12 +26,11 @@
 	}
 }
 
-// age returns for how long a version has been the latest one; isLatest is false if it is
-// not.
-func (f *fleetVersions) age(version uint64) (isLatest bool, age time.Duration) {
+// latestAge returns the latest version that is known here and for how long it has been.
+func (f *fleetVersions) latestAge() (latest uint64, age time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return version == f.latest, f.clock.Since(f.since)
+	return f.latest, f.clock.Since(f.since)
 }
 
 // recordFleetVersions records new versions of the configuration until ctx ends.
--- a/hub/outage.go
+++ b/hub/outage.go
@@ -25,7 +25,7 @@
 	}
 	if err = result.Err(); err == nil {
 		err = c.hub.voters.completeChange(ctx, operatorVersions{Outage: result.Version}, func() error {
-			c.awaitPropagation(ctx)
+			c.awaitPropagation(ctx, operatorVersions{Outage: result.Version})
 			return nil
 		})
 	}
--- a/hub/rollout_orders.go
+++ b/hub/rollout_orders.go
@@ -47,7 +47,7 @@
 		c.hub.log.WithFields(fields).Warnf("No target of service %q has version %q yet.", service, version)
 	}
 	return c.hub.voters.completeChange(ctx, operatorVersions{Rollout: result.Version}, func() error {
-		c.awaitPropagation(ctx)
+		c.awaitPropagation(ctx, operatorVersions{Rollout: result.Version})
 		return nil
 	})
 }
