--- a/integration/daemons/daemons.go
+++ b/integration/daemons/daemons.go
@@ -145,10 +145,16 @@
 // Start runs a daemon and appends its output to a file. The daemon is killed at the
 // end of the test if it is still running.
 func Start(t testing.TB, settings, log string, arguments ...string) *Daemon {
+	t.Helper()
+	return StartProgram(t, Binary(t, "comfreytillerd"), settings, log, arguments...)
+}
+
+// StartProgram is Start for a program of another release.
+func StartProgram(t testing.TB, program, settings, log string, arguments ...string) *Daemon {
 	t.Helper()
 	out, err := os.OpenFile(log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	require.NoError(t, err)
-	cmd := exec.Command(Binary(t, "comfreytillerd"), append([]string{"--Settings", settings}, arguments...)...)
+	cmd := exec.Command(program, append([]string{"--Settings", settings}, arguments...)...)
 	cmd.Stdout, cmd.Stderr = out, out
 	require.NoError(t, cmd.Start())
 	require.NoError(t, out.Close())
