Move the clock until a waiting request has ended in its test

The stacks show the request in its wait and the test at its result: the test moved the fake clock 60 times, and the request set its next timer after the last one.

--- a/entry/fair_admission_test.go
+++ b/entry/fair_admission_test.go
@@ -210,14 +210,16 @@
 		"a digest shows free places": {end: func(f *fixture, _ func()) { f.digest(0) }},
 		"its time is over": {end: func(f *fixture, _ func()) {
 			s := f.selector.fair.services["treasury"]
-			for range 60 {
+			// The request may set its timer only after the clock has moved.
+			require.Eventually(t, func() bool {
 				f.selector.fair.mu.Lock()
 				for w := range s.granted {
 					w.ExpiresAt = f.clock.Now()
 				}
 				f.selector.fair.mu.Unlock()
 				f.clock.Advance(5 * time.Millisecond)
-			}
+				return f.waitingCount() == 0
+			}, 5*time.Second, time.Millisecond)
 		}, refused: true},
 		"the caller leaves": {end: func(_ *fixture, leave func()) { leave() }, left: true},
 		"the host drains":   {end: func(f *fixture, _ func()) { f.selector.fair.drain() }, refused: true},
