Log for how long bulk messages wait for a hub's link

The traffic line of a hub says how many replies wait, not for how long: a change that waits behind a delta can't be told from one that waits with a digest. It now has the longest waits of changes, of state and of loads.

--- a/hub/traffic_log.go
+++ b/hub/traffic_log.go
@@ -81,6 +81,8 @@
 		fields["Rosters"], fields["Entries"], fields["Digests"] = replies.rosters, replies.entries, replies.digests
 		fields["Deltas"], fields["DeltaBytes"], fields["Waiting"] = replies.deltas, replies.deltaBytes, h.node.BulkWaiting()
 		fields["FirstViews"], fields["FirstBytes"], fields["WaitingHosts"] = replies.firstViews, replies.firstBytes, h.deltas.waiting()
+		waits := h.node.TakeBulkWaits()
+		fields["WaitedChanges"], fields["WaitedState"], fields["WaitedLoads"] = waits.Changes, waits.State, waits.Loads
 		fields["Redirected"] = h.balance.takeCount()
 		h.log.WithFields(fields).Info("Traffic with hosts and hubs: frames and bytes sent, frames and bytes received.")
 	})
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -16,6 +16,8 @@
 	callID  uint64
 	isReply bool
 	message Message
+	// queuedAt is when a bulk frame was queued; zero for others.
+	queuedAt time.Time
 }
 
 // encodeFrame encodes a frame without its length prefix. It returns ErrInvalidFrame for a
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -110,7 +110,7 @@
 	}
 	queue := c.sendQueue
 	if c.pacer != nil && isBulk(unwrapShared(f.message)) {
-		queue = c.bulkQueue
+		queue, f.queuedAt = c.bulkQueue, c.clock.Now()
 	}
 	select {
 	case queue <- f:
@@ -285,7 +285,8 @@
 		case <-c.closed:
 			return
 		}
-		data, err := c.pacer.encodeRanked(c.closed, priorityOf(unwrapShared(f.message)), func() ([]byte, error) { return c.encodeWanted(&f), nil })
+		rank := priorityOf(unwrapShared(f.message))
+		data, err := c.pacer.encodeRanked(c.closed, rank, func() ([]byte, error) { return c.encodeWanted(&f), nil })
 		if err != nil {
 			c.close()
 			return
@@ -293,6 +294,7 @@
 		if len(data) == 0 {
 			continue
 		}
+		c.pacer.waits.record(rank, c.clock.Since(f.queuedAt))
 		f.message = encodedMessage{Message: f.message, frame: data}
 		select {
 		case c.sendQueue <- f:
--- a/peer/node.go
+++ b/peer/node.go
@@ -119,6 +119,15 @@
 	return int(n.pacer.waiting.Load())
 }
 
+// TakeBulkWaits returns the longest waits of bulk messages because of Config.BulkRate, or behind
+// others on their connection, since the last call.
+func (n *Node) TakeBulkWaits() BulkWaits {
+	if n.pacer == nil {
+		return BulkWaits{}
+	}
+	return n.pacer.waits.take()
+}
+
 // RecordSent records bytes that the process sends in other ways over the link that Config.BulkRate
 // is a part of. Bulk frames yield to them.
 func (n *Node) RecordSent(bytes int) {
--- a/peer/pacer.go
+++ b/peer/pacer.go
@@ -32,6 +32,8 @@
 
 	// urgent is the number of bytes recorded since chargedAt by recordUrgent.
 	urgent atomic.Int64
+
+	waits bulkWaits
 }
 
 // freeUrgentShare is the part of the bulk rate that changes for other hubs and the responses to
