Send urgent changes with replies that wait for a hub's link

Requests reached targets seconds after these had said that they leave. A host polls again only when it has the reply to its last poll. On a busy link a reply with nothing but a digest of loads waited for up to two seconds behind state deltas and first views, and so did every change that came meanwhile; besides, a change waited behind a large delta for the same host, since a connection had one queue for all bulk messages. Class: head-of-line blocking of control messages by bulk data.

A connection has a queue for each priority. A reply that waits is made anew, without its digest, when the state view changes or a target leaves, and goes on with the changes; one that holds only a digest goes out without it after 250 ms. Nothing changes on the wire: hosts of earlier releases get the same replies.

--- a/hub/hub_test.go
+++ b/hub/hub_test.go
@@ -45,6 +45,8 @@
 	disks []faultyDisk
 	// tolerates is how many voters may be lost.
 	tolerates int
+	// bandwidth is the link of each hub in Mbit/s; 0 if it is not stated.
+	bandwidth float64
 	// wrapConn wraps the connections of hubs that are started; nil wraps none.
 	wrapConn func(net.Conn) net.Conn
 }
@@ -87,7 +89,7 @@
 	h, err := New(Dependencies{
 		Settings: &settings.Settings{
 			Host: fmt.Sprintf("h-%d", i), Peers: c.addresses[i], Admin: "127.0.0.1:0", StateReplicas: c.addresses[:3],
-			State: &settings.State{Folder: c.dataDirs[i], Cluster: "test", Tolerates: c.tolerates, First: firstStart},
+			State: &settings.State{Folder: c.dataDirs[i], Cluster: "test", Tolerates: c.tolerates, First: firstStart}, Bandwidth: c.bandwidth,
 		},
 		Protocol: protocol.Protocol{
 			ParseFleet:        fleet.Parse,
--- a/hub/watchers.go
+++ b/hub/watchers.go
@@ -296,17 +296,19 @@
 	if !isWanted() {
 		return
 	}
-	response := h.stateResponse(m)
+	pending := &pendingReply{hub: h, request: m, startedAt: startedAt, madeAt: h.Clock.Now()}
+	response, revision := pending.compose()
 	response.IsWanted = isWanted
-	response.RosterSource, response.ReplicaAddresses = h.rosterSource, h.replicaAddresses()
-	h.setHostCount(&response)
-	response.Held = h.Clock.Since(startedAt)
 	h.addDigest(m.Host, &response)
 	suspects, version := h.quarantine.Suspects()
 	if response.SuspectsVersion = version; version != m.SuspectsVersion {
 		response.Suspects = suspects
 	}
-	h.addRoster(m, &response)
+	pending.response, pending.revision = response, revision
+	if m.RosterVersion > 0 {
+		// After a whole roster, the host asks for the changes with its next poll.
+		response.Pending = pending
+	}
 	h.replies.record(&response, m.RosterVersion == 0)
 	reply(response)
 }
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -28,10 +28,11 @@
 	onDropped func(host string, message Message, err error)
 
 	sendQueue chan frame
-	// bulkQueue holds the frames that wait for the pacer.
-	bulkQueue chan frame
-	closed    chan struct{}
-	closeOnce sync.Once
+	// bulkQueues hold the frames that wait for the pacer, by priority: a change doesn't wait
+	// behind a large state delta for the same host.
+	bulkQueues [priorities]chan frame
+	closed     chan struct{}
+	closeOnce  sync.Once
 
 	mu         sync.Mutex
 	lastCallID uint64
@@ -48,7 +49,7 @@
 }
 
 func newConn(host string, conn net.Conn, clock clockwork.Clock, handler Handler, traffic *traffic, pacer *pacer) *Conn {
-	return &Conn{
+	c := &Conn{
 		host:         host,
 		netConn:      conn,
 		clock:        clock,
@@ -57,18 +58,23 @@
 		pacer:        pacer,
 		onDropped:    func(string, Message, error) {},
 		sendQueue:    make(chan frame, maxQueuedFrames),
-		bulkQueue:    make(chan frame, maxQueuedBulkFrames),
 		closed:       make(chan struct{}),
 		pending:      map[uint64]chan Message{},
 		lastReceived: clock.Now(),
 	}
+	for rank := range c.bulkQueues {
+		c.bulkQueues[rank] = make(chan frame, maxQueuedBulkFrames)
+	}
+	return c
 }
 
 // run serves the connection until it is closed.
 func (c *Conn) run() {
 	go c.writeLoop()
 	if c.pacer != nil {
-		go c.paceLoop()
+		for rank := range priorities {
+			go c.paceLoop(rank)
+		}
 	}
 	go c.monitor()
 	c.readLoop()
@@ -109,8 +115,8 @@
 	default:
 	}
 	queue := c.sendQueue
-	if c.pacer != nil && isBulk(unwrapShared(f.message)) {
-		queue, f.queuedAt = c.bulkQueue, c.clock.Now()
+	if message := unwrapShared(f.message); c.pacer != nil && isBulk(message) {
+		queue, f.queuedAt = c.bulkQueues[priorityOf(message)], c.clock.Now()
 	}
 	select {
 	case queue <- f:
@@ -275,18 +281,17 @@
 	}
 }
 
-// paceLoop passes the bulk frames on to the writeLoop, one after the other, when it is their
-// turn.
-func (c *Conn) paceLoop() {
+// paceLoop passes the bulk frames of a priority on to the writeLoop, one after the other, when it
+// is their turn.
+func (c *Conn) paceLoop(rank priority) {
 	for {
 		var f frame
 		select {
-		case f = <-c.bulkQueue:
+		case f = <-c.bulkQueues[rank]:
 		case <-c.closed:
 			return
 		}
-		rank := priorityOf(unwrapShared(f.message))
-		data, err := c.pacer.encodeRanked(c.closed, rank, func() ([]byte, error) { return c.encodeWanted(&f), nil })
+		data, err := c.pacer.encodePending(c.closed, rank, pendingReply(f.message), func() ([]byte, error) { return c.encodeWanted(&f), nil })
 		if err != nil {
 			c.close()
 			return
--- a/peer/message.go
+++ b/peer/message.go
@@ -350,6 +350,9 @@
 	// IsWanted reports whether the reply is still waited for; nil for always. It is not sent.
 	// A bulk reply that has waited for the link is dropped if it isn't wanted any more.
 	IsWanted func() bool
+	// Pending updates a bulk reply that waits for the link; nil if it is sent as it is. It is
+	// not sent.
+	Pending PendingReply
 	// Packed are further entries, which are sent to several hosts; nil for none. In a received
 	// reply they are among Entries.
 	Packed *PackedEntries
--- a/peer/pacer.go
+++ b/peer/pacer.go
@@ -90,22 +90,53 @@
 	return priorityLoads
 }
 
-// takeTurn waits for the turn of a connection. It returns ErrClosed if closed ends the wait.
-func (p *pacer) takeTurn(closed <-chan struct{}, rank priority) error {
-	p.mu.Lock()
-	if !p.isTaken {
-		p.isTaken = true
-		p.mu.Unlock()
-		return nil
+// takeTurn waits for the turn of a frame. It returns ErrClosed if closed ends the wait. A reply that
+// has an urgent change meanwhile goes on in the queue of changes.
+func (p *pacer) takeTurn(closed <-chan struct{}, rank priority, pending PendingReply) error {
+	turn := p.queue(rank)
+	var urgent <-chan struct{}
+	if pending != nil && rank != priorityChange && !isClosed(turn) {
+		stop := make(chan struct{})
+		defer close(stop)
+		urgent = pending.Urgent(stop)
 	}
-	turn := make(chan struct{})
-	p.queues[rank] = append(p.queues[rank], turn)
-	p.mu.Unlock()
 	select {
 	case <-turn:
 		return nil
+	case <-urgent:
+		p.leave(rank, turn)
+		return p.takeTurn(closed, priorityChange, nil)
 	case <-closed:
+		p.leave(rank, turn)
+		return ErrClosed
 	}
+}
+
+func isClosed(channel <-chan struct{}) bool {
+	select {
+	case <-channel:
+		return true
+	default:
+		return false
+	}
+}
+
+// queue returns a channel that is closed when it is the turn of a frame.
+func (p *pacer) queue(rank priority) chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	turn := make(chan struct{})
+	if !p.isTaken {
+		p.isTaken = true
+		close(turn)
+		return turn
+	}
+	p.queues[rank] = append(p.queues[rank], turn)
+	return turn
+}
+
+// leave gives up the place in a queue, or the turn if it has come meanwhile.
+func (p *pacer) leave(rank priority, turn chan struct{}) {
 	p.mu.Lock()
 	at := slices.Index(p.queues[rank], turn)
 	if at >= 0 {
@@ -113,10 +144,8 @@
 	}
 	p.mu.Unlock()
 	if at < 0 {
-		// The turn came at the same time.
 		p.passTurn()
 	}
-	return ErrClosed
 }
 
 // passTurn passes the turn to the connection that is next.
@@ -141,9 +170,15 @@
 // encodeRanked waits until the link is free, encodes a frame with encode and reserves the time
 // to send it. It returns ErrClosed if closed ends the wait.
 func (p *pacer) encodeRanked(closed <-chan struct{}, rank priority, encode func() ([]byte, error)) ([]byte, error) {
+	return p.encodePending(closed, rank, nil, encode)
+}
+
+// encodePending is encodeRanked for a reply that may have urgent changes meanwhile; nil for other
+// messages.
+func (p *pacer) encodePending(closed <-chan struct{}, rank priority, pending PendingReply, encode func() ([]byte, error)) ([]byte, error) {
 	p.waiting.Add(1)
 	defer p.waiting.Add(-1)
-	if err := p.takeTurn(closed, rank); err != nil {
+	if err := p.takeTurn(closed, rank, pending); err != nil {
 		return nil, err
 	}
 	defer p.passTurn()
@@ -180,16 +215,6 @@
 	frame []byte
 }
 
-// encodeWanted encodes a frame, or returns nil for a reply that is not waited for any more.
-// The link of a hub is the bottleneck when all hosts start at once, and hosts that went to
-// another hub don't read what waited here.
-func (c *Conn) encodeWanted(f *frame) []byte {
-	if response, ok := f.message.(WatchResponse); ok && response.IsWanted != nil && !response.IsWanted() {
-		return nil
-	}
-	return c.encode(f)
-}
-
 // maxUrgentDeltaBytes is the size up to which a state delta is not a bulk message.
 const maxUrgentDeltaBytes = 4 << 10
 
--- a/target/roster/renewal.go
+++ b/target/roster/renewal.go
@@ -115,6 +115,18 @@
 	return count, urgent
 }
 
+// HasLeftSince reports whether a target has said that it is leaving, or is gone, since a version.
+func (t *Table) HasLeftSince(version uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, current := range t.changedSince(version) {
+		if !current.isReplaced && current.State != Ready {
+			return true
+		}
+	}
+	return false
+}
+
 // WithFingerprints returns the entries with the fingerprints that the table has.
 func (t *Table) WithFingerprints(wanted []Fingerprint) []Entry {
 	t.mu.Lock()
