Don't let hosts without a view hide the others of their hub

An acknowledgement waits for the hosts of all hubs, of which each hub tells the others the lowest revision. A host that has just started polls with revision 0, so that its hub told 0, which the others take for no report. They forgot the earlier report after 1.5 s, and acknowledged configurations without waiting for any host of that hub: while hosts start one after the other, of any hub. Callers then met hosts that act on an older configuration after its acknowledgement. Class: a value of a field that also means that the field is absent.

A hub now tells the lowest revision of the hosts that have a view.

--- a/hub/watchers.go
+++ b/hub/watchers.go
@@ -155,15 +155,15 @@
 	return false
 }
 
-// lowestRevision returns the lowest revision of the hosts that polled here recently; the
-// largest number if there are none.
+// lowestRevision returns the lowest revision of the hosts that polled here recently and have a
+// view; the largest number if there are none. A host without a view acts on none.
 func (w *watchers) lowestRevision() uint64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now, lowest := w.clock.Now(), uint64(math.MaxUint64)
 	for host, at := range w.localSeen {
-		if now.Sub(at) < recentWatchPeriod {
-			lowest = min(lowest, w.revisions[host])
+		if revision := w.revisions[host]; revision > 0 && now.Sub(at) < recentWatchPeriod {
+			lowest = min(lowest, revision)
 		}
 	}
 	return lowest
