--- a/integration/daemons/daemons.go
+++ b/integration/daemons/daemons.go
@@ -63,6 +63,47 @@
 	return filepath.Join(binaries.directory, name)
 }
 
+// releases are the programs of earlier releases by commit, and where they were built.
+var releases struct {
+	sync.Mutex
+	programs map[string]string
+}
+
+// Release builds comfreytillerd as of a commit of this repository and returns its path. The source is
+// taken from the history; it is built once in each test process.
+func Release(t testing.TB, commit string) string {
+	t.Helper()
+	Binary(t, "comfreytillerd") // Makes the directory that RunTests removes.
+	releases.Lock()
+	defer releases.Unlock()
+	if program, built := releases.programs[commit]; built {
+		return program
+	}
+	source := filepath.Join(binaries.directory, "source-"+commit)
+	require.NoError(t, os.MkdirAll(source, 0o700))
+	top, err := exec.Command("git", "rev-parse", "--show-toplevel").Output()
+	require.NoError(t, err)
+	archive := filepath.Join(binaries.directory, commit+".tar")
+	run(t, strings.TrimSpace(string(top)), "git", "archive", "--output", archive, commit)
+	run(t, source, "tar", "-xf", archive)
+	program := filepath.Join(binaries.directory, "comfreytillerd-"+commit)
+	run(t, source, "go", "build", "-o", program, "./cmd/comfreytillerd")
+	if releases.programs == nil {
+		releases.programs = map[string]string{}
+	}
+	releases.programs[commit] = program
+	return program
+}
+
+// run runs a command in a directory.
+func run(t testing.TB, directory, name string, arguments ...string) {
+	t.Helper()
+	command := exec.Command(name, arguments...)
+	command.Dir = directory
+	out, err := command.CombinedOutput()
+	require.NoError(t, err, "%s: %s", command, out)
+}
+
 // firstPort and lastPort limit the ports of FreeAddress. They are below the ephemeral
 // port range of the system, from which an outgoing connection could take a port before
 // the daemon listens on it. They are divided into blocks of blockPorts.
