Name the leader's address until a replica knows it from its log

Operators read 503 from a hub for good after disks were lost: "the configuration did not come". A replica sends its responses to the address that the membership in its log has for the leader. The leader names its own address only until the replica has acknowledged anything. If the leader joined later than the entries of the first message, the replica acknowledged these, got messages without an address from then on, and could not respond to them: it never caught up, got no vote, and each further loss of a disk counted against a majority that had been one short ever since. What a stated link allows in a message, 37 KB at 6 Mbit/s, makes that likely once the log is longer.

Tests and the simulation had sent messages by ID; the test cluster now drops those without an address, as the transport does.

The leader names its address until the replica's log has the entry by which it joined.

--- a/quorum/cluster_test.go
+++ b/quorum/cluster_test.go
@@ -73,7 +73,8 @@
 		require.NoError(c.t, err)
 		c.mu.Lock()
 		to := c.byID[m.To]
-		lost := c.isolated[m.From] || c.isolated[m.To] || c.drop != nil && c.drop(m)
+		// A transport knows addresses, not IDs.
+		lost := m.ToAddress == "" || c.isolated[m.From] || c.isolated[m.To] || c.drop != nil && c.drop(m)
 		c.mu.Unlock()
 		if to != nil && !lost {
 			to.Deliver(decoded)
--- a/quorum/follower.go
+++ b/quorum/follower.go
@@ -1,22 +1,33 @@
 package quorum
 
-// recordLeaderContact accepts the sender as the leader of the current term and
+// recordLeaderContact accepts the sender of a message as the leader of the current term and
 // restarts the election timeout.
-func (n *Node) recordLeaderContact(from string) {
+func (n *Node) recordLeaderContact(m *Message) {
 	if n.role != Follower {
-		n.becomeFollower(n.state.Term, from)
+		n.becomeFollower(n.state.Term, m.From)
+	}
+	n.setLeader(m.From)
+	if m.FromAddress != "" {
+		n.leaderAddress = m.FromAddress
 	}
-	n.leader = from
 	n.noLeaderSinceStart = false
 	n.ticksSinceLeader = 0
 	n.resetTimeout()
 }
 
+// setLeader sets the leader; empty if unknown.
+func (n *Node) setLeader(leader string) {
+	if leader != n.leader {
+		n.leaderAddress = ""
+	}
+	n.leader = leader
+}
+
 // handleAppend appends the leader's entries if the logs match at the preceding
 // index.
 func (n *Node) handleAppend(m *Message) {
-	n.recordLeaderContact(m.From)
-	response := Message{Kind: MessageAppendResponse, To: m.From, ToAddress: m.FromAddress, Round: m.Round}
+	n.recordLeaderContact(m)
+	response := Message{Kind: MessageAppendResponse, To: m.From, Round: m.Round}
 	if !n.log.matchesTerm(m.Index, m.LogTerm) {
 		response.Reject = true
 		response.Index = m.Index
--- a/quorum/log.go
+++ b/quorum/log.go
@@ -170,6 +170,19 @@
 	return l.memberSets[len(l.memberSets)-2].members
 }
 
+// memberSince returns the index from which on a log names the member, without a gap until the
+// latest membership; an index after the last one if that doesn't name it.
+func (l *entryLog) memberSince(id string) uint64 {
+	since := l.lastIndex() + 1
+	for _, set := range slices.Backward(l.memberSets) {
+		if findMember(set.members, id) < 0 {
+			break
+		}
+		since = set.index
+	}
+	return since
+}
+
 // membersAt returns the membership at the index.
 func (l *entryLog) membersAt(index uint64) []Member {
 	for i := len(l.memberSets) - 1; i > 0; i-- {
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -86,6 +86,9 @@
 
 	role   Role
 	leader string
+	// leaderAddress is the address that the leader named for a node that may not know it from
+	// its log; empty if it has named none.
+	leaderAddress string
 	// ticksSinceLeader counts the ticks since the last message from a leader,
 	// or since the start.
 	ticksSinceLeader int
@@ -217,7 +220,7 @@
 		n.state.Vote = ""
 	}
 	n.role = Follower
-	n.leader = leader
+	n.setLeader(leader)
 	n.votes = nil
 	n.recovery = nil
 	n.progress = nil
--- a/quorum/ready.go
+++ b/quorum/ready.go
@@ -45,8 +45,11 @@
 	if m.Term == 0 {
 		m.Term = n.state.Term
 	}
-	if at := findMember(n.log.members(), m.To); at >= 0 {
+	switch at := findMember(n.log.members(), m.To); {
+	case at >= 0:
 		m.ToAddress = n.log.members()[at].Address
+	case m.ToAddress == "" && m.To == n.leader:
+		m.ToAddress = n.leaderAddress
 	}
 	return m
 }
--- a/quorum/replicate.go
+++ b/quorum/replicate.go
@@ -86,7 +86,7 @@
 		Kind: MessageAppend, To: to, Index: prevIndex, LogTerm: term, Entries: entries,
 		Commit: n.log.committed, Round: n.round,
 	}
-	if p.match == 0 {
+	if p.match == 0 || p.match < n.log.memberSince(n.state.ID) {
 		m.FromAddress = n.ownAddress()
 	}
 	p.sentCommit = n.log.committed
--- a/quorum/snapshot.go
+++ b/quorum/snapshot.go
@@ -50,7 +50,7 @@
 // handleChunk collects the chunks of a snapshot and installs it once it is
 // complete.
 func (n *Node) handleChunk(m *Message) {
-	n.recordLeaderContact(m.From)
+	n.recordLeaderContact(m)
 	c := m.Chunk
 	if c.Index <= n.log.committed || n.log.matchesTerm(c.Index, c.Term) {
 		n.incoming = nil
@@ -61,7 +61,7 @@
 	in := n.addChunk(c)
 	if uint64(len(in.data)) < in.total {
 		n.send(Message{
-			Kind: MessageSnapshotResponse, To: m.From, ToAddress: m.FromAddress, Round: m.Round,
+			Kind: MessageSnapshotResponse, To: m.From, Round: m.Round,
 			Chunk: &Chunk{Index: c.Index, Checksum: c.Checksum, Offset: uint64(len(in.data))},
 		})
 		return
@@ -69,7 +69,7 @@
 	n.incoming = nil
 	if checksum(in.data) != in.checksum {
 		n.send(Message{
-			Kind: MessageSnapshotResponse, To: m.From, ToAddress: m.FromAddress, Round: m.Round,
+			Kind: MessageSnapshotResponse, To: m.From, Round: m.Round,
 			Chunk: &Chunk{Index: c.Index, Checksum: c.Checksum},
 		})
 		return
@@ -84,7 +84,7 @@
 // to the snapshot's index.
 func (n *Node) acknowledgeSnapshot(m *Message) {
 	n.send(Message{
-		Kind: MessageAppendResponse, To: m.From, ToAddress: m.FromAddress, Round: m.Round, Index: m.Chunk.Index,
+		Kind: MessageAppendResponse, To: m.From, Round: m.Round, Index: m.Chunk.Index,
 	})
 }
 
