Name the candidate's address in requests for votes

A cluster stayed without a leader for good, and hubs answered 503, although a majority of the voters had their disks. A voter sends its vote to the address that its log has for the candidate. A voter whose log ends before the entry by which the candidate joined granted its vote and dropped it; if no other voter has all entries, as after the loss of the leader and of others' disks, nobody can be elected.

TestElection_VoterBehindTheCandidatesAdmissionVotes found no leader in 20 s before the change and passes now. Requests for votes carry the candidate's address, in a field that earlier releases read and ignore there; their voters respond as before.

--- a/quorum/election.go
+++ b/quorum/election.go
@@ -42,7 +42,7 @@
 		}
 		n.send(Message{
 			Kind: kind, To: m.ID, Term: term, Transfer: transfer, Lost: lost, ToAddress: m.Address,
-			Index: n.log.lastIndex(), LogTerm: n.log.lastTerm(), Round: round,
+			Index: n.log.lastIndex(), LogTerm: n.log.lastTerm(), Round: round, FromAddress: n.ownAddress(),
 		})
 	}
 }
@@ -144,7 +144,7 @@
 		// A grant carries the requested term; a rejection carries the node's
 		// own term.
 		grant := upToDate && m.Term > n.state.Term
-		response := Message{Kind: MessagePreVoteResponse, To: m.From, Reject: !grant}
+		response := Message{Kind: MessagePreVoteResponse, To: m.From, Reject: !grant, ToAddress: m.FromAddress}
 		if n.noLeaderSinceStart {
 			response.Round = m.Round
 		}
@@ -161,7 +161,7 @@
 		n.state.Vote = m.From
 		n.resetTimeout()
 	}
-	n.send(Message{Kind: MessageVoteResponse, To: m.From, Reject: !grant, Lost: m.Lost})
+	n.send(Message{Kind: MessageVoteResponse, To: m.From, Reject: !grant, Lost: m.Lost, ToAddress: m.FromAddress})
 }
 
 // handleVoteResponse records a voter's response to the current campaign.
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -334,6 +334,6 @@
 	case MessageAppend, MessageSnapshot:
 		n.send(Message{Kind: MessageAppendResponse, To: m.From, Reject: true, Index: m.Index, ToAddress: m.FromAddress})
 	case MessagePreVote:
-		n.send(Message{Kind: MessagePreVoteResponse, To: m.From, Reject: true})
+		n.send(Message{Kind: MessagePreVoteResponse, To: m.From, Reject: true, ToAddress: m.FromAddress})
 	}
 }
--- a/quorum/unknown_leader_test.go
+++ b/quorum/unknown_leader_test.go
@@ -40,6 +40,33 @@
 	})
 }
 
+// Guards against a cluster that stays without a leader: the only candidate with all entries joined
+// after the last entry of a voter, which grants its vote and had no address to send it to.
+func TestElection_VoterBehindTheCandidatesAdmissionVotes(t *testing.T) {
+	runCluster(t, Config{}, func(c *testCluster) {
+		c.bootstrap(3)
+		first := c.waitForLeader()
+		others := c.otherReplicas(first)
+		behind, middle := others[0], others[1]
+		c.mustPropose(first, "x")
+		c.isolate(behind.Status().ID, true)
+		joined := c.start("h4")
+		member := Member{ID: joined.Status().ID, Host: "h4", Address: "h4:1"}
+		require.NoError(t, first.AddLearner(contextWithTimeout(5*time.Second), member))
+		c.advance(time.Second)
+		require.NoError(t, first.Admit(contextWithTimeout(5*time.Second), member))
+		c.dropIf(func(m Message) bool { return m.To == middle.Status().ID && len(m.Entries) > 0 })
+		_, err := first.Propose(contextWithTimeout(300*time.Millisecond), []byte("only on the new replica"))
+		require.Error(t, err)
+		require.Equal(t, first.Status().LastIndex, joined.Status().LastIndex)
+		require.Less(t, middle.Status().LastIndex, joined.Status().LastIndex)
+		c.isolate(first.Status().ID, true)
+		c.isolate(behind.Status().ID, false)
+		c.dropIf(nil)
+		require.Equal(t, joined.Status().ID, c.waitForLeader().Status().ID)
+	})
+}
+
 // A leader of an earlier release names its address only until the first acknowledgement.
 func TestFollower_RemembersTheAddressThatItsLeaderNamed(t *testing.T) {
 	n := recoveryNode()
