--- a/state/state.go
+++ b/state/state.go
@@ -88,7 +88,7 @@
 		}
 	}
 	started, err := quorum.Start(quorum.Config{Host: config.Host, Node: replicationLimits(config.LinkRate)}, storage,
-		&transport{node: config.Node, self: config.Address}, r.Machine,
+		&transport{node: config.Node, self: config.Address, log: config.Log, unknown: map[string]bool{}}, r.Machine,
 		quorum.WithClock(config.Clock), quorum.WithLogger(logs.ForComponent(config.Log, "Quorum")))
 	if err != nil {
 		return nil, errors.Join(errors.Wrapf(err, "start state replica of %s", config.Host), opened.Close())
@@ -201,15 +201,24 @@
 type transport struct {
 	node *peer.Node
 	self string
+	log  *logrus.Logger
+	// unknown are the receivers whose address was not known for the last message. Only the
+	// goroutine of the replica uses it.
+	unknown map[string]bool
 }
 
 // Send sends the messages of each receiver in one frame.
 func (t *transport) Send(messages []quorum.Message) {
 	byAddress := map[string][]quorum.Message{}
 	for _, message := range messages {
+		if message.ToAddress == "" && !t.unknown[message.To] {
+			t.unknown[message.To] = true
+			t.log.Warnf("Quorum messages to replica %s are dropped: its address is not known.", message.To)
+		}
 		if message.ToAddress == "" || message.ToAddress == t.self {
 			continue
 		}
+		delete(t.unknown, message.To)
 		byAddress[message.ToAddress] = append(byAddress[message.ToAddress], message)
 	}
 	for address, batch := range byAddress {
