--- a/common/logs/async_writer_test.go
+++ b/common/logs/async_writer_test.go
@@ -55,7 +55,10 @@
 	case <-clock.After(10 * time.Second):
 		require.Fail(t, "a write was blocked")
 	}
-	require.LessOrEqual(t, len(writer.buffered), maxBufferedBytes)
+	writer.mu.Lock()
+	buffered := len(writer.buffered)
+	writer.mu.Unlock()
+	require.LessOrEqual(t, buffered, maxBufferedBytes)
 	close(out.closed)
 	writer.Close(10 * time.Second)
 	require.Contains(t, out.String(), "Lines were dropped")
