Truncate a response without a length if the write of its request failed

A target answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was being written. Callers got the part as a complete response, and streams as ended.

Cause: the operating system reports a reset once. A long request is written beside the read, and if the write takes the report, the next read returns an orderly end, which is what delimits such a response.

Change: a response that only the end of its connection delimits is complete unless the write of its request has failed. A write that goes on at the end is interrupted and its result awaited, so that a failed one can't be overlooked and one that is merely unfinished counts as sound: a target may respond early, half-close its side and read on. The same holds for the failed write of a short request. Responses with a length or in chunks show their end themselves.

A target that closes with the upload unread after it has read all that arrived ends its response in an orderly way first, so that it may still be complete, as without an upload.

--- a/target/web/close_delimited_test.go
+++ b/target/web/close_delimited_test.go
@@ -58,6 +58,18 @@
 	}
 }
 
+// serveHeadOnly answers a request after its head with raw and ends the connection. A
+// half-closed one reads the body.
+func serveHeadOnly(raw, end string) func(net.Conn, *bufio.Reader) {
+	return func(c net.Conn, reader *bufio.Reader) {
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, raw)
+		endConnection(c, reader, end)
+	}
+}
+
 // streamText returns a stream of events with the given IDs and line end.
 func streamText(lineEnd string, ids ...int) string {
 	var text strings.Builder
--- a/target/web/response.go
+++ b/target/web/response.go
@@ -5,6 +5,8 @@
 	"context"
 	"io"
 	"net/http/httputil"
+	"os"
+	"time"
 
 	"comfreytiller.dev/common/head"
 	"comfreytiller.dev/target"
@@ -36,8 +38,8 @@
 	// writeResult receives the result of writing a long request; nil for a short
 	// one.
 	writeResult chan error
-	// writeFailed is set when a short request could not be written.
-	writeFailed bool
+	// writeErr is the error of writing a short request.
+	writeErr error
 }
 
 // start writes the request and reads the response header. A long request is written
@@ -47,8 +49,8 @@
 	if len(request.Header.Header())+len(request.Body()) > maxSyncRequestBytes {
 		r.writeResult = make(chan error, 1)
 		go func() { r.writeResult <- r.writeRequest(request) }()
-	} else if err := r.writeRequest(request); err != nil {
-		r.writeFailed = true
+	} else {
+		r.writeErr = r.writeRequest(request)
 	}
 	var header fasthttp.ResponseHeader
 	if err := r.readHeader(&header); err != nil {
@@ -123,7 +125,37 @@
 			return false
 		}
 	}
-	return !r.writeFailed
+	return r.writeErr == nil
+}
+
+// endWrite interrupts a write of the request that goes on, and returns the error of one that
+// has failed.
+func (r *Response) endWrite() error {
+	if r.writeResult == nil {
+		return r.writeErr
+	}
+	// If the deadline can't be set, the connection is closed, and the write has ended.
+	_ = r.conn.SetWriteDeadline(time.Unix(1, 0))
+	err := <-r.writeResult
+	r.writeResult <- err
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	return err
+}
+
+// checkOrderlyEnd returns target.ErrTruncated if a response that the end of its connection
+// delimits has ended with a failed write of the request. The operating system reports a reset
+// once: if the write takes the report, the reader finds an orderly end. A write that is
+// unfinished has not failed, since a target may respond before it has read the request.
+func (r *Response) checkOrderlyEnd() error {
+	if r.chunked || r.contentLength >= 0 {
+		return nil
+	}
+	if err := r.endWrite(); err != nil {
+		return r.classifyError(errors.Wrapf(target.ErrTruncated, "write request: %v", err))
+	}
+	return nil
 }
 
 // initBody prepares reading the body according to its framing. A response that is
@@ -214,6 +246,9 @@
 		if r.contentLength >= 0 && read < r.contentLength {
 			return errors.Wrapf(target.ErrTruncated, "%d of %d bytes", read, r.contentLength)
 		}
+		if err := r.checkOrderlyEnd(); err != nil {
+			return err
+		}
 		r.bodyComplete = true
 		return nil
 	}
@@ -268,6 +303,9 @@
 	if limited, ok := r.body.(*io.LimitedReader); ok && limited.N > 0 {
 		return errors.Wrapf(target.ErrTruncated, "%d bytes missing", limited.N)
 	}
+	if err := r.checkOrderlyEnd(); err != nil {
+		return err
+	}
 	r.bodyComplete = true
 	return nil
 }
