Keep the error that the check for pending input finds

Cause: if the timeout of a read passes, the connection is checked for input that has arrived meanwhile. A reset that the check finds is reported to it alone, so that the next read returned an orderly end and a response without a length, or the end of a stream, looked complete.

Change: PendingInput returns the error of the connection, and the connection returns it to its reader.

--- a/target/conn/conn_test.go
+++ b/target/conn/conn_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -99,3 +100,22 @@
 	require.NoError(t, local.Close())
 	require.False(t, IsIdle(local))
 }
+
+// A reset is reported once: whoever checks for input must get its error.
+func TestPendingInput_ReportsReset(t *testing.T) {
+	local, remote := connPair(t)
+	pending, err := PendingInput(local)
+	require.NoError(t, err)
+	require.False(t, pending)
+	require.NoError(t, remote.(*net.TCPConn).SetLinger(0))
+	require.NoError(t, remote.Close())
+	require.Eventually(t, func() bool {
+		pending, err = PendingInput(local)
+		return pending || err != nil
+	}, 10*time.Second, time.Millisecond)
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+	require.False(t, pending)
+	pending, err = PendingInput(local)
+	require.NoError(t, err)
+	require.True(t, pending, "an orderly end")
+}
--- a/target/web/pending_input_test.go
+++ b/target/web/pending_input_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -58,6 +59,21 @@
 	}
 }
 
+// The operating system reports a reset once. If the check for pending input takes the
+// report, the next read must not find an orderly end.
+func TestTargetConn_ResetFoundByTimeoutIsNoOrderlyEnd(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	c, remote := targetConnPair(t, clock)
+	c.arm(time.Second)
+	require.NoError(t, remote.(*net.TCPConn).SetLinger(0))
+	require.NoError(t, remote.Close())
+	clock.Advance(time.Second)
+	require.Eventually(t, c.watchdog.Expired, 10*time.Second, time.Millisecond)
+	require.True(t, c.continueReading())
+	_, err := c.reader.ReadByte()
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+}
+
 // A timer that fires between two operations must not end the one that follows.
 func TestTargetConn_LateInterruptDoesNotEndNextRead(t *testing.T) {
 	clock := clockwork.NewFakeClock()
--- a/target/web/pool.go
+++ b/target/web/pool.go
@@ -26,6 +26,8 @@
 	// because input was pending when it passed.
 	timeout  time.Duration
 	extended bool
+	// readErr is an error that the check for pending input has found.
+	readErr error
 	// mayGiveUp is MayGiveUp of the current call.
 	mayGiveUp func() bool
 }
@@ -62,6 +64,9 @@
 // operation has passed, no input is pending and the call may be given up.
 func (c *targetConn) Read(p []byte) (int, error) {
 	for {
+		if c.readErr != nil {
+			return 0, c.readErr
+		}
 		n, err := c.Conn.Read(p)
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.continueReading() {
 			return n, err
@@ -79,11 +84,15 @@
 	if !c.watchdog.Expired() {
 		return true
 	}
-	if !c.extended && !conn.IsIdle(c.Conn) {
-		c.extended = true
-		c.watchdog.Reset()
-		c.watchdog.Arm(c.timeout)
-		return true
+	if !c.extended {
+		pending, err := conn.PendingInput(c.Conn)
+		if pending || err != nil {
+			c.readErr = err
+			c.extended = true
+			c.watchdog.Reset()
+			c.watchdog.Arm(c.timeout)
+			return true
+		}
 	}
 	if c.mayGiveUp == nil || c.mayGiveUp() {
 		return false
