Refuse replies of our own servers without a length

Cause: the HTTP library takes the end of a connection for the end of a reply that has neither a length nor chunks, so that a truncated reply of a host to an operator looked whole. Our servers, also those of earlier releases, frame all their replies.

Change: connections of head.Dial refuse a response with a body that isn't framed.

--- a/common/head/conn.go
+++ b/common/head/conn.go
@@ -8,8 +8,13 @@
 	"github.com/valyala/fasthttp"
 )
 
-// Conn is a client's connection that checks the heads of responses before its reader gets
-// them. The client must write each request completely before it reads the response.
+// ErrUnframed reports a response with a body that only the end of its connection delimits.
+var ErrUnframed = errors.New("response with neither a length nor chunks")
+
+// Conn is a client's connection to one of our own servers that checks the heads of responses
+// before its reader gets them. The client must write each request completely before it reads the
+// response. Our servers frame their responses, so that one that isn't framed is refused: its end
+// could not be told from a truncation.
 type Conn struct {
 	net.Conn
 	reader *bufio.Reader
@@ -40,13 +45,16 @@
 }
 
 // Read reads a part of a response. It returns ErrMalformed within a head that violates the
-// grammar.
+// grammar, and ErrUnframed within one that doesn't frame a body.
 func (c *Conn) Read(p []byte) (int, error) {
 	if c.err != nil {
 		return 0, c.err
 	}
 	if c.unread == 0 && !c.inBody {
 		head, err := Peek(c.reader)
+		if err == nil && !head.IsFramed && head.mayHaveBody() {
+			err = errors.Wrapf(ErrUnframed, "status %d", head.Status)
+		}
 		if err != nil {
 			return c.readBeforeError(p, err)
 		}
--- a/common/head/conn_test.go
+++ b/common/head/conn_test.go
@@ -108,6 +108,23 @@
 	require.EqualValues(t, 1, dialed.Load())
 }
 
+// The end of a response that the end of its connection delimits can't be told from a
+// truncation: the library takes it for complete also if the connection was reset while the request
+// was being written.
+func TestDial_UnframedResponse(t *testing.T) {
+	for reply, want := range map[string]error{
+		"HTTP/1.1 200 OK\r\n\r\nok": ErrUnframed, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 404 Not Found\r\nConnection: close\r\n\r\n": ErrUnframed,
+		"HTTP/1.1 204 No Content\r\n\r\n": nil, "HTTP/1.1 304 Not Modified\r\n\r\n": nil,
+	} {
+		address, requests := startRawServer(t, reply)
+		client := &fasthttp.Client{Dial: Dial}
+		_, _, err := post(client, address)
+		client.CloseIdleConnections()
+		require.ErrorIs(t, err, want, reply)
+		require.EqualValues(t, 1, requests.Load())
+	}
+}
+
 // A connection that ends before a response is told from one that ends within its head.
 func TestDial_ConnectionEnds(t *testing.T) {
 	for reply, want := range map[string]error{
--- a/common/head/head.go
+++ b/common/head/head.go
@@ -19,6 +19,7 @@
 	"io"
 
 	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
 )
 
 // ErrMalformed reports a head that violates the grammar of HTTP/1.
@@ -32,11 +33,26 @@
 	Status int
 	// Size is the length of the head in bytes, including the empty line at its end.
 	Size int
+	// IsFramed is set if the head has a length or a transfer coding. Otherwise only the end of the
+	// connection delimits a body.
+	IsFramed bool
 }
 
 // IsInterim reports whether another head follows that of the final response.
 func (h Head) IsInterim() bool { return h.Status < minFinalStatus }
 
+// mayHaveBody reports whether a body may follow the head of a response to a request that is not
+// HEAD.
+func (h Head) mayHaveBody() bool {
+	return !h.IsInterim() && h.Status != fasthttp.StatusNoContent && h.Status != fasthttp.StatusNotModified
+}
+
+// Names of the fields that frame a body.
+var (
+	contentLength    = []byte(fasthttp.HeaderContentLength)
+	transferEncoding = []byte(fasthttp.HeaderTransferEncoding)
+)
+
 // Ranges of the status code.
 const (
 	minStatus      = 100
@@ -74,6 +90,8 @@
 		if len(line) == 0 {
 			return h, nil
 		}
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		h.IsFramed = h.IsFramed || bytes.EqualFold(name, contentLength) || bytes.EqualFold(name, transferEncoding)
 	}
 }
 
--- a/common/rpc/cut_reply_test.go
+++ b/common/rpc/cut_reply_test.go
@@ -82,3 +82,23 @@
 		require.ErrorContains(t, err, line)
 	}
 }
+
+// A host answered without a length and reset the connection while the call was being written.
+// The end of such a reply can't be told from a truncation, so that it is none in any case.
+func TestReplyWithoutLength_IsNoReply(t *testing.T) {
+	for name, reset := range map[string]bool{"closed": false, "reset": true} {
+		t.Run(name, func(t *testing.T) {
+			address := startRawServer(t, func(conn net.Conn) {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/protobuf\r\n\r\nhello, wor")
+				if reset {
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				}
+			})
+			_, err := callOnce(t, address)
+			require.Error(t, err)
+			if !reset {
+				require.ErrorIs(t, err, head.ErrUnframed)
+			}
+		})
+	}
+}
