Check the field lines of responses before they are parsed

A target in trouble answered with a blank or a control byte in the name of a field. Callers got the response with that line passed on, with a seal that had the next line appended, or with the sizes of chunks in the body.

Cause: the HTTP library tolerates a blank within a name and passes the line on as it is, reads a name without the blanks before its colon and obeys it, and joins a line that begins with a blank to the value before it. Nothing looked at the bytes of the head, and behind the parser what was trimmed or joined can't be seen.

Change: head.Peek checks each field line by the grammar: a token, a colon, a value without control bytes. Interim responses are checked as well. A violation is target.ErrMalformedResponse with the name, as a malformed status line is.

Callers get 502 without a seal or a promise, or the response of another target; each attempt has a log line with the request and the name. Control bytes other than blanks were refused before, but as a truncated response; the tests keep that they are refused. TestClient_MalformedHeadIsNoResponse, TestMalformedReply_IsNoReply and TestAnnouncer_MalformedResponse fail before with the lines that this adds.

--- a/common/head/head.go
+++ b/common/head/head.go
@@ -17,6 +17,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"strings"
 
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
@@ -61,8 +62,8 @@
 )
 
 // Peek waits until the whole head of a response is in the buffer of r and checks it, line
-// by line as it arrives. It consumes nothing. It returns ErrMalformed with the line that
-// violates the grammar, io.EOF if r ends before the head, and io.ErrUnexpectedEOF if it ends
+// by line as it arrives. It consumes nothing. It returns ErrMalformed with the status line
+// or the field name at fault, io.EOF if r ends before the head, and io.ErrUnexpectedEOF if it ends
 // within it.
 func Peek(r *bufio.Reader) (Head, error) {
 	var h Head
@@ -90,7 +91,10 @@
 		if len(line) == 0 {
 			return h, nil
 		}
-		name, _, _ := bytes.Cut(line, []byte(":"))
+		name, err := parseFieldName(line)
+		if err != nil {
+			return Head{}, err
+		}
 		h.IsFramed = h.IsFramed || bytes.EqualFold(name, contentLength) || bytes.EqualFold(name, transferEncoding)
 	}
 }
@@ -134,6 +138,35 @@
 	return status, nil
 }
 
+// parseFieldName returns the name of a field line such as "Content-Length: 2". A line that begins
+// with a space or a tab, which continues the value of the line before it in old versions of HTTP,
+// is malformed, as a space or a tab before the colon is.
+func parseFieldName(line []byte) ([]byte, error) {
+	name, value, found := bytes.Cut(line, []byte(":"))
+	if !found {
+		return nil, errors.Wrapf(ErrMalformed, "field line %.80q without a colon", line)
+	}
+	if !isToken(name) {
+		return nil, errors.Wrapf(ErrMalformed, "field name %.80q", name)
+	}
+	if !isText(value) {
+		return nil, errors.Wrapf(ErrMalformed, "control byte in the value of field %.80q", name)
+	}
+	return name, nil
+}
+
+// isToken reports whether name is a token: one or more letters, digits and other visible bytes
+// that don't delimit the parts of a head.
+func isToken(name []byte) bool {
+	for _, c := range name {
+		isAlphanumeric := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || isDigit(c)
+		if !isAlphanumeric && strings.IndexByte("!#$%&'*+-.^_`|~", c) < 0 {
+			return false
+		}
+	}
+	return len(name) > 0
+}
+
 func isDigit(c byte) bool { return c >= '0' && c <= '9' }
 
 // isText reports whether text has no control bytes except tabs.
--- a/common/head/head_test.go
+++ b/common/head/head_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"io"
+	"net/textproto"
 	"regexp"
 	"strconv"
 	"strings"
@@ -60,6 +61,43 @@
 	require.ErrorIs(t, err, ErrMalformed)
 }
 
+// The library passes a name with a space on, reads a name without the space or tab behind
+// it, and joins a line that begins with one to the line before it.
+func TestPeek_FieldLine(t *testing.T) {
+	sound := []string{"A:", "A:b", "A: b", "A:\tb c\t", "a-b_c.1: x", "!#$%&'*+-.^_`|~09azAZ: x", "A: caf\xe9 \x80\xff", "A: b:c", "A::"}
+	malformed := map[string]string{
+		" ": " ", "\t": "\t", " A: b": " A", "\tA: b": "\tA", " folded": " folded", ": b": "", ":": "", "A": "A", "A b": "A b", "A B: c": "A B", "A : b": "A ", "A\t: b": "A\t",
+		"A: \x00": "A", "A: b\x7f": "A", "A: b\rc": "A", "A: b\r": "A", "A: \x1f": "A",
+	}
+	for b := range 0x100 {
+		c := byte(b)
+		isTokenByte := strings.ContainsRune("!#$%&'*+-.^_`|~", rune(b)) || c >= '0' && c <= '9' || c >= 'A' && c <= 'Z' || c >= 'a' && c <= 'z'
+		if c != '\n' && c != ':' && !isTokenByte {
+			for _, name := range []string{string([]byte{c}), string([]byte{'A', c}), string([]byte{c, 'A'}), string([]byte{'A', c, 'B'})} {
+				malformed[name+": b"] = name
+			}
+		}
+	}
+	for _, lineEnd := range []string{"\r\n", "\n"} {
+		for _, step := range []int{1, 4096} {
+			for _, before := range []string{"", "A: b" + lineEnd} {
+				for _, line := range sound {
+					_, err := peekBytes("HTTP/1.1 200 OK"+lineEnd+before+line+lineEnd+lineEnd, step)
+					require.NoError(t, err, "%q", line)
+				}
+				for line, name := range malformed {
+					if line == "A: b\r" && lineEnd == "\n" {
+						continue
+					}
+					_, err := peekBytes("HTTP/1.1 200 OK"+lineEnd+before+line+lineEnd+lineEnd, step)
+					require.ErrorIs(t, err, ErrMalformed, "%q", line)
+					require.ErrorContains(t, err, strconv.Quote(name))
+				}
+			}
+		}
+	}
+}
+
 func TestPeek_IsFramed(t *testing.T) {
 	for fields, want := range map[string]bool{
 		"": false, "Content-Length: 0\r\n": true, "content-length:1\r\nA: b\r\n": true, "A: b\r\nTransfer-Encoding: chunked\r\n": true,
@@ -98,13 +136,39 @@
 	require.ErrorIs(t, err, errTooLarge)
 }
 
-// grammar is the grammar of a head, for bytes that are written as the runes of their values.
-var grammar = regexp.MustCompile(`\AHTTP/1\.[0-9] ([1-5][0-9][0-9])( [\t -~\x{80}-\x{ff}]*)?\r?\n([^\n]+\n)*?\r?\n`)
+// requireFieldsOf requires that every field line of a head is a field of header and that
+// header has no others.
+func requireFieldsOf(t *testing.T, text string, header *fasthttp.ResponseHeader) {
+	want := map[string][]string{}
+	lines := strings.Split(text, "\n")
+	for _, line := range lines[1 : len(lines)-2] {
+		name, value, _ := strings.Cut(strings.TrimSuffix(line, "\r"), ":")
+		key := textproto.CanonicalMIMEHeaderKey(name)
+		want[key] = append(want[key], strings.Trim(value, " \t"))
+	}
+	got := map[string][]string{}
+	for name, value := range header.All() {
+		key := textproto.CanonicalMIMEHeaderKey(string(name))
+		got[key] = append(got[key], string(value))
+	}
+	// The library keeps these apart and may write them in another form.
+	for _, name := range []string{"Content-Type", "Content-Length", "Content-Encoding", "Connection", "Transfer-Encoding", "Server", "Date", "Set-Cookie", "Trailer"} {
+		delete(want, name)
+		delete(got, name)
+	}
+	require.Equal(t, want, got, "%q", text)
+}
+
+// grammar is the grammar of a head (RFC 9112, RFC 9110) with lenient line ends and without
+// folded lines, for bytes that are written as the runes of their values.
+var grammar = regexp.MustCompile(`\AHTTP/1\.[0-9] ([1-5][0-9][0-9])( [\t -~\x{80}-\x{ff}]*)?\r?\n([!#$%&'*+\-.^_\x60|~0-9A-Za-z]+:[\t -~\x{80}-\x{ff}]*\r?\n)*\r?\n`)
 
 // FuzzPeek compares Peek with the grammar and with what the library reads from a head.
 func FuzzPeek(f *testing.F) {
 	for _, seed := range []string{
 		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 000 Odd\r\n\r\n", "HTTP/1.1 200\n\nbody", "\r\nHTTP/1.1 200 OK\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX Odd: 1\r\n\r\n", "HTTP/1.1 200 OK\r\nX-Odd : 1\r\n\r\n", "HTTP/1.1 200 OK\r\nA: b\r\n X-Odd: 1\r\n\r\n",
+		"HTTP/1.1 200 OK\nA: b\nA:\tc d\x80 \nSet-Cookie: x\n\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Replica-Seal: s\r\n\r\n2\r\nok",
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\n", "HTTP/1.0 599 \xff\t\r\nA:b\n\r\n", "HTTP/1.1 204 No Content\r\n",
 	} {
 		f.Add(seed, uint8(0))
@@ -128,6 +192,7 @@
 		var header fasthttp.ResponseHeader
 		if header.Read(bufio.NewReader(strings.NewReader(text[:head.Size]))) == nil {
 			require.Equal(t, head.Status, header.StatusCode(), "%q", text)
+			requireFieldsOf(t, text[:head.Size], &header)
 		}
 	})
 }
--- a/common/rpc/cut_reply_test.go
+++ b/common/rpc/cut_reply_test.go
@@ -75,11 +75,16 @@
 // A reply whose head violates the grammar of HTTP/1 is none, as one with status 000, which
 // the library reads as 200.
 func TestMalformedReply_IsNoReply(t *testing.T) {
-	for _, line := range []string{"HTTP/1.1 000 Odd", "HTTP/1.1 000", "HTTP/1.1  200 OK", "HTTP/1.1 600 Odd", "HTTP/2.0 200 OK"} {
-		address := startRawServer(t, func(conn net.Conn) { _, _ = io.WriteString(conn, line+"\r\nContent-Length: 2\r\n\r\nok") })
+	const sound = "HTTP/1.1 200 OK\r\n"
+	for value, text := range map[string]string{
+		"HTTP/1.1 000 Odd": "HTTP/1.1 000 Odd\r\n", "HTTP/1.1 000": "HTTP/1.1 000\r\n", "HTTP/1.1  200 OK": "HTTP/1.1  200 OK\r\n",
+		"HTTP/1.1 600 Odd": "HTTP/1.1 600 Odd\r\n", "HTTP/2.0 200 OK": "HTTP/2.0 200 OK\r\n",
+		"X Odd": sound + "X Odd: 1\r\n", "X-Odd ": sound + "X-Odd : 1\r\n", " folded": sound + "X-Odd: 1\r\n folded\r\n", `X\x00Odd`: sound + "X\x00Odd: 1\r\n",
+	} {
+		address := startRawServer(t, func(conn net.Conn) { _, _ = io.WriteString(conn, text+"Content-Length: 2\r\n\r\nok") })
 		_, err := callOnce(t, address)
-		require.ErrorIs(t, err, head.ErrMalformed, line)
-		require.ErrorContains(t, err, line)
+		require.ErrorIs(t, err, head.ErrMalformed, value)
+		require.ErrorContains(t, err, value)
 	}
 }
 
--- a/standin/announcer_test.go
+++ b/standin/announcer_test.go
@@ -14,7 +14,7 @@
 
 // A malformed response of a host doesn't confirm a message.
 func TestAnnouncer_MalformedResponse(t *testing.T) {
-	for line, want := range map[string]error{"HTTP/1.1 200 OK": nil, "HTTP/1.1 000 Odd": head.ErrMalformed} {
+	for start, want := range map[string]error{"HTTP/1.1 200 OK": nil, "HTTP/1.1 000 Odd": head.ErrMalformed, "HTTP/1.1 200 OK\r\nX Odd: 1": head.ErrMalformed} {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
 		t.Cleanup(func() { _ = listener.Close() })
@@ -26,7 +26,7 @@
 			defer func() { _ = conn.Close() }()
 			if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
 				_, _ = io.Copy(io.Discard, request.Body)
-				_, _ = io.WriteString(conn, line+"\r\nContent-Length: 14\r\n\r\n{\"Known\":true}")
+				_, _ = io.WriteString(conn, start+"\r\nContent-Length: 14\r\n\r\n{\"Known\":true}")
 			}
 		}()
 		a := newAnnouncer(clockwork.NewRealClock(), nil, "", 0, nil, nil)
--- a/target/web/malformed_head_test.go
+++ b/target/web/malformed_head_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -19,6 +20,12 @@
 	"HTTP/1.1 600 Odd":  "HTTP/1.1 600 Odd\r\n",
 	"HTTP/1.1 099 Odd":  "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 099 Odd\r\n",
 	"HTTP/2.0 200 Fine": "HTTP/2.0 200 Fine\r\n",
+	"X Odd":             "HTTP/1.1 200 OK\r\nX Odd: 1\r\n",
+	"X-Odd ":            "HTTP/1.1 200 OK\r\nX-Odd : 1\r\n",
+	`X-Odd\t`:           "HTTP/1.1 200 OK\r\nX-Odd\t: 1\r\n",
+	" folded":           "HTTP/1.1 200 OK\r\nX-Odd: 1\r\n folded\r\n",
+	`X\x00Odd`:          "HTTP/1.1 200 OK\r\nX\x00Odd: 1\r\n",
+	"X-Interim ":        "HTTP/1.1 103 Early Hints\r\nX-Interim : 1\r\n\r\nHTTP/1.1 200 OK\r\n",
 }
 
 // A target in trouble answered with a malformed head. No request that a host sends to
@@ -56,7 +63,7 @@
 				return client.ImportCache(context.Background(), address, "c", []byte("kv"))
 			}},
 		} {
-			t.Run(name+" "+value, func(t *testing.T) {
+			t.Run(name+" "+strconv.Quote(value), func(t *testing.T) {
 				sound := strings.Replace(test.response, head, "HTTP/1.1 200 OK\r\n", 1)
 				for _, response := range []string{sound, test.response} {
 					s := newScriptedTarget(t, response)
