--- a/common/head/head_test.go
+++ b/common/head/head_test.go
@@ -168,7 +168,7 @@
 	for _, seed := range []string{
 		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 000 Odd\r\n\r\n", "HTTP/1.1 200\n\nbody", "\r\nHTTP/1.1 200 OK\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nX Odd: 1\r\n\r\n", "HTTP/1.1 200 OK\r\nX-Odd : 1\r\n\r\n", "HTTP/1.1 200 OK\r\nA: b\r\n X-Odd: 1\r\n\r\n",
-		"HTTP/1.1 200 OK\nA: b\nA:\tc d\x80 \nSet-Cookie: x\n\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Replica-Seal: s\r\n\r\n2\r\nok",
+		"HTTP/1.1 200 OK\nA: b\nA:\tc d\x80 \nSet-Cookie: x\n\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Digest: s\r\n\r\n2\r\nok",
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\n", "HTTP/1.0 599 \xff\t\r\nA:b\n\r\n", "HTTP/1.1 204 No Content\r\n",
 	} {
 		f.Add(seed, uint8(0))
