Convert the status code with the standard library

Cause: parseStatusLine converted the code by hand and repeated its error.

Change: strconv.Atoi converts it; the grammar is the same.

--- a/common/head/head.go
+++ b/common/head/head.go
@@ -17,6 +17,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"strconv"
 	"strings"
 
 	"github.com/go-faster/errors"
@@ -121,21 +122,15 @@
 // reason phrase and the space before it may be missing.
 func parseStatusLine(line []byte) (int, error) {
 	rest, found := bytes.CutPrefix(line, []byte(statusLinePrefix))
-	if !found || len(rest) < len("1 200") || !isDigit(rest[0]) || rest[1] != ' ' {
-		return 0, errors.Wrapf(ErrMalformed, "status line %.80q", line)
-	}
-	code, reason := rest[2:5], rest[5:]
-	status := 0
-	for _, c := range code {
-		if !isDigit(c) {
-			return 0, errors.Wrapf(ErrMalformed, "status line %.80q", line)
+	if found && len(rest) >= len("1 200") && isDigit(rest[0]) && rest[1] == ' ' {
+		status, err := strconv.Atoi(string(rest[2:5]))
+		reason := rest[5:]
+		isSeparated := len(reason) == 0 || reason[0] == ' '
+		if err == nil && status >= minStatus && status <= maxStatus && isSeparated && isText(reason) {
+			return status, nil
 		}
-		status = 10*status + int(c-'0')
-	}
-	if status < minStatus || status > maxStatus || len(reason) > 0 && reason[0] != ' ' || !isText(reason) {
-		return 0, errors.Wrapf(ErrMalformed, "status line %.80q", line)
 	}
-	return status, nil
+	return 0, errors.Wrapf(ErrMalformed, "status line %.80q", line)
 }
 
 // parseFieldName returns the name of a field line such as "Content-Length: 2". A line that begins
