Refuse a head that ends with a bare line feed

Seen: the response of a target whose head ended with an empty line without a carriage return reached callers with the beginning of its body read as fields, or as a response of which the client waited for more.

Cause: the library ends a head at an empty line, or, if one of the last two line ends is a bare line feed, behind the next two ends of lines, which may be in the body. FuzzPeek found it when it compared where the check and the library end a head.

Change: the last two lines of a head must end with a carriage return and a line feed. Lines before them may end with a line feed alone, as before.

--- a/common/head/head.go
+++ b/common/head/head.go
@@ -62,12 +62,13 @@
 	maxStatus      = 599
 )
 
-// Peek waits until the whole head of a response is in the buffer of r and checks it, line
-// by line as it arrives. It consumes nothing. It returns ErrMalformed with the status line
-// or the field name at fault, io.EOF if r ends before the head, and io.ErrUnexpectedEOF if it ends
-// within it.
+// Peek waits until the whole head of a response is in the buffer of r and checks it, line by line
+// as it arrives. It consumes nothing. It returns ErrMalformed with the status line or the field
+// name at fault, io.EOF if r ends before the head, io.ErrUnexpectedEOF if r ends within it, and
+// any other error of r. Lines may end with a bare line feed, except for the last two.
 func Peek(r *bufio.Reader) (Head, error) {
 	var h Head
+	lineEnd := ""
 	for {
 		// The buffered bytes can always be peeked.
 		buffered, _ := r.Peek(r.Buffered())
@@ -80,7 +81,11 @@
 		}
 		isStatusLine := h.Size == 0
 		h.Size += len(line) + 1
-		line = bytes.TrimSuffix(line, []byte("\r"))
+		lineEndBefore := lineEnd
+		lineEnd = "\n"
+		if trimmed, found := bytes.CutSuffix(line, []byte("\r")); found {
+			line, lineEnd = trimmed, "\r\n"
+		}
 		if isStatusLine {
 			status, err := parseStatusLine(line)
 			if err != nil {
@@ -90,6 +95,10 @@
 			continue
 		}
 		if len(line) == 0 {
+			// The library looks for another end in the body.
+			if end := lineEndBefore + lineEnd; end != "\r\n\r\n" {
+				return Head{}, errors.Wrapf(ErrMalformed, "end of the head %q", end)
+			}
 			return h, nil
 		}
 		name, err := parseFieldName(line)
