Log how streams come to their end

Callers saw streams end as complete before their last event. The line of a completed request had neither the number of events nor how the response was delimited and what ended it, so that a reset that was taken for an end could not be told from an orderly one.

Change: a response tells its framing (chunks, length, connection) and the cause of its end (last chunk, length, close, reset, timeout, cancellation, violation). The lines of completed and failed attempts of streams have both, the number of events of the attempt and of the caller's stream, the last event and the silence before the end. No logic changes; reading the end of a response moves to a file of its own.

Result: TestResponseEnd_* read each cause over the network.

--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -56,8 +56,10 @@
 	// lastDataAt is when the last attempt was sent, or when data of its response was
 	// last read; zero before the first attempt.
 	lastDataAt time.Time
-	// lastEventID is the ID of the last event that the caller has received.
-	lastEventID string
+	// lastEventID is the ID of the last event that the caller has received, relayedEvents the
+	// number of events that it has received in this response.
+	lastEventID   string
+	relayedEvents int
 	// relaying is set once a response is being relayed as a stream, which continues at
 	// its offset on another target.
 	relaying bool
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -109,6 +109,8 @@
 	}).Warnf("Request %s of chat %q is given up: %s", d.ID, d.Chat, f.Message)
 }
 
+// decisionEntry returns a log entry with the inputs of a routing decision and, for a stream, how
+// it has come to its end.
 func (g *Gateway) decisionEntry(d *dispatcher, a *attempt) *logrus.Entry {
 	fields := logrus.Fields{
 		"Request": d.CallerID, "Target": a.permit.Target, "Workspace": d.Workspace, "Service": d.Service.Name, "Call": d.Call.Name,
@@ -121,5 +123,10 @@
 		fields["CacheFrom"], fields["LoadAge"], fields["Own"], fields["Kept"], fields["Cold"], fields["HeardAge"] = a.permit.CacheSource, in.LoadReportAge, in.OwnInFlight, in.CachedTokens, in.Cold, in.LastSeenAge
 		fields["Slowdown"], fields["ToldSlowdown"], fields["MeasuredSlowdown"], fields["HeldTokens"] = in.Slowdown, in.ToldSlowdown, in.MeasuredSlowdown, in.HeldTokens
 	}
+	if a.response != nil && a.response.Header().Stream {
+		end := a.response.End()
+		fields["Framing"], fields["End"], fields["AttemptEvents"] = end.Framing, end.Cause, end.Events
+		fields["Events"], fields["LastEvent"], fields["Silence"] = d.relayedEvents, d.lastEventID, d.silence()
+	}
 	return g.log.WithFields(fields)
 }
--- a/gateway/stream_relay.go
+++ b/gateway/stream_relay.go
@@ -24,7 +24,6 @@
 	attempt  *attempt
 	recorder *streamRecorder
 
-	nextOffset     int
 	firstEventRead bool
 	pending        []byte
 	buffer         []byte
@@ -61,7 +60,7 @@
 	event, err := r.nextEvent()
 	switch {
 	case err == nil:
-		r.nextOffset++
+		r.relayedEvents++
 		r.eventMissing = false
 		begin := len(r.buffer)
 		r.lastEventID = event.ID
@@ -114,7 +113,7 @@
 	if obstacle == noObstacle {
 		return true
 	}
-	r.gateway.logNotResumed(r.dispatcher, r.nextOffset, obstacle, cause)
+	r.gateway.logNotResumed(r.dispatcher, r.relayedEvents, obstacle, cause)
 	return false
 }
 
@@ -167,7 +166,7 @@
 // status than that of the stream is no part of it, nor is an empty one the rest of a stream
 // of which an event is missing.
 func (r *streamRelay) sendRest() (*attempt, error) {
-	a, err := r.sendAttempt(r.ctx, r.nextOffset, true)
+	a, err := r.sendAttempt(r.ctx, r.relayedEvents, true)
 	if err != nil {
 		return nil, err
 	}
@@ -218,7 +217,7 @@
 	r.gateway.metrics.duplicateEvents.Inc(int64(end.DuplicateEvents))
 	begin := len(r.buffer)
 	r.buffer = r.gateway.Codec.AppendEnd(r.buffer, r.Request, StreamEnd{
-		Events: r.nextOffset, Target: r.attempt.permit.Target, Warm: end.CacheHit,
+		Events: r.relayedEvents, Target: r.attempt.permit.Target, Warm: end.CacheHit,
 	})
 	r.err = errStreamEnd
 	r.recorder.add(r.buffer[begin:])
@@ -231,8 +230,8 @@
 	r.abandon(r.attempt, err)
 	f := r.failureFor(err)
 	r.gateway.metrics.countFailure(f)
-	r.gateway.logCutStream(r.dispatcher, r.nextOffset, f)
-	r.buffer = r.gateway.Codec.AppendFailure(r.buffer, r.nextOffset, f)
+	r.gateway.logCutStream(r.dispatcher, r.relayedEvents, f)
+	r.buffer = r.gateway.Codec.AppendFailure(r.buffer, r.relayedEvents, f)
 	r.err = errIncompleteResponse
 }
 
--- a/target/call.go
+++ b/target/call.go
@@ -187,19 +187,6 @@
 	Raw []byte
 }
 
-// StreamEnd is the end mark of a stream.
-type StreamEnd struct {
-	// Events is the number of events in the whole response.
-	Events int
-	// CacheHit is set when the chat's context was in the prefix cache.
-	CacheHit bool
-	// DuplicateEvents is the number of events that were received again and dropped.
-	DuplicateEvents int
-	// EventMissing is set if the response is known to have another event than those that
-	// were returned, since the stream failed within it or before it.
-	EventMissing bool
-}
-
 // Response is a response that is being received. Its methods except Close must be
 // called from one goroutine.
 type Response interface {
@@ -213,8 +200,8 @@
 	Next() (Event, error)
 	// EventBuffered reports whether Next can return an event without waiting.
 	EventBuffered() bool
-	// End returns the end mark after Next has returned io.EOF. After another error, only
-	// EventMissing is set.
+	// End returns the end of the response after Next has returned io.EOF, or Body the whole body.
+	// After another error, the numbers are not those of the whole response.
 	End() StreamEnd
 	// Close releases the connection. It is kept for reuse if the response was read
 	// completely.
--- a/target/web/dialect.go
+++ b/target/web/dialect.go
@@ -33,7 +33,7 @@
 	Next() (target.Event, error)
 	// EventBuffered reports whether Next can return a whole event without waiting.
 	EventBuffered() bool
-	// End returns the end of the stream once Next has returned io.EOF. After another error,
-	// only EventMissing is set.
+	// End returns the end of the stream once Next has returned io.EOF, without its framing and
+	// cause. After another error, the numbers are not those of the whole stream.
 	End() target.StreamEnd
 }
--- a/target/web/response.go
+++ b/target/web/response.go
@@ -33,6 +33,8 @@
 	firstEventRequested bool
 	bodyComplete        bool
 	closed              bool
+	// endCause is what has ended the response; empty before.
+	endCause target.EndCause
 	// closeAfter is set when the target closes the connection after the response.
 	closeAfter bool
 	// writeResult receives the result of writing a long request; nil for a short
@@ -144,20 +146,6 @@
 	return err
 }
 
-// checkOrderlyEnd returns target.ErrTruncated if a response that the end of its connection
-// delimits has ended with a failed write of the request. The operating system reports a reset
-// once: if the write takes the report, the reader finds an orderly end. A write that is
-// unfinished has not failed, since a target may respond before it has read the request.
-func (r *Response) checkOrderlyEnd() error {
-	if r.chunked || r.contentLength >= 0 {
-		return nil
-	}
-	if err := r.endWrite(); err != nil {
-		return r.classifyError(errors.Wrapf(target.ErrTruncated, "write request: %v", err))
-	}
-	return nil
-}
-
 // initBody prepares reading the body according to its framing. A response that is
 // delimited only by the end of its connection is rejected unless the dialect
 // allows it, since it cannot be distinguished from a truncated one.
@@ -188,6 +176,13 @@
 // Body reads the whole body. It returns target.ErrResponseTooLarge if the body exceeds
 // limit bytes, and target.ErrTruncated if it is truncated.
 func (r *Response) Body(limit int) ([]byte, error) {
+	body, err := r.readBody(limit)
+	r.recordFailure(err)
+	return body, err
+}
+
+// readBody reads the whole body within the limit.
+func (r *Response) readBody(limit int) ([]byte, error) {
 	if r.contentLength > limit {
 		return nil, errors.Wrapf(target.ErrResponseTooLarge, "answer of %d bytes", r.contentLength)
 	}
@@ -239,36 +234,19 @@
 	return append(make([]byte, 0, size), body...), nil
 }
 
-// finishBody checks that the body, of which read bytes were received, is complete
-// according to its framing.
-func (r *Response) finishBody(read int) error {
-	if !r.chunked {
-		if r.contentLength >= 0 && read < r.contentLength {
-			return errors.Wrapf(target.ErrTruncated, "%d of %d bytes", read, r.contentLength)
-		}
-		if err := r.checkOrderlyEnd(); err != nil {
-			return err
-		}
-		r.bodyComplete = true
-		return nil
-	}
-	r.conn.arm(r.call.GapTimeout)
-	line, err := r.conn.reader.ReadSlice('\n')
-	r.conn.watchdog.Disarm()
-	if err != nil {
-		return r.classifyError(err)
-	}
-	if string(line) != "\r\n" {
-		return errors.Wrap(target.ErrMalformedResponse, "trailer after the last chunk")
-	}
-	r.bodyComplete = true
-	return nil
-}
-
 // Next returns the next event. The call's gap timeout applies to each event
 // except the first one, for which the rest of the first-byte timeout applies.
 // Next returns io.EOF after the last event of a complete stream.
 func (r *Response) Next() (target.Event, error) {
+	event, err := r.readEvent()
+	if !errors.Is(err, io.EOF) {
+		r.recordFailure(err)
+	}
+	return event, err
+}
+
+// readEvent returns the next event, or io.EOF after the last one of a complete stream.
+func (r *Response) readEvent() (target.Event, error) {
 	if r.events == nil {
 		return target.Event{}, errors.Wrap(target.ErrMalformedResponse, "not an event stream")
 	}
@@ -290,38 +268,9 @@
 	return target.Event{}, io.EOF
 }
 
-// finishStream checks that the body of a complete stream also ended according to
-// its framing. A successful stream from its beginning has at least one event, so that
-// one which the end of the connection delimits is truncated without any.
-func (r *Response) finishStream() error {
-	if r.chunked {
-		return r.finishBody(0)
-	}
-	if r.contentLength < 0 && r.header.Status < fasthttp.StatusMultipleChoices && r.call.LastEventID == "" && r.events.End().Events == 0 {
-		return errors.Wrap(target.ErrTruncated, "connection closed before the first event")
-	}
-	if limited, ok := r.body.(*io.LimitedReader); ok && limited.N > 0 {
-		return errors.Wrapf(target.ErrTruncated, "%d bytes missing", limited.N)
-	}
-	if err := r.checkOrderlyEnd(); err != nil {
-		return err
-	}
-	r.bodyComplete = true
-	return nil
-}
-
 // EventBuffered reports whether Next can return a whole event without waiting.
 func (r *Response) EventBuffered() bool { return r.events != nil && r.events.EventBuffered() }
 
-// End returns the end of the stream once Next has returned io.EOF. After another error, only
-// EventMissing is set.
-func (r *Response) End() target.StreamEnd {
-	if r.events == nil {
-		return target.StreamEnd{}
-	}
-	return r.events.End()
-}
-
 // Close returns the connection to the pool if the response was complete, and
 // closes it otherwise.
 func (r *Response) Close() {
@@ -336,22 +285,3 @@
 	}
 	r.client.pool.put(r.conn)
 }
-
-// classifyError maps a read error to an error of package target or of the
-// context.
-func (r *Response) classifyError(err error) error {
-	switch {
-	case r.conn.watchdog.Expired():
-		return errors.Wrapf(target.ErrTimeout, "%s", r.call.Address)
-	case r.ctx.Err() != nil:
-		return errors.Wrap(r.ctx.Err(), "read answer")
-	case errors.Is(err, target.ErrResponseTooLarge), errors.Is(err, target.ErrMalformedResponse),
-		errors.Is(err, target.ErrRequestMismatch), errors.Is(err, target.ErrTruncated):
-		return err
-	case errors.Is(err, head.ErrMalformed):
-		return errors.Wrapf(target.ErrMalformedResponse, "%v", err)
-	case errors.Is(err, io.EOF):
-		return errors.Wrap(target.ErrTruncated, "connection closed")
-	}
-	return errors.Wrapf(target.ErrTruncated, "%v", err)
-}
