--- a/entry/entry.go
+++ b/entry/entry.go
@@ -28,6 +28,7 @@
 	"comfreytiller.dev/comfreytiller/protocol"
 	"comfreytiller.dev/common/logs"
 	"comfreytiller.dev/common/meter"
+	"comfreytiller.dev/common/pauses"
 	"comfreytiller.dev/gateway"
 	"comfreytiller.dev/gateway/intake"
 	"comfreytiller.dev/peer"
@@ -91,6 +92,7 @@
 	watcher  *hubWatcher
 	checker  *viewChecker
 	origins  *streamOrigins
+	pauses   *pauses.Monitor
 	deltas   recentDeltas
 	views    *viewSource
 	sender   protocol.Sender
@@ -133,6 +135,7 @@
 	e.checker = newViewChecker(e)
 	e.views = newViewSource(e)
 	e.origins = newStreamOrigins(e)
+	e.pauses = pauses.New(e.Clock, e.logPause)
 	e.gateway = e.newGateway()
 	return e, nil
 }
@@ -155,6 +158,7 @@
 		OnTargetSilence:  e.selector.recordSilence,
 		RetryAfter:       e.selector.fair.retryAfterFunc(),
 		OnFirstByte:      e.selector.recordFirstByte,
+		LongestPause:     e.pauses.LongestSince,
 	},
 		gateway.WithCallsOnly(),
 		gateway.WithTargetErrors(),
@@ -186,7 +190,7 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	var running sync.WaitGroup
-	for _, run := range []func(context.Context){e.watcher.run, e.checker.run, e.origins.run, e.selector.probeUnreachable} {
+	for _, run := range []func(context.Context){e.watcher.run, e.checker.run, e.origins.run, e.selector.probeUnreachable, e.pauses.Run} {
 		running.Go(func() { run(background) })
 	}
 	running.Go(e.serveAdmin)
@@ -213,6 +217,11 @@
 	return err
 }
 
+// logPause logs that this process stood still. Timers that were due meanwhile fire afterwards.
+func (e *Entry) logPause(pause time.Duration) {
+	e.log.WithField("Pause", pause).Warnf("This process stood still for %s.", pause)
+}
+
 // drain reports not ready, waits for callers to go to other hosts, and then
 // drains the gateway.
 func (e *Entry) drain() error {
--- a/gateway/dependencies.go
+++ b/gateway/dependencies.go
@@ -51,6 +51,9 @@
 	// service and deadline may retry it; nil for the same for all. Refused permits have
 	// their own.
 	RetryAfter func(service string, deadline time.Time) time.Duration
+	// LongestPause returns the longest time for which this process has stood still since a time;
+	// nil if it is not known.
+	LongestPause func(since time.Time) time.Duration
 	// RetryBudget limits retries; nil limits them to a share of the requests on
 	// this host.
 	RetryBudget RetryBudget
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -223,6 +223,15 @@
 	return d.gateway.Clock.Since(d.lastDataAt)
 }
 
+// hostPause returns the longest time for which this host stood still since the request arrived; 0 if
+// it did not, or if that is not known.
+func (d *dispatcher) hostPause() time.Duration {
+	if d.gateway.LongestPause == nil {
+		return 0
+	}
+	return d.gateway.LongestPause(d.Started)
+}
+
 // reportResponse passes on what a target says of itself in a response, or in one that
 // violates the protocol.
 func (d *dispatcher) reportResponse(a *attempt, response target.Response, err error) {
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -24,7 +24,7 @@
 // logFailedAttempt logs a routing decision whose attempt failed, with the prompt parts
 // that relate it to failures of other requests.
 func (g *Gateway) logFailedAttempt(d *dispatcher, a *attempt, err error) {
-	entry := g.decisionEntry(d, a).WithError(err)
+	entry := g.decisionEntry(d, a).WithError(err).WithField("HostPause", d.hostPause())
 	if parts := sharedPromptParts(d.Prompt); parts != "" {
 		entry = entry.WithField("SharedParts", parts)
 	}
@@ -97,7 +97,7 @@
 func (g *Gateway) logCutStream(d *dispatcher, events int, f *Failure) {
 	g.log.WithFields(logrus.Fields{
 		"Request": d.CallerID, "Workspace": d.Workspace, "Service": d.Service.Name, "Call": d.Call.Name,
-		"Code": f.Code, "Events": events, "Attempts": d.attempts, "Target": d.target, "Time": g.Clock.Since(d.Started),
+		"Code": f.Code, "Events": events, "Attempts": d.attempts, "Target": d.target, "HostPause": d.hostPause(), "Time": g.Clock.Since(d.Started),
 	}).Warnf("Stream of request %s is cut: %s", d.ID, f.Message)
 }
 
@@ -126,7 +126,8 @@
 	if a.response != nil && a.response.Header().Stream {
 		end := a.response.End()
 		fields["Framing"], fields["End"], fields["AttemptEvents"] = end.Framing, end.Cause, end.Events
-		fields["Events"], fields["LastEvent"], fields["Silence"] = d.relayedEvents, d.lastEventID, d.silence()
+		fields["Events"], fields["LastEvent"] = d.relayedEvents, d.lastEventID
+		fields["Silence"], fields["HostPause"] = d.silence(), d.hostPause()
 	}
 	return g.log.WithFields(fields)
 }
--- a/host/host.go
+++ b/host/host.go
@@ -22,6 +22,7 @@
 
 	"comfreytiller.dev/common/logs"
 	"comfreytiller.dev/common/meter"
+	"comfreytiller.dev/common/pauses"
 	"comfreytiller.dev/common/sniff"
 	"comfreytiller.dev/gateway"
 	"comfreytiller.dev/peer"
@@ -68,6 +69,7 @@
 	memberChanger       *memberChanger
 	digestReporter      *digestReporter
 	sender              *web.Client
+	pauses              *pauses.Monitor
 
 	peerListener   net.Listener
 	callerListener net.Listener
@@ -184,6 +186,7 @@
 		ReadinessCheck: h.session.Check,
 
 		OnTargetResponse: h.recordResponse,
+		LongestPause:     h.pauses.LongestSince,
 	},
 		gateway.WithHandler("/v1/targets/", receiver.Handle),
 		gateway.WithDrainTimeout(h.Settings.DrainTimeout),
@@ -203,6 +206,7 @@
 	h.start(background, h.session.Run)
 	h.start(background, h.ownedServices.run)
 	h.start(background, h.permitClient.run)
+	h.start(background, h.pauses.Run)
 	h.start(background, h.digestReporter.run)
 	h.start(background, h.placementController.run)
 	if h.state != nil {
