Ask the connection how it ended before its end delimits a response

Callers saw streams end as complete before their last event. The operating system reports a reset to one system call, and an orderly end to all reads after it, which is what delimits a response without a length.

Change: one function, bodyEnd.check, decides whether a response whose body has ended is complete, plain or stream, from its framing, the written request and the state of its connection. conn.CheckNotAborted reads that state from the socket: a connection that only its peer has closed is in CLOSE-WAIT, one that was reset or has timed out in CLOSE, whoever took the report. A reset after an orderly end is reported as EPIPE and leaves the end as it is. The first error of a read also ends the input for good.

--- a/target/web/pool.go
+++ b/target/web/pool.go
@@ -26,7 +26,8 @@
 	// because input was pending when it passed.
 	timeout  time.Duration
 	extended bool
-	// readErr is an error that the check for pending input has found.
+	// readErr is the first error of a read or of the check for pending input. It ends the input:
+	// the operating system reports an error once.
 	readErr error
 	// mayGiveUp is MayGiveUp of the current call.
 	mayGiveUp func() bool
@@ -68,7 +69,11 @@
 			return 0, c.readErr
 		}
 		n, err := c.Conn.Read(p)
-		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.continueReading() {
+		isInterrupted := errors.Is(err, os.ErrDeadlineExceeded)
+		if !isInterrupted {
+			c.readErr = err
+		}
+		if n > 0 || !isInterrupted || !c.continueReading() {
 			return n, err
 		}
 	}
--- a/target/web/response.go
+++ b/target/web/response.go
@@ -203,7 +203,7 @@
 		r.conn.watchdog.Disarm()
 		body = body[:len(body)+n]
 		if errors.Is(err, io.EOF) {
-			return body, r.finishBody(len(body))
+			return body, r.finish()
 		}
 		if err != nil {
 			return nil, r.classifyError(err)
@@ -262,7 +262,7 @@
 	case !errors.Is(err, io.EOF):
 		return target.Event{}, r.classifyError(err)
 	}
-	if err := r.finishStream(); err != nil {
+	if err := r.finish(); err != nil {
 		return target.Event{}, err
 	}
 	return target.Event{}, io.EOF
--- a/target/web/response_end.go
+++ b/target/web/response_end.go
@@ -6,23 +6,77 @@
 
 	"comfreytiller.dev/common/head"
 	"comfreytiller.dev/target"
+	"comfreytiller.dev/target/conn"
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 )
 
-// finishBody checks that the body, of which read bytes were received, is complete
-// according to its framing.
-func (r *Response) finishBody(read int) error {
-	if !r.chunked {
-		if r.contentLength >= 0 && read < r.contentLength {
-			return r.closedEarly("%d of %d bytes", read, r.contentLength)
+// bodyEnd is what is known of a response whose reader has found the end of the body.
+type bodyEnd struct {
+	framing target.Framing
+	// length is the announced number of bytes, received how many of them have arrived; 0 for
+	// other framings.
+	length, received int
+	// hasNoEvent is set for a successful stream from its beginning without any event.
+	hasNoEvent bool
+	// writeErr is the error of writing the request, and connErr that of the connection.
+	writeErr, connErr error
+}
+
+// check returns target.ErrTruncated unless the response is complete, and what has ended it. The
+// framing shows the end of a response in chunks or with a length. If only the end of the
+// connection delimits it, the end must be an orderly one, which the reader can't tell: the
+// operating system reports a reset once, and an orderly end to all who ask later. A write that is
+// merely unfinished has not failed, since a target may respond before it has read the request. A
+// stream from its beginning has at least one event.
+func (e bodyEnd) check() (target.EndCause, error) {
+	switch e.framing {
+	case target.FramingChunked:
+		return target.EndLastChunk, nil
+	case target.FramingLength:
+		if e.received < e.length {
+			return target.EndClose, errors.Wrapf(target.ErrTruncated, "%d of %d bytes", e.received, e.length)
 		}
-		if err := r.checkOrderlyEnd(); err != nil {
+		return target.EndLength, nil
+	}
+	switch {
+	case e.writeErr != nil:
+		return target.EndReset, errors.Wrapf(target.ErrTruncated, "write request: %v", e.writeErr)
+	case e.connErr != nil:
+		return target.EndReset, errors.Wrapf(target.ErrTruncated, "%v", e.connErr)
+	case e.hasNoEvent:
+		return target.EndClose, errors.Wrap(target.ErrTruncated, "connection closed before the first event")
+	}
+	return target.EndClose, nil
+}
+
+// finish decides whether a response whose body has ended is complete. All kinds of responses
+// end here.
+func (r *Response) finish() error {
+	if r.chunked {
+		if err := r.readLastLine(); err != nil {
 			return err
 		}
-		r.complete()
-		return nil
 	}
+	end := bodyEnd{framing: r.framing()}
+	if limited, ok := r.body.(*io.LimitedReader); ok {
+		end.length, end.received = r.contentLength, r.contentLength-int(limited.N)
+	}
+	if end.framing == target.FramingConnection {
+		end.writeErr, end.connErr = r.endWrite(), conn.CheckNotAborted(r.conn.Conn)
+		isSuccess := r.header.Status < fasthttp.StatusMultipleChoices && r.call.LastEventID == ""
+		end.hasNoEvent = r.events != nil && isSuccess && r.events.End().Events == 0
+	}
+	cause, err := end.check()
+	r.endCause, r.bodyComplete = cause, err == nil
+	if err != nil {
+		return r.classifyError(err)
+	}
+	return nil
+}
+
+// readLastLine reads the empty line after the last chunk.
+func (r *Response) readLastLine() error {
 	r.conn.arm(r.call.GapTimeout)
 	line, err := r.conn.reader.ReadSlice('\n')
 	r.conn.watchdog.Disarm()
@@ -32,18 +86,9 @@
 	if string(line) != "\r\n" {
 		return errors.Wrap(target.ErrMalformedResponse, "trailer after the last chunk")
 	}
-	r.complete()
 	return nil
 }
 
-// complete marks the response as received completely.
-func (r *Response) complete() {
-	r.bodyComplete = true
-	r.endCause = map[target.Framing]target.EndCause{
-		target.FramingChunked: target.EndLastChunk, target.FramingLength: target.EndLength, target.FramingConnection: target.EndClose,
-	}[r.framing()]
-}
-
 // framing returns how the response shows its end.
 func (r *Response) framing() target.Framing {
 	switch {
@@ -55,47 +100,6 @@
 	return target.FramingConnection
 }
 
-// finishStream checks that the body of a complete stream also ended according to
-// its framing. A successful stream from its beginning has at least one event, so that
-// one which the end of the connection delimits is truncated without any.
-func (r *Response) finishStream() error {
-	if r.chunked {
-		return r.finishBody(0)
-	}
-	if r.contentLength < 0 && r.header.Status < fasthttp.StatusMultipleChoices && r.call.LastEventID == "" && r.events.End().Events == 0 {
-		return r.closedEarly("connection closed before the first event")
-	}
-	if limited, ok := r.body.(*io.LimitedReader); ok && limited.N > 0 {
-		return r.closedEarly("%d bytes missing", limited.N)
-	}
-	if err := r.checkOrderlyEnd(); err != nil {
-		return err
-	}
-	r.complete()
-	return nil
-}
-
-// closedEarly returns the error of a response whose target closed the connection before its end.
-func (r *Response) closedEarly(format string, arguments ...any) error {
-	r.endCause = target.EndClose
-	return errors.Wrapf(target.ErrTruncated, format, arguments...)
-}
-
-// checkOrderlyEnd returns target.ErrTruncated if a response that the end of its connection
-// delimits has ended with a failed write of the request. The operating system reports a reset
-// once: if the write takes the report, the reader finds an orderly end. A write that is
-// unfinished has not failed, since a target may respond before it has read the request.
-func (r *Response) checkOrderlyEnd() error {
-	if r.chunked || r.contentLength >= 0 {
-		return nil
-	}
-	if err := r.endWrite(); err != nil {
-		r.endCause = target.EndReset
-		return r.classifyError(errors.Wrapf(target.ErrTruncated, "write request: %v", err))
-	}
-	return nil
-}
-
 // End returns the end of the response once it was read to its end.
 func (r *Response) End() target.StreamEnd {
 	var end target.StreamEnd
