Don't complete a stream by an unframed rest without a new event

Streams ended as complete before their last event, at their callers and at hosts: a target that went on with a stream, or at which its caller took it up, was killed before its first new event. The operating system closes the connections of a killed process in an orderly way, and an orderly end delimits a response without a length. A stream from its beginning without any event counted as truncated already; a rest did not.

Change: a successful stream that only the end of its connection delimits and that has no event after the last one of the caller is truncated, also if it repeats earlier events. A target with nothing left says so with a length or chunks. One that says it with the end of its connection alone can't be told from a killed one: its stream is then cut after all events, which a caller notices, while a stream that ends early and looks complete is lost without notice.

--- a/target/web/response_end.go
+++ b/target/web/response_end.go
@@ -17,7 +17,7 @@
 	// length is the announced number of bytes, received how many of them have arrived; 0 for
 	// other framings.
 	length, received int
-	// hasNoEvent is set for a successful stream from its beginning without any event.
+	// hasNoEvent is set for a successful stream without any event that is new to the caller.
 	hasNoEvent bool
 	// writeErr is the error of writing the request, and connErr that of the connection.
 	writeErr, connErr error
@@ -28,7 +28,8 @@
 // connection delimits it, the end must be an orderly one, which the reader can't tell: the
 // operating system reports a reset once, and an orderly end to all who ask later. A write that is
 // merely unfinished has not failed, since a target may respond before it has read the request. A
-// stream from its beginning has at least one event.
+// stream without an event is what a target leaves that is killed as it begins, also for the rest of
+// a stream of which another target may have sent all events but not the end.
 func (e bodyEnd) check() (target.EndCause, error) {
 	switch e.framing {
 	case target.FramingChunked:
@@ -64,7 +65,7 @@
 	}
 	if end.framing == target.FramingConnection {
 		end.writeErr, end.connErr = r.endWrite(), conn.CheckNotAborted(r.conn.Conn)
-		isSuccess := r.header.Status < fasthttp.StatusMultipleChoices && r.call.LastEventID == ""
+		isSuccess := r.header.Status < fasthttp.StatusMultipleChoices
 		end.hasNoEvent = r.events != nil && isSuccess && r.events.End().Events == 0
 	}
 	cause, err := end.check()
