Create the monitor of pauses of a daemon

Each daemon ended with a nil dereference as it began to run: Host.Run starts the monitor of pauses, which only entry hosts created.

Change: the host creates its monitor with its other components, and logs pauses like an entry host.

Result: go test ./commands panics without the change and passes with it.

--- a/host/host.go
+++ b/host/host.go
@@ -13,6 +13,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/jonboulle/clockwork"
@@ -164,6 +165,7 @@
 	h.placementController = newPlacementController(h)
 	h.memberChanger = &memberChanger{host: h}
 	h.digestReporter = newDigestReporter(h)
+	h.pauses = pauses.New(h.Clock, h.logPause)
 	h.gateway = h.newGateway()
 }
 
@@ -252,6 +254,11 @@
 	return nil
 }
 
+// logPause logs that this process stood still. Timers that were due meanwhile fire afterwards.
+func (h *Host) logPause(pause time.Duration) {
+	h.log.WithField("Pause", pause).Warnf("This process stood still for %s.", pause)
+}
+
 // logPeerError logs a connection that ended before both peers were
 // authenticated. A peer with a different key closes the connection first and
 // reports the key mismatch in its own log.
