Test the check of connections with a pending report

The test of CheckNotAborted waited for each reset with IsIdle, which takes the report, so that none of its cases had a pending one. Treating every pending error like EPIPE, which lets a reset that nobody was told of pass for an orderly end, failed no test of packages conn and web.

Result: TestCheckNotAborted_TellsPendingResets fails with that mutation, and passes 20 times without it.

--- a/target/conn/abort_test.go
+++ b/target/conn/abort_test.go
@@ -71,3 +71,41 @@
 	require.NoError(t, local.Close())
 	require.NoError(t, CheckNotAborted(local), "closed here")
 }
+
+// awaitClosed waits until the operating system has noticed the reset of a connection, without taking
+// the report.
+func awaitClosed(t *testing.T, c net.Conn) {
+	raw, err := c.(syscall.Conn).SyscallConn()
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		var state uint8
+		require.NoError(t, raw.Control(func(descriptor uintptr) {
+			info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
+			require.NoError(t, err)
+			state = info.State
+		}))
+		return state == tcpClose
+	}, 10*time.Second, time.Millisecond)
+}
+
+// A reset that nobody was told of must not pass for one that follows an orderly end, which is
+// pending as well, nor the other way round.
+func TestCheckNotAborted_TellsPendingResets(t *testing.T) {
+	for name, test := range map[string]struct {
+		closesBefore bool
+		want         error
+	}{
+		"open": {false, ErrAborted}, "half-closed": {true, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			local, remote := connPair(t)
+			if test.closesBefore {
+				require.NoError(t, remote.(*net.TCPConn).CloseWrite())
+				require.Eventually(t, func() bool { return !IsIdle(local) }, 10*time.Second, time.Millisecond)
+			}
+			reset(t, remote)
+			awaitClosed(t, local)
+			require.ErrorIs(t, CheckNotAborted(local), test.want)
+		})
+	}
+}
