--- a/target/web/pending_input_test.go
+++ b/target/web/pending_input_test.go
@@ -74,6 +74,18 @@
 	require.ErrorIs(t, err, syscall.ECONNRESET)
 }
 
+// The operating system reports a reset once. A reader that reads on after the error, as buffered
+// ones may, must not find an orderly end.
+func TestTargetConn_ErrorOfReadEndsInput(t *testing.T) {
+	c, remote := targetConnPair(t, clockwork.NewFakeClock())
+	require.NoError(t, remote.(*net.TCPConn).SetLinger(0))
+	require.NoError(t, remote.Close())
+	for range 2 {
+		_, err := c.Read(make([]byte, 1))
+		require.ErrorIs(t, err, syscall.ECONNRESET)
+	}
+}
+
 // A timer that fires between two operations must not end the one that follows.
 func TestTargetConn_LateInterruptDoesNotEndNextRead(t *testing.T) {
 	clock := clockwork.NewFakeClock()
