Test that a truncated response keeps no connection

Marking each body that has ended as complete, also a truncated one, failed no test of packages conn and web; the connection then goes back to the pool.

--- a/target/web/response_end_test.go
+++ b/target/web/response_end_test.go
@@ -96,3 +96,17 @@
 	require.ErrorIs(t, err, context.Canceled)
 	require.Equal(t, target.EndCanceled, response.End().Cause)
 }
+
+// A connection whose response lacks a part must not be kept for another call.
+func TestResponseEnd_TruncatedResponseKeepsNoConnection(t *testing.T) {
+	for _, contentType := range []string{contentTypeEventStream, "text/plain"} {
+		address, _ := startServer(t, serveAndEnd("HTTP/1.1 200 OK\r\nContent-Type: "+contentType+"\r\nContent-Length: 99\r\n\r\n"+streamText("\n", 1), endClose))
+		client := newPassthroughClient(t)
+		response, err := client.Send(context.Background(), target.Call{Address: address})
+		require.NoError(t, err)
+		_, err = readAll(response)
+		require.ErrorIs(t, err, target.ErrTruncated)
+		response.Close()
+		require.Empty(t, client.pool.idle)
+	}
+}
