Don't take a connection closed here for one that ended in order

The deadline and a caller that disconnects close the connection to the target. If that happens between the read of an end and the check of the connection, its state is gone, and a stream whose reset another operation was told of ended as complete. No operation of the present code takes the report without keeping it, so that callers can't have seen this; it is the case in which the check did not hold what it is for.

Change: a connection that was closed here counts as aborted. Only the end of the context closes one that is in use, so that the response ends with the error of the context, as it does if the close comes before the read. The case "closed here" of the test of CheckNotAborted held the opposite and now holds this as strictly.

--- a/target/conn/abort.go
+++ b/target/conn/abort.go
@@ -18,8 +18,8 @@
 // CheckNotAborted returns ErrAborted if a connection whose input has ended was reset or has timed
 // out, unless its peer had closed it in an orderly way before. The operating system reports the
 // error of a connection to one system call, and an orderly end to all later ones, so that
-// the end of the input alone proves nothing. A connection that is no TCP socket, or that was
-// closed here, counts as not aborted.
+// the end of the input alone proves nothing. One that was closed here tells no more, and counts as
+// aborted; one that is no TCP socket counts as not aborted.
 func CheckNotAborted(c net.Conn) error {
 	systemConn, ok := c.(syscall.Conn)
 	if !ok {
@@ -27,7 +27,7 @@
 	}
 	raw, err := systemConn.SyscallConn()
 	if err != nil {
-		return nil //nolint:nilerr // A closed connection has no state.
+		return nil //nolint:nilerr // It has no descriptor.
 	}
 	var state uint8
 	var pending int
@@ -40,7 +40,9 @@
 		pending, pendingErr = unix.GetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_ERROR)
 	})
 	switch {
-	case err != nil || infoErr != nil || pendingErr != nil || state != tcpClose:
+	case err != nil:
+		return errors.Wrapf(ErrAborted, "%v", err)
+	case infoErr != nil || pendingErr != nil || state != tcpClose:
 		return nil
 	case syscall.Errno(pending) == syscall.EPIPE:
 		// A reset that follows an orderly end is reported in this way.
--- a/target/conn/abort_test.go
+++ b/target/conn/abort_test.go
@@ -69,7 +69,7 @@
 	require.NoError(t, CheckNotAborted(pipe), "no socket")
 	local, _ := connPair(t)
 	require.NoError(t, local.Close())
-	require.NoError(t, CheckNotAborted(local), "closed here")
+	require.ErrorIs(t, CheckNotAborted(local), ErrAborted, "closed here")
 }
 
 // awaitClosed waits until the operating system has noticed the reset of a connection, without taking
