Log a reset as such where another operation took its report

The line of a stream that was cut in chunks or within a length had "End":"Close" after a reset whose report another operation took: a read finds an end then. It is the difference that the field was added for.

Change: a truncated response asks its connection what has ended it.

Result: TestEndOrders_TakenResetIsLoggedAsReset fails without the change (Close) and passes with it; package web passes three times.

--- a/target/web/end_orders_test.go
+++ b/target/web/end_orders_test.go
@@ -244,3 +244,17 @@
 	isWhole := o.framing != target.FramingConnection && o.sent == ordersLastEvent
 	return o.isClosed || o.isReset || o.isCanceled || isWhole
 }
+
+// A reset whose report another operation took ends a framed response as truncated, and its log must
+// not tell of an orderly end.
+func TestEndOrders_TakenResetIsLoggedAsReset(t *testing.T) {
+	for _, framing := range []target.Framing{target.FramingLength, target.FramingChunked} {
+		o := newOrdersTarget(t, framing)
+		o.apply(eventReset)
+		o.apply(eventReported)
+		_, err := o.response.Next()
+		require.ErrorIs(t, err, target.ErrTruncated)
+		require.Equal(t, target.EndReset, o.response.End().Cause, framing)
+		o.response.Close()
+	}
+}
--- a/target/web/response_end.go
+++ b/target/web/response_end.go
@@ -69,6 +69,9 @@
 		end.hasNoEvent = r.events != nil && isSuccess && r.events.End().Events == 0
 	}
 	cause, err := end.check()
+	if err != nil && end.framing == target.FramingLength {
+		cause = r.closeCause()
+	}
 	r.endCause, r.bodyComplete = cause, err == nil
 	if err != nil {
 		return r.classifyError(err)
@@ -127,16 +130,25 @@
 	case errors.Is(err, head.ErrMalformed):
 		return errors.Wrapf(target.ErrMalformedResponse, "%v", err)
 	case errors.Is(err, io.EOF):
-		r.endCause = target.EndClose
+		r.endCause = r.closeCause()
 		return errors.Wrap(target.ErrTruncated, "connection closed")
 	case errors.Is(err, io.ErrUnexpectedEOF):
-		r.endCause = target.EndClose
+		r.endCause = r.closeCause()
 	case isSystemError(err):
 		r.endCause = target.EndReset
 	}
 	return errors.Wrapf(target.ErrTruncated, "%v", err)
 }
 
+// closeCause returns what has ended the input of a truncated response: reads find an end also after a
+// reset whose report another operation took.
+func (r *Response) closeCause() target.EndCause {
+	if conn.CheckNotAborted(r.conn.Conn) != nil {
+		return target.EndReset
+	}
+	return target.EndClose
+}
+
 // recordFailure records what has ended a response that failed with err, unless it is known.
 func (r *Response) recordFailure(err error) {
 	if err != nil && r.endCause == "" {
