Don't read on in a stream whose reader has panicked

A caller that repeats a call with its key would get a stream with a piece missing as the whole response. No caller has seen it: it takes a fault of our own.

Cause: the HTTP server recovers from a panic while it writes a stream and closes the body. The relay of a call that runs at most once then read on to the end, and stored what it had as the response. A second panic there ended the process, since nothing recovers from it.

Change: a panic fails the stream: its claim is in doubt, its attempt is abandoned, and nothing reads on.

--- a/gateway/cut_stream_test.go
+++ b/gateway/cut_stream_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -121,3 +122,28 @@
 		}
 	}
 }
+
+// The HTTP server recovers from a panic while it reads a stream. What a call that runs at most once
+// reads after it isn't the rest of the stream, and must not be stored as its end.
+func TestPanicInStream_IsNoEnd(t *testing.T) {
+	for _, call := range []string{"Reviews/Draft", "Reviews/File"} {
+		t.Run(call, func(t *testing.T) {
+			f := newFixture(t)
+			f.addTarget("engine-1", "")
+			var hasPanicked atomic.Bool
+			f.gateway.Sender = &scriptedStream{events: 2, end: func(context.Context) error {
+				if !hasPanicked.Swap(true) {
+					panic("fault of the reader")
+				}
+				return io.EOF
+			}}
+			response, err := io.ReadAll(f.openStream(call, testTimeout))
+			require.NoError(t, err)
+			require.Contains(t, string(response), "piece")
+			require.NotContains(t, string(response), lastChunk)
+			eventually(t, func() bool { return f.gateway.InFlight() == 0 }, "the request has ended")
+			require.NotContains(t, f.claims.recordedCalls(), "Finish")
+			eventually(t, func() bool { return len(f.admitter.outcomes()) == f.admitter.grants() }, "every permit is released")
+		})
+	}
+}
--- a/gateway/stream_relay.go
+++ b/gateway/stream_relay.go
@@ -48,11 +48,19 @@
 // until the buffer has at least minBytes bytes.
 func (r *streamRelay) fill(minBytes int) {
 	r.buffer = r.buffer[:0]
+	returns := false
+	defer func() {
+		// The HTTP server recovers from a panic. What could be read after it is not the rest.
+		if !returns {
+			r.appendFailure(errIncompleteResponse)
+		}
+	}()
 	r.appendNext()
 	for r.err == nil && len(r.buffer) < minBytes && r.attempt.response.EventBuffered() {
 		r.appendNext()
 	}
 	r.pending = r.buffer
+	returns = true
 }
 
 // appendNext appends the next event, the end event or the error event.
