Count the events of each attempt in its log line

For the gateway's own protocol, the line of an attempt had no events before the end mark of its stream, and with it those of all attempts.

Change: the relay counts the events that it reads of an attempt. An empty rest of a stream no longer says that it has no first event, and the comment of the monitor of pauses says which pauses it may miss.

Result: TestLog_StreamLinesCountEventsOfTheirAttempt fails without the change.

--- a/common/pauses/pauses.go
+++ b/common/pauses/pauses.go
@@ -20,7 +20,8 @@
 const (
 	// interval is the time between two checks.
 	interval = 250 * time.Millisecond
-	// minPause is the shortest pause that is noticed.
+	// minPause is the least delay of a check that counts as a pause. A shorter pause than interval and
+	// minPause together may be missed.
 	minPause = 250 * time.Millisecond
 	// maxPauses is the number of pauses that are kept.
 	maxPauses = 16
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -88,6 +88,8 @@
 	body        []byte
 	firstEvent  target.Event
 	emptyStream bool
+	// events is the number of events that were read of a stream.
+	events int
 	// isErrorResponse is set if body is the complete response of a target that
 	// failed.
 	isErrorResponse bool
@@ -210,6 +212,9 @@
 		return err
 	}
 	d.lastDataAt = d.gateway.Clock.Now()
+	if !a.emptyStream {
+		a.events = 1
+	}
 	d.recordFirstByte(a)
 	return nil
 }
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -125,7 +125,7 @@
 	}
 	if a.response != nil && a.response.Header().Stream {
 		end := a.response.End()
-		fields["Framing"], fields["End"], fields["AttemptEvents"] = end.Framing, end.Cause, end.Events
+		fields["Framing"], fields["End"], fields["AttemptEvents"] = end.Framing, end.Cause, a.events
 		fields["Events"], fields["LastEvent"] = d.relayedEvents, d.lastEventID
 		fields["Silence"], fields["HostPause"] = d.silence(), d.hostPause()
 	}
--- a/gateway/log_test.go
+++ b/gateway/log_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"bytes"
+	"fmt"
 	"math"
+	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -11,6 +14,7 @@
 	"comfreytiller.dev/common/logs"
 	"comfreytiller.dev/standin"
 	"comfreytiller.dev/target"
+	"comfreytiller.dev/target/web"
 	"github.com/stretchr/testify/require"
 )
 
@@ -156,3 +160,38 @@
 	f.postAndRead("Treasury/Balance", `{}`)
 	require.Equal(t, int64(1), f.counterValue("silent_attempts"))
 }
+
+// The lines of a stream in the gateway's own protocol had no events before its end mark, and those
+// of other attempts behind it.
+func TestLog_StreamLinesCountEventsOfTheirAttempt(t *testing.T) {
+	const header = "HTTP/1.1 200 OK\r\nComfreytiller-Request: {id}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	chunk := func(data []byte) string { return fmt.Sprintf("%x\r\n%s\r\n", len(data), data) }
+	f := newFixture(t)
+	f.setRetryTokens("Reviews", 10)
+	var out lockedBuffer
+	logger, err := logs.New(&out, "info", "text")
+	require.NoError(t, err)
+	f.gateway.log = logs.ForComponent(logger, "Route")
+	f.addRawTarget("engine-1", func(request *http.Request) rawResponse {
+		id := request.Header.Get(web.HeaderRequestID)
+		event := func(i int) string {
+			return chunk(web.AppendEvent(nil, web.EventID(id, i), "token", []byte(strconv.Itoa(i))))
+		}
+		if request.Header.Get(web.HeaderOffset) == "" {
+			return rawResponse{text: header + event(0) + event(1), reset: true}
+		}
+		end := web.AppendEvent(nil, web.EventID(id, 3), web.EndEventName, fmt.Appendf(nil, `{"Request":%q,"Events":3}`, id))
+		return rawResponse{text: header + event(2) + chunk(end) + "0\r\n\r\n"}
+	})
+	f.postAndRead("Reviews/Draft", draftBody)
+	lines := out.lines()
+	require.Len(t, lines, 2)
+	for i, parts := range [][]string{
+		{"failed on engine-1.", "AttemptEvents=2", "End=Reset", "Events=2", "Framing=Chunked"},
+		{"ran on engine-1.", "AttemptEvents=1", "End=LastChunk", "Events=3", "Framing=Chunked"},
+	} {
+		for _, part := range parts {
+			require.Contains(t, lines[i], part)
+		}
+	}
+}
--- a/gateway/stream_relay.go
+++ b/gateway/stream_relay.go
@@ -102,6 +102,7 @@
 		event, err := r.attempt.response.Next()
 		if err == nil {
 			r.lastDataAt = r.gateway.Clock.Now()
+			r.attempt.events++
 		}
 		return event, err
 	}
--- a/target/web/response_end.go
+++ b/target/web/response_end.go
@@ -46,7 +46,7 @@
 	case e.connErr != nil:
 		return target.EndReset, errors.Wrapf(target.ErrTruncated, "%v", e.connErr)
 	case e.hasNoEvent:
-		return target.EndClose, errors.Wrap(target.ErrTruncated, "connection closed before the first event")
+		return target.EndClose, errors.Wrap(target.ErrTruncated, "connection closed before a new event")
 	}
 	return target.EndClose, nil
 }
