Refuse transfer codings of other versions than HTTP/1.1

A target that answered as HTTP/1.0 (or 1.2) with Transfer-Encoding got its response through to callers as a success: with the sizes of the chunks in the body, or with the one byte of a wrong length beside the coding. Replies of our own servers that ended within such a body counted as whole.

Cause: the library ignores the field in any version but HTTP/1.1 and reads to the end of the connection, whereas the check took the body for framed.

Evidence: a raw target in front of the local gateway; "HTTP/1.0 200 OK" with "Transfer-Encoding: chunked" gave the caller of /pay/ a 200 with the body "2\r\nok\r\n0\r\n\r\n".

Change: the check refuses the field there. RFC 9112, section 6.1, has a client treat such a response as one whose framing is faulty.

--- a/common/head/conn_test.go
+++ b/common/head/conn_test.go
@@ -114,7 +114,9 @@
 func TestDial_UnframedResponse(t *testing.T) {
 	for reply, want := range map[string]error{
 		"HTTP/1.1 200 OK\r\n\r\nok": ErrUnframed, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 404 Not Found\r\nConnection: close\r\n\r\n": ErrUnframed,
-		"HTTP/1.1 204 No Content\r\n\r\n": nil, "HTTP/1.1 304 Not Modified\r\n\r\n": nil,
+		// The library ignores the coding and reads on to the end of the connection.
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\no": ErrMalformed,
+		"HTTP/1.1 204 No Content\r\n\r\n":                             nil, "HTTP/1.1 304 Not Modified\r\n\r\n": nil,
 	} {
 		address, requests := startRawServer(t, reply)
 		client := &fasthttp.Client{Dial: Dial}
--- a/common/head/head.go
+++ b/common/head/head.go
@@ -55,6 +55,9 @@
 	transferEncoding = []byte(fasthttp.HeaderTransferEncoding)
 )
 
+// http11 begins the status line of the version that has transfer codings.
+var http11 = []byte("HTTP/1.1 ")
+
 // Ranges of the status code.
 const (
 	minStatus      = 100
@@ -105,6 +108,10 @@
 		if err != nil {
 			return Head{}, err
 		}
+		// The library ignores the coding then and passes the sizes of the chunks on with the body.
+		if bytes.EqualFold(name, transferEncoding) && !bytes.HasPrefix(buffered, http11) {
+			return Head{}, errors.Wrapf(ErrMalformed, "field name %.80q in %s", name, buffered[:len(http11)-1])
+		}
 		h.IsFramed = h.IsFramed || bytes.EqualFold(name, contentLength) || bytes.EqualFold(name, transferEncoding)
 	}
 }
