Refuse requests whose fields violate the grammar

A caller's field name with a blank reached targets as it was, such as "Transfer-Encoding x: chunked", and a line that begins with a blank was joined to the value before it, also to the attempt ID. Whoever reads such a line otherwise (a length, a coding) ends the body elsewhere: a part of the body became a request of its own. The end of a head with a bare line feed counted only if two ends of lines followed anywhere, also in the next request.

Evidence: raw requests to the local gateway; a raw target got the field "X Odd: 1", and the attempt ID "own Content-Length: 2".

The check includes white space before a colon, which was refused here before.

--- a/common/head/head.go
+++ b/common/head/head.go
@@ -116,6 +116,21 @@
 	}
 }
 
+// CheckFields checks the field lines of a head, including the empty line at its end. It returns
+// ErrMalformed as Peek does.
+func CheckFields(lines []byte) error {
+	rest, found := bytes.CutSuffix(lines, []byte("\r\n\r\n"))
+	if !found {
+		return errors.Wrapf(ErrMalformed, "end of the head %q", lines[max(len(lines)-4, 0):])
+	}
+	for line := range bytes.SplitSeq(rest, []byte("\n")) {
+		if _, err := parseFieldName(bytes.TrimSuffix(line, []byte("\r"))); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // awaitMore waits until r has buffered another byte.
 func awaitMore(r *bufio.Reader) error {
 	buffered := r.Buffered()
--- a/common/head/head_test.go
+++ b/common/head/head_test.go
@@ -139,6 +139,23 @@
 	require.True(t, head.IsFramed)
 }
 
+// The fields of requests are checked as those of responses are.
+func TestCheckFields(t *testing.T) {
+	for lines, valid := range map[string]bool{
+		"Host: a\r\n\r\n": true, "Host: a\r\nA:\r\nB: \tb\x80 \r\n\r\n": true, "Host: a\nB: c\r\n\r\n": true,
+		"": false, "\r\n": false, "Host: a\r\n": false, "Host: a\r\n\n": false, "Host: a\n\n": false, "Host: a\n\r\n": false, "Host: a\r\n\r\nB: c\r\n\r\n": false,
+		"Host: a\r\n b\r\n\r\n": false, "Host: a\n\tb\r\n\r\n": false, " Host: a\r\n\r\n": false, "X Odd: 1\r\n\r\n": false, "Host : a\r\n\r\n": false,
+		"Host: a\rB: c\r\n\r\n": false, "Host: a\x00\r\n\r\n": false, "Host\r\n\r\n": false, ": a\r\n\r\n": false, "Ho\x80st: a\r\n\r\n": false,
+	} {
+		err := CheckFields([]byte(lines))
+		if valid {
+			require.NoError(t, err, "%q", lines)
+		} else {
+			require.ErrorIs(t, err, ErrMalformed, "%q", lines)
+		}
+	}
+}
+
 func TestPeek_ConsumesNothing(t *testing.T) {
 	const text = "HTTP/1.1 200 OK\r\nA: b\r\n\r\nok"
 	reader := bufio.NewReader(strings.NewReader(text))
