Count responses that the library refuses as malformed

A response with two lengths, a length that is no number or an unknown coding counted as a connection that its target closed. Callers got the same responses. By reading, a rollout excuses most lost connections as crashes, so that a new version with such responses is taken back later or not at all, and the request was suspected of having crashed the target until a probe reached it.

Cause: an error of the library's parser was classified like one of the connection, although the whole head has arrived by then.

Evidence: TestClient_RefusedFramingIsNoLostConnection fails without the change ("answer cut").

Change: such an error is target.ErrMalformedResponse. Errors within chunks still count as lost connections.

--- a/target/web/malformed_head_test.go
+++ b/target/web/malformed_head_test.go
@@ -85,3 +85,19 @@
 		}
 	}
 }
+
+// A response whose framing only the library refuses counted as a connection that its target
+// closed, as by a crash: a rollout excuses those, and the request was suspected of the crash.
+func TestClient_RefusedFramingIsNoLostConnection(t *testing.T) {
+	for _, fields := range []string{
+		"Content-Length: 2\r\nContent-Length: 3\r\n", "Content-Length: +2\r\n", "Content-Length: 2, 2\r\n", "Content-Length:\r\n",
+		"Transfer-Encoding: gzip\r\n", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", "Content-Length: 2\r\nTrailer: Content-Length\r\n",
+	} {
+		s := newScriptedTarget(t, "HTTP/1.1 200 OK\r\n"+HeaderRequestID+": r\r\n"+fields+"\r\n{}")
+		client := NewClient(clockwork.NewRealClock())
+		defer client.Close()
+		_, err := client.Send(context.Background(), target.Call{RequestID: "r", Address: s.listener.Addr().String(), Service: "s", Name: "n"})
+		require.ErrorIs(t, err, target.ErrMalformedResponse, "%q", fields)
+		require.NotErrorIs(t, err, target.ErrTruncated, "%q", fields)
+	}
+}
--- a/target/web/response.go
+++ b/target/web/response.go
@@ -83,8 +83,9 @@
 		if err != nil {
 			return r.classifyError(err)
 		}
+		// The whole head has arrived, so that an error is its fault.
 		if err := header.Read(r.conn.reader); err != nil {
-			return r.classifyError(err)
+			return errors.Wrapf(target.ErrMalformedResponse, "%v", err)
 		}
 		if checked.Status == fasthttp.StatusSwitchingProtocols {
 			return errors.Wrapf(target.ErrMalformedResponse, "status %d", checked.Status)
