Check the framing of requests in the gateway, for both protocols

Callers of the gateway's own protocol could send a request whose end another recipient finds elsewhere: "Transfer-Encoding: identity", a folded line or a name with a blank; what followed was read as another request. With HTTP/1.0 and keep-alive the same held on both protocols, behind the 505.

Cause: only the platform's codec checked the framing, and only behind the check of the version, which kept the connection.

Evidence: TestAmbiguousFraming_NothingIsReadAfterIt (503 and the answer to the next request) and TestOtherVersion_NothingIsReadAfterIt ([505 200]) fail without the change.

FuzzRequestFraming compares what the gateway accepts with what the standard library reads; it found no difference.

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -68,6 +68,9 @@
 	if f := g.checkLimits(ctx); f != nil {
 		return f
 	}
+	if f := CheckFraming(ctx); f != nil {
+		return f
+	}
 	r.Workspace = string(header.Peek(HeaderWorkspace))
 	r.Chat = string(header.Peek(HeaderChat))
 	r.IdempotencyKey = string(header.Peek(HeaderIdempotencyKey))
@@ -92,6 +95,7 @@
 func (g *Gateway) checkLimits(ctx *fasthttp.RequestCtx) *Failure {
 	switch {
 	case !ctx.Request.Header.IsHTTP11():
+		ctx.SetConnectionClose()
 		return failure(fasthttp.StatusHTTPVersionNotSupported, CodeBadRequest, "calls need HTTP/1.1, which tells a cut answer from a whole one")
 	case !ctx.IsPost():
 		return failure(fasthttp.StatusMethodNotAllowed, CodeMethodNotAllowed, "calls are made by POST")
