--- a/integration/daemons/daemons.go
+++ b/integration/daemons/daemons.go
@@ -222,6 +222,19 @@
 	return err == nil
 }
 
+// IsStopped reports whether all threads of the daemon have been stopped by SIGSTOP.
+func (d *Daemon) IsStopped() bool {
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/status", d.cmd.Process.Pid))
+	require.NoError(d.t, err)
+	for _, thread := range threads {
+		status, err := os.ReadFile(thread)
+		if err != nil || !strings.Contains(string(status), "\nState:\tT") {
+			return false
+		}
+	}
+	return len(threads) > 0
+}
+
 // PeakMemory returns the largest resident size of the running daemon so far, in bytes.
 func (d *Daemon) PeakMemory() int { return d.memoryOf("VmHWM:") }
 
