Don't take a reset for a silence when a timer fires after it

A stream that was reset while its host stood still ended with "target silent" in the logs, and its target was avoided as a silent one.

Cause: the read had returned the reset when the timer of the silence fired, and the error was classified by whether the timer had expired.

Change: only a read that its timer has interrupted ends in a timeout.

--- a/target/web/end_orders_linux_test.go
+++ b/target/web/end_orders_linux_test.go
@@ -225,6 +225,9 @@
 		return true, false
 	}
 	_, err := readEvents(o.response)
+	if cause := o.cause(err); cause != "" {
+		require.Equal(t, cause, o.response.End().Cause, "%v: %v", order, err)
+	}
 	// An orderly end is the end of a stream that the connection delimits, after any event.
 	isWhole := o.sent == ordersLastEvent
 	if framing == target.FramingConnection {
@@ -239,6 +242,23 @@
 	return true, false
 }
 
+// cause returns what has ended the response; empty if there are two causes.
+func (o *ordersTarget) cause(err error) target.EndCause {
+	switch {
+	case errors.Is(err, io.EOF):
+		return map[target.Framing]target.EndCause{
+			target.FramingConnection: target.EndClose, target.FramingLength: target.EndLength, target.FramingChunked: target.EndLastChunk,
+		}[o.framing]
+	case o.isCanceled:
+		return target.EndCanceled
+	case o.isReset && o.isClosed:
+		return ""
+	case o.isReset:
+		return target.EndReset
+	}
+	return target.EndClose
+}
+
 // hasEnd reports whether the reader comes to an end without another event.
 func (o *ordersTarget) hasEnd() bool {
 	isWhole := o.framing != target.FramingConnection && o.sent == ordersLastEvent
@@ -258,3 +278,36 @@
 		o.response.Close()
 	}
 }
+
+// lateTimerConn lets a timer fire after a read has returned an error.
+type lateTimerConn struct {
+	*net.TCPConn
+	fire func()
+}
+
+func (c *lateTimerConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if err != nil {
+		c.fire()
+	}
+	return n, err
+}
+
+// A host that had stood still logged the reset of a stream as a silence, and avoided its target as
+// a silent one: the timer fired after the read had returned the reset.
+func TestEndOrders_TimerAfterTheEndIsNoTimeout(t *testing.T) {
+	for _, framing := range []target.Framing{target.FramingConnection, target.FramingLength, target.FramingChunked} {
+		for event, want := range map[connEvent]target.EndCause{eventReset: target.EndReset, eventClose: target.EndClose} {
+			if framing == target.FramingConnection && event == eventClose {
+				continue // The end of such a stream.
+			}
+			o := newOrdersTarget(t, framing)
+			o.apply(event)
+			o.response.conn.Conn = &lateTimerConn{o.response.conn.Conn.(*net.TCPConn), func() { o.apply(eventTimer) }}
+			_, err := o.response.Next()
+			require.ErrorIs(t, err, target.ErrTruncated, "%s %s", framing, event)
+			require.Equal(t, want, o.response.End().Cause, "%s %s", framing, event)
+			o.response.Close()
+		}
+	}
+}
--- a/target/web/response_end.go
+++ b/target/web/response_end.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"os"
 	"syscall"
 
 	"comfreytiller.dev/common/head"
@@ -118,7 +119,8 @@
 // context, and records what has ended the response.
 func (r *Response) classifyError(err error) error {
 	switch {
-	case r.conn.watchdog.Expired():
+	// A timer that fires after the read has returned another error has not ended the response.
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		r.endCause = target.EndTimeout
 		return errors.Wrapf(target.ErrTimeout, "%s", r.call.Address)
 	case r.ctx.Err() != nil:
