Log the number of an attempt with its own line

The line of an attempt that was given up as silent had the number of the next one, for which a permit is reserved before: the attempts of a moved stream read 1, 3, 3.

Result: TestMove_FailedAttemptKeepsItsNumber fails without the change.

--- a/gateway/log.go
+++ b/gateway/log.go
@@ -114,7 +114,7 @@
 func (g *Gateway) decisionEntry(d *dispatcher, a *attempt) *logrus.Entry {
 	fields := logrus.Fields{
 		"Request": d.CallerID, "Target": a.permit.Target, "Workspace": d.Workspace, "Service": d.Service.Name, "Call": d.Call.Name,
-		"Believed": a.permit.Warm, "Reason": a.permit.Reason, "Attempt": d.attempts,
+		"Believed": a.permit.Warm, "Reason": a.permit.Reason, "Attempt": a.number,
 		"FirstByte": a.firstByte, "Waited": a.permit.Waited, "Time": g.Clock.Since(d.Started),
 		"ContentKey": strconv.FormatUint(d.key, 16), "Version": a.permit.Version,
 	}
--- a/gateway/move_test.go
+++ b/gateway/move_test.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"comfreytiller.dev/admission"
+	"comfreytiller.dev/common/logs"
 	"comfreytiller.dev/fleet"
 	"comfreytiller.dev/standin"
+	"comfreytiller.dev/target"
 	"github.com/stretchr/testify/require"
 )
 
@@ -146,3 +148,18 @@
 	d.Service.Timeouts.Total = time.Hour
 	require.Equal(t, &d.Service, d.admissionRequest().ServiceConfig)
 }
+
+// A stream reserves its next attempt before the silent one is given up. The line of the silent one
+// had the number of the next.
+func TestMove_FailedAttemptKeepsItsNumber(t *testing.T) {
+	f, d, current := newMoveFixture(t.Context(), t)
+	var out lockedBuffer
+	logger, err := logs.New(&out, "info", "text")
+	require.NoError(t, err)
+	f.gateway.log = logs.ForComponent(logger, "Route")
+	d.attempts, current.number = 1, 1
+	require.True(t, d.mayGiveUp(current))
+	d.abandon(current, target.ErrTimeout)
+	require.Contains(t, out.lines()[0], "Attempt=1")
+	d.releaseReservedPermit()
+}
