Keep the observed silence of voters across elections and standstills

Cause: only the leader measured how long voters were silent, and began anew after an election or a standstill of its process. With 2 s to wait and 1.8 s left the gone voters were still in the cluster when two disks were lost. The hubs' logs show the leader of the term before the standstill still leading after it, both successors as caught-up learners, and no membership change. The search for successors of silent voters began anew in the same way.

Each hub now observes the voters whether it leads or not and reports those that have been silent for 2 s. The leader replaces a reported voter that it hasn't heard of since it began to listen, after 0.4 s. A hub that stood still starts its observation anew, so that nobody reports after a standstill of all. The field is new; earlier releases ignore it.

--- a/hub/gossip.go
+++ b/hub/gossip.go
@@ -295,6 +295,7 @@
 	}
 	g.mergeRenewals(m)
 	g.hub.voters.record(m)
+	g.hub.membership.silence.record(m)
 	g.hub.rollouts.merge(m.RolloutSource, m.Rollouts)
 	g.hub.origins.record(m)
 	g.hub.watchers.recordHubRevision(m.Host, m.LowestRevision)
--- a/hub/membership.go
+++ b/hub/membership.go
@@ -30,6 +30,10 @@
 	// successor has started, so that two others may be lost by then; an election may
 	// take 1 s of that. A voter that is replaced while it is only slow becomes a learner.
 	voterLostAfter = 2 * time.Second
+	// confirmedSilence is how long the leader itself must not have heard of a voter that another
+	// hub has reported as silent for voterLostAfter. A voter that is there responds to the
+	// leader's next heartbeat, which is sent within 300 ms.
+	confirmedSilence = 400 * time.Millisecond
 	// replacementContactWithin is how recently a learner must have been heard of to replace a
 	// voter. It is above the time of two heartbeats.
 	replacementContactWithin = 700 * time.Millisecond
@@ -60,6 +64,8 @@
 	// listening is the time in which this leader would have heard of its voters. It is not
 	// guarded by mu, since only run uses it.
 	listening listeningTime
+	// silence observes the voters whether or not this hub leads.
+	silence *silenceObserver
 	// successorsSoughtAt is when the replicas of silent voters were last asked; only run uses it.
 	successorsSoughtAt time.Time
 }
@@ -72,7 +78,10 @@
 
 func newMembershipManager(h *Hub) *membershipManager {
 	send := func(address string, message peer.Message) { h.node.Send(address, message) }
-	return &membershipManager{hub: h, send: send, identify: h.identify, verifying: map[string]bool{}, configuredReplicas: h.Settings.StateReplicas, joinRequests: map[string]joinRequest{}, lostVoters: map[string]bool{}}
+	return &membershipManager{
+		hub: h, send: send, identify: h.identify, verifying: map[string]bool{}, configuredReplicas: h.Settings.StateReplicas,
+		joinRequests: map[string]joinRequest{}, lostVoters: map[string]bool{}, silence: newSilenceObserver(h),
+	}
 }
 
 // setConfiguredReplicas replaces the configured addresses of the state
@@ -189,6 +198,7 @@
 // membership.
 func (m *membershipManager) run(ctx context.Context) {
 	ticks.Every(ctx, m.hub.Clock, membershipInterval, func(ctx context.Context) {
+		m.silence.observe(maxCheckGap)
 		leadership := m.hub.replica.Quorum.Leadership()
 		if !leadership.IsLeader {
 			m.listening = listeningTime{}
@@ -237,6 +247,7 @@
 	defer cancel()
 	err := change(ctx)
 	m.listening = m.listening.extend(m.hub.Clock.Now(), changeTimeout+maxCheckGap)
+	m.silence.observe(changeTimeout + maxCheckGap)
 	if err != nil {
 		m.hub.log.Warnf("Membership change failed: %v.", err)
 		return false
@@ -317,5 +328,5 @@
 func (m *membershipManager) lostVoter(status quorum.Status) string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return LongestSilentVoter(status, m.listening, m.lostVoters)
+	return LongestSilentVoter(status, m.listening, m.lostVoters, m.silence.reported())
 }
--- a/hub/slow_cluster_test.go
+++ b/hub/slow_cluster_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"comfreytiller.dev/comfreytiller/state"
+	"comfreytiller.dev/common/ticks"
 	"comfreytiller.dev/peer"
 	"comfreytiller.dev/quorum"
 	"comfreytiller.dev/settings"
@@ -124,7 +125,7 @@
 	c.mu.Lock()
 	c.hosts = append(c.hosts, h)
 	c.mu.Unlock()
-	for _, run := range []func(context.Context){h.hub.maintainContact, h.hub.membership.run, h.pauseAtRandom} {
+	for _, run := range []func(context.Context){h.hub.maintainContact, h.hub.membership.run, h.reportSilence, h.pauseAtRandom} {
 		phase := c.delay(membershipInterval, 0)
 		c.running.Go(func() {
 			time.Sleep(phase)
@@ -243,6 +244,18 @@
 	}
 }
 
+// reportSilence sends the other members of the cluster what the refreshes of hubs tell them.
+func (h *slowHost) reportSilence(ctx context.Context) {
+	ticks.Every(ctx, h.hub.Clock, refreshInterval, func(context.Context) {
+		report := peer.RosterUpdate{Replica: h.hub.replica.Quorum.Status().ID, SilentVoters: h.hub.membership.silence.silentVoters()}
+		for _, address := range h.hub.replicaAddresses() {
+			if to := h.byAddress(address); to != nil && to != h {
+				h.sendTo(to, func() { to.hub.membership.silence.record(report) })
+			}
+		}
+	})
+}
+
 // pauseAtRandom pauses the process at random.
 func (h *slowHost) pauseAtRandom(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/hub/slow_voters_test.go
+++ b/hub/slow_voters_test.go
@@ -184,10 +184,10 @@
 	status := quorum.Status{ID: "leader", Members: []quorum.MemberStatus{
 		learner, voter("leader", time.Hour), voter("quick", voterLostAfter), voter("slow", voterLostAfter+1),
 	}}
-	require.Equal(t, "slow", LongestSilentVoter(status, listening, nil))
+	require.Equal(t, "slow", LongestSilentVoter(status, listening, nil, nil))
 	status.Members = append(status.Members, voter("gone", time.Minute), voter("later", 30*time.Second))
-	require.Equal(t, "gone", LongestSilentVoter(status, listening, nil))
-	require.Equal(t, "later", LongestSilentVoter(status, listening, map[string]bool{"later": true, "quick": true}))
+	require.Equal(t, "gone", LongestSilentVoter(status, listening, nil, nil))
+	require.Equal(t, "later", LongestSilentVoter(status, listening, map[string]bool{"later": true, "quick": true}, nil))
 	listening.since = now.Add(-voterLostAfter)
-	require.Empty(t, LongestSilentVoter(status, listening, nil), "the leader has not listened for long enough")
+	require.Empty(t, LongestSilentVoter(status, listening, nil, nil), "the leader has not listened for long enough")
 }
--- a/hub/successors.go
+++ b/hub/successors.go
@@ -26,10 +26,8 @@
 		return
 	}
 	m.successorsSoughtAt = now
-	for _, member := range m.hub.replica.Quorum.Status().Members {
-		if member.Voter && member.ID != m.hub.replica.Quorum.Status().ID && m.listening.silence(member.LastContact) > voterQuietAfter {
-			go m.findSuccessor(ctx, member.ID, member.Host, member.Address)
-		}
+	for _, member := range m.silence.silentMembers(voterQuietAfter) {
+		go m.findSuccessor(ctx, member.ID, member.Host, member.Address)
 	}
 }
 
--- a/hub/voter_silence.go
+++ b/hub/voter_silence.go
@@ -46,10 +46,20 @@
 // LongestSilentVoter returns the ID of the voter that has been silent for longer than
 // voterLostAfter and should be replaced first: one that is known to be lost, or else the one
 // that was heard of last the longest time ago. It returns "" if there is none.
-func LongestSilentVoter(status quorum.Status, listening listeningTime, knownLost map[string]bool) string {
+//
+// A voter that hubs report as silent may have been silent since before this leader listened. It
+// is replaced if the leader hasn't heard of it at all, for confirmedSilence.
+//
+// Load: two voters are gone for good, and a third one stands still for seconds before they are
+// replaced. Once it resumes, two more may lose their disks.
+func LongestSilentVoter(status quorum.Status, listening listeningTime, knownLost, reported map[string]bool) string {
 	var longest quorum.MemberStatus
 	for _, member := range status.Members {
-		if !member.Voter || member.ID == status.ID || listening.silence(member.LastContact) <= voterLostAfter {
+		required := voterLostAfter
+		if reported[member.ID] && !member.LastContact.After(listening.since) {
+			required = confirmedSilence
+		}
+		if !member.Voter || member.ID == status.ID || listening.silence(member.LastContact) <= required {
 			continue
 		}
 		isLost, longestIsLost := knownLost[member.ID], knownLost[longest.ID]
--- a/hub/voters.go
+++ b/hub/voters.go
@@ -50,6 +50,7 @@
 	return peer.RosterUpdate{
 		Host: v.hub.Settings.Host, Replica: v.hub.replica.Quorum.Status().ID, FleetVersion: durable.Fleet, OutageVersion: durable.Outage, RolloutVersion: durable.Rollout,
 		Serves: v.hub.hasMajorityContact(), Served: v.hub.watchers.servedCount(), ReadsRenewals: true,
+		SilentVoters: v.hub.membership.silence.silentVoters(),
 	}
 }
 
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -85,7 +85,7 @@
 			Relayed: true, WantedOrigin: 4, MaxWait: time.Second, LowestRevision: 5,
 			Replica: "i", FleetVersion: 6, OutageVersion: 7, Serves: true, Served: 8,
 			Renewals:      []roster.Renewal{{Fingerprint: 1, Sequence: 2, LastSeen: epoch.Add(-time.Second)}, {Fingerprint: 1 << 63, LastSeen: epoch}},
-			ReadsRenewals: true, Wanted: []roster.Fingerprint{3, 1 << 63},
+			ReadsRenewals: true, Wanted: []roster.Fingerprint{3, 1 << 63}, SilentVoters: []string{"i"},
 		},
 		WatchRequest{
 			Host: "h", Revision: 1, FleetVersion: 2, RosterSource: 3, RosterVersion: 4, MaxWait: time.Second, Loads: map[roster.Key]int{roster.KeyOf("t"): 3}, CrashReport: sampleCrashReport(), SuspectsVersion: 5, Quarantined: sampleSuspects(), StateOnly: true, MaxDeltaBytes: 6, PeerAddress: "a", PendingRevision: 7, Direct: true,
--- a/peer/codec_watch.go
+++ b/peer/codec_watch.go
@@ -21,7 +21,7 @@
 			Replica: m.Replica, FleetVersion: m.FleetVersion, OutageVersion: m.OutageVersion,
 			Rollouts: rolloutsToWire(m.Rollouts), RolloutSource: m.RolloutSource, RolloutVersion: m.RolloutVersion,
 			Serves: m.Serves, Served: int32(m.Served),
-			Renewals: renewalsToWire(m.Renewals, now), ReadsRenewals: m.ReadsRenewals, Wanted: fingerprintsToWire(m.Wanted),
+			Renewals: renewalsToWire(m.Renewals, now), ReadsRenewals: m.ReadsRenewals, Wanted: fingerprintsToWire(m.Wanted), SilentVoters: m.SilentVoters,
 		}}
 	case WatchRequest:
 		wire.Body = &peerpb.Frame_Watch{Watch: &peerpb.Watch{
@@ -56,7 +56,7 @@
 			Replica: b.Roster.Replica, FleetVersion: b.Roster.FleetVersion, OutageVersion: b.Roster.OutageVersion,
 			Rollouts: rolloutsFromWire(b.Roster.Rollouts), RolloutSource: b.Roster.RolloutSource, RolloutVersion: b.Roster.RolloutVersion,
 			Serves: b.Roster.Serves, Served: int(b.Roster.Served),
-			Renewals: renewalsFromWire(b.Roster.Renewals, now), ReadsRenewals: b.Roster.ReadsRenewals, Wanted: fingerprintsFromWire(b.Roster.Wanted),
+			Renewals: renewalsFromWire(b.Roster.Renewals, now), ReadsRenewals: b.Roster.ReadsRenewals, Wanted: fingerprintsFromWire(b.Roster.Wanted), SilentVoters: b.Roster.SilentVoters,
 		}
 	case *peerpb.Frame_Watch:
 		w := b.Watch
--- a/peer/message.go
+++ b/peer/message.go
@@ -253,6 +253,9 @@
 	ReadsRenewals bool
 	// Wanted asks for the entries with these fingerprints, which the sender lacks.
 	Wanted []roster.Fingerprint
+	// SilentVoters are the IDs of the voters that have been silent at Replica for long enough
+	// to be replaced.
+	SilentVoters []string
 }
 
 // WatchRequest asks a state replica for changes since the requesting host's view.
