Connect to targets through other hosts while a host is cut off from them

Callers of an entry host that was partitioned from all targets got 502 for as long as the cut lasted: 0 of 145 first tries served, all of them at the other hosts.

Cause: the readiness counted targets that announce themselves to the hubs, and a host had no way to a target but a connection of its own. Where most of a zone is cut off, its hosts get requests whatever they say of their readiness.

A host whose direct connection to a target fails, or ends before the first byte of its first response, now connects through another host, which passes the bytes on unchanged. All decisions about the request stay where they were. A relay serves ready targets of its own roster, directly, within a share of its descriptors. If relays don't reach the target either, it is down, as before. An explicit end keeps a relay that dies from looking like the end of a response. A host that has reached no target directly for a second, while a relay reaches one, isn't ready. The hubs name hosts on request, only while a path has failed.

With the relays taken out, TestRelays_HostThatIsCutOffServesThroughOthers fails for three of four kinds of cuts (old connections live on in the fourth) and TestRelays_MostHostsAreCutOff as well.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -96,6 +96,7 @@
 	deltas   recentDeltas
 	views    *viewSource
 	sender   protocol.Sender
+	dialer   *targetDialer
 	gateway  *gateway.Gateway
 
 	callerListener net.Listener
@@ -116,15 +117,18 @@
 	if e.peerListener, err = net.Listen("tcp", e.Settings.Peers); err != nil {
 		return nil, errors.Join(errors.Wrapf(err, "listen for peers on %s", e.Settings.Peers), e.callerListener.Close(), e.adminListener.Close())
 	}
+	e.dialer = newTargetDialer(e)
 	e.node = peer.NewNode(peer.Config{
-		Host:      e.Settings.Host,
-		Key:       e.Key,
-		Clock:     e.Clock,
-		WrapConn:  meter.NewControlTraffic(e.Scope.SubScope("peer")).WrapAfter(e.WrapConn),
-		OnDropped: logs.DroppedMessage[peer.Message](e.log),
+		Host:       e.Settings.Host,
+		Key:        e.Key,
+		Clock:      e.Clock,
+		WrapConn:   meter.NewControlTraffic(e.Scope.SubScope("peer")).WrapAfter(e.WrapConn),
+		Relay:      e.dialer.relay,
+		MaxRelayed: maxRelayed(e.Settings.Descriptors),
+		OnDropped:  logs.DroppedMessage[peer.Message](e.log),
 	}, e.receive)
 	e.view = newStateView(e.Clock)
-	e.sender = e.Protocol.NewSender(e.Clock)
+	e.sender = e.Protocol.NewSender(e.Clock, e.dialer)
 	e.crashes = newCrashGuard(e)
 	e.selector = newTargetSelector(e)
 	e.budget = newRetryBudget(e.Settings.Retries, e.selector.hosts.count, e.Clock)
@@ -190,7 +194,7 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	var running sync.WaitGroup
-	for _, run := range []func(context.Context){e.watcher.run, e.checker.run, e.origins.run, e.selector.probeUnreachable, e.pauses.Run} {
+	for _, run := range []func(context.Context){e.watcher.run, e.checker.run, e.origins.run, e.selector.probeUnreachable, e.dialer.run, e.pauses.Run} {
 		running.Go(func() { run(background) })
 	}
 	running.Go(e.serveAdmin)
@@ -283,6 +287,9 @@
 	if e.selector.readyCount() == 0 {
 		return errors.New("no target is known yet")
 	}
+	if e.dialer.isCutOff() {
+		return errors.New("this host is cut off from all targets")
+	}
 	return nil
 }
 
--- a/entry/target_roster.go
+++ b/entry/target_roster.go
@@ -22,6 +22,31 @@
 	return ready
 }
 
+// readyAddresses returns the addresses of the ready targets that aren't silent.
+func (t *targetSelector) readyAddresses() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var addresses []string
+	for _, s := range t.byName {
+		if s.State == roster.Ready && !s.Silent {
+			addresses = append(addresses, s.Address)
+		}
+	}
+	return addresses
+}
+
+// hasReadyTarget reports whether a ready target has the address.
+func (t *targetSelector) hasReadyTarget(address string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.byName {
+		if s.State == roster.Ready && s.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
 // rosterEntries returns the entries of all targets that this host has heard of.
 func (t *targetSelector) rosterEntries() []roster.Entry {
 	entries, _ := t.roster.ChangedSince(0)
--- a/hub/delta_spread.go
+++ b/hub/delta_spread.go
@@ -97,6 +97,20 @@
 	d.dispatch()
 }
 
+// hostAddresses returns the sorted peer addresses of the hosts that polled this hub recently.
+func (d *deltaSpread) hostAddresses() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var addresses []string
+	for _, holder := range d.holders {
+		if d.clock.Since(holder.seenAt) <= sourceTTL {
+			addresses = append(addresses, holder.address)
+		}
+	}
+	slices.Sort(addresses)
+	return addresses
+}
+
 // dispatch grants sources and the link of the hub to the hosts that wait, first come, first
 // served. The caller must hold d.mu.
 func (d *deltaSpread) dispatch() {
--- a/hub/delta_spread_test.go
+++ b/hub/delta_spread_test.go
@@ -93,3 +93,15 @@
 		require.NotEmpty(t, ask(peer.WatchRequest{Host: "e-3"}).Delta)
 	})
 }
+
+// Hosts that are cut off from targets find the others by their hubs.
+func TestDeltaSpread_HostAddresses(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	d := newDeltaSpread(clock, 0)
+	d.recordPoll(peer.WatchRequest{Host: "b", PeerAddress: "10.0.0.2:1"}, true)
+	clock.Advance(sourceTTL)
+	d.recordPoll(peer.WatchRequest{Host: "a", PeerAddress: "10.0.0.1:1"}, false)
+	require.Equal(t, []string{"10.0.0.1:1", "10.0.0.2:1"}, d.hostAddresses())
+	clock.Advance(1)
+	require.Equal(t, []string{"10.0.0.1:1"}, d.hostAddresses())
+}
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -303,6 +303,8 @@
 		h.replica.Deliver(m)
 	case peer.ProposeRequest:
 		go h.replica.Propose(m, reply)
+	case peer.HostsRequest:
+		reply(peer.HostsResponse{Addresses: h.deltas.hostAddresses()})
 	case peer.IdentityRequest:
 		reply(h.replica.Identity())
 	case peer.WatchRequest:
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -81,7 +81,7 @@
 		encodeAdmissionBody(wire, message, now)
 	case TargetUpdate, TargetUpdateAck, ServiceStateChunk, StatusRequest, StatusResponse, Digest:
 		encodeTargetBody(wire, message)
-	case QuorumMessages, ProposeRequest, ProposeResponse, RenewRequest, RenewResponse, VersionsRequest, VersionsResponse, IdentityRequest, IdentityResponse,
+	case QuorumMessages, ProposeRequest, ProposeResponse, RenewRequest, RenewResponse, VersionsRequest, VersionsResponse, IdentityRequest, IdentityResponse, HostsRequest, HostsResponse,
 		MemberChangeRequest, MemberChangeResponse:
 		encodeStateBody(wire, message)
 	case RosterUpdate, WatchRequest, WatchResponse, JoinRequest:
--- a/peer/codec_state.go
+++ b/peer/codec_state.go
@@ -34,6 +34,10 @@
 		wire.Body = &peerpb.Frame_VersionsTold{VersionsTold: &peerpb.VersionsTold{
 			Revision: m.Revision, FleetVersion: m.FleetVersion, OutageVersion: m.OutageVersion,
 		}}
+	case HostsRequest:
+		wire.Body = &peerpb.Frame_HostsAsk{HostsAsk: &peerpb.Ping{}}
+	case HostsResponse:
+		wire.Body = &peerpb.Frame_HostsTold{HostsTold: &peerpb.HostsTold{Addresses: m.Addresses}}
 	case IdentityRequest:
 		wire.Body = &peerpb.Frame_IdentityAsk{IdentityAsk: &peerpb.Ping{}}
 	case IdentityResponse:
@@ -73,6 +77,10 @@
 	case *peerpb.Frame_VersionsTold:
 		v := b.VersionsTold
 		return VersionsResponse{Revision: v.Revision, FleetVersion: v.FleetVersion, OutageVersion: v.OutageVersion}
+	case *peerpb.Frame_HostsAsk:
+		return HostsRequest{}
+	case *peerpb.Frame_HostsTold:
+		return HostsResponse{Addresses: b.HostsTold.Addresses}
 	case *peerpb.Frame_IdentityAsk:
 		return IdentityRequest{}
 	case *peerpb.Frame_IdentityTold:
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -150,6 +150,8 @@
 			Services: []DigestService{{Name: "s", Queued: 1, InFlight: 2}},
 		},
 		IdentityRequest{},
+		HostsRequest{},
+		HostsResponse{Addresses: []string{"a"}},
 		IdentityResponse{ID: "i", Host: "h", Cluster: "c", LastTerm: 4, LastIndex: 9},
 		MemberChangeRequest{Change: MemberReplace, ID: "i", Address: "a"},
 		MemberChangeResponse{Code: CodeRejected, Message: "m", Leader: "l"},
--- a/peer/handshake.go
+++ b/peer/handshake.go
@@ -14,6 +14,9 @@
 // listener to serve both this protocol and HTTP.
 const Magic = "CTP1"
 
+// relayMagic are the first bytes of a connection that asks for a relayed connection.
+const relayMagic = "CTR1"
+
 const (
 	nonceBytes       = 16
 	macBytes         = sha256.Size
@@ -23,12 +26,12 @@
 )
 
 // dialerHandshake authenticates both ends of a dialed connection by the shared
-// key:
+// key. The magic bytes tell what the connection is for:
 //
-//	dialer: Magic, nonce, length of host, host
+//	dialer: magic, nonce, length of host, host
 //	server: nonce, MAC
 //	dialer: MAC
-func dialerHandshake(conn net.Conn, key []byte, host string) error {
+func dialerHandshake(conn net.Conn, magic string, key []byte, host string) error {
 	if len(host) > maxHostNameBytes {
 		return errors.Errorf("host name of %d bytes, at most %d", len(host), maxHostNameBytes)
 	}
@@ -36,7 +39,7 @@
 	if _, err := rand.Read(ownNonce); err != nil {
 		return errors.Wrap(err, "make nonce")
 	}
-	hello := append([]byte(Magic), ownNonce...)
+	hello := append([]byte(magic), ownNonce...)
 	hello = append(hello, byte(len(host)))
 	hello = append(hello, host...)
 	if _, err := conn.Write(hello); err != nil {
@@ -47,47 +50,57 @@
 		return errors.Wrap(err, "read greeting")
 	}
 	peerNonce := reply[:nonceBytes]
-	if !hmac.Equal(reply[nonceBytes:], handshakeMAC(key, roleServer, ownNonce, peerNonce, host)) {
+	if !hmac.Equal(reply[nonceBytes:], handshakeMAC(key, roleFor(magic, roleServer), ownNonce, peerNonce, host)) {
 		return errors.Wrapf(ErrKeyMismatch, "server %s", conn.RemoteAddr())
 	}
-	if _, err := conn.Write(handshakeMAC(key, roleDialer, ownNonce, peerNonce, host)); err != nil {
+	if _, err := conn.Write(handshakeMAC(key, roleFor(magic, roleDialer), ownNonce, peerNonce, host)); err != nil {
 		return errors.Wrap(err, "send proof")
 	}
 	return nil
 }
 
+// roleFor returns the role of an end in the proofs of a connection with the magic bytes. A proof
+// for one purpose is none for another.
+func roleFor(magic, role string) string {
+	if magic == Magic {
+		return role
+	}
+	return magic + " " + role
+}
+
 // serverHandshake authenticates the dialer of an accepted connection and returns
-// its host name. The Magic bytes must not have been read from conn.
-func serverHandshake(conn net.Conn, key []byte) (string, error) {
+// its host name and the magic bytes, which must not have been read from conn.
+func serverHandshake(conn net.Conn, key []byte) (host, magic string, err error) {
 	head := make([]byte, len(Magic)+nonceBytes+1)
 	if _, err := io.ReadFull(conn, head); err != nil {
-		return "", errors.Wrap(err, "read dialer hello")
+		return "", "", errors.Wrap(err, "read dialer hello")
 	}
-	if string(head[:len(Magic)]) != Magic {
-		return "", errors.Wrap(ErrInvalidFrame, "dialer hello does not start with the magic bytes")
+	magic = string(head[:len(Magic)])
+	if magic != Magic && magic != relayMagic {
+		return "", "", errors.Wrap(ErrInvalidFrame, "dialer hello does not start with the magic bytes")
 	}
 	peerNonce := head[len(Magic) : len(Magic)+nonceBytes]
 	name := make([]byte, head[len(head)-1])
 	if _, err := io.ReadFull(conn, name); err != nil {
-		return "", errors.Wrap(err, "read host name")
+		return "", "", errors.Wrap(err, "read host name")
 	}
-	host := string(name)
+	host = string(name)
 	ownNonce := make([]byte, nonceBytes)
 	if _, err := rand.Read(ownNonce); err != nil {
-		return "", errors.Wrap(err, "generate nonce")
+		return "", "", errors.Wrap(err, "generate nonce")
 	}
-	reply := append(ownNonce, handshakeMAC(key, roleServer, peerNonce, ownNonce, host)...)
+	reply := append(ownNonce, handshakeMAC(key, roleFor(magic, roleServer), peerNonce, ownNonce, host)...)
 	if _, err := conn.Write(reply); err != nil {
-		return "", errors.Wrap(err, "send server hello")
+		return "", "", errors.Wrap(err, "send server hello")
 	}
 	mac := make([]byte, macBytes)
 	if _, err := io.ReadFull(conn, mac); err != nil {
-		return "", errors.Wrap(err, "read MAC")
+		return "", "", errors.Wrap(err, "read MAC")
 	}
-	if !hmac.Equal(mac, handshakeMAC(key, roleDialer, peerNonce, reply[:nonceBytes], host)) {
-		return "", errors.Wrapf(ErrKeyMismatch, "dialer %s from %s", host, conn.RemoteAddr())
+	if !hmac.Equal(mac, handshakeMAC(key, roleFor(magic, roleDialer), peerNonce, reply[:nonceBytes], host)) {
+		return "", "", errors.Wrapf(ErrKeyMismatch, "dialer %s from %s", host, conn.RemoteAddr())
 	}
-	return host, nil
+	return host, magic, nil
 }
 
 // handshakeMAC returns the MAC by which one role proves that it knows the key.
--- a/peer/message.go
+++ b/peer/message.go
@@ -158,6 +158,15 @@
 	OutageVersion uint64
 }
 
+// HostsRequest asks a hub for the entry hosts that poll it.
+type HostsRequest struct{}
+
+// HostsResponse is the reply to a HostsRequest.
+type HostsResponse struct {
+	// Addresses are the peer addresses of the hosts.
+	Addresses []string
+}
+
 // IdentityRequest asks a host for the identity of its state replica.
 type IdentityRequest struct{}
 
@@ -396,6 +405,8 @@
 func (StatusResponse) message()       {}
 func (VersionsRequest) message()      {}
 func (VersionsResponse) message()     {}
+func (HostsRequest) message()         {}
+func (HostsResponse) message()        {}
 func (IdentityRequest) message()      {}
 func (IdentityResponse) message()     {}
 func (MemberChangeRequest) message()  {}
--- a/peer/node.go
+++ b/peer/node.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,6 +25,10 @@
 	// WrapConn wraps each new connection, for example to count bytes; nil wraps
 	// none.
 	WrapConn func(net.Conn) net.Conn
+	// Relay opens connections for other hosts; nil rejects them. MaxRelayed limits their number at a
+	// time.
+	Relay      RelayDialer
+	MaxRelayed int
 	// OnDropped is called for a message to the host that can't be encoded; nil for none.
 	OnDropped func(host string, message Message, err error)
 }
@@ -41,7 +47,9 @@
 	mu        sync.Mutex
 	dials     map[string]*dialResult
 	openConns map[*Conn]struct{}
-	closed    bool
+	// relayed are the connections of other hosts that are being relayed.
+	relayed map[net.Conn]struct{}
+	closed  bool
 }
 
 // dialResult is a dialed connection that is open or being established. conn and
@@ -74,6 +82,7 @@
 		},
 		dials:     map[string]*dialResult{},
 		openConns: map[*Conn]struct{}{},
+		relayed:   map[net.Conn]struct{}{},
 	}
 }
 
@@ -81,11 +90,17 @@
 func (n *Node) ServeConn(conn net.Conn) error {
 	conn = n.config.WrapConn(conn)
 	_ = conn.SetDeadline(n.config.Clock.Now().Add(dialTimeout))
-	host, err := serverHandshake(conn, n.config.Key)
+	host, magic, err := serverHandshake(conn, n.config.Key)
 	if err != nil {
 		_ = conn.Close()
 		return errors.Wrap(err, "authenticate accepted peer connection")
 	}
+	if magic == relayMagic {
+		if err := n.serveRelay(conn); err != nil {
+			return errors.Wrapf(err, "relay for %s", host)
+		}
+		return nil
+	}
 	_ = conn.SetDeadline(noDeadline)
 	c := n.newConn(host, conn)
 	if !n.track(c) {
@@ -173,10 +188,14 @@
 	for conn := range n.openConns {
 		open = append(open, conn)
 	}
+	relayed := slices.Collect(maps.Keys(n.relayed))
 	n.mu.Unlock()
 	for _, conn := range open {
 		conn.close()
 	}
+	for _, conn := range relayed {
+		_ = conn.Close()
+	}
 }
 
 // track registers an open connection; it reports false if the node is closed.
@@ -270,7 +289,7 @@
 	}
 	conn := n.config.WrapConn(raw)
 	_ = conn.SetDeadline(n.config.Clock.Now().Add(dialTimeout))
-	if err := dialerHandshake(conn, n.config.Key, n.config.Host); err != nil {
+	if err := dialerHandshake(conn, Magic, n.config.Key, n.config.Host); err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
--- a/protocol/protocol.go
+++ b/protocol/protocol.go
@@ -31,8 +31,9 @@
 	ParseFleet registry.FleetParser
 	// NewCodec returns the codec for requests and responses of callers.
 	NewCodec func(catalog Catalog) gateway.Codec
-	// NewSender returns the client for targets.
-	NewSender func(clock clockwork.Clock) Sender
+	// NewSender returns the client for targets, which connects to them by dialer; nil connects
+	// directly.
+	NewSender func(clock clockwork.Clock, dialer target.Dialer) Sender
 	// NewControlHandler returns the handler for calls of targets and operators.
 	NewControlHandler func(control Control) fasthttp.RequestHandler
 	// ReadinessPath is the path of the readiness check of an entry host, for load
--- a/target/web/client.go
+++ b/target/web/client.go
@@ -24,7 +24,7 @@
 type Client struct {
 	clock        clockwork.Clock
 	pool         *pool
-	dialer       net.Dialer
+	dialer       target.Dialer
 	dialTimeout  time.Duration
 	orderTimeout time.Duration
 	dialect      Dialect
@@ -43,6 +43,16 @@
 	return func(c *Client) { c.dialTimeout = d }
 }
 
+// WithDialer sets the dialer of connections to targets; nil keeps the default, which connects
+// directly.
+func WithDialer(dialer target.Dialer) ClientOption {
+	return func(c *Client) {
+		if dialer != nil {
+			c.dialer = dialer
+		}
+	}
+}
+
 // WithOrderTimeout limits the time of an order, a cancellation, and a cache
 // export or import; 0 sets no limit.
 func WithOrderTimeout(d time.Duration) ClientOption {
@@ -64,6 +74,7 @@
 	c := &Client{
 		clock:        clock,
 		pool:         &pool{clock: clock, maxIdleTime: defaultMaxIdleTime, maxPerAddress: defaultMaxIdleConnsPerAddress, idle: map[string][]*targetConn{}},
+		dialer:       &net.Dialer{},
 		dialTimeout:  defaultDialTimeout,
 		orderTimeout: defaultOrderTimeout,
 		dialect:      nativeDialect{},
