Test the verdict of a quarantine with a request now and then

Cause: only the success of a request that was sent before the quarantine, or a later suspect that explains its crashes, ended it before its time. Nothing with the part was sent any more, and nothing without it had been there to compare. The logs show the quarantine 3.0 s after the first crash, and no request with the part after it.

Hosts report the subjects for which they refuse requests, and a hub grants one request: 5 s after the quarantine, the last crash and the last trial, three times as long for each trial under which a target crashed, and after a minute if requests without the subject have succeeded meanwhile. Hubs take turns. A trial needs another ready target, is sent once, and has succeeded when its response has gone on for a second.

--- a/admission/quarantine/board.go
+++ b/admission/quarantine/board.go
@@ -14,6 +14,9 @@
 	suspects map[Subject]*boardSuspect
 	// explained holds the crashes that suspects in quarantine caused.
 	explained map[startedTarget]bool
+	// unexplainedAt is when a target last crashed for another cause, succeededAt when the last
+	// request was sent whose success with some suspect was reported.
+	unexplainedAt, succeededAt time.Time
 	// published is the list for hosts, and version increases with each change of it.
 	published   []Suspect
 	publishedAt time.Time
@@ -62,7 +65,10 @@
 	b.removeExpired(now)
 	var added []Suspect
 	for suspect := b.likeliestCause(now); suspect != nil; suspect = b.likeliestCause(now) {
-		suspect.Until = now.Add(quarantinePeriod)
+		suspect.Until, suspect.FailedTrials, suspect.TrialAt = now.Add(quarantinePeriod), 0, time.Time{}
+		// A success with the subject would have cleared it. All other requests are without a whole
+		// request, and their successes aren't reported.
+		suspect.IsCompared = suspect.IsRequest || b.succeededAt.After(suspect.FirstAt)
 		for target := range suspect.crashes {
 			b.explain(suspect, target)
 		}
@@ -224,10 +230,14 @@
 	}
 	suspect.crashes[target] = &targetCrash{sentAt: crash.SentAt, crashedAt: crash.CrashedAt, reports: 1, isExplained: b.explained[target]}
 	if suspect.IsQuarantined(now) {
+		suspect.recordCrashInQuarantine(crash.SentAt)
 		b.explain(suspect, target)
 		return
 	}
 	suspect.count()
+	if !b.explained[target] {
+		b.unexplainedAt = latest(b.unexplainedAt, crash.CrashedAt)
+	}
 }
 
 // recordSuccess clears a suspect if a request with it that was sent after its first crash
@@ -237,6 +247,7 @@
 	if suspect == nil || suspect.Crashes == 0 {
 		return
 	}
+	b.succeededAt = latest(b.succeededAt, success.SentAt)
 	suspect.isKnownSound = true
 	if !success.SentAt.After(suspect.FirstAt) || !success.SentAt.After(suspect.ClearedAt) {
 		return
@@ -261,6 +272,9 @@
 		if known == nil {
 			known = newBoardSuspect(Suspect{Subject: suspect.Subject})
 		}
+		if known.IsQuarantined(now) {
+			known.mergeTrials(&suspect)
+		}
 		if !suspect.IsQuarantined(now) || known.IsQuarantined(now) || suspect.FirstAt.Before(known.ClearedAt) {
 			continue
 		}
--- a/admission/quarantine/board_suspect.go
+++ b/admission/quarantine/board_suspect.go
@@ -21,6 +21,8 @@
 	isKnownSound bool
 	// isReleased is set once the suspect has left its quarantine before its end.
 	isReleased bool
+	// failedTrialAt is TrialAt of the last trial under which a target crashed.
+	failedTrialAt time.Time
 }
 
 // targetCrash is the crash of a target as reported for one subject.
--- a/admission/quarantine/observer.go
+++ b/admission/quarantine/observer.go
@@ -64,6 +64,10 @@
 	// succeeded holds by subject when the last request was sent that succeeded.
 	succeeded map[Subject]time.Time
 	lastPrune time.Time
+	// refused are the subjects of requests that were refused since the last report, trials the
+	// granted ones with their ends.
+	refused map[Subject]bool
+	trials  map[Subject]time.Time
 	// version is that of the hub's list of suspects.
 	version uint64
 }
@@ -86,6 +90,7 @@
 	return &Observer{
 		unchecked: map[startedTarget][]Lost{}, isDown: map[startedTarget]check{},
 		suspects: map[Subject]observedSuspect{}, reported: map[Subject]time.Time{}, succeeded: map[Subject]time.Time{},
+		refused: map[Subject]bool{}, trials: map[Subject]time.Time{},
 	}
 }
 
--- a/admission/quarantine/quarantine.go
+++ b/admission/quarantine/quarantine.go
@@ -9,7 +9,8 @@
 // other requests may share, and the content that repeats of the request share. Afterwards
 // it reports the subjects among them with which a request succeeded. Hubs share the
 // reports, count the crashes of each subject and put one in quarantine that reaches the
-// limit. Hosts refuse the requests with a subject in quarantine.
+// limit. Hosts refuse the requests with a subject in quarantine, but for a trial now and then: a
+// request whose success ends the quarantine.
 //
 // The package does no I/O and starts no goroutine; the time is an argument.
 //
@@ -23,7 +24,9 @@
 //	}
 //	report := observer.TakeReport()
 //	observer.Apply(now, suspects, version)
-//	if suspect, found := observer.Quarantined(now, content); found { ... }
+//	if suspect, found := observer.Quarantined(now, content); found && !observer.TakeTrial(now, content) { ... }
+//	refused := observer.TakeRefused()
+//	observer.ApplyTrials(now, granted)
 //
 // On a hub:
 //
@@ -31,6 +34,7 @@
 //	board.Record(now, report)
 //	board.Merge(now, suspectsOfAnotherHub)
 //	for _, suspect := range board.Update(now) { ... }
+//	granted := board.GrantTrials(now, refused, turnOf)
 package quarantine
 
 import (
@@ -150,6 +154,13 @@
 	// ClearedAt is when the request was sent whose success cleared the suspect; zero if
 	// there was none. Crashes is then counted anew.
 	ClearedAt time.Time
+	// IsCompared is set if requests without the subject have succeeded between its first crash and
+	// its quarantine.
+	IsCompared bool
+	// TrialAt is when the last request that tests the quarantine was granted; zero for none.
+	// FailedTrials is the number of those under which a target crashed.
+	TrialAt      time.Time
+	FailedTrials int
 }
 
 // IsQuarantined reports whether the suspect is in quarantine.
--- a/entry/crash_guard.go
+++ b/entry/crash_guard.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -27,30 +29,92 @@
 
 	refusals tally.Counter
 	crashes  tally.Counter
+	// passed counts the requests that were sent to test a quarantine.
+	passed tally.Counter
+
+	mu sync.Mutex
+	// trials are those in flight, by the ID of the request's attempt.
+	trials map[string]trial
+}
+
+// trial is a request that tests a quarantine.
+type trial struct {
+	content quarantine.Content
+	sentAt  time.Time
 }
 
+// trialSoundPeriod is how long after the first byte of its response a trial has shown that its
+// content is sound.
+const trialSoundPeriod = time.Second
+
+// maxTrialAge is how long a trial without an end is remembered.
+const maxTrialAge = 10 * time.Minute
+
 func newCrashGuard(e *Entry) *crashGuard {
 	return &crashGuard{
 		log: logs.ForComponent(e.Log, "Quarantine"), clock: e.Clock, sender: e.sender, observer: quarantine.NewObserver(),
 		refusals: e.Scope.Counter("prompts_refused_in_quarantine"), crashes: e.Scope.Counter("target_crashes_before_response"),
+		passed: e.Scope.Counter("quarantine_trials"), trials: map[string]trial{},
 	}
 }
 
-// check returns the refusal of a request in quarantine, and nil for others.
-func (g *crashGuard) check(now time.Time, request *admission.Request) error {
-	suspect, found := g.observer.Quarantined(now, quarantine.Content{Prompt: request.Prompt, Key: request.ContentKey})
+// check returns the refusal of a request in quarantine, and nil for others and for a trial. hasSpare
+// reports whether the service has more targets than the trial may cost.
+func (g *crashGuard) check(now time.Time, request *admission.Request, hasSpare func() bool) error {
+	content := quarantine.Content{Prompt: request.Prompt, Key: request.ContentKey}
+	suspect, found := g.observer.Quarantined(now, content)
 	if !found {
 		return nil
 	}
+	if request.Attempt <= 1 && hasSpare() && g.observer.TakeTrial(now, content) {
+		g.beginTrial(now, request, content)
+		g.log.WithFields(quarantineFields(now, suspect)).WithField("Request", request.ID).Infof("Request %s tests the quarantine of %s.", request.ID, suspect.Subject)
+		return nil
+	}
 	g.refusals.Inc(1)
 	return &admission.Refusal{
-		RequestID: request.ID, Code: admission.RefusedQuarantined, RetryAfter: suspect.Until.Sub(now),
+		RequestID: request.ID, Code: admission.RefusedQuarantined, RetryAfter: suspect.RetryAfter(now),
 		Message: fmt.Sprintf("%s is in quarantine: %d targets crashed in a row under requests with it", suspect.Subject, suspect.Crashes),
 	}
 }
 
+func (g *crashGuard) beginTrial(now time.Time, request *admission.Request, content quarantine.Content) {
+	g.passed.Inc(1)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	// A trial that no target admitted isn't released.
+	maps.DeleteFunc(g.trials, func(_ string, t trial) bool { return now.Sub(t.sentAt) > maxTrialAge })
+	g.trials[request.ID] = trial{content: content, sentAt: now}
+}
+
+// endTrial forgets a trial that has ended, and returns it.
+func (g *crashGuard) endTrial(requestID string) (trial, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	t, found := g.trials[requestID]
+	delete(g.trials, requestID)
+	return t, found
+}
+
+// recordFirstByte records that the response to a request has begun. A trial that is still in flight
+// trialSoundPeriod later has succeeded: responses may take minutes.
+func (g *crashGuard) recordFirstByte(requestID string) {
+	g.mu.Lock()
+	_, isTrial := g.trials[requestID]
+	g.mu.Unlock()
+	if !isTrial {
+		return
+	}
+	g.clock.AfterFunc(trialSoundPeriod, func() {
+		if t, found := g.endTrial(requestID); found {
+			g.observer.RecordSuccess(g.clock.Now(), t.content, t.sentAt)
+		}
+	})
+}
+
 // record records how a request ended.
 func (g *crashGuard) record(now time.Time, release *admission.Release, address string) {
+	g.endTrial(release.RequestID)
 	sentAt, content := now.Add(-release.Duration), quarantine.Content{Prompt: release.Prompt, Key: release.ContentKey}
 	switch {
 	case release.Duration == 0:
@@ -86,6 +150,7 @@
 // apply applies the suspects that a hub listed. isOtherHub is set if the last list came
 // from another hub.
 func (g *crashGuard) apply(response *peer.WatchResponse, isOtherHub bool) {
+	g.observer.ApplyTrials(g.clock.Now(), response.Trials)
 	if response.SuspectsVersion == 0 || response.SuspectsVersion == g.observer.Version() && !isOtherHub {
 		return
 	}
--- a/entry/hub_watcher.go
+++ b/entry/hub_watcher.go
@@ -255,6 +255,7 @@
 		slack = initialSlack
 	}
 	rollouts := w.daemon.selector.rollouts.observer
+	request.Refused = observer.TakeRefused()
 	request.CrashReport, request.Rollout = observer.TakeReport(), rollouts.TakeReport()
 	restoreReports := func() {
 		observer.RestoreReport(request.CrashReport)
--- a/entry/rollout.go
+++ b/entry/rollout.go
@@ -195,6 +195,7 @@
 
 // recordFirstByte records that a response has begun.
 func (t *targetSelector) recordFirstByte(permit admission.Permit, call string, firstByte time.Duration) {
+	t.daemon.crashes.recordFirstByte(permit.RequestID)
 	if r := t.servingRollout(permit.Service); r != nil {
 		t.rollouts.observer.RecordFirstByte(permit.Service, r.Number, call, permit.Version == r.Version, firstByte)
 	}
--- a/entry/target_roster.go
+++ b/entry/target_roster.go
@@ -22,6 +22,20 @@
 	return ready
 }
 
+// hasSpareTarget reports whether a service has a ready target beside another one, or has only one
+// target at all.
+func (t *targetSelector) hasSpareTarget(service string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ready := 0
+	for _, s := range t.byService[service] {
+		if s.State == roster.Ready && !s.Silent {
+			ready++
+		}
+	}
+	return ready > 1 || ready == 1 && len(t.byService[service]) == 1
+}
+
 // readyAddresses returns the addresses of the ready targets that aren't silent.
 func (t *targetSelector) readyAddresses() []string {
 	t.mu.Lock()
--- a/entry/target_selector.go
+++ b/entry/target_selector.go
@@ -135,7 +135,7 @@
 	}
 	view := current.View
 	now := t.clock.Now()
-	if err := t.daemon.crashes.check(now, &request); err != nil {
+	if err := t.daemon.crashes.check(now, &request, func() bool { return t.hasSpareTarget(request.Service) }); err != nil {
 		return admission.Permit{}, err
 	}
 	t.mu.Lock()
--- a/peer/codec_quarantine.go
+++ b/peer/codec_quarantine.go
@@ -45,6 +45,7 @@
 	for _, suspect := range suspects {
 		state := &peerpb.SuspectState{
 			Key: suspect.Key, Request: suspect.IsRequest, Crashes: int32(suspect.Crashes), FirstAge: int64(now.Sub(suspect.FirstAt)), LastAge: int64(now.Sub(suspect.LastAt)),
+			Compared: suspect.IsCompared,
 		}
 		if suspect.IsQuarantined(now) {
 			state.Remaining = int64(suspect.Until.Sub(now))
@@ -52,6 +53,9 @@
 		if !suspect.ClearedAt.IsZero() {
 			state.Cleared, state.ClearedAge = true, int64(now.Sub(suspect.ClearedAt))
 		}
+		if !suspect.TrialAt.IsZero() {
+			state.Tried, state.TrialAge, state.FailedTrials = true, int64(now.Sub(suspect.TrialAt)), int32(suspect.FailedTrials)
+		}
 		wire = append(wire, state)
 	}
 	return wire
@@ -63,6 +67,7 @@
 		suspect := quarantine.Suspect{
 			Subject: quarantine.Subject{Key: state.Key, IsRequest: state.Request}, Crashes: int(state.Crashes),
 			FirstAt: now.Add(-time.Duration(state.FirstAge)), LastAt: now.Add(-time.Duration(state.LastAge)),
+			IsCompared: state.Compared,
 		}
 		if state.Remaining > 0 {
 			suspect.Until = now.Add(time.Duration(state.Remaining))
@@ -70,7 +75,26 @@
 		if state.Cleared {
 			suspect.ClearedAt = now.Add(-time.Duration(state.ClearedAge))
 		}
+		if state.Tried {
+			suspect.TrialAt, suspect.FailedTrials = now.Add(-time.Duration(state.TrialAge)), int(state.FailedTrials)
+		}
 		suspects = append(suspects, suspect)
 	}
 	return suspects
 }
+
+func subjectsToWire(subjects []quarantine.Subject) []*peerpb.QuarantineSubject {
+	var wire []*peerpb.QuarantineSubject
+	for _, subject := range subjects {
+		wire = append(wire, &peerpb.QuarantineSubject{Key: subject.Key, Request: subject.IsRequest})
+	}
+	return wire
+}
+
+func subjectsFromWire(wire []*peerpb.QuarantineSubject) []quarantine.Subject {
+	var subjects []quarantine.Subject
+	for _, subject := range wire {
+		subjects = append(subjects, quarantine.Subject{Key: subject.Key, IsRequest: subject.Request})
+	}
+	return subjects
+}
--- a/peer/codec_watch.go
+++ b/peer/codec_watch.go
@@ -31,6 +31,7 @@
 			RateLimits: rateLimitReportsToWire(m.RateLimits, now), StateOnly: m.StateOnly, MaxDelta: int32(m.MaxDeltaBytes),
 			PeerAddress: m.PeerAddress, PendingRevision: m.PendingRevision, Direct: m.Direct, Rollouts: rolloutsToWire(m.Rollout.Services),
 			First: m.IsFirst, ReplyTimeout: int64(m.ReplyTimeout), PassesViews: m.PassesViews, RosterSummary: fingerprintsToWire(m.RosterSummary), ReadsPacked: m.ReadsPacked,
+			Refused: subjectsToWire(m.Refused),
 		}}
 	case WatchResponse:
 		wire.Body = &peerpb.Frame_Watched{Watched: &peerpb.Watched{
@@ -39,7 +40,7 @@
 			Loads: loadsToWire(m.Loads), MeanLoad: m.MeanLoad, WithoutLoads: m.WithoutLoads,
 			SuspectsVersion: m.SuspectsVersion, Suspects: suspectsToWire(m.Suspects, now),
 			ConfirmedAge: int64(m.ConfirmedAge), Held: int64(m.Held), OmittedRevision: m.OmittedRevision, Sources: m.Sources, Checksum: m.Checksum,
-			RetryAfter: int64(m.RetryAfter), Hubs: m.Hubs,
+			RetryAfter: int64(m.RetryAfter), Hubs: m.Hubs, Trials: subjectsToWire(m.Trials),
 		}}
 	case JoinRequest:
 		wire.Body = &peerpb.Frame_Join{Join: &peerpb.Join{Id: m.ID, Host: m.Host, Address: m.Address, Passed: m.Forwarded}}
@@ -67,6 +68,7 @@
 			RateLimits: rateLimitReportsFromWire(w.RateLimits, now), StateOnly: w.StateOnly, MaxDeltaBytes: int(w.MaxDelta),
 			PeerAddress: w.PeerAddress, PendingRevision: w.PendingRevision, Direct: w.Direct, Rollout: rollout.Report{Services: rolloutsFromWire(w.Rollouts)},
 			IsFirst: w.First, ReplyTimeout: time.Duration(w.ReplyTimeout), PassesViews: w.PassesViews, RosterSummary: fingerprintsFromWire(w.RosterSummary), ReadsPacked: w.ReadsPacked,
+			Refused: subjectsFromWire(w.Refused),
 		}
 	case *peerpb.Frame_Watched:
 		w := b.Watched
@@ -76,7 +78,7 @@
 			Loads: loadsFromWire(w.Loads), MeanLoad: w.MeanLoad, WithoutLoads: w.WithoutLoads,
 			SuspectsVersion: w.SuspectsVersion, Suspects: suspectsFromWire(w.Suspects, now),
 			ConfirmedAge: time.Duration(w.ConfirmedAge), Held: time.Duration(w.Held), OmittedRevision: w.OmittedRevision, Sources: w.Sources, Checksum: w.Checksum,
-			RetryAfter: time.Duration(w.RetryAfter), Hubs: w.Hubs,
+			RetryAfter: time.Duration(w.RetryAfter), Hubs: w.Hubs, Trials: subjectsFromWire(w.Trials),
 		}
 	case *peerpb.Frame_Join:
 		return JoinRequest{ID: b.Join.Id, Host: b.Join.Host, Address: b.Join.Address, Forwarded: b.Join.Passed}
--- a/peer/message.go
+++ b/peer/message.go
@@ -314,6 +314,8 @@
 	PassesViews bool
 	// ReadsPacked is set if the host understands a reply with PackedEntries.
 	ReadsPacked bool
+	// Refused are the subjects in quarantine because of which requests were refused lately.
+	Refused []quarantine.Subject
 }
 
 // WatchResponse is the reply to a WatchRequest.
@@ -344,6 +346,8 @@
 	// none. Suspects is the list; it is empty if the host has that version.
 	SuspectsVersion uint64
 	Suspects        []quarantine.Suspect
+	// Trials are the subjects in quarantine with which the host may send one request.
+	Trials []quarantine.Subject
 	// ConfirmedAge is how long before the reply the replica began the read barrier that last
 	// confirmed its view; 0 if unknown. Held is how long it kept the request.
 	ConfirmedAge time.Duration
