--- a/entry/entry.go
+++ b/entry/entry.go
@@ -29,6 +29,7 @@
 	"comfreytiller.dev/common/logs"
 	"comfreytiller.dev/common/meter"
 	"comfreytiller.dev/common/pauses"
+	"comfreytiller.dev/fleet"
 	"comfreytiller.dev/gateway"
 	"comfreytiller.dev/gateway/intake"
 	"comfreytiller.dev/peer"
@@ -37,13 +38,17 @@
 
 const (
 	// maxHeaderBytes limits the size of a request's header; the fleet
-	// configuration may set a lower limit.
+	// configuration may set a lower limit, or a higher one up to
+	// fleet.HighestHeaderBytes.
 	maxHeaderBytes = 32 << 10
 	// maxHeaderCount is the number of the shortest fields in maxHeaderBytes: their cost is part of
 	// what is held for callers.
 	maxHeaderCount = maxHeaderBytes / len("a:\r\n")
 	maxURIBytes    = 16 << 10
-	maxBodyBytes   = 8 << 20
+	// maxHeadBufferBytes is the largest buffer for a header and a URI that the fleet configuration
+	// may call for.
+	maxHeadBufferBytes = 512 << 10
+	maxBodyBytes       = fleet.HighestBodyBytes
 	// maxResponseBytes limits the size of a non-streaming response, maxBufferedBytes
 	// that of all of them together. Small hosts have little more than 128 MB.
 	maxResponseBytes = 8 << 20
@@ -168,6 +173,7 @@
 		gateway.WithTargetErrors(),
 		gateway.WithStrictRetryBudget(),
 		gateway.WithHeaderLimits(maxHeaderBytes, maxHeaderCount, maxURIBytes),
+		gateway.WithMaxHeadBuffer(maxHeadBufferBytes),
 		gateway.WithMaxBodyBytes(maxBodyBytes),
 		gateway.WithMaxResponseBytes(maxResponseBytes),
 		gateway.WithMaxBufferedBytes(maxBufferedBytes),
--- a/fleet/bounds.go
+++ b/fleet/bounds.go
@@ -24,6 +24,14 @@
 	maxKeys           = 1000
 )
 
+// Highest request limits that entry hosts keep, on the smallest machines as well.
+const (
+	// HighestHeaderBytes is the highest RequestLimits.HeaderBytes.
+	HighestHeaderBytes = 256 << 10
+	// HighestBodyBytes is the highest RequestLimits.BodyBytes.
+	HighestBodyBytes = 8 << 20
+)
+
 // Limits of the values. maxPhaseDuration applies to FirstByte, Gap, ColdFirstByte and
 // Lasts, minCallerTimeout to HeaderTime and IdleTime.
 const (
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/jonboulle/clockwork"
+	"github.com/valyala/fasthttp"
 )
 
 // ErrDrainTimeout is returned by Drain if requests were still in flight, or
@@ -41,7 +42,8 @@
 	case <-ctx.Done():
 		return g.endRequests(idle)
 	}
-	if err := g.server.ShutdownWithContext(ctx); err != nil {
+	shutdown := func(server *fasthttp.Server) error { return server.ShutdownWithContext(ctx) }
+	if err := errors.Join(shutdown(g.server), g.headServers.shutdown(shutdown)); err != nil {
 		return errors.Wrapf(ErrDrainTimeout, "close connections: %v", err)
 	}
 	return nil
--- a/gateway/failure.go
+++ b/gateway/failure.go
@@ -128,9 +128,10 @@
 
 // closeIfDraining closes the connection after the response if the gateway is
 // draining or keep-alive is disabled, so that the next request of the caller
-// goes to another host.
+// goes to another host. It also closes one that was opened before the fleet
+// configuration allowed larger heads.
 func (g *Gateway) closeIfDraining(ctx *fasthttp.RequestCtx) {
-	if g.tracker.isDraining() || g.keepAliveDisabled.Load() {
+	if g.tracker.isDraining() || g.keepAliveDisabled.Load() || g.isOutgrown(ctx) {
 		ctx.SetConnectionClose()
 	}
 }
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -76,12 +76,17 @@
 	// noFleet makes Fleet return nil. It is atomic because connections that are
 	// being accepted also call Fleet.
 	noFleet atomic.Bool
+	// changed replaces fleet once it is set.
+	changed atomic.Pointer[fleet.Fleet]
 }
 
 func (f *fakeCatalog) Fleet() *fleet.Fleet {
 	if f.noFleet.Load() {
 		return nil
 	}
+	if changed := f.changed.Load(); changed != nil {
+		return changed
+	}
 	return f.fleet
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,6 +49,7 @@
 	Dependencies
 	settings     settings
 	server       *fasthttp.Server
+	headServers  *headServers
 	metrics      *metrics
 	retryBudgets *serviceBudgets
 	tracker      *requestTracker
@@ -107,7 +108,7 @@
 	g.memory = intake.NewBudget(intake.BudgetConfig{Clock: g.Clock, Limit: g.settings.requestMemory(), Log: g.log, Scope: g.Scope.SubScope("callers")})
 	g.refusals = make(chan struct{}, 1+g.settings.maxConnections/refusalShare)
 	g.idPrefix = g.Host + "-" + nonce() + "-"
-	g.server = g.newServer()
+	g.server, g.headServers = g.newServer(g.settings.maxHeaderBytes), newHeadServers(g)
 	return g
 }
 
--- a/gateway/intake/conn.go
+++ b/gateway/intake/conn.go
@@ -77,6 +77,9 @@
 	return c, nil
 }
 
+// BufferBytes returns the size of the server's buffer for reading.
+func (c *Conn) BufferBytes() int { return c.bufferBytes }
+
 // baseBytes is what a connection holds without a request.
 func (c *Conn) baseBytes() int { return c.bufferBytes + stackBytes }
 
--- a/gateway/intake/server.go
+++ b/gateway/intake/server.go
@@ -164,13 +164,16 @@
 
 // Admit accounts for a connection. It returns nil if there are too many. Leave must be called
 // once the connection is closed.
-func (g *Gate) Admit(inner net.Conn) *Conn {
+func (g *Gate) Admit(inner net.Conn) *Conn { return g.AdmitWithBuffer(inner, g.bufferBytes) }
+
+// AdmitWithBuffer is Admit for a connection whose server has a buffer of bufferBytes for it.
+func (g *Gate) AdmitWithBuffer(inner net.Conn, bufferBytes int) *Conn {
 	open := int(g.open.Add(1))
 	if open > g.max && (open > g.max+1+g.max/closingShare || !g.budget.shedWaiting(g)) {
 		g.open.Add(-1)
 		return nil
 	}
-	c, err := NewConn(inner, g.budget, g, g.bufferBytes)
+	c, err := NewConn(inner, g.budget, g, bufferBytes)
 	if err != nil {
 		g.open.Add(-1)
 		return nil
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -49,13 +49,18 @@
 		if err != nil {
 			return nil, err
 		}
-		accounted := l.gate.Admit(c)
+		bufferBytes := l.gateway.headBufferBytes()
+		accounted := l.gate.AdmitWithBuffer(c, bufferBytes)
 		if accounted == nil {
 			l.gateway.refuse(c)
 			continue
 		}
 		caller := newCallerConn(l.gateway.Clock, accounted, l.gateway.settings.writeTimeout, l.gate.Leave)
 		caller.readTimeouts = l.gateway.callerTimeouts
+		if bufferBytes > l.gateway.settings.maxHeaderBytes {
+			l.gateway.headServers.serve(caller, bufferBytes)
+			continue
+		}
 		return caller, nil
 	}
 }
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -40,6 +40,7 @@
 type settings struct {
 	maxConnections      int
 	maxHeaderBytes      int
+	maxHeadBufferBytes  int
 	maxHeaderFields     int
 	maxURIBytes         int
 	maxBodyBytes        int
@@ -98,6 +99,12 @@
 	}
 }
 
+// WithMaxHeadBuffer lets the fleet configuration allow larger headers than WithHeaderLimits: a
+// connection gets a buffer of up to maxBytes for a header and a URI if it needs one.
+func WithMaxHeadBuffer(maxBytes int) Option {
+	return func(s *settings) { s.maxHeadBufferBytes = maxBytes }
+}
+
 // WithMaxBodyBytes limits the request bodies of services that do not set their
 // own limit.
 func WithMaxBodyBytes(n int) Option { return func(s *settings) { s.maxBodyBytes = n } }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -44,13 +44,14 @@
 // listener, because the server refuses connections without a failure body.
 const concurrencySlack = 64
 
-func (g *Gateway) newServer() *fasthttp.Server {
+// newServer returns a server whose connections have buffers for heads of headBytes.
+func (g *Gateway) newServer(headBytes int) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler:                      g.Handler,
 		ErrorHandler:                 g.handleUnreadableRequest,
 		HeaderReceived:               g.requestConfig,
 		Concurrency:                  g.settings.maxConnections + concurrencySlack,
-		ReadBufferSize:               g.settings.maxHeaderBytes,
+		ReadBufferSize:               headBytes,
 		MaxRequestBodySize:           g.settings.maxBodyBytes,
 		StreamRequestBody:            true,
 		ReadTimeout:                  g.settings.readTimeout,
@@ -114,6 +115,8 @@
 		g.fail(ctx, failure(fasthttp.StatusServiceUnavailable, CodeMemory, "the memory for requests is in use").withRetryAfter(g.settings.retryAfter))
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		g.fail(ctx, bodyTooLarge())
+	case errors.As(err, &smallBuffer) && g.isOutgrown(ctx):
+		g.fail(ctx, failure(fasthttp.StatusServiceUnavailable, CodeNotReady, "the connection was opened before headers of this size were allowed").withRetryAfter(g.settings.retryAfter))
 	case errors.As(err, &smallBuffer):
 		g.fail(ctx, failure(fasthttp.StatusRequestHeaderFieldsTooLarge, CodeHeaderTooLarge, "the header is too large"))
 	case errors.Is(err, fasthttp.ErrTimeout), errors.As(err, &netErr) && netErr.Timeout():
