Limit the attempt to connect through one relay

By reading: a host that is gone without a trace stays in the list of relays for up to 5 s, and a connection through it hung until the whole attempt to reach the target had timed out.

--- a/entry/relays.go
+++ b/entry/relays.go
@@ -25,6 +25,8 @@
 	// directDialTimeout limits an attempt to connect directly while relays are known. The client for
 	// targets limits both attempts together.
 	directDialTimeout = 150 * time.Millisecond
+	// relayDialTimeout limits an attempt to connect through one relay, which may be gone.
+	relayDialTimeout = 100 * time.Millisecond
 	// pathProbeHold is how long a direct connection must last for the path to be restored: a cut may
 	// reset connections after they were accepted.
 	pathProbeHold = 250 * time.Millisecond
@@ -134,7 +136,7 @@
 	var failures error
 	unreachable := 0
 	for _, relay := range relays[:min(len(relays), maxRelayAttempts)] {
-		conn, err := d.daemon.node.DialRelay(ctx, relay, address)
+		conn, err := d.dialRelay(ctx, relay, address)
 		if err == nil {
 			d.paths.recordRelayed(address)
 			d.relayedHere.Inc(1)
@@ -144,7 +146,7 @@
 		switch {
 		case errors.Is(err, peer.ErrRelayUnreachable):
 			unreachable++
-		case ctx.Err() == nil:
+		case !errors.Is(ctx.Err(), context.Canceled):
 			d.pauseRelay(relay)
 		}
 	}
@@ -154,6 +156,13 @@
 	return nil, failures
 }
 
+// dialRelay opens a connection through a relay within relayDialTimeout.
+func (d *targetDialer) dialRelay(ctx context.Context, relay, address string) (net.Conn, error) {
+	ctx, cancel := clockwork.WithTimeout(ctx, d.clock, relayDialTimeout)
+	defer cancel()
+	return d.daemon.node.DialRelay(ctx, relay, address)
+}
+
 // recordFailure records that a direct connection failed.
 func (d *targetDialer) recordFailure(address string, err error) {
 	if !d.paths.recordFailure(d.clock.Now(), address) {
--- a/entry/relays_test.go
+++ b/entry/relays_test.go
@@ -252,6 +252,30 @@
 	}
 }
 
+// Guards against a relay that is gone without a trace and takes up the time of each connection.
+func TestRelays_SilentRelayIsNotTriedAgain(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer silent.Close()
+	address := startHTTPTarget(t)
+	h := startRelayHosts(t, 2, address)[0]
+	h.dialer.mu.Lock()
+	h.dialer.relays = append(h.dialer.relays, silent.Addr().String())
+	h.dialer.mu.Unlock()
+	h.cuts.set(cutRefuses, address)
+	for range 10 {
+		c, err := h.dialer.DialContext(t.Context(), "tcp", address)
+		require.NoError(t, err)
+		require.NoError(t, c.Close())
+	}
+	require.Eventually(t, func() bool {
+		c, err := h.dialer.DialContext(t.Context(), "tcp", address)
+		require.NoError(t, err)
+		require.NoError(t, c.Close())
+		return len(h.dialer.usableRelays()) == 1
+	}, 10*time.Second, time.Millisecond, "the silent one is paused")
+}
+
 // A target that is down must count as unreachable at once, and must not make a host unready.
 func TestRelays_TargetThatIsDownIsUnreachable(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
